Lay the workspace: core types, border schemas, HTTP and the seams of the daemon

Cause: nothing exists yet; the parts are to be built side by side and need settled names. Ruled out: hand-written wire types (they drift from the schemas); own HTTP accept loop without bounds (gotham's bind_server sets neither header timeout nor a connection limit).

--- /dev/null
+++ b/ragwortwick-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! `ragwortwick`, the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/ragwortwick-core/src/chart.rs
@@ -0,0 +1,184 @@
+//! State charts, read from JSON files and interpreted at run time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::Deserialize;
+
+use crate::{Error, Result};
+
+/// `Word` is a closed set of names that a chart file may use.
+pub trait Word: Copy + Eq + Ord + fmt::Debug + 'static {
+    /// Every member of the set with its name in the file.
+    const ALL: &'static [(&'static str, Self)];
+
+    /// `from_name` finds the member with this name.
+    fn from_name(name: &str) -> Option<Self> {
+        Self::ALL
+            .iter()
+            .find(|(known, _)| *known == name)
+            .map(|(_, word)| *word)
+    }
+
+    /// `name` gives the member's name in the file.
+    fn name(self) -> &'static str {
+        Self::ALL
+            .iter()
+            .find(|(_, word)| *word == self)
+            .map_or("?", |(name, _)| name)
+    }
+}
+
+/// `Step` is what a chart does on one event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step<'a, S, A> {
+    /// The state after the event.
+    pub next: S,
+    /// The actions to take, in order.
+    pub actions: &'a [A],
+}
+
+/// `Chart` is a checked state chart over states `S`, events `E`, guards `G` and actions `A`.
+#[derive(Clone, Debug)]
+pub struct Chart<S, E, G, A> {
+    initial: S,
+    finals: BTreeSet<S>,
+    rows: Rows<S, E, G, A>,
+}
+
+type Rows<S, E, G, A> = BTreeMap<(S, E), Vec<Row<S, G, A>>>;
+
+#[derive(Clone, Debug)]
+struct Row<S, G, A> {
+    guard: Option<G>,
+    next: S,
+    actions: Vec<A>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChartFile {
+    name: String,
+    #[serde(rename = "doc")]
+    _doc: String,
+    initial: String,
+    #[serde(rename = "final")]
+    finals: Vec<String>,
+    transitions: Vec<RowFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RowFile {
+    from: String,
+    on: String,
+    #[serde(default, rename = "if")]
+    guard: Option<String>,
+    to: String,
+    #[serde(default, rename = "do")]
+    actions: Vec<String>,
+}
+
+impl<S: Word, E: Word, G: Word, A: Word> Chart<S, E, G, A> {
+    /// `parse` reads and checks a chart file.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed JSON, unknown names, unreachable states, and states without a way out
+    /// that are not final.
+    pub fn parse(text: &str) -> Result<Self> {
+        let file: ChartFile =
+            serde_json::from_str(text).map_err(|e| Error::chart("?", e.to_string()))?;
+        let initial = word::<S>(&file.name, "state", &file.initial)?;
+        let finals = file
+            .finals
+            .iter()
+            .map(|name| word::<S>(&file.name, "state", name))
+            .collect::<Result<BTreeSet<S>>>()?;
+        let mut rows = Rows::new();
+        for row in &file.transitions {
+            let from = word::<S>(&file.name, "state", &row.from)?;
+            let on = word::<E>(&file.name, "event", &row.on)?;
+            let guard = row
+                .guard
+                .as_ref()
+                .map(|g| word::<G>(&file.name, "guard", g))
+                .transpose()?;
+            let next = word::<S>(&file.name, "state", &row.to)?;
+            let actions = row
+                .actions
+                .iter()
+                .map(|a| word::<A>(&file.name, "action", a))
+                .collect::<Result<Vec<A>>>()?;
+            rows.entry((from, on)).or_default().push(Row {
+                guard,
+                next,
+                actions,
+            });
+        }
+        let chart = Self {
+            initial,
+            finals,
+            rows,
+        };
+        chart.check(&file.name)?;
+        Ok(chart)
+    }
+
+    /// `initial` gives the state that a new instance starts in.
+    #[must_use]
+    pub fn initial(&self) -> S {
+        self.initial
+    }
+
+    /// `is_final` tells whether the state is an end.
+    #[must_use]
+    pub fn is_final(&self, state: S) -> bool {
+        self.finals.contains(&state)
+    }
+
+    /// `step` finds the first row for the event whose guard holds, or `None` if the event is ignored.
+    pub fn step(&self, state: S, event: E, holds: impl Fn(G) -> bool) -> Option<Step<'_, S, A>> {
+        let rows = self.rows.get(&(state, event))?;
+        let row = rows.iter().find(|row| row.guard.is_none_or(&holds))?;
+        Some(Step {
+            next: row.next,
+            actions: &row.actions,
+        })
+    }
+
+    fn check(&self, name: &str) -> Result<()> {
+        let mut reached = BTreeSet::from([self.initial]);
+        loop {
+            let before = reached.len();
+            for ((from, _), rows) in &self.rows {
+                if reached.contains(from) {
+                    reached.extend(rows.iter().map(|row| row.next));
+                }
+            }
+            if reached.len() == before {
+                break;
+            }
+        }
+        for (state_name, state) in S::ALL {
+            if !reached.contains(state) {
+                return Err(Error::chart(
+                    name,
+                    format!("state {state_name} is unreachable"),
+                ));
+            }
+            let has_way_out = self.rows.keys().any(|(from, _)| from == state);
+            if !has_way_out && !self.finals.contains(state) {
+                return Err(Error::chart(
+                    name,
+                    format!("state {state_name} has no way out"),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn word<W: Word>(chart: &str, kind: &str, name: &str) -> Result<W> {
+    W::from_name(name).ok_or_else(|| Error::chart(chart, format!("unknown {kind} {name}")))
+}
--- /dev/null
+++ b/ragwortwick-core/src/ids.rs
@@ -0,0 +1,104 @@
+//! Names and ids as cheap, shared, immutable strings.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// `new` makes the name from any text; clones share the text.
+            pub fn new(text: impl AsRef<str>) -> Self {
+                Self(Arc::from(text.as_ref()))
+            }
+
+            /// `as_str` lends the text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}({})", stringify!($name), &self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name_type! {
+    /// `CustomerName` names a customer, the holder of guaranteed shares.
+    CustomerName
+}
+name_type! {
+    /// `ClassName` names a class of work, such as `pass-plan` or `quote`.
+    ClassName
+}
+name_type! {
+    /// `ZoneName` names an availability zone.
+    ZoneName
+}
+name_type! {
+    /// `RackName` names a rack of workers inside one zone.
+    RackName
+}
+name_type! {
+    /// `WorkerName` names a worker, a machine with accelerators that runs tasks.
+    WorkerName
+}
+name_type! {
+    /// `HostName` names an entry host or a backend server.
+    HostName
+}
+name_type! {
+    /// `JobId` identifies an accepted job for ever.
+    JobId
+}
+name_type! {
+    /// `GangId` identifies one attempt of a job; it reads `<job>.<attempt>`.
+    GangId
+}
+name_type! {
+    /// `RequestId` identifies a short request; a repeat carries the same id.
+    RequestId
+}
+
+impl GangId {
+    /// `of_attempt` names the gang that runs the given attempt of a job.
+    #[must_use]
+    pub fn of_attempt(job: &JobId, attempt: u32) -> Self {
+        Self::new(format!("{job}.{attempt}"))
+    }
+
+    /// `job` and attempt number, if the id has the form that `of_attempt` gives.
+    #[must_use]
+    pub fn job_and_attempt(&self) -> Option<(JobId, u32)> {
+        let (job, attempt) = self.as_str().rsplit_once('.')?;
+        Some((JobId::new(job), attempt.parse().ok()?))
+    }
+}
--- /dev/null
+++ b/ragwortwick-core/src/units.rs
@@ -0,0 +1,76 @@
+//! Newtypes for instants, spans, epochs and revisions.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+use crate::common;
+
+/// `TimeMs` is an instant in milliseconds on the clock that the caller of a function chose.
+///
+/// Deciding functions get the monotonic clock of the process; records that outlive it get Unix time.
+#[common(key)]
+#[derive(Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TimeMs(pub u64);
+
+/// `DurationMs` is a span in milliseconds.
+#[common(key)]
+#[derive(Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DurationMs(pub u64);
+
+/// `Epoch` numbers the ownerships of a zone; workers refuse any epoch below the highest seen.
+#[common(key)]
+#[derive(Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+/// `Revision` numbers the versions of a store value; zero stands for an absent value.
+#[common(key)]
+#[derive(Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+impl TimeMs {
+    /// `since` gives the span from `earlier` to here, zero if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> DurationMs {
+        DurationMs(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<DurationMs> for TimeMs {
+    type Output = Self;
+
+    fn add(self, rhs: DurationMs) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub<DurationMs> for TimeMs {
+    type Output = Self;
+
+    fn sub(self, rhs: DurationMs) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl From<DurationMs> for std::time::Duration {
+    fn from(span: DurationMs) -> Self {
+        Self::from_millis(span.0)
+    }
+}
+
+macro_rules! display_number {
+    ($($name:ident),*) => {
+        $(impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        })*
+    };
+}
+
+display_number!(TimeMs, DurationMs, Epoch, Revision);
--- /dev/null
+++ b/ragwortwick-daemon/src/daemon.rs
@@ -0,0 +1,114 @@
+//! The running entry host: starts every duty and stops them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use ragwortwick_border::HostList;
+use ragwortwick_core::{TimeMs, log_event};
+use ragwortwick_http::{Server, ServerOptions};
+use tokio::sync::watch;
+
+use crate::{
+    App, Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, RequestsHandle,
+    Settings, ZoneHandle, http,
+};
+
+/// `DaemonError` says why the process could not start.
+#[derive(Debug, Display)]
+pub enum DaemonError {
+    /// cannot listen on {address}: {cause}
+    Listen {
+        /// The address asked for.
+        address: String,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// cannot register the metrics: {0}
+    Metrics(prometheus::Error),
+}
+
+impl std::error::Error for DaemonError {}
+
+/// `Daemon` is a running entry host.
+#[derive(Debug)]
+pub struct Daemon {
+    app: App,
+    server: Server,
+    lifecycle: watch::Sender<Lifecycle>,
+}
+
+impl Daemon {
+    /// `spawn` starts all duties and returns once the host can be called.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub async fn spawn(settings: Settings) -> Result<Self, DaemonError> {
+        let settings = Arc::new(settings);
+        let clock = Clock::open();
+        let metrics = Metrics::open().map_err(DaemonError::Metrics)?;
+        let (lifecycle, lifecycle_feed) = watch::channel(Lifecycle::Running);
+        let (_table, table_feed) = watch::channel(None);
+        let no_hosts = HostList {
+            hosts: Vec::new(),
+            as_of_ms: TimeMs(0),
+        };
+        let (_hosts, hosts_feed) = watch::channel(Arc::new(no_hosts));
+        let (_store, store_feed) = watch::channel(false);
+        let feeds = Feeds {
+            table: table_feed,
+            hosts: hosts_feed,
+            store_is_reachable: store_feed,
+            lifecycle: lifecycle_feed,
+        };
+        let app = App {
+            settings: Arc::clone(&settings),
+            clock,
+            metrics,
+            feeds,
+            peers: PeerClient,
+            requests: RequestsHandle,
+            jobs: JobsHandle,
+            config: ConfigHandle,
+            zone: ZoneHandle,
+        };
+        let options = ServerOptions {
+            max_connections: settings.max_connections,
+            max_header_bytes: settings.max_header_bytes,
+            ..ServerOptions::default()
+        };
+        let server = Server::bind(&settings.listen, http::router(app.clone()), options)
+            .await
+            .map_err(|cause| DaemonError::Listen {
+                address: settings.listen.clone(),
+                cause,
+            })?;
+        log_event!(
+            Info,
+            "listening",
+            host = settings.host,
+            address = server.address()
+        );
+        Ok(Self {
+            app,
+            server,
+            lifecycle,
+        })
+    }
+
+    /// `address` is where callers and operators reach this host.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// `close` is the planned stop: it cuts off no request and then ends every duty.
+    pub async fn close(self) {
+        self.lifecycle.send_replace(Lifecycle::Stopping);
+        log_event!(Info, "stopping", host = self.app.settings.host);
+        tokio::time::sleep(self.app.settings.drain_notice_ms.into()).await;
+        self.server.close().await;
+        log_event!(Info, "stopped", host = self.app.settings.host);
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/feeds.rs
@@ -0,0 +1,28 @@
+//! Facts that every duty follows: the table in force, the host list and the process's own state.
+
+use std::sync::Arc;
+
+use ragwortwick_border::{AcceptedTable, HostList};
+use tokio::sync::watch;
+
+/// `Lifecycle` is the state of the process as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// Serving.
+    Running,
+    /// A planned stop is under way: the balancer's check fails, begun work is finished.
+    Stopping,
+}
+
+/// `Feeds` gives receivers that always hold the latest fact; clones follow the same facts.
+#[derive(Clone, Debug)]
+pub struct Feeds {
+    /// The table in force; `None` until one was seen.
+    pub table: watch::Receiver<Option<Arc<AcceptedTable>>>,
+    /// The platform's list of hosts; empty until it was read.
+    pub hosts: watch::Receiver<Arc<HostList>>,
+    /// Whether the store answered the last call.
+    pub store_is_reachable: watch::Receiver<bool>,
+    /// State of the process.
+    pub lifecycle: watch::Receiver<Lifecycle>,
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/lib.rs
@@ -0,0 +1,30 @@
+//! The entry host process: takes requests and jobs, keeps the table in force and places gangs.
+
+mod app;
+mod clock;
+mod config;
+mod daemon;
+mod duty;
+mod feeds;
+mod http;
+mod jobs;
+mod logging;
+mod metrics;
+mod peers;
+mod requests;
+mod settings;
+mod zone;
+
+pub use app::App;
+pub use clock::Clock;
+pub use config::ConfigHandle;
+pub use daemon::{Daemon, DaemonError};
+pub use duty::{Duty, Machine, Ring, RingFull};
+pub use feeds::{Feeds, Lifecycle};
+pub use jobs::{JobError, JobsHandle};
+pub use logging::open_log;
+pub use metrics::Metrics;
+pub use peers::{PEER_PROTOCOL, PeerClient, PeerError};
+pub use requests::RequestsHandle;
+pub use settings::{Settings, SettingsProblem};
+pub use zone::ZoneHandle;
--- /dev/null
+++ b/ragwortwick-daemon/src/main.rs
@@ -0,0 +1,110 @@
+//! `ragwortwickd`, the entry host process.
+
+use std::process::ExitCode;
+
+use ragwortwick_daemon::{Daemon, Settings, open_log};
+use tokio::signal::unix::{SignalKind, signal};
+
+const HELP: &str = "\
+ragwortwickd: entry host of ragwortwick
+
+usage: ragwortwickd --settings FILE [--check-settings]
+       ragwortwickd --help | --version
+
+  --settings FILE    JSON settings, see docs/CONFIGURATION.md
+  --check-settings   check the file and end
+
+exit codes: 0 planned stop or valid settings, 1 cannot start, 2 wrong arguments or settings
+";
+
+/// Exit code for wrong arguments and settings.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    // A bug ends the process: the platform replaces it, and half-changed state serves nobody.
+    let print_panic = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        print_panic(info);
+        std::process::abort();
+    }));
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains("--version") {
+        println!("ragwortwickd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let is_check = arguments.contains("--check-settings");
+    let path = match arguments.value_from_str::<_, String>("--settings") {
+        Ok(path) => path,
+        Err(error) => return usage(&error.to_string()),
+    };
+    if let Some(extra) = arguments.finish().first() {
+        return usage(&format!("unexpected argument {}", extra.display()));
+    }
+    let settings = match read_settings(&path) {
+        Ok(settings) => settings,
+        Err(problems) => return usage(&problems),
+    };
+    if is_check {
+        println!("settings=valid path={path}");
+        return ExitCode::SUCCESS;
+    }
+    run(settings)
+}
+
+fn usage(problem: &str) -> ExitCode {
+    eprintln!("{problem}\ntry ragwortwickd --help");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn read_settings(path: &str) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    Settings::parse(&text).map_err(|problems| {
+        problems
+            .iter()
+            .map(|p| format!("{path}: {p}"))
+            .collect::<Vec<_>>()
+            .join("\n")
+    })
+}
+
+fn run(settings: Settings) -> ExitCode {
+    if let Err(error) = open_log(log::LevelFilter::Info) {
+        eprintln!("cannot open the log: {error}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        let mut terminate = match signal(SignalKind::terminate()) {
+            Ok(terminate) => terminate,
+            Err(error) => {
+                eprintln!("cannot listen for signals: {error}");
+                return ExitCode::FAILURE;
+            }
+        };
+        match Daemon::spawn(settings).await {
+            Ok(daemon) => {
+                terminate.recv().await;
+                // A second signal finds this handler in place and changes nothing.
+                daemon.close().await;
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/metrics.rs
@@ -0,0 +1,51 @@
+//! The process's metrics, read at `/metrics`.
+
+use prometheus::{Encoder, HistogramOpts, HistogramVec, Registry, TextEncoder};
+
+/// Buckets in seconds from a millisecond to the longest deadline of a request.
+const REQUEST_BUCKETS_S: [f64; 13] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0, 120.0,
+];
+
+/// `Metrics` holds the registered metrics; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Completion of requests by customer, class and verdict.
+    pub request_completion_seconds: HistogramVec,
+}
+
+impl Metrics {
+    /// `open` registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have one name.
+    pub fn open() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let request_completion_seconds = HistogramVec::new(
+            HistogramOpts::new(
+                "ragwortwick_request_completion_seconds",
+                "Time from a request's arrival to its final answer.",
+            )
+            .buckets(REQUEST_BUCKETS_S.to_vec()),
+            &["customer", "class", "verdict"],
+        )?;
+        registry.register(Box::new(request_completion_seconds.clone()))?;
+        Ok(Self {
+            registry,
+            request_completion_seconds,
+        })
+    }
+
+    /// `render` writes all metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be written as text.
+    pub fn render(&self) -> prometheus::Result<Vec<u8>> {
+        let mut out = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut out)?;
+        Ok(out)
+    }
+}
--- /dev/null
+++ b/ragwortwick-http/src/client.rs
@@ -0,0 +1,232 @@
+//! A client that sends JSON and says whether a failed request may have reached the other end.
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use ragwortwick_core::DurationMs;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// `HttpClientOptions` sets the bounds of a client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpClientOptions {
+    /// Longest time to open a connection.
+    pub connect_timeout_ms: DurationMs,
+    /// Idle connections kept per address.
+    pub max_idle_per_host: usize,
+    /// Largest answer read.
+    pub max_body_bytes: usize,
+}
+
+impl Default for HttpClientOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: DurationMs(1_000),
+            max_idle_per_host: 60,
+            max_body_bytes: 8 << 20,
+        }
+    }
+}
+
+/// `HttpError` tells why there is no whole answer.
+#[derive(Debug, Display)]
+pub enum HttpError {
+    /// not sent to {address}: {cause}
+    NotSent {
+        /// Whom it was meant for.
+        address: String,
+        /// What failed.
+        cause: String,
+    },
+    /// no whole answer from {address}: {cause}
+    NoAnswer {
+        /// Whom it was sent to.
+        address: String,
+        /// What failed.
+        cause: String,
+    },
+    /// {address} answered {status}: {body}
+    Status {
+        /// Who answered.
+        address: String,
+        /// Status code.
+        status: u16,
+        /// Body as text.
+        body: String,
+    },
+    /// malformed answer from {address}: {cause}
+    Malformed {
+        /// Who answered.
+        address: String,
+        /// What could not be read.
+        cause: String,
+    },
+}
+
+impl std::error::Error for HttpError {}
+
+impl HttpError {
+    /// `may_have_arrived` tells whether the other end may have acted on the request.
+    #[must_use]
+    pub fn may_have_arrived(&self) -> bool {
+        !matches!(self, Self::NotSent { .. })
+    }
+}
+
+/// `HttpReply` is a whole answer.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    /// Status code.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: http::HeaderMap,
+    /// Body, whole.
+    pub body: Bytes,
+}
+
+/// `HttpClient` sends requests over pooled connections; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+    max_body_bytes: usize,
+}
+
+impl HttpClient {
+    /// `new` makes a client; it must be used inside a tokio runtime.
+    #[must_use]
+    pub fn new(options: &HttpClientOptions) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(options.connect_timeout_ms.into()));
+        connector.set_nodelay(true);
+        let inner = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(options.max_idle_per_host)
+            // A silent second try would hide from us that the first one may have arrived.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            inner,
+            max_body_bytes: options.max_body_bytes,
+        }
+    }
+
+    /// `send` sends one request and reads the whole answer within the timeout.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `NotSent` if no byte can have arrived, else with `NoAnswer`.
+    pub async fn send(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        body: Option<Bytes>,
+        timeout_ms: DurationMs,
+    ) -> Result<HttpReply, HttpError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, mime::APPLICATION_JSON.as_ref())
+            .body(Full::new(body.unwrap_or_default()))
+            .map_err(|e| HttpError::NotSent {
+                address: address.to_owned(),
+                cause: e.to_string(),
+            })?;
+        let no_answer = |cause: String| HttpError::NoAnswer {
+            address: address.to_owned(),
+            cause,
+        };
+        let exchange = async {
+            let response = self.inner.request(request).await.map_err(|e| {
+                if e.is_connect() {
+                    HttpError::NotSent {
+                        address: address.to_owned(),
+                        cause: describe(&e),
+                    }
+                } else {
+                    no_answer(describe(&e))
+                }
+            })?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, self.max_body_bytes)
+                .collect()
+                .await
+                .map_err(|e| no_answer(e.to_string()))?;
+            Ok(HttpReply {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
+        };
+        tokio::time::timeout(timeout_ms.into(), exchange)
+            .await
+            .unwrap_or_else(|_| Err(no_answer(format!("no answer within {timeout_ms} ms"))))
+    }
+
+    /// `post` sends a JSON body and reads a JSON answer of status 2xx.
+    ///
+    /// # Errors
+    ///
+    /// As `send`; also `Status` for other codes and `Malformed` for a body of another type.
+    pub async fn post<Q: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &Q,
+        timeout_ms: DurationMs,
+    ) -> Result<R, HttpError> {
+        let bytes = serde_json::to_vec(body).map_err(|e| HttpError::NotSent {
+            address: address.to_owned(),
+            cause: e.to_string(),
+        })?;
+        let reply = self
+            .send(Method::POST, address, path, Some(bytes.into()), timeout_ms)
+            .await?;
+        decode(address, &reply)
+    }
+
+    /// `get` reads a JSON answer of status 2xx.
+    ///
+    /// # Errors
+    ///
+    /// As `post`.
+    pub async fn get<R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        timeout_ms: DurationMs,
+    ) -> Result<R, HttpError> {
+        let reply = self
+            .send(Method::GET, address, path, None, timeout_ms)
+            .await?;
+        decode(address, &reply)
+    }
+}
+
+fn decode<R: DeserializeOwned>(address: &str, reply: &HttpReply) -> Result<R, HttpError> {
+    if !reply.status.is_success() {
+        return Err(HttpError::Status {
+            address: address.to_owned(),
+            status: reply.status.as_u16(),
+            body: String::from_utf8_lossy(&reply.body).into_owned(),
+        });
+    }
+    serde_json::from_slice(&reply.body).map_err(|e| HttpError::Malformed {
+        address: address.to_owned(),
+        cause: e.to_string(),
+    })
+}
+
+/// The chain of causes, since the outermost one only says that something failed.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/ragwortwick-http/src/lib.rs
@@ -0,0 +1,9 @@
+//! HTTP for every process: a bounded server around gotham and a JSON client around hyper-util.
+
+mod client;
+mod reply;
+mod server;
+
+pub use client::{HttpClient, HttpClientOptions, HttpError, HttpReply};
+pub use reply::{Refusal, json_response, read_json};
+pub use server::{Server, ServerOptions};
--- /dev/null
+++ b/ragwortwick-http/src/reply.rs
@@ -0,0 +1,97 @@
+//! Reading JSON bodies within bounds and writing JSON answers.
+
+use bytes::Bytes;
+use gotham::handler::IntoResponse;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::state::{FromState, State};
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use ragwortwick_border::Problem;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// `Refusal` is a 4xx answer that names the field at fault.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Refusal {
+    /// Status code.
+    pub status: StatusCode,
+    /// Body of the answer.
+    pub problem: Problem,
+}
+
+impl Refusal {
+    /// `new` names the field and what was expected.
+    pub fn new(status: StatusCode, field: impl Into<String>, problem: impl Into<String>) -> Self {
+        Self {
+            status,
+            problem: Problem {
+                field: field.into(),
+                problem: problem.into(),
+            },
+        }
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self, state: &State) -> Response<Body> {
+        json_response(state, self.status, &self.problem)
+    }
+}
+
+/// `json_response` makes an answer with a JSON body.
+pub fn json_response<T: Serialize>(state: &State, status: StatusCode, body: &T) -> Response<Body> {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => create_response(state, status, mime::APPLICATION_JSON, bytes),
+        Err(error) => create_response(
+            state,
+            StatusCode::INTERNAL_SERVER_ERROR,
+            mime::TEXT_PLAIN,
+            error.to_string(),
+        ),
+    }
+}
+
+/// `read_json` reads the request's body, at most `max_bytes`, as `T`.
+///
+/// # Errors
+///
+/// Fails with 413 for an oversized body and 400 for one that is no `T`, naming the field's path.
+pub async fn read_json<T: DeserializeOwned>(
+    state: &mut State,
+    max_bytes: usize,
+) -> Result<T, Refusal> {
+    let body = Body::take_from(state);
+    let bytes = match Limited::new(body, max_bytes).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let text = format!("expected at most {max_bytes} bytes");
+            return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body", text));
+        }
+        Err(error) => {
+            return Err(Refusal::new(
+                StatusCode::BAD_REQUEST,
+                "body",
+                error.to_string(),
+            ));
+        }
+    };
+    parse(&bytes)
+}
+
+fn parse<T: DeserializeOwned>(bytes: &Bytes) -> Result<T, Refusal> {
+    let mut reader = serde_json::Deserializer::from_slice(bytes);
+    let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let path = error.path().to_string();
+        let field = if path == "." { "body".to_owned() } else { path };
+        Refusal::new(
+            StatusCode::BAD_REQUEST,
+            field,
+            error.into_inner().to_string(),
+        )
+    })?;
+    reader
+        .end()
+        .map_err(|e| Refusal::new(StatusCode::BAD_REQUEST, "body", e.to_string()))?;
+    Ok(value)
+}
--- /dev/null
+++ b/ragwortwick-http/src/server.rs
@@ -0,0 +1,147 @@
+//! A server that runs a gotham router with bounds on connections, headers and waiting.
+
+use std::io;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use gotham::router::Router;
+use gotham::service::call_handler;
+use gotham::state::State;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use ragwortwick_core::DurationMs;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::task::JoinHandle;
+
+/// `ServerOptions` sets the bounds of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerOptions {
+    /// Most connections open at once; further ones wait in the listen queue.
+    pub max_connections: usize,
+    /// Largest request head.
+    pub max_header_bytes: usize,
+    /// Longest time for a caller to send its request head.
+    pub header_timeout_ms: DurationMs,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            max_connections: 4_096,
+            max_header_bytes: 16 << 10,
+            header_timeout_ms: DurationMs(10_000),
+        }
+    }
+}
+
+/// `Server` is a running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    stop: oneshot::Sender<()>,
+    accept_loop: JoinHandle<()>,
+}
+
+impl Server {
+    /// `bind` listens on the address and serves the router until `close`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn bind(address: &str, router: Router, options: ServerOptions) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let accept_loop = tokio::spawn(accept(listener, router, options, stopped));
+        Ok(Self {
+            address,
+            stop,
+            accept_loop,
+        })
+    }
+
+    /// `address` is where the server listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// `close` stops listening, lets every request that was begun finish, and then returns.
+    pub async fn close(self) {
+        // The loop may have ended by itself; then there is nothing left to stop.
+        let _ = self.stop.send(());
+        drop(self.accept_loop.await);
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    router: Router,
+    options: ServerOptions,
+    mut stopped: oneshot::Receiver<()>,
+) {
+    let permits = Arc::new(Semaphore::new(options.max_connections));
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(std::time::Duration::from(options.header_timeout_ms))
+        .max_buf_size(options.max_header_bytes.max(8 << 10));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let next = async {
+            let permit = Arc::clone(&permits).acquire_owned().await.ok()?;
+            Some((permit, listener.accept().await))
+        };
+        let (permit, accepted) = tokio::select! {
+            _ = &mut stopped => break,
+            next = next => match next {
+                Some(next) => next,
+                None => break,
+            },
+        };
+        let Ok((socket, peer)) = accepted else {
+            // Out of file descriptors: the pause keeps a full process from spinning.
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            continue;
+        };
+        serve(&builder, &graceful, socket, peer, router.clone(), permit);
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve(
+    builder: &Builder<TokioExecutor>,
+    graceful: &GracefulShutdown,
+    socket: TcpStream,
+    peer: SocketAddr,
+    router: Router,
+    permit: OwnedSemaphorePermit,
+) {
+    // Small answers must not wait for more bytes; without the option the answer is only later.
+    drop(socket.set_nodelay(true));
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
+        let state = State::from_request(request, peer);
+        let router = router.clone();
+        async move {
+            call_handler(router, AssertUnwindSafe(state))
+                .await
+                .map_err(io::Error::other)
+        }
+    });
+    let connection = builder
+        .serve_connection(TokioIo::new(socket), service)
+        .into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        // A broken connection concerns only its caller, who sees it too.
+        drop(connection.await);
+        drop(permit);
+    });
+}
--- /dev/null
+++ b/ragwortwick-policy/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions on short requests: admission, order, runner choice, retries.
--- /dev/null
+++ b/ragwortwick-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
