Keep the table, the jobs and the zone's ownership in the platform's store

Cause: nothing followed the store yet; a host had no table, no host list, took no job and owned no zone. Ruled out: one watch over all keys (claims of single requests would come with it); writing a table's history entry before the table (two racing operators would leave the loser's entry under the winner's number). Change: feeds from store and host list, acceptance of tables and jobs by conditional writes, ownership by lease and epoch over a state chart, the zone duty that drives the placer, and the metrics of these. ZoneOwner and ZoneEpoch join the schemas.

--- a/ragwortwick-border/src/generated.rs
+++ b/ragwortwick-border/src/generated.rs
@@ -1784,6 +1784,34 @@
         value.clone()
     }
 }
+/// `ZoneEpoch` is the last epoch given in a zone; it outlives every lease.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ZoneEpoch {
+    /// The epoch.
+    pub epoch: ragwortwick_core::Epoch,
+    /// Writer's nonce.
+    pub nonce: ::std::string::String,
+}
+impl ::std::convert::From<&ZoneEpoch> for ZoneEpoch {
+    fn from(value: &ZoneEpoch) -> Self {
+        value.clone()
+    }
+}
+/// `ZoneOwner` names the entry host that places in a zone; its key is held by a lease.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ZoneOwner {
+    /// Epoch of its ownership.
+    pub epoch: ragwortwick_core::Epoch,
+    /// The owner.
+    pub host: ragwortwick_core::HostName,
+    /// Writer's nonce.
+    pub nonce: ::std::string::String,
+}
+impl ::std::convert::From<&ZoneOwner> for ZoneOwner {
+    fn from(value: &ZoneOwner) -> Self {
+        value.clone()
+    }
+}
 /// `ZoneStatus` is an owner's view of its zone.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ZoneStatus {
--- a/ragwortwick-border/src/lib.rs
+++ b/ragwortwick-border/src/lib.rs
@@ -27,5 +27,5 @@
     StoreCas, StoreCasReply, StoreChange, StoreEntry, StoreGet, StoreGetReply, StoreList,
     StoreListReply, StoreWatch, StoreWatchReply, Table, TableAccept, TableAcceptReply,
     TableConflict, TableProblem, TableReview, ThrottleCommand, WorkerCommand, WorkerOrder,
-    WorkerOutcome, WorkerReply, WorkerStatus, ZoneStatus,
+    WorkerOutcome, WorkerReply, WorkerStatus, ZoneEpoch, ZoneOwner, ZoneStatus,
 };
--- a/ragwortwick-daemon/src/config/mod.rs
+++ b/ragwortwick-daemon/src/config/mod.rs
@@ -1,53 +1,102 @@
 //! The operators' table: accepted through the store, in force on every host, never going back.
 
+mod accept;
+mod history;
+mod table_duty;
+
 use std::sync::Arc;
 
-use ragwortwick_border::{
-    AcceptedTable, StoreAway, Table, TableAccept, TableAcceptReply, TableReview,
-};
+use ragwortwick_border::{AcceptedTable, Table, TableReview};
+use ragwortwick_core::log_event;
+use ragwortwick_platform::StoreClient;
+use ragwortwick_policy::validate_table;
+use tokio::sync::watch;
+
+pub(crate) use table_duty::TableDuty;
+
+use crate::{Clock, Metrics, PeerClient};
 
-/// `ConfigHandle` reads and changes the operators' table; clones reach the same duty.
+/// `ConfigHandle` reads and changes the operators' table; clones share what is in force.
 #[derive(Clone, Debug)]
-pub struct ConfigHandle;
+pub struct ConfigHandle {
+    in_force: Arc<watch::Sender<Option<Arc<AcceptedTable>>>>,
+    store: StoreClient,
+    peers: PeerClient,
+    clock: Clock,
+    metrics: Metrics,
+}
 
 impl ConfigHandle {
+    /// `open` starts without a table.
+    pub(crate) fn open(
+        store: StoreClient,
+        peers: PeerClient,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            in_force: Arc::new(watch::channel(None).0),
+            store,
+            peers,
+            clock,
+            metrics,
+        }
+    }
+
+    /// `feed` follows the table in force.
+    pub(crate) fn feed(&self) -> watch::Receiver<Option<Arc<AcceptedTable>>> {
+        self.in_force.subscribe()
+    }
+
     /// `current` gives the table in force here.
     #[must_use]
     pub fn current(&self) -> Option<Arc<AcceptedTable>> {
-        let _ = self;
-        None
+        self.in_force.borrow().clone()
+    }
+
+    /// `number` gives the number of the table in force here, 0 for none.
+    pub(crate) fn number(&self) -> u64 {
+        self.in_force
+            .borrow()
+            .as_ref()
+            .map_or(0, |table| table.number)
     }
 
     /// `offer` takes in a table from a peer or the store; one that is not newer changes nothing.
+    ///
+    /// A lagging store, a peer that was cut off and a repeated watch event all bring old tables.
+    /// Comparing numbers in the one place where a table comes into force keeps each from undoing
+    /// an acceptance.
     pub fn offer(&self, table: Arc<AcceptedTable>) {
-        let _ = (self, table);
+        let number = table.number;
+        let accepted_at_ms = table.accepted_at_ms;
+        let is_newer = self.in_force.send_if_modified(|known| {
+            let is_newer = known.as_ref().is_none_or(|known| known.number < number);
+            if is_newer {
+                *known = Some(table);
+            }
+            is_newer
+        });
+        if is_newer {
+            let delay_ms = self.clock.now().since(accepted_at_ms);
+            self.metrics.state.observe_table_in_force(number, delay_ms);
+            log_event!(
+                Info,
+                "table_in_force",
+                table_number = number,
+                delay_ms = delay_ms
+            );
+        }
     }
 
     /// `review` tells what accepting the table would do.
     #[must_use]
     pub fn review(&self, table: &Table) -> TableReview {
-        let _ = (self, table);
         TableReview {
-            current_number: 0,
+            current_number: self.number(),
             changes: Vec::new(),
             effects: Vec::new(),
-            problems: Vec::new(),
+            problems: validate_table(table),
         }
     }
-
-    /// `accept` writes the table to the store, if nobody accepted another one since the review.
-    pub async fn accept(&self, accept: TableAccept) -> TableAcceptReply {
-        let _ = (self, accept);
-        std::future::pending().await
-    }
-
-    /// `history` reads back accepted tables, newest first, at most `limit`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store is away.
-    pub async fn history(&self, limit: u32) -> Result<Vec<AcceptedTable>, StoreAway> {
-        let _ = (self, limit);
-        std::future::pending().await
-    }
 }
--- a/ragwortwick-daemon/src/daemon.rs
+++ b/ragwortwick-daemon/src/daemon.rs
@@ -1,17 +1,21 @@
 //! The running entry host: starts every duty and stops them in order.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use displaydoc::Display;
-use ragwortwick_border::HostList;
-use ragwortwick_core::{TimeMs, log_event};
+use ragwortwick_core::log_event;
 use ragwortwick_http::{Server, ServerOptions};
+use ragwortwick_platform::{HostListOptions, HostListPoller, StoreClient, StoreOptions};
 use tokio::sync::watch;
 
+use crate::config::TableDuty;
+use crate::nonce::Nonces;
+use crate::zone::{ZoneParts, ZoneRuntime};
 use crate::{
     App, Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, RequestsHandle,
-    Settings, ZoneHandle, http,
+    Settings, ZoneStartError, http,
 };
 
 /// `DaemonError` says why the process could not start.
@@ -26,6 +30,8 @@
     },
     /// cannot register the metrics: {0}
     Metrics(prometheus::Error),
+    /// {0}
+    Zone(ZoneStartError),
 }
 
 impl std::error::Error for DaemonError {}
@@ -36,6 +42,23 @@
     app: App,
     server: Server,
     lifecycle: watch::Sender<Lifecycle>,
+    state: StateDuties,
+}
+
+/// `StateDuties` are the duties behind the feeds: table, host list and zone.
+#[derive(Debug)]
+struct StateDuties {
+    hosts: HostListPoller,
+    table: TableDuty,
+    zone: ZoneRuntime,
+}
+
+impl StateDuties {
+    async fn close(self) {
+        self.zone.close().await;
+        self.table.close().await;
+        self.hosts.close().await;
+    }
 }
 
 impl Daemon {
@@ -49,30 +72,55 @@
         let clock = Clock::open();
         let metrics = Metrics::open().map_err(DaemonError::Metrics)?;
         let (lifecycle, lifecycle_feed) = watch::channel(Lifecycle::Running);
-        let (_table, table_feed) = watch::channel(None);
-        let no_hosts = HostList {
-            hosts: Vec::new(),
-            as_of_ms: TimeMs(0),
-        };
-        let (_hosts, hosts_feed) = watch::channel(Arc::new(no_hosts));
-        let (_store, store_feed) = watch::channel(false);
+        let seed = clock.incarnation() ^ hash_of(settings.host.as_str());
+        let store = StoreClient::open(StoreOptions::new(&settings.store_address, seed));
+        metrics
+            .state
+            .follow_store(store.counts())
+            .map_err(DaemonError::Metrics)?;
+        let hosts = HostListPoller::spawn(HostListOptions::new(&settings.hosts_address, seed));
+        let nonces = Nonces::new(&settings.host, clock.incarnation());
+        let peers = PeerClient;
+        let config = ConfigHandle::open(store.clone(), peers.clone(), clock, metrics.clone());
         let feeds = Feeds {
-            table: table_feed,
-            hosts: hosts_feed,
-            store_is_reachable: store_feed,
+            table: config.feed(),
+            hosts: hosts.hosts(),
+            store_is_reachable: store.reachable(),
             lifecycle: lifecycle_feed,
         };
+        let zone = ZoneRuntime::spawn(ZoneParts {
+            settings: Arc::clone(&settings),
+            clock,
+            store: store.clone(),
+            nonces: nonces.clone(),
+            metrics: metrics.clone(),
+            table: feeds.table.clone(),
+            hosts: feeds.hosts.clone(),
+            lifecycle: feeds.lifecycle.clone(),
+        })
+        .map_err(DaemonError::Zone)?;
+        let table = TableDuty::spawn(&config, zone.owned());
+        let jobs = JobsHandle {
+            store,
+            config: config.clone(),
+            hosts: feeds.hosts.clone(),
+            peers: peers.clone(),
+            zone: zone.handle(),
+            clock,
+            nonces,
+        };
         let app = App {
             settings: Arc::clone(&settings),
             clock,
             metrics,
             feeds,
-            peers: PeerClient,
+            peers,
             requests: RequestsHandle,
-            jobs: JobsHandle,
-            config: ConfigHandle,
-            zone: ZoneHandle,
+            jobs,
+            config,
+            zone: zone.handle(),
         };
+        let state = StateDuties { hosts, table, zone };
         let options = ServerOptions {
             max_connections: settings.max_connections,
             max_header_bytes: settings.max_header_bytes,
@@ -94,6 +142,7 @@
             app,
             server,
             lifecycle,
+            state,
         })
     }
 
@@ -109,6 +158,14 @@
         log_event!(Info, "stopping", host = self.app.settings.host);
         tokio::time::sleep(self.app.settings.drain_notice_ms.into()).await;
         self.server.close().await;
+        self.state.close().await;
         log_event!(Info, "stopped", host = self.app.settings.host);
     }
 }
+
+/// A number that differs between hosts, so that two started in one millisecond share no jitter.
+fn hash_of(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
--- a/ragwortwick-daemon/src/duty.rs
+++ b/ragwortwick-daemon/src/duty.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{Builder, JoinHandle};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
@@ -28,7 +30,7 @@
 }
 
 /// `Ring` is the sending end of a duty's bounded ring; clones feed the same duty.
-pub struct Ring<E>(Sender<Message<E>>);
+pub struct Ring<E>(Sender<Message<E>>, Arc<AtomicBool>);
 
 /// `RingFull` gives back an event that found no place.
 #[derive(Debug)]
@@ -41,17 +43,26 @@
 
 impl<E> Clone for Ring<E> {
     fn clone(&self) -> Self {
-        Self(self.0.clone())
+        Self(self.0.clone(), Arc::clone(&self.1))
     }
 }
 
 impl<E> fmt::Debug for Ring<E> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Ring").field("len", &self.0.len()).finish()
+        f.debug_struct("Ring")
+            .field("len", &self.0.len())
+            .field("is_closed", &self.is_closed())
+            .finish_non_exhaustive()
     }
 }
 
 impl<E> Ring<E> {
+    /// `is_closed` tells whether the duty has ended, so that waiting for a place is in vain.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.1.load(Ordering::SeqCst)
+    }
+
     /// `offer` puts the event into the ring without waiting.
     ///
     /// # Errors
@@ -105,13 +116,13 @@
         machine: M,
     ) -> io::Result<Self> {
         let (sender, receiver) = bounded(capacity);
-        let thread = Builder::new()
-            .name(name.to_owned())
-            .spawn(move || run(clock, machine, &receiver))?;
-        Ok(Self {
-            ring: Ring(sender),
-            thread,
-        })
+        let has_ended = Arc::new(AtomicBool::new(false));
+        let ring = Ring(sender, Arc::clone(&has_ended));
+        let thread = Builder::new().name(name.to_owned()).spawn(move || {
+            run(clock, machine, &receiver);
+            has_ended.store(true, Ordering::SeqCst);
+        })?;
+        Ok(Self { ring, thread })
     }
 
     /// `ring` gives a sending end.
--- a/ragwortwick-daemon/src/jobs/mod.rs
+++ b/ragwortwick-daemon/src/jobs/mod.rs
@@ -1,8 +1,23 @@
 //! Accepted jobs: written to the store before the caller is told, found again after any loss.
 
+mod accept;
+mod check;
+mod hint;
+mod query;
+
+use std::sync::Arc;
+
 use displaydoc::Display;
-use ragwortwick_border::{JobAccepted, JobList, JobStatus, JobSubmit, Problem};
-use ragwortwick_core::{DurationMs, JobId};
+use ragwortwick_border::{HostList, Problem};
+use ragwortwick_core::DurationMs;
+use ragwortwick_platform::{StoreClient, StoreError};
+use tokio::sync::watch;
+
+use crate::nonce::Nonces;
+use crate::{Clock, ConfigHandle, PeerClient, ZoneHandle};
+
+/// When a caller may come back after the store gave no answer.
+const RETRY_AFTER_MS: DurationMs = DurationMs(5_000);
 
 /// `JobError` says why a call about a job has no answer of its kind.
 #[derive(Clone, Debug, Display, PartialEq)]
@@ -24,48 +39,41 @@
 
 impl std::error::Error for JobError {}
 
-/// `JobsHandle` accepts, shows and cancels jobs; clones reach the same duty.
-#[derive(Clone, Debug)]
-pub struct JobsHandle;
-
-impl JobsHandle {
-    /// `accept` checks the job and returns once its record is in the store.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the job is invalid or can't be recorded now.
-    pub async fn accept(&self, job: JobSubmit) -> Result<JobAccepted, JobError> {
-        let _ = (self, job);
-        std::future::pending().await
+impl JobError {
+    /// `invalid` names a field and what was expected there.
+    fn invalid(field: &str, problem: impl Into<String>) -> Self {
+        Self::Invalid(Problem {
+            field: field.to_owned(),
+            problem: problem.into(),
+        })
     }
 
-    /// `status` reads a job's record and asks its zone's owner to explain it.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the job is unknown or the store is away.
-    pub async fn status(&self, job_id: &JobId) -> Result<JobStatus, JobError> {
-        let _ = (self, job_id);
-        std::future::pending().await
+    /// `not_run` says that nothing was accepted and when to come back.
+    fn not_run(reason: impl Into<String>) -> Self {
+        Self::NotRun {
+            reason: reason.into(),
+            retry_after_ms: RETRY_AFTER_MS,
+        }
     }
 
-    /// `list` reads the jobs after `after`, at most `limit`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store is away.
-    pub async fn list(&self, after: Option<&JobId>, limit: u32) -> Result<JobList, JobError> {
-        let _ = (self, after, limit);
-        std::future::pending().await
+    /// `of_write` says what a failed write of a record means for its caller.
+    fn of_write(error: &StoreError) -> Self {
+        if error.may_have_taken_effect() {
+            Self::MayBeAccepted
+        } else {
+            Self::not_run(format!("nothing was written, {error}"))
+        }
     }
+}
 
-    /// `cancel` records the wish to cancel; repeats are harmless.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the job is unknown or the store is away.
-    pub async fn cancel(&self, job_id: &JobId) -> Result<JobStatus, JobError> {
-        let _ = (self, job_id);
-        std::future::pending().await
-    }
+/// `JobsHandle` accepts, shows and cancels jobs; clones share the same store client.
+#[derive(Clone, Debug)]
+pub struct JobsHandle {
+    pub(crate) store: StoreClient,
+    pub(crate) config: ConfigHandle,
+    pub(crate) hosts: watch::Receiver<Arc<HostList>>,
+    pub(crate) peers: PeerClient,
+    pub(crate) zone: ZoneHandle,
+    pub(crate) clock: Clock,
+    pub(crate) nonces: Nonces,
 }
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -8,8 +8,10 @@
 mod feeds;
 mod http;
 mod jobs;
+mod keys;
 mod logging;
 mod metrics;
+mod nonce;
 mod peers;
 mod requests;
 mod settings;
@@ -23,8 +25,11 @@
 pub use feeds::{Feeds, Lifecycle};
 pub use jobs::{JobError, JobsHandle};
 pub use logging::open_log;
-pub use metrics::Metrics;
+pub use metrics::{Metrics, StateMetrics};
 pub use peers::{PEER_PROTOCOL, PeerClient, PeerError};
 pub use requests::RequestsHandle;
 pub use settings::{Settings, SettingsProblem};
-pub use zone::ZoneHandle;
+pub use zone::{
+    Claim, Ownership, OwnershipAction, OwnershipEvent, OwnershipGuard, OwnershipState, Tenure,
+    ZoneHandle, ZoneStartError,
+};
--- a/ragwortwick-daemon/src/metrics.rs
+++ b/ragwortwick-daemon/src/metrics.rs
@@ -2,6 +2,10 @@
 
 use prometheus::{Encoder, HistogramOpts, HistogramVec, Registry, TextEncoder};
 
+mod state;
+
+pub use state::StateMetrics;
+
 /// Buckets in seconds from a millisecond to the longest deadline of a request.
 const REQUEST_BUCKETS_S: [f64; 13] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0, 120.0,
@@ -13,6 +17,8 @@
     registry: Registry,
     /// Completion of requests by customer, class and verdict.
     pub request_completion_seconds: HistogramVec,
+    /// Metrics of the table, the zone and its jobs.
+    pub state: StateMetrics,
 }
 
 impl Metrics {
@@ -32,9 +38,11 @@
             &["customer", "class", "verdict"],
         )?;
         registry.register(Box::new(request_completion_seconds.clone()))?;
+        let state = StateMetrics::open(&registry)?;
         Ok(Self {
             registry,
             request_completion_seconds,
+            state,
         })
     }
 
--- /dev/null
+++ b/ragwortwick-daemon/src/zone/handle.rs
@@ -0,0 +1,83 @@
+//! The handle through which the rest of the process reaches the zone duty.
+
+use std::sync::Arc;
+
+use ragwortwick_border::{HostList, JobRecord, Shape, ZoneStatus};
+use ragwortwick_core::{Epoch, HostName, JobId, ZoneName, log_event};
+use tokio::sync::{oneshot, watch};
+
+use super::Tenure;
+use super::capacity::fits_listed;
+use super::zone_event::ZoneDutyEvent;
+use crate::{Clock, Ring};
+
+/// `ZoneHandle` talks to the zone duty; clones reach the same duty.
+#[derive(Clone, Debug)]
+pub struct ZoneHandle {
+    pub(super) zone: ZoneName,
+    pub(super) ring: Ring<ZoneDutyEvent>,
+    pub(super) tenure: Tenure,
+    pub(super) clock: Clock,
+    pub(super) owner: watch::Receiver<Option<HostName>>,
+    pub(super) hosts: watch::Receiver<Arc<HostList>>,
+}
+
+impl ZoneHandle {
+    /// `zone` gives the host's zone.
+    #[must_use]
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
+    /// `owned_epoch` gives the epoch if this host owns its zone and may act.
+    #[must_use]
+    pub fn owned_epoch(&self) -> Option<Epoch> {
+        self.tenure.owned_epoch(self.clock.now())
+    }
+
+    /// `owner` gives the zone's owner as the store named it last.
+    #[must_use]
+    pub fn owner(&self) -> Option<HostName> {
+        self.owner.borrow().clone()
+    }
+
+    /// `status` gives the owner's view, if this host owns its zone.
+    pub async fn status(&self) -> Option<ZoneStatus> {
+        let (answer, answered) = oneshot::channel();
+        // A full ring counts as no answer: the caller shows the zone as unknown and asks again.
+        self.ring.offer(ZoneDutyEvent::Status(answer)).ok()?;
+        answered.await.ok().flatten()
+    }
+
+    /// `why` explains a job, if this host owns its zone and knows the job.
+    pub async fn why(&self, job_id: &JobId) -> Option<String> {
+        let (answer, answered) = oneshot::channel();
+        let question = ZoneDutyEvent::Why(job_id.clone(), answer);
+        self.ring.offer(question).ok()?;
+        answered.await.ok().flatten()
+    }
+
+    /// `new_job` tells the owner of a record that was just written; the watch would tell it later.
+    pub fn new_job(&self, record: JobRecord) {
+        if record.zone == self.zone {
+            self.hint(ZoneDutyEvent::JobFound(record));
+        }
+    }
+
+    /// `cancel_job` tells the owner of a recorded wish to cancel.
+    pub fn cancel_job(&self, job_id: &JobId) {
+        self.hint(ZoneDutyEvent::JobCancelled(job_id.clone()));
+    }
+
+    /// `can_ever_fit` tells whether the shape fits this host's zone when it is empty.
+    pub async fn can_ever_fit(&self, shape: Shape) -> bool {
+        std::future::ready(fits_listed(&self.hosts.borrow(), &self.zone, &shape)).await
+    }
+
+    fn hint(&self, event: ZoneDutyEvent) {
+        if self.ring.offer(event).is_err() {
+            // Only a hint was lost: the record is in the store, and the watch brings it.
+            log_event!(Warn, "zone_ring_full", zone = self.zone);
+        }
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -0,0 +1,219 @@
+//! Starts the zone's duty and the tasks around it, and stops them in order.
+
+use std::io;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use ragwortwick_border::{AcceptedTable, HostList};
+use ragwortwick_core::Epoch;
+use ragwortwick_platform::StoreClient;
+use ragwortwick_policy::{ZoneOptions, ZonePlacer};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use super::job_feed::JobFeed;
+use super::job_ledger::JobLedger;
+use super::job_writer::JobWriter;
+use super::order_sender::OrderSender;
+use super::owner_duty::OwnerDuty;
+use super::zone_duty::{Outputs, ZoneDuty};
+use super::zone_event::{ZoneDutyEvent, deliver};
+use super::{Ownership, Tenure, ZoneHandle};
+use crate::nonce::Nonces;
+use crate::{Clock, Duty, Lifecycle, Metrics, Ring, Settings};
+
+/// Orders and records that may wait for a place; beyond it orders count as silent.
+const OUTPUT_LENGTH: usize = 4_096;
+
+/// `ZoneStartError` says why the zone's duty could not start.
+#[derive(Debug, Display)]
+pub enum ZoneStartError {
+    /// {0}
+    Chart(ragwortwick_core::Error),
+    /// cannot start the thread of the zone: {0}
+    Thread(io::Error),
+}
+
+impl std::error::Error for ZoneStartError {}
+
+/// `ZoneParts` is what the zone's duty is made from.
+#[derive(Debug)]
+pub(crate) struct ZoneParts {
+    /// The process's settings.
+    pub(crate) settings: Arc<Settings>,
+    /// The process's clock.
+    pub(crate) clock: Clock,
+    /// The store.
+    pub(crate) store: StoreClient,
+    /// Nonces of this process.
+    pub(crate) nonces: Nonces,
+    /// The process's metrics.
+    pub(crate) metrics: Metrics,
+    /// The table in force.
+    pub(crate) table: watch::Receiver<Option<Arc<AcceptedTable>>>,
+    /// The platform's list of hosts.
+    pub(crate) hosts: watch::Receiver<Arc<HostList>>,
+    /// State of the process.
+    pub(crate) lifecycle: watch::Receiver<Lifecycle>,
+}
+
+/// `ZoneRuntime` is the running duty with its tasks.
+#[derive(Debug)]
+pub(crate) struct ZoneRuntime {
+    handle: ZoneHandle,
+    duty: Duty<ZoneDutyEvent>,
+    owner: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+    owned: watch::Receiver<Option<Epoch>>,
+}
+
+impl ZoneRuntime {
+    /// `spawn` starts to follow the zone; it owns nothing yet.
+    pub(crate) fn spawn(parts: ZoneParts) -> Result<Self, ZoneStartError> {
+        let settings = Arc::clone(&parts.settings);
+        let machine = Ownership::open(settings.owner_lease_ms).map_err(ZoneStartError::Chart)?;
+        let tenure = Tenure::default();
+        let (fenced, fenced_seen) = watch::channel(Epoch(0));
+        let (orders, orders_out) = mpsc::channel(OUTPUT_LENGTH);
+        let (records, records_out) = mpsc::channel(OUTPUT_LENGTH);
+        let outputs = Outputs {
+            orders,
+            records,
+            fenced,
+        };
+        let duty = spawn_duty(&parts, tenure.clone(), outputs).map_err(ZoneStartError::Thread)?;
+        let ring = duty.ring();
+        let (owned, owned_seen) = watch::channel(None);
+        let (named, named_seen) = watch::channel(None);
+        let ledger = JobLedger::default();
+        let mut tasks = spawn_feeds(&parts, &ring);
+        tasks.push(OrderSender::spawn(
+            tenure.clone(),
+            parts.clock,
+            ring.clone(),
+            orders_out,
+        ));
+        tasks.push(
+            JobFeed {
+                zone: settings.zone.clone(),
+                store: parts.store.clone(),
+                ledger: ledger.clone(),
+                ring: ring.clone(),
+                owned: owned_seen.clone(),
+            }
+            .spawn(),
+        );
+        tasks.push(
+            JobWriter {
+                store: parts.store.clone(),
+                ledger,
+                tenure: tenure.clone(),
+                clock: parts.clock,
+                nonces: parts.nonces.clone(),
+                ring: ring.clone(),
+            }
+            .spawn(records_out),
+        );
+        let handle = ZoneHandle {
+            zone: settings.zone.clone(),
+            ring: ring.clone(),
+            tenure: tenure.clone(),
+            clock: parts.clock,
+            owner: named_seen,
+            hosts: parts.hosts.clone(),
+        };
+        let owner_duty = OwnerDuty {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            ttl_ms: settings.owner_lease_ms,
+            jitter: parts.store.backoff(),
+            store: parts.store,
+            clock: parts.clock,
+            nonces: parts.nonces,
+            tenure,
+            ring,
+            owned,
+            owner: named,
+            fenced: fenced_seen,
+            lifecycle: parts.lifecycle,
+            machine,
+            claim: None,
+        };
+        Ok(Self {
+            handle,
+            duty,
+            owner: tokio::spawn(owner_duty.run()),
+            tasks,
+            owned: owned_seen,
+        })
+    }
+
+    /// `handle` gives a handle to the duty.
+    pub(crate) fn handle(&self) -> ZoneHandle {
+        self.handle.clone()
+    }
+
+    /// `owned` follows the epoch under which this host owns the zone.
+    pub(crate) fn owned(&self) -> watch::Receiver<Option<Epoch>> {
+        self.owned.clone()
+    }
+
+    /// `close` waits until the zone is given up and ends the duty.
+    pub(crate) async fn close(self) {
+        // The planned stop has told the owner task; it ends once the lease is given back.
+        drop(self.owner.await);
+        for task in self.tasks {
+            task.abort();
+            drop(task.await);
+        }
+        // The thread may wait on its ring for a moment, which must not hold up the runtime.
+        drop(tokio::task::spawn_blocking(move || self.duty.close()).await);
+    }
+}
+
+fn spawn_duty(
+    parts: &ZoneParts,
+    tenure: Tenure,
+    outputs: Outputs,
+) -> io::Result<Duty<ZoneDutyEvent>> {
+    let settings = &parts.settings;
+    let placer = ZonePlacer::new(
+        settings.zone.clone(),
+        ZoneOptions::default(),
+        parts.clock.incarnation(),
+    );
+    let machine = ZoneDuty::new(
+        settings.host.clone(),
+        placer,
+        settings.zone.clone(),
+        tenure,
+        outputs,
+        parts.metrics.clone(),
+    );
+    Duty::spawn("zone", settings.ring_length, parts.clock, machine)
+}
+
+fn spawn_feeds(parts: &ZoneParts, ring: &Ring<ZoneDutyEvent>) -> Vec<JoinHandle<()>> {
+    let mut table = parts.table.clone();
+    let mut hosts = parts.hosts.clone();
+    let table_ring = ring.clone();
+    let hosts_ring = ring.clone();
+    vec![
+        tokio::spawn(async move {
+            table.mark_changed();
+            while table.changed().await.is_ok() {
+                let latest = table.borrow_and_update().clone();
+                if let Some(latest) = latest {
+                    deliver(&table_ring, ZoneDutyEvent::Table(latest)).await;
+                }
+            }
+        }),
+        tokio::spawn(async move {
+            hosts.mark_changed();
+            while hosts.changed().await.is_ok() {
+                let latest = Arc::clone(&hosts.borrow_and_update());
+                deliver(&hosts_ring, ZoneDutyEvent::Hosts(latest)).await;
+            }
+        }),
+    ]
+}
