Add stand-ins for the store, workers, runners and the paths between them

Cause: every failure test needs a platform that can be made slow, silent, down or forgetful. Ruled out: faults by killing stand-ins only, since lost and truncated answers need the effect first. Change: library with running handles, a fault page per stand-in, a log of starts, a TCP relay, an example that runs each role as a process, and a fleet of child entry hosts for tests. Adds rustix (signals without a shell) and tempfile (settings files of child processes) to the workspace. Conclusion: enough to build the request path, the jobs and the zones against.

--- /dev/null
+++ b/ragwortwick-standin/src/clock.rs
@@ -0,0 +1,14 @@
+//! The time that stand-ins go by.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use ragwortwick_core::TimeMs;
+
+/// `now` gives Unix time, so that logs of several processes can be compared.
+#[must_use]
+pub fn now() -> TimeMs {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    TimeMs(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/ragwortwick-standin/src/fleet/child.rs
@@ -0,0 +1,253 @@
+//! A `ragwortwickd` child process: its settings file, its log lines and signals to it.
+
+use std::io::{self, BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::Duration;
+
+use ragwortwick_border::{HostEntry, HostKind, HostState};
+use ragwortwick_core::{HostName, ZoneName, common};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Map, Value, json};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::FleetError;
+
+/// Longest wait for a line of the log; only a hung process reaches it.
+const LINE_LIMIT: Duration = Duration::from_secs(30);
+
+/// `DaemonOptions` describes one entry host.
+#[common]
+pub struct DaemonOptions {
+    /// Its name.
+    pub host: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// ip:port of the store.
+    pub store_address: String,
+    /// ip:port of the host list.
+    pub hosts_address: String,
+    /// Further settings, which replace the generated ones.
+    pub settings: Map<String, Value>,
+}
+
+/// `Daemon` is a running entry host process; dropping it kills the process.
+#[derive(Debug)]
+pub struct Daemon {
+    options: DaemonOptions,
+    child: Option<Child>,
+    lines: watch::Receiver<Vec<String>>,
+    address: String,
+    peer_address: Option<String>,
+}
+
+impl Daemon {
+    /// `spawn` writes the settings file, starts the binary and waits until it listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started or ends before it listens.
+    pub async fn spawn(
+        binary: &Path,
+        directory: &Path,
+        options: DaemonOptions,
+    ) -> Result<Self, FleetError> {
+        let path = write_settings(directory, &options)?;
+        let mut child = Command::new(binary)
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let lines = follow_lines(&mut child);
+        let mut daemon = Self {
+            options,
+            child: Some(child),
+            lines,
+            address: String::new(),
+            peer_address: None,
+        };
+        let line = daemon.wait_for_event("listening").await?;
+        daemon.address = field(&line, "address").unwrap_or_default();
+        daemon.peer_address = field(&line, "peer_address");
+        Ok(daemon)
+    }
+
+    /// `address` is where callers and operators reach it.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// `host` is its name.
+    #[must_use]
+    pub fn host(&self) -> &HostName {
+        &self.options.host
+    }
+
+    /// `zone` is its zone.
+    #[must_use]
+    pub fn zone(&self) -> &ZoneName {
+        &self.options.zone
+    }
+
+    /// `options` are what it was started with.
+    #[must_use]
+    pub fn options(&self) -> &DaemonOptions {
+        &self.options
+    }
+
+    /// `pid` is its process id.
+    #[must_use]
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// `entry` is its line in the platform's host list.
+    #[must_use]
+    pub fn entry(&self) -> HostEntry {
+        HostEntry {
+            name: self.options.host.clone(),
+            kind: HostKind::Entry,
+            zone: self.options.zone.clone(),
+            address: self.address.clone(),
+            peer_address: self.peer_address.clone(),
+            rack: None,
+            accelerators: 0,
+            slots: 0,
+            state: HostState::Live,
+        }
+    }
+
+    /// `lines` copies its log so far.
+    #[must_use]
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.borrow().clone()
+    }
+
+    /// `wait_for_event` waits until the log has the event and gives its first line.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process ends first or nothing comes for long.
+    pub async fn wait_for_event(&self, event: &str) -> Result<String, FleetError> {
+        let word = format!("event={event}");
+        let find = |lines: &Vec<String>| {
+            lines
+                .iter()
+                .find(|line| line.split_whitespace().any(|w| w == word))
+                .cloned()
+        };
+        let mut lines = self.lines.clone();
+        let found = timeout(LINE_LIMIT, lines.wait_for(|lines| find(lines).is_some())).await;
+        match found {
+            Ok(Ok(lines)) => find(&lines).ok_or(FleetError::Ended(word)),
+            _ => Err(FleetError::Ended(word)),
+        }
+    }
+
+    /// `freeze` stops the process without ending it, as a long pause would.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such process.
+    pub fn freeze(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// `wake` lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such process.
+    pub fn wake(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// `terminate` asks for a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such process.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// `kill` ends the process at once and waits until it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be waited for.
+    pub fn kill(&mut self) -> io::Result<()> {
+        let Some(mut child) = self.child.take() else {
+            return Ok(());
+        };
+        child.kill()?;
+        child.wait().map(drop)
+    }
+
+    /// `wait` waits for the end that `terminate` asked for.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be waited for.
+    pub async fn wait(&mut self) -> io::Result<Option<ExitStatus>> {
+        // The log ends when the process does, so this wait leaves the handle in place meanwhile.
+        let mut lines = self.lines.clone();
+        while lines.changed().await.is_ok() {}
+        self.child.take().map(|mut child| child.wait()).transpose()
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = self
+            .pid()
+            .and_then(|pid| i32::try_from(pid).ok())
+            .and_then(Pid::from_raw)
+            .ok_or(io::ErrorKind::NotFound)?;
+        Ok(kill_process(pid, signal)?)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // A test that fails half-way must leave no process behind; one that is gone needs no kill.
+        drop(self.kill());
+    }
+}
+
+fn write_settings(directory: &Path, options: &DaemonOptions) -> io::Result<PathBuf> {
+    let mut settings = json!({
+        "host": options.host,
+        "zone": options.zone,
+        "listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+        "store_address": options.store_address,
+        "hosts_address": options.hosts_address,
+    });
+    if let Value::Object(fields) = &mut settings {
+        fields.extend(options.settings.clone());
+    }
+    let path = directory.join(format!("{}.json", options.host));
+    std::fs::write(&path, settings.to_string())?;
+    Ok(path)
+}
+
+fn follow_lines(child: &mut Child) -> watch::Receiver<Vec<String>> {
+    let (sender, receiver) = watch::channel(Vec::new());
+    if let Some(stdout) = child.stdout.take() {
+        thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                sender.send_modify(|lines: &mut Vec<String>| lines.push(line));
+            }
+        });
+    }
+    receiver
+}
+
+fn field(line: &str, key: &str) -> Option<String> {
+    line.split_whitespace()
+        .find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
+        .map(str::to_owned)
+}
--- a/ragwortwick-standin/src/lib.rs
+++ b/ragwortwick-standin/src/lib.rs
@@ -1,1 +1,21 @@
-//! placeholder
+//! Small stand-ins for the platform, workers and runners, with fault knobs; never shipped.
+
+mod admin;
+mod body;
+mod clock;
+mod faults;
+mod fleet;
+mod relay;
+mod runners;
+mod start_log;
+mod store;
+mod workers;
+
+pub use clock::now;
+pub use faults::{Faults, Gate};
+pub use fleet::{Caller, Daemon, DaemonOptions, Fleet, FleetError, FleetOptions};
+pub use relay::{Relay, RelayMode};
+pub use runners::{Runner, RunnerOptions, Runners, RunnersOptions};
+pub use start_log::{LogEntry, LogEvent, StartLog};
+pub use store::{Store, StoreState};
+pub use workers::{WorkerSpec, Workers, WorkersState};
