Prove the bounds of the HTTP server and the truth of the client's failures

Cause: the seams had no test of oversized, malformed, cut or half-sent messages; and a header timeout of 10 s also closes idle kept connections, under the feet of a balancer that reuses them. Ruled out: telling idle from half-sent apart (hyper times both with one timer). Change: six tests over real sockets; the default timeout is now 75 s, above usual balancers' 60 s. Conclusion: a refused connect is told from a lost answer, and a truncated body is never whole.

--- a/ragwortwick-http/src/server.rs
+++ b/ragwortwick-http/src/server.rs
@@ -25,7 +25,10 @@
     pub max_connections: usize,
     /// Largest request head.
     pub max_header_bytes: usize,
-    /// Longest time for a caller to send its request head.
+    /// Longest time until a request head is complete, on a new or an idle kept connection.
+    ///
+    /// It must exceed the balancer's idle timeout: a server that closes first can close just as the
+    /// balancer sends the next request, and that caller sees a reset.
     pub header_timeout_ms: DurationMs,
 }
 
@@ -34,7 +37,7 @@
         Self {
             max_connections: 4_096,
             max_header_bytes: 16 << 10,
-            header_timeout_ms: DurationMs(10_000),
+            header_timeout_ms: DurationMs(75_000),
         }
     }
 }
--- /dev/null
+++ b/ragwortwick-http/tests/http_bounds.rs
@@ -0,0 +1,142 @@
+//! Checks the bounds of the server and what the client says of a failed request.
+
+use std::time::Duration;
+
+use gotham::handler::SimpleHandlerResult;
+use gotham::prelude::{DefineSingleRoute, DrawRoutes, IntoResponse};
+use gotham::router::Router;
+use gotham::router::builder::build_simple_router;
+use gotham::state::State;
+use http::StatusCode;
+use ragwortwick_border::{Problem, Shape};
+use ragwortwick_core::DurationMs;
+use ragwortwick_http::{
+    HttpClient, HttpClientOptions, HttpError, Server, ServerOptions, json_response, read_json,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const MAX_BODY_BYTES: usize = 256;
+const ANY_PORT: &str = "127.0.0.1:0";
+const TIMEOUT_MS: DurationMs = DurationMs(20_000);
+
+async fn echo(state: &mut State) -> SimpleHandlerResult {
+    Ok(match read_json::<Shape>(state, MAX_BODY_BYTES).await {
+        Ok(shape) => json_response(state, StatusCode::OK, &shape),
+        Err(refusal) => refusal.into_response(state),
+    })
+}
+
+fn router() -> Router {
+    build_simple_router(|route| route.post("/echo").to_async_borrowing(echo))
+}
+
+async fn server() -> Server {
+    Server::bind(ANY_PORT, router(), ServerOptions::default())
+        .await
+        .expect("loopback binds")
+}
+
+async fn problem_for(body: &'static [u8]) -> (StatusCode, Problem) {
+    let server = server().await;
+    let client = HttpClient::new(&HttpClientOptions::default());
+    let address = server.address().to_string();
+    let reply = client
+        .send(
+            http::Method::POST,
+            &address,
+            "/echo",
+            Some(body.into()),
+            TIMEOUT_MS,
+        )
+        .await
+        .expect("the server answers");
+    let problem = serde_json::from_slice(&reply.body).expect("a problem in JSON");
+    drop(client);
+    server.close().await;
+    (reply.status, problem)
+}
+
+#[tokio::test]
+async fn verify_wrong_type_names_the_field() {
+    let (status, problem) = problem_for(br#"{"cells":"two","cell_accelerators":8}"#).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    assert_eq!(problem.field, "cells");
+}
+
+#[tokio::test]
+async fn verify_malformed_json_is_refused() {
+    let (status, _) = problem_for(b"{\"cells\":1").await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+}
+
+#[tokio::test]
+async fn verify_oversized_body_is_refused() {
+    static BIG: [u8; MAX_BODY_BYTES + 1] = [b' '; MAX_BODY_BYTES + 1];
+    let (status, problem) = problem_for(&BIG).await;
+    assert_eq!(status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert!(problem.problem.contains("256 bytes"), "{}", problem.problem);
+}
+
+#[tokio::test]
+async fn verify_refused_connection_is_not_sent() {
+    // The caller is told "not sent": the port was free a moment ago and nobody listens on it now.
+    let listener = TcpListener::bind(ANY_PORT).await.expect("loopback binds");
+    let address = listener.local_addr().expect("bound").to_string();
+    drop(listener);
+    let client = HttpClient::new(&HttpClientOptions::default());
+    let error = client
+        .post::<_, Shape>(&address, "/echo", &1, TIMEOUT_MS)
+        .await
+        .expect_err("nobody listens");
+    assert!(!error.may_have_arrived(), "{error}");
+}
+
+#[tokio::test]
+async fn verify_answer_cut_in_the_middle_is_no_answer() {
+    // The caller must not take a truncated body for the whole answer: the other end promises 100
+    // bytes, sends 10 and closes; the length tells that the rest is missing.
+    let listener = TcpListener::bind(ANY_PORT).await.expect("loopback binds");
+    let address = listener.local_addr().expect("bound").to_string();
+    let other_end = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("the client connects");
+        let mut head = [0; 1_024];
+        let _ = socket.read(&mut head).await.expect("a request arrives");
+        socket
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n0123456789")
+            .await
+            .expect("the client reads");
+    });
+    let client = HttpClient::new(&HttpClientOptions::default());
+    let error = client
+        .get::<Shape>(&address, "/", TIMEOUT_MS)
+        .await
+        .expect_err("the answer is cut");
+    assert!(matches!(error, HttpError::NoAnswer { .. }), "{error}");
+    other_end.await.expect("the other end ended");
+}
+
+#[tokio::test]
+async fn verify_half_sent_head_is_closed_by_the_server() {
+    // A caller that never finishes its request head would hold a connection for ever; the server
+    // closes it after the header timeout, seen here as the end of the stream.
+    let options = ServerOptions {
+        header_timeout_ms: DurationMs(100),
+        ..ServerOptions::default()
+    };
+    let server = Server::bind(ANY_PORT, router(), options)
+        .await
+        .expect("loopback binds");
+    let mut socket = TcpStream::connect(server.address())
+        .await
+        .expect("the server accepts");
+    socket
+        .write_all(b"POST /echo HTTP/1.1\r\nhost: x\r\n")
+        .await
+        .expect("the head starts");
+    let mut rest = Vec::new();
+    let read = tokio::time::timeout(Duration::from_secs(60), socket.read_to_end(&mut rest));
+    // Either end of stream or reset: both mean that the server let go of the connection.
+    let _ = read.await.expect("the server closes the connection");
+    server.close().await;
+}
