Give operators a command line, the fleet's status and settings checked whole

Cause: nothing let an operator see the fleet or the table, and a settings file with several mistakes told only the first, without bounds.

Ruled out: serde's own errors, which end at the first mistake; a JSON schema crate, which would be one more place to hold in step with the type.

Settings are held by one list of fields with bounds and defaults; the type is compared with it by a test.

--- a/ragwortwick-cli/src/lib.rs
+++ b/ragwortwick-cli/src/lib.rs
@@ -1,1 +1,13 @@
-//! placeholder
+//! The operators' command line: status, the table and jobs, against any entry host.
+
+mod arguments;
+mod entry;
+mod error;
+mod grid;
+mod run;
+mod status;
+mod table;
+
+pub use arguments::Environment;
+pub use error::{CliError, ExitClass};
+pub use run::{Outcome, run};
--- /dev/null
+++ b/ragwortwick-cli/src/table/mod.rs
@@ -0,0 +1,5 @@
+//! Commands about the operators' table.
+
+mod show;
+
+pub(crate) use show::show;
--- /dev/null
+++ b/ragwortwick-cli/tests/thin_path.rs
@@ -0,0 +1,92 @@
+//! The command line against a running entry host.
+
+use std::net::TcpListener;
+
+use ragwortwick_cli::{Environment, Outcome};
+use ragwortwick_daemon::{Daemon, Settings};
+
+fn settings() -> Settings {
+    let text = r#"{
+        "host": "e1", "zone": "north",
+        "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
+        "store_address": "127.0.0.1:9", "hosts_address": "127.0.0.1:9",
+        "drain_notice_ms": 0
+    }"#;
+    Settings::parse(text).expect("settings")
+}
+
+async fn run(words: &[&str]) -> Outcome {
+    let arguments = words.iter().map(Into::into).collect();
+    let environment = Environment::default();
+    tokio::task::spawn_blocking(move || ragwortwick_cli::run(arguments, &environment))
+        .await
+        .expect("the command ends")
+}
+
+/// An address that refuses connections, since its listener is gone.
+fn dead_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    listener.local_addr().expect("address").to_string()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_status_asks_the_next_host_when_one_is_dead() {
+    // The operator names two entry hosts; the first was replaced a minute ago and refuses
+    // connections. The command tries the second one and succeeds without a word about the first.
+    let daemon = Daemon::spawn(settings()).await.expect("daemon");
+    let entry = format!("{},{}", dead_address(), daemon.address());
+    let outcome = run(&["--entry", &entry, "status"]).await;
+    assert_eq!(outcome.exit_code, 0, "{outcome:?}");
+    assert!(
+        outcome.stdout.contains("e1    north  serving"),
+        "{outcome:?}"
+    );
+    daemon.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_table_show_before_the_first_acceptance_names_the_way_out() {
+    let daemon = Daemon::spawn(settings()).await.expect("daemon");
+    let entry = daemon.address().to_string();
+    let outcome = run(&["--entry", &entry, "table", "show"]).await;
+    assert_eq!(outcome.exit_code, 7, "{outcome:?}");
+    assert!(outcome.stderr.contains("way out:"), "{outcome:?}");
+    daemon.close().await;
+}
+
+#[tokio::test]
+async fn verify_no_host_that_answers_has_its_own_exit_code() {
+    let entry = format!("{},{}", dead_address(), dead_address());
+    let outcome = run(&["--entry", &entry, "status"]).await;
+    assert_eq!(outcome.exit_code, 3, "{outcome:?}");
+    assert!(
+        outcome.stderr.contains("no entry host answers"),
+        "{outcome:?}"
+    );
+}
+
+#[tokio::test]
+async fn verify_wrong_arguments_are_named_with_exit_code_2() {
+    let cases = [
+        (vec!["status"], "no entry host is named"),
+        (vec!["--entry", "x", "status"], "x is no address"),
+        (vec!["--entry", "h:1", "stauts"], "unknown command stauts"),
+        (
+            vec!["--entry", "h:1", "status", "more"],
+            "unexpected argument more",
+        ),
+        (vec![], "a command is missing"),
+    ];
+    for (words, expected) in cases {
+        let outcome = run(&words).await;
+        assert_eq!(outcome.exit_code, 2, "{outcome:?}");
+        assert!(outcome.stderr.contains(expected), "{outcome:?}");
+    }
+}
+
+#[tokio::test]
+async fn verify_help_needs_no_host() {
+    let outcome = run(&["--help"]).await;
+    assert_eq!(outcome.exit_code, 0);
+    assert!(outcome.stdout.contains("usage: ragwortwick"));
+}
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod requests;
 mod settings;
+mod status;
 mod zone;
 
 pub use app::App;
@@ -26,5 +27,6 @@
 pub use metrics::Metrics;
 pub use peers::{PEER_PROTOCOL, PeerClient, PeerError};
 pub use requests::RequestsHandle;
-pub use settings::{Settings, SettingsProblem};
+pub use settings::{FieldKind, SETTINGS_FIELDS, Settings, SettingsField, SettingsProblem};
+pub use status::{fleet_status, host_status};
 pub use zone::ZoneHandle;
--- a/ragwortwick-daemon/src/settings.rs
+++ b/ragwortwick-daemon/src/settings/mod.rs
@@ -1,11 +1,18 @@
 //! Settings of the daemon, read from a JSON file and checked whole.
 
+mod check;
+mod fields;
+
 use displaydoc::Display;
 use ragwortwick_core::{DurationMs, HostName, ZoneName};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+
+pub use fields::{FieldKind, SETTINGS_FIELDS, SettingsField};
 
 /// `Settings` is the checked content of the settings file.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+///
+/// Bounds and defaults of each field stand in `SETTINGS_FIELDS`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this entry host, as in the platform's host list.
@@ -21,49 +28,19 @@
     /// ip:port of the platform's host list.
     pub hosts_address: String,
     /// Largest request body in bytes.
-    #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: usize,
     /// Most open caller connections.
-    #[serde(default = "default_max_connections")]
     pub max_connections: usize,
     /// Largest request head in bytes.
-    #[serde(default = "default_max_header_bytes")]
     pub max_header_bytes: usize,
     /// Length of each duty's ring of events.
-    #[serde(default = "default_ring_length")]
     pub ring_length: usize,
     /// How long a planned stop goes on accepting while the balancer learns of it.
-    #[serde(default = "default_drain_notice_ms")]
     pub drain_notice_ms: DurationMs,
     /// Time to live of the zone's ownership lease.
-    #[serde(default = "default_owner_lease_ms")]
     pub owner_lease_ms: DurationMs,
 }
 
-fn default_max_body_bytes() -> usize {
-    1 << 20
-}
-
-fn default_max_connections() -> usize {
-    4_096
-}
-
-fn default_max_header_bytes() -> usize {
-    16 << 10
-}
-
-fn default_ring_length() -> usize {
-    4_096
-}
-
-fn default_drain_notice_ms() -> DurationMs {
-    DurationMs(3_000)
-}
-
-fn default_owner_lease_ms() -> DurationMs {
-    DurationMs(6_000)
-}
-
 /// {path}: {problem}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub struct SettingsProblem {
@@ -73,20 +50,24 @@
     pub problem: String,
 }
 
+impl SettingsProblem {
+    fn new(path: impl Into<String>, problem: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            problem: problem.into(),
+        }
+    }
+}
+
 impl Settings {
-    /// `parse` reads the file's text.
+    /// `parse` reads the file's text and fills in the defaults.
     ///
     /// # Errors
     ///
     /// Gives every mistake with its path.
     pub fn parse(text: &str) -> Result<Self, Vec<SettingsProblem>> {
-        let mut reader = serde_json::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(&mut reader).map_err(|error| {
-            let path = error.path().to_string();
-            vec![SettingsProblem {
-                path,
-                problem: error.into_inner().to_string(),
-            }]
-        })
+        let value = check::checked(text)?;
+        serde_json::from_value(value)
+            .map_err(|error| vec![SettingsProblem::new("settings", error.to_string())])
     }
 }
