Check the operators' table by row and column and tell differences in words

Cause: only a repeated customer was noticed, and a review could not say what would change.

Ruled out: a difference by row number, which calls every row changed once one is put in between; rows are matched by what identifies them instead.

Change: validate_table names each mistake by part, row and column (names, ranges, unknown customers, repeated rows, sums per zone, size against the store's largest value); table_changes gives one line for each changed row; table_effects says which guarantees shrink or grow and whose work that concerns.

Conclusion: an acceptance can be refused with every mistake at once; whether the guarantees pack is asked of the placer, which is not joined here yet.

--- a/ragwortwick-policy/src/lib.rs
+++ b/ragwortwick-policy/src/lib.rs
@@ -7,5 +7,5 @@
 mod table;
 mod zone;
 
-pub use table::validate_table;
+pub use table::{table_changes, table_effects, validate_table};
 pub use zone::{OrderId, WorkerInfo, ZoneAction, ZoneEvent, ZoneNotice, ZoneOptions, ZonePlacer};
--- a/ragwortwick-policy/src/table/mod.rs
+++ b/ragwortwick-policy/src/table/mod.rs
@@ -1,32 +1,10 @@
-//! Checks on the operators' table that need no knowledge of the running system.
+//! The operators' table: its mistakes, the difference between two versions and what it does.
 
-use std::collections::BTreeSet;
+mod changes;
+mod effects;
+mod rules;
+mod validate;
 
-use ragwortwick_border::{Table, TableProblem};
-
-/// `validate_table` finds the mistakes that can be seen in the table alone.
-#[must_use]
-pub fn validate_table(table: &Table) -> Vec<TableProblem> {
-    let mut problems = Vec::new();
-    let mut seen = BTreeSet::new();
-    for (index, row) in table.customers.iter().enumerate() {
-        if !seen.insert(&row.customer) {
-            problems.push(problem(
-                "customers",
-                index,
-                "customer",
-                "this customer stands twice",
-            ));
-        }
-    }
-    problems
-}
-
-fn problem(sheet: &str, index: usize, column: &str, text: &str) -> TableProblem {
-    TableProblem {
-        sheet: sheet.to_owned(),
-        row: u32::try_from(index + 1).unwrap_or(u32::MAX),
-        column: column.to_owned(),
-        problem: text.to_owned(),
-    }
-}
+pub use changes::table_changes;
+pub use effects::table_effects;
+pub use validate::validate_table;
