Let operators export, edit, review, accept and revert the table, and look after jobs

Cause: the table could only be shown; editing it needed hand-written JSON.

Ruled out: one CSV file for each part, which are five files to mail and keep together; starting an editor from the command, since no process of the project starts another.

Change: one CSV file whose first column names the part and whose row "table" keeps the number that it was exported from. Commas, semicolons and tabs, the mark at the start and capitals of spreadsheets are read. Mistakes, those found by an entry host too, are named by the row and column of the operator's own file. An acceptance carries a nonce, is tried again when its answer was lost, and then waits until the hosts that answer have it. Jobs can be listed, shown, explained and cancelled. Failures have one sentence, a way out and an exit code of their kind, as JSON too.

--- a/ragwortwick-cli/src/arguments.rs
+++ b/ragwortwick-cli/src/arguments/mod.rs
@@ -1,5 +1,9 @@
 //! Arguments and environment of the command line.
 
+mod command;
+mod environment;
+mod help;
+
 use std::ffi::OsString;
 
 use pico_args::Arguments;
@@ -7,51 +11,13 @@
 
 use crate::CliError;
 
-/// Help text; docs/OPERATIONS.md explains the commands at length.
-pub(crate) const HELP: &str = "\
-ragwortwick: command line for the operators of ragwortwick
-
-usage: ragwortwick [OPTIONS] COMMAND
-
-  status                      zones, owners, guarantees, workers and runners of the whole fleet
-  table show                  the table in force
-
-options:
-  --entry ADDRESS[,ADDRESS]   entry hosts to ask, tried in order (or RAGWORTWICK_ENTRY)
-  --timeout-ms N              longest wait for one host's answer, 10000 if not given
-  --json                      print JSON for scripts
-  --all                       status: list every worker and runner, not only those that need a look
-  -h, --help                  this text
-  --version                   the version
-
-exit codes: 0 done, 1 failed, 2 wrong arguments, 3 no entry host answers,
-  4 mistakes in the table or a field, 5 someone else accepted first, 6 the store is away,
-  7 nothing of that name
-";
+pub(crate) use command::{Command, JobCommand, Signature, TableCommand};
+pub use environment::Environment;
+pub(crate) use help::HELP;
 
 /// Longest wait for one host: the slowest call is an acceptance while the store is slow.
 const DEFAULT_TIMEOUT_MS: DurationMs = DurationMs(10_000);
 
-/// `Environment` is what the command line reads from the process's environment.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Environment {
-    /// `RAGWORTWICK_ENTRY`: entry hosts, separated by commas.
-    pub entry: Option<String>,
-    /// `USER`: who accepts, unless `--by` names another.
-    pub user: Option<String>,
-}
-
-impl Environment {
-    /// `read` takes the variables from the process.
-    #[must_use]
-    pub fn read() -> Self {
-        Self {
-            entry: std::env::var("RAGWORTWICK_ENTRY").ok(),
-            user: std::env::var("USER").ok(),
-        }
-    }
-}
-
 /// `Invocation` is one checked command line.
 #[derive(Debug)]
 pub(crate) struct Invocation {
@@ -65,22 +31,6 @@
     pub(crate) command: Command,
 }
 
-/// `Command` is what the operator asked for.
-#[derive(Debug)]
-pub(crate) enum Command {
-    /// Print the help text.
-    Help,
-    /// Print the version.
-    Version,
-    /// Show the fleet.
-    Status {
-        /// List every worker and runner.
-        all: bool,
-    },
-    /// Show the table in force.
-    TableShow,
-}
-
 /// `parse` checks the whole command line.
 pub(crate) fn parse(
     arguments: Vec<OsString>,
@@ -97,7 +47,7 @@
     let timeout_ms =
         option::<u64>(&mut arguments, "--timeout-ms")?.map_or(DEFAULT_TIMEOUT_MS, DurationMs);
     let json = arguments.contains("--json");
-    let command = command(&mut arguments)?;
+    let command = command::parse(&mut arguments, environment)?;
     if let Some(extra) = arguments.finish().first() {
         return Err(CliError::usage(format!(
             "unexpected argument {}",
@@ -122,33 +72,6 @@
     }
 }
 
-fn command(arguments: &mut Arguments) -> Result<Command, CliError> {
-    let word = subcommand(arguments)?;
-    match word.as_deref() {
-        Some("status") => Ok(Command::Status {
-            all: arguments.contains("--all"),
-        }),
-        Some("table") => table_command(arguments),
-        Some(other) => Err(CliError::usage(format!("unknown command {other}"))),
-        None => Err(CliError::usage("a command is missing")),
-    }
-}
-
-fn table_command(arguments: &mut Arguments) -> Result<Command, CliError> {
-    let word = subcommand(arguments)?;
-    match word.as_deref() {
-        Some("show") => Ok(Command::TableShow),
-        Some(other) => Err(CliError::usage(format!("unknown command table {other}"))),
-        None => Err(CliError::usage("table needs a command, such as table show")),
-    }
-}
-
-fn subcommand(arguments: &mut Arguments) -> Result<Option<String>, CliError> {
-    arguments
-        .subcommand()
-        .map_err(|error| CliError::usage(error.to_string()))
-}
-
 fn option<T>(arguments: &mut Arguments, name: &'static str) -> Result<Option<T>, CliError>
 where
     T: std::str::FromStr,
--- a/ragwortwick-cli/src/entry.rs
+++ b/ragwortwick-cli/src/entry.rs
@@ -6,6 +6,7 @@
 use ragwortwick_border::Problem;
 use ragwortwick_core::DurationMs;
 use ragwortwick_http::{HttpClient, HttpClientOptions, HttpError, HttpReply};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::{CliError, ExitClass};
@@ -72,6 +73,17 @@
     }
 }
 
+/// `encode` writes a body.
+pub(crate) fn encode<T: Serialize>(body: &T) -> Result<Vec<u8>, CliError> {
+    serde_json::to_vec(body).map_err(|error| {
+        CliError::new(
+            ExitClass::Failed,
+            format!("the call can't be written as JSON: {error}"),
+            "report this as a bug of ragwortwick",
+        )
+    })
+}
+
 /// `decode` reads a 2xx answer and turns any other into a sentence.
 pub(crate) fn decode<R: DeserializeOwned>(reply: &HttpReply) -> Result<R, CliError> {
     if !reply.status.is_success() {
--- a/ragwortwick-cli/src/error.rs
+++ b/ragwortwick-cli/src/error.rs
@@ -63,6 +63,8 @@
     pub problem: String,
     /// What to do next, as one sentence.
     pub way_out: String,
+    /// More for scripts, such as the list of mistakes.
+    pub details: serde_json::Value,
 }
 
 impl CliError {
@@ -72,9 +74,16 @@
             class,
             problem: problem.into(),
             way_out: way_out.into(),
+            details: serde_json::Value::Null,
         }
     }
 
+    /// `with_details` adds what scripts may want to read.
+    #[must_use]
+    pub fn with_details(self, details: serde_json::Value) -> Self {
+        Self { details, ..self }
+    }
+
     /// `usage` says what is wrong with the arguments.
     pub fn usage(problem: impl Into<String>) -> Self {
         Self::new(
--- a/ragwortwick-cli/src/lib.rs
+++ b/ragwortwick-cli/src/lib.rs
@@ -4,7 +4,10 @@
 mod entry;
 mod error;
 mod grid;
+mod job;
 mod run;
+mod sheet;
+mod shown;
 mod status;
 mod table;
 
--- a/ragwortwick-cli/src/run.rs
+++ b/ragwortwick-cli/src/run.rs
@@ -2,12 +2,13 @@
 
 use std::ffi::OsString;
 
-use ragwortwick_border::{AcceptedTable, FleetStatus};
-use serde::Serialize;
+use ragwortwick_border::FleetStatus;
+use serde_json::{Value, json};
 
 use crate::arguments::{Command, HELP, Invocation, parse};
 use crate::entry::EntryHosts;
-use crate::{CliError, Environment, ExitClass, status, table};
+use crate::shown::Shown;
+use crate::{CliError, Environment, ExitClass, job, status, table};
 
 /// `Outcome` is all that a command leaves behind.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,22 +24,46 @@
 /// `run` carries out one command line.
 #[must_use]
 pub fn run(arguments: Vec<OsString>, environment: &Environment) -> Outcome {
+    // Scripts that asked for JSON get it for wrong arguments too.
+    let wants_json = arguments.iter().any(|word| word == "--json");
     let result = parse(arguments, environment).and_then(carry_out);
     match result {
-        Ok(stdout) => Outcome {
-            stdout,
-            stderr: String::new(),
-            exit_code: ExitClass::Done.code(),
-        },
+        Ok(shown) if wants_json => done(pretty(&shown.json)),
+        Ok(shown) => done(shown.text),
         Err(error) => Outcome {
-            stdout: String::new(),
+            stdout: if wants_json {
+                pretty(&failure(&error))
+            } else {
+                String::new()
+            },
             stderr: format!("ragwortwick: {error}\n"),
             exit_code: error.class.code(),
         },
     }
 }
 
-fn carry_out(invocation: Invocation) -> Result<String, CliError> {
+fn done(stdout: String) -> Outcome {
+    Outcome {
+        stdout,
+        stderr: String::new(),
+        exit_code: ExitClass::Done.code(),
+    }
+}
+
+fn failure(error: &CliError) -> Value {
+    json!({
+        "exit_code": error.class.code(),
+        "problem": error.problem,
+        "way_out": error.way_out,
+        "details": error.details,
+    })
+}
+
+fn pretty(value: &Value) -> String {
+    format!("{value:#}\n")
+}
+
+fn carry_out(invocation: Invocation) -> Result<Shown, CliError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -52,39 +77,19 @@
     runtime.block_on(command(invocation))
 }
 
-async fn command(invocation: Invocation) -> Result<String, CliError> {
-    let json = invocation.json;
+async fn command(invocation: Invocation) -> Result<Shown, CliError> {
     let hosts = EntryHosts::open(invocation.entry, invocation.timeout_ms);
     match invocation.command {
-        Command::Help => Ok(HELP.to_owned()),
-        Command::Version => Ok(format!("ragwortwick {}\n", env!("CARGO_PKG_VERSION"))),
+        Command::Help => Shown::new(HELP.to_owned(), &HELP),
+        Command::Version => {
+            let version = env!("CARGO_PKG_VERSION");
+            Shown::new(format!("ragwortwick {version}\n"), &version)
+        }
         Command::Status { all } => {
             let fleet: FleetStatus = hosts.get("/v1/status").await?;
-            if json {
-                print_json(&fleet)
-            } else {
-                Ok(status::show(&fleet, all))
-            }
-        }
-        Command::TableShow => {
-            let accepted: AcceptedTable = hosts.get("/v1/table").await?;
-            if json {
-                print_json(&accepted)
-            } else {
-                Ok(table::show(&accepted))
-            }
+            Shown::new(status::show(&fleet, all), &fleet)
         }
+        Command::Table(command) => table::run(&hosts, command, invocation.json).await,
+        Command::Job(command) => job::run(&hosts, command).await,
     }
 }
-
-fn print_json<T: Serialize>(value: &T) -> Result<String, CliError> {
-    serde_json::to_string_pretty(value)
-        .map(|text| text + "\n")
-        .map_err(|error| {
-            CliError::new(
-                ExitClass::Failed,
-                format!("the answer can't be written as JSON: {error}"),
-                "leave out --json",
-            )
-        })
-}
