--- a/ragwortwick-daemon/src/config/accept.rs
+++ b/ragwortwick-daemon/src/config/accept.rs
@@ -7,8 +7,9 @@
 };
 use ragwortwick_core::{DurationMs, Revision, log_event};
 use ragwortwick_platform::{StoreError, StoreWrite, WriteOutcome};
+use ragwortwick_policy::table_changes;
 
-use super::ConfigHandle;
+use super::{ConfigHandle, empty_table};
 use crate::keys;
 
 /// When an operator may try again after the store gave no answer.
@@ -54,7 +55,7 @@
             return Err(StoreError::NotSent(cause.to_owned()));
         }
         if stored_number != accept.based_on_number {
-            return Ok(self.conflict(stored.table, accept));
+            return self.conflict(stored.table, accept).await;
         }
         if let Some(replaced) = &stored.table {
             // The entry of the table that is about to be replaced: a crash between the two writes
@@ -108,7 +109,7 @@
             self.offer(Arc::new(earlier.clone()));
             return Ok(TableAcceptReply::Accepted(earlier));
         }
-        Ok(self.conflict(stored.table, accept))
+        self.conflict(stored.table, accept).await
     }
 
     /// Finds the table that this very acceptance already put in force.
@@ -132,16 +133,27 @@
         Ok(earlier.filter(|table| table.nonce == accept.nonce))
     }
 
-    fn conflict(&self, current: Option<AcceptedTable>, accept: &TableAccept) -> TableAcceptReply {
+    /// Shows what changed between the table that the operator reviewed and the one in the store.
+    async fn conflict(
+        &self,
+        current: Option<AcceptedTable>,
+        accept: &TableAccept,
+    ) -> Result<TableAcceptReply, StoreError> {
         let Some(current) = current else {
-            // The operator reviewed against a table that the store does not have.
             let mut review = self.review(&accept.table);
             review.problems.push(unknown_base(accept.based_on_number));
-            return TableAcceptReply::Invalid(review);
+            return Ok(TableAcceptReply::Invalid(review));
         };
         self.offer(Arc::new(current.clone()));
-        let changes = Vec::new();
-        TableAcceptReply::Conflict(TableConflict { current, changes })
+        let key = keys::table_history(accept.based_on_number);
+        let reviewed = decode_entry(self.store.get(&key).await?)?
+            .table
+            .map_or_else(empty_table, |reviewed| reviewed.table);
+        let changes = table_changes(&reviewed, &current.table);
+        Ok(TableAcceptReply::Conflict(TableConflict {
+            current,
+            changes,
+        }))
     }
 
     /// `stored` reads the accepted table from the store.
--- a/ragwortwick-daemon/src/config/mod.rs
+++ b/ragwortwick-daemon/src/config/mod.rs
@@ -6,10 +6,10 @@
 
 use std::sync::Arc;
 
-use ragwortwick_border::{AcceptedTable, Table, TableReview};
+use ragwortwick_border::{AcceptedTable, PolicyWeights, Table, TableReview};
 use ragwortwick_core::log_event;
 use ragwortwick_platform::StoreClient;
-use ragwortwick_policy::validate_table;
+use ragwortwick_policy::{table_changes, table_effects, validate_table};
 use tokio::sync::watch;
 
 pub(crate) use table_duty::TableDuty;
@@ -92,11 +92,27 @@
     /// `review` tells what accepting the table would do.
     #[must_use]
     pub fn review(&self, table: &Table) -> TableReview {
+        let current = self.current();
+        let empty = empty_table();
+        let old = current.as_ref().map_or(&empty, |current| &current.table);
         TableReview {
             current_number: self.number(),
-            changes: Vec::new(),
-            effects: Vec::new(),
+            changes: table_changes(old, table),
+            effects: table_effects(old, table),
             problems: validate_table(table),
         }
     }
 }
+
+/// `empty_table` is what the first accepted table is compared with.
+fn empty_table() -> Table {
+    Table {
+        customers: Vec::new(),
+        guarantees: Vec::new(),
+        classes: Vec::new(),
+        weights: PolicyWeights {
+            completion: 1.0,
+            fragmentation: 1.0,
+        },
+    }
+}
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod requests;
 mod settings;
+mod status;
 mod zone;
 
 pub use app::App;
@@ -28,7 +29,8 @@
 pub use metrics::{Metrics, StateMetrics};
 pub use peers::{PEER_PROTOCOL, PeerClient, PeerError};
 pub use requests::RequestsHandle;
-pub use settings::{Settings, SettingsProblem};
+pub use settings::{FieldKind, SETTINGS_FIELDS, Settings, SettingsField, SettingsProblem};
+pub use status::{fleet_status, host_status};
 pub use zone::{
     Claim, Ownership, OwnershipAction, OwnershipEvent, OwnershipGuard, OwnershipState, Tenure,
     ZoneHandle, ZoneStartError,
