Let tests watch a fleet from outside, with a sample table, requests and jobs

Cause: tests across processes all need a table in force, waits and a look behind the store's faults. Conclusion: tests state only what they prove.

--- a/ragwortwick-standin/src/fleet/mod.rs
+++ b/ragwortwick-standin/src/fleet/mod.rs
@@ -2,6 +2,8 @@
 
 mod caller;
 mod child;
+mod sample;
+mod waiting;
 
 use std::io;
 use std::path::PathBuf;
@@ -13,6 +15,8 @@
 
 pub use self::caller::Caller;
 pub use self::child::{Daemon, DaemonOptions};
+pub use self::sample::{sample_accept, sample_answer, sample_job, sample_request, sample_table};
+pub use self::waiting::wait_until;
 use crate::{Runners, RunnersOptions, Store, WorkerSpec, Workers};
 
 /// Workers of one rack, as in the platform of today.
@@ -164,6 +168,18 @@
         Ok(())
     }
 
+    /// `zones` are the fleet's zones.
+    #[must_use]
+    pub fn zones(&self) -> &[ZoneName] {
+        &self.options.zones
+    }
+
+    /// `address` is where the entry host with this number is reached.
+    #[must_use]
+    pub fn address(&self, index: usize) -> &str {
+        self.daemons[index].address()
+    }
+
     /// `close` kills the entry hosts and ends the stand-ins.
     pub async fn close(self) {
         drop(self.daemons);
--- a/ragwortwick-standin/src/lib.rs
+++ b/ragwortwick-standin/src/lib.rs
@@ -13,7 +13,10 @@
 
 pub use clock::now;
 pub use faults::{Faults, Gate};
-pub use fleet::{Caller, Daemon, DaemonOptions, Fleet, FleetError, FleetOptions};
+pub use fleet::{
+    Caller, Daemon, DaemonOptions, Fleet, FleetError, FleetOptions, sample_accept, sample_answer,
+    sample_job, sample_request, sample_table, wait_until,
+};
 pub use relay::{Relay, RelayMode};
 pub use runners::{Runner, RunnerOptions, Runners, RunnersOptions};
 pub use start_log::{LogEntry, LogEvent, StartLog};
