Give zones paths that can be cut, and workers a log of refused epochs

Cause: a cut between zones must leave the paths inside each zone alone, and a fenced owner must be seen by a test. Ruled out: one relay in front of each host, which would cut its own zone off from it too. Change: a host list per zone in which hosts of other zones stand with a relay's address; the workers' log tells refused epochs; a knob switches the refusal off, to show what it is for.

--- a/ragwortwick-standin/src/faults.rs
+++ b/ragwortwick-standin/src/faults.rs
@@ -41,6 +41,8 @@
     pub stale_answers: u32,
     /// Workers and runners fail all that they start.
     pub fail_starts: bool,
+    /// Workers carry out orders of any epoch, to show what the refusal is for.
+    pub without_fencing: bool,
     /// Runners leave: they finish what runs and refuse new work.
     pub leaving: bool,
     /// Lapse every lease once, at the moment of setting.
--- a/ragwortwick-standin/src/fleet/mod.rs
+++ b/ragwortwick-standin/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod child;
+mod paths;
 mod sample;
 mod waiting;
 
@@ -9,15 +10,17 @@
 use std::path::PathBuf;
 
 use displaydoc::Display;
+use ragwortwick_border::{HostEntry, StoreGet};
 use ragwortwick_core::{HostName, RackName, WorkerName, ZoneName, common};
 use serde_json::{Map, Value};
 use tempfile::TempDir;
 
 pub use self::caller::Caller;
 pub use self::child::{Daemon, DaemonOptions};
+pub use self::paths::ZonePaths;
 pub use self::sample::{sample_accept, sample_answer, sample_job, sample_request, sample_table};
 pub use self::waiting::wait_until;
-use crate::{Runners, RunnersOptions, Store, WorkerSpec, Workers};
+use crate::{Runners, RunnersOptions, Store, WorkerSpec, Workers, now};
 
 /// Workers of one rack, as in the platform of today.
 const WORKERS_PER_RACK: usize = 8;
@@ -57,6 +60,8 @@
     pub runners: usize,
     /// Slots of each runner.
     pub slots: u32,
+    /// Whether the paths between zones and to the platform go through relays.
+    pub has_relays: bool,
     /// Further settings of every entry host.
     pub settings: Map<String, Value>,
 }
@@ -72,6 +77,7 @@
             workers: 8,
             runners: 4,
             slots: 10,
+            has_relays: false,
             settings: Map::new(),
         }
     }
@@ -90,6 +96,8 @@
     pub runners: Runners,
     /// The entry hosts in the order of their names.
     pub daemons: Vec<Daemon>,
+    /// The paths that can be cut, if the options ask for relays.
+    pub paths: Option<ZonePaths>,
     /// Calls to them.
     pub caller: Caller,
 }
@@ -109,22 +117,27 @@
             slots: options.slots,
         };
         let runners = Runners::bind("127.0.0.1", &runners).await?;
-        workers
-            .entries()
-            .into_iter()
-            .for_each(|e| store.put_host(e));
-        for runner in &runners.all {
-            store.put_host(runner.entry());
-        }
+        let paths = if options.has_relays {
+            Some(ZonePaths::open(&options.zones, store.address()).await?)
+        } else {
+            None
+        };
         let mut fleet = Self {
             directory: tempfile::tempdir()?,
             store,
             workers,
             runners,
             daemons: Vec::new(),
+            paths,
             caller: Caller::open(),
             options,
         };
+        for worker in fleet.workers.entries() {
+            fleet.put_host(&worker).await?;
+        }
+        for runner in &fleet.runners.all {
+            fleet.put_host(&runner.entry()).await?;
+        }
         for index in 0..fleet.options.hosts {
             let daemon = fleet.spawn_daemon(fleet.daemon_options(index)).await?;
             fleet.daemons.push(daemon);
@@ -136,11 +149,14 @@
     #[must_use]
     pub fn daemon_options(&self, index: usize) -> DaemonOptions {
         let zones = &self.options.zones;
+        let zone = zones[index % zones.len()].clone();
+        let direct = || self.store.address().to_string();
+        let paths = self.paths.as_ref();
         DaemonOptions {
             host: HostName::new(format!("entry-{index}")),
-            zone: zones[index % zones.len()].clone(),
-            store_address: self.store.address().to_string(),
-            hosts_address: self.store.address().to_string(),
+            store_address: paths.map_or_else(direct, |paths| paths.store_address(&zone)),
+            hosts_address: paths.map_or_else(direct, |paths| paths.hosts_address(&zone)),
+            zone,
             settings: self.options.settings.clone(),
         }
     }
@@ -152,10 +168,23 @@
     /// Fails if the process can't be started.
     pub async fn spawn_daemon(&self, options: DaemonOptions) -> Result<Daemon, FleetError> {
         let daemon = Daemon::spawn(&self.options.binary, self.directory.path(), options).await?;
-        self.store.put_host(daemon.entry());
+        self.put_host(&daemon.entry()).await?;
         Ok(daemon)
     }
 
+    /// `put_host` puts a host into the platform's list, as every zone sees it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a relay finds no port.
+    pub async fn put_host(&self, host: &HostEntry) -> io::Result<()> {
+        if let Some(paths) = &self.paths {
+            return paths.put_host(host).await;
+        }
+        self.store.put_host(host.clone());
+        Ok(())
+    }
+
     /// `replace_daemon` starts an empty entry host in the place of one that was killed.
     ///
     /// # Errors
@@ -168,6 +197,32 @@
         Ok(())
     }
 
+    /// `kill_all` kills every entry host before any of them is waited for.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process can't be waited for.
+    pub fn kill_all(&mut self) -> io::Result<()> {
+        // A frozen host does nothing any more, so none of them outlives another.
+        for daemon in &self.daemons {
+            daemon.freeze()?;
+        }
+        self.daemons.iter_mut().try_for_each(Daemon::kill)
+    }
+
+    /// `owner` is the number of the entry host that holds the zone's lease in the store.
+    #[must_use]
+    pub fn owner(&self, zone: &ZoneName) -> Option<usize> {
+        let key = format!("zones/{zone}/owner");
+        let reply = self
+            .store
+            .with_state(|state| state.get(now(), &StoreGet { key }));
+        let held: Map<String, Value> = serde_json::from_str(&reply.entry?.value).ok()?;
+        self.daemons
+            .iter()
+            .position(|daemon| held.values().any(|v| *v == *daemon.host().as_str()))
+    }
+
     /// `zones` are the fleet's zones.
     #[must_use]
     pub fn zones(&self) -> &[ZoneName] {
@@ -185,6 +240,9 @@
         drop(self.daemons);
         self.runners.close().await;
         self.workers.close().await;
+        if let Some(paths) = self.paths {
+            paths.close().await;
+        }
         self.store.close().await;
     }
 }
--- a/ragwortwick-standin/src/start_log.rs
+++ b/ragwortwick-standin/src/start_log.rs
@@ -25,6 +25,8 @@
     Lapsed,
     /// Its reservation was dropped.
     Released,
+    /// An order was refused since its epoch is below the highest seen.
+    Fenced,
 }
 
 /// `LogEntry` is one event of one piece of work.
--- a/ragwortwick-standin/src/workers/mod.rs
+++ b/ragwortwick-standin/src/workers/mod.rs
@@ -192,8 +192,8 @@
         &name,
         "order",
         |shared: WorkersShared, order: WorkerOrder| async move {
-            let fails_starts = shared.gate.faults(worker.as_str(), "order").fail_starts;
-            let reply = lock(&shared.state).order(now(), &worker, &order, fails_starts);
+            let faults = shared.gate.faults(worker.as_str(), "order");
+            let reply = lock(&shared.state).order(now(), &worker, &order, &faults);
             let status = if reply.is_some() {
                 StatusCode::OK
             } else {
--- a/ragwortwick-standin/src/workers/state.rs
+++ b/ragwortwick-standin/src/workers/state.rs
@@ -9,6 +9,7 @@
 use ragwortwick_core::{Epoch, GangId, JobId, TimeMs, WorkerName};
 
 use super::member::Member;
+use crate::faults::Faults;
 use crate::start_log::{LogEntry, LogEvent, StartLog};
 
 /// `WorkersState` is the content of many workers; checkpoints are shared between them.
@@ -49,26 +50,33 @@
 
     /// `order` carries out an order; `None` if there is no such worker.
     ///
-    /// With `fails_starts` every member fails as soon as it is started.
+    /// Of the faults, `fail_starts` and `without_fencing` act here.
     pub fn order(
         &mut self,
         now: TimeMs,
         name: &WorkerName,
         order: &WorkerOrder,
-        fails_starts: bool,
+        faults: &Faults,
     ) -> Option<WorkerReply> {
         self.advance(now);
         let worker = self.workers.get_mut(name)?;
         // A frozen owner that wakes has a lower epoch than its successor; without the refusal both
         // would start gangs on the same accelerators.
-        if order.epoch < worker.highest_epoch {
+        if order.epoch < worker.highest_epoch && !faults.without_fencing {
+            self.log.push(LogEntry {
+                at_ms: now,
+                place: name.to_string(),
+                id: String::new(),
+                event: LogEvent::Fenced,
+                epoch: order.epoch,
+            });
             return Some(WorkerReply {
                 outcome: WorkerOutcome::StaleEpoch,
                 highest_epoch: worker.highest_epoch,
                 gangs: Vec::new(),
             });
         }
-        worker.highest_epoch = order.epoch;
+        worker.highest_epoch = worker.highest_epoch.max(order.epoch);
         let mut work = Order {
             now,
             epoch: order.epoch,
@@ -76,7 +84,7 @@
             worker,
             checkpoints: &self.checkpoints,
             log: &self.log,
-            fails_starts,
+            fails_starts: faults.fail_starts,
         };
         let outcome = work.run(&order.command);
         let with_report = matches!(
--- a/ragwortwick-standin/tests/workers.rs
+++ b/ragwortwick-standin/tests/workers.rs
@@ -5,7 +5,7 @@
     WorkerCommand, WorkerOrder, WorkerOutcome, WorkerReply,
 };
 use ragwortwick_core::{CustomerName, DurationMs, Epoch, GangId, JobId, TimeMs, WorkerName};
-use ragwortwick_standin::{LogEvent, StartLog, WorkersState};
+use ragwortwick_standin::{Faults, LogEvent, StartLog, WorkersState};
 
 const LEASE_MS: DurationMs = DurationMs(1_000);
 
@@ -32,7 +32,7 @@
             command,
         };
         self.state
-            .order(TimeMs(now), &self.worker, &order, false)
+            .order(TimeMs(now), &self.worker, &order, &Faults::default())
             .expect("the worker exists")
     }
 
