Serve short requests and calls between entry hosts

Cause: the request path and the peer calls were stubs, and the other duties need the peers.

Change: the dispatcher of short requests as a state machine (admission, weights, runner choice, retry budget, leaving and failing runners), its duty and sender, ids of one home, claims in the store for ids that callers choose, and the calls between entry hosts as bincode over h2 with the protocol's version in the path. A heartbeat carries the runners that a host saw leaving.

Ruled out: hyper-util's pooled client towards runners, since it can't show that an idle connection is alive before a request is sent on it.

--- a/ragwortwick-border/src/generated.rs
+++ b/ragwortwick-border/src/generated.rs
@@ -849,6 +849,8 @@
     pub incarnation: u64,
     /// Whether it is stopping.
     pub is_stopping: bool,
+    /// Runners that it saw leaving.
+    pub leaving_runners: ::std::vec::Vec<ragwortwick_core::HostName>,
     /// Version of the peer protocol.
     pub protocol: u32,
     /// Requests it runs now.
--- a/ragwortwick-daemon/src/daemon.rs
+++ b/ragwortwick-daemon/src/daemon.rs
@@ -7,11 +7,13 @@
 use ragwortwick_border::HostList;
 use ragwortwick_core::{TimeMs, log_event};
 use ragwortwick_http::{Server, ServerOptions};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::peers::PeerServer;
 use crate::{
-    App, Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, RequestsHandle,
-    Settings, ZoneHandle, http,
+    App, Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, Requests,
+    Settings, StoreClaims, ZoneHandle, http,
 };
 
 /// `DaemonError` says why the process could not start.
@@ -26,6 +28,8 @@
     },
     /// cannot register the metrics: {0}
     Metrics(prometheus::Error),
+    /// cannot start a duty: {0}
+    Duty(std::io::Error),
 }
 
 impl std::error::Error for DaemonError {}
@@ -35,6 +39,8 @@
 pub struct Daemon {
     app: App,
     server: Server,
+    peer_server: PeerServer,
+    requests: Requests,
     lifecycle: watch::Sender<Lifecycle>,
 }
 
@@ -62,17 +68,28 @@
             store_is_reachable: store_feed,
             lifecycle: lifecycle_feed,
         };
+        let peers = PeerClient::open(&settings, clock, feeds.clone());
+        let requests = Requests::open(
+            &settings,
+            clock,
+            metrics.clone(),
+            feeds.clone(),
+            peers.clone(),
+            StoreClaims::open(&settings.store_address, clock),
+        )
+        .map_err(DaemonError::Duty)?;
         let app = App {
             settings: Arc::clone(&settings),
             clock,
             metrics,
             feeds,
-            peers: PeerClient,
-            requests: RequestsHandle,
+            peers,
+            requests: requests.handle(),
             jobs: JobsHandle,
             config: ConfigHandle,
             zone: ZoneHandle,
         };
+        let peer_server = bind_peers(&settings.peer_listen, &app).await?;
         let options = ServerOptions {
             max_connections: settings.max_connections,
             max_header_bytes: settings.max_header_bytes,
@@ -88,11 +105,14 @@
             Info,
             "listening",
             host = settings.host,
-            address = server.address()
+            address = server.address(),
+            peer_address = peer_server.address()
         );
         Ok(Self {
             app,
             server,
+            peer_server,
+            requests,
             lifecycle,
         })
     }
@@ -103,12 +123,30 @@
         self.server.address()
     }
 
+    /// `peer_address` is where other entry hosts reach this host.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_server.address()
+    }
+
     /// `close` is the planned stop: it cuts off no request and then ends every duty.
     pub async fn close(self) {
         self.lifecycle.send_replace(Lifecycle::Stopping);
         log_event!(Info, "stopping", host = self.app.settings.host);
         tokio::time::sleep(self.app.settings.drain_notice_ms.into()).await;
+        // Requests that peers handed over end with the callers' own; only then the duty may go.
         self.server.close().await;
+        self.peer_server.close().await;
+        self.requests.close();
         log_event!(Info, "stopped", host = self.app.settings.host);
     }
 }
+
+async fn bind_peers(address: &str, app: &App) -> Result<PeerServer, DaemonError> {
+    let failed = |cause| DaemonError::Listen {
+        address: address.to_owned(),
+        cause,
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    PeerServer::spawn(listener, app.clone()).map_err(failed)
+}
--- a/ragwortwick-policy/src/lib.rs
+++ b/ragwortwick-policy/src/lib.rs
@@ -7,5 +7,10 @@
 mod table;
 mod zone;
 
+pub use request::{
+    Arrival, Begin, ClaimOutcome, Dispatcher, DispatcherLoad, DispatcherOptions, HOME_WINDOW_MS,
+    IssuedId, IssuedIdState, RefusalSeen, RequestAction, RequestEvent, RequestNotice, RunKey,
+    RunLog, RunLogOptions, RunnerInfo, RunnerLoadSeen, Settlement, Ticket, TryOutcome,
+};
 pub use table::validate_table;
 pub use zone::{OrderId, WorkerInfo, ZoneAction, ZoneEvent, ZoneNotice, ZoneOptions, ZonePlacer};
