--- a/ragwortwick-daemon/src/config/mod.rs
+++ b/ragwortwick-daemon/src/config/mod.rs
@@ -16,10 +16,27 @@
 
 use crate::{Clock, Metrics, PeerClient};
 
+/// `TableInForce` holds the table in force; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct TableInForce(Arc<watch::Sender<Option<Arc<AcceptedTable>>>>);
+
+impl Default for TableInForce {
+    fn default() -> Self {
+        Self(Arc::new(watch::channel(None).0))
+    }
+}
+
+impl TableInForce {
+    /// `subscribe` follows the table in force.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Arc<AcceptedTable>>> {
+        self.0.subscribe()
+    }
+}
+
 /// `ConfigHandle` reads and changes the operators' table; clones share what is in force.
 #[derive(Clone, Debug)]
 pub struct ConfigHandle {
-    in_force: Arc<watch::Sender<Option<Arc<AcceptedTable>>>>,
+    in_force: TableInForce,
     store: StoreClient,
     peers: PeerClient,
     clock: Clock,
@@ -27,15 +44,16 @@
 }
 
 impl ConfigHandle {
-    /// `open` starts without a table.
+    /// `open` shares what is in force with those that follow it.
     pub(crate) fn open(
+        in_force: TableInForce,
         store: StoreClient,
         peers: PeerClient,
         clock: Clock,
         metrics: Metrics,
     ) -> Self {
         Self {
-            in_force: Arc::new(watch::channel(None).0),
+            in_force,
             store,
             peers,
             clock,
@@ -43,20 +61,16 @@
         }
     }
 
-    /// `feed` follows the table in force.
-    pub(crate) fn feed(&self) -> watch::Receiver<Option<Arc<AcceptedTable>>> {
-        self.in_force.subscribe()
-    }
-
     /// `current` gives the table in force here.
     #[must_use]
     pub fn current(&self) -> Option<Arc<AcceptedTable>> {
-        self.in_force.borrow().clone()
+        self.in_force.0.borrow().clone()
     }
 
     /// `number` gives the number of the table in force here, 0 for none.
     pub(crate) fn number(&self) -> u64 {
         self.in_force
+            .0
             .borrow()
             .as_ref()
             .map_or(0, |table| table.number)
@@ -70,7 +84,7 @@
     pub fn offer(&self, table: Arc<AcceptedTable>) {
         let number = table.number;
         let accepted_at_ms = table.accepted_at_ms;
-        let is_newer = self.in_force.send_if_modified(|known| {
+        let is_newer = self.in_force.0.send_if_modified(|known| {
             let is_newer = known.as_ref().is_none_or(|known| known.number < number);
             if is_newer {
                 *known = Some(table);
--- a/ragwortwick-daemon/src/config/table_duty.rs
+++ b/ragwortwick-daemon/src/config/table_duty.rs
@@ -1,9 +1,10 @@
 //! Follows the table in the store and at the peers, so that an accepted one is in force in time.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ragwortwick_border::{PeerCall, PeerReply, StoreEntry};
-use ragwortwick_core::{DurationMs, Epoch, log_event};
+use ragwortwick_border::{PeerCall, PeerHello, PeerReply, StoreEntry};
+use ragwortwick_core::{DurationMs, Epoch, HostName, log_event};
 use ragwortwick_platform::{PrefixWatch, StoreError, WatchNews};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -21,9 +22,6 @@
 /// table may take, with one read lost.
 const READ_INTERVAL_MS: DurationMs = DurationMs(4_000);
 
-/// Longest time between two questions to peers while the store is away.
-const ASK_INTERVAL_MS: DurationMs = DurationMs(2_000);
-
 /// Longest wait for a peer's table.
 const ASK_TIMEOUT_MS: DurationMs = DurationMs(1_000);
 
@@ -107,25 +105,33 @@
     }
 }
 
-/// A host whose store is away asks its peers in turn; a restarted one gets its first table so.
+/// A heartbeat that shows a higher number tells where to get it, whatever the store says: a host
+/// whose store is cut off, empty or old gets the table so, and a restarted one its first.
 async fn follow_peers(config: ConfigHandle) {
-    let reachable = config.store.reachable();
-    let mut jitter = config.store.backoff();
-    let mut turn = 0;
-    loop {
-        tokio::time::sleep(jitter.spread(ASK_INTERVAL_MS).into()).await;
-        if *reachable.borrow() && config.number() > 0 {
-            continue;
-        }
-        let hosts = config.peers.reachable();
-        if hosts.is_empty() {
+    let mut heard = config.peers.follow();
+    let mut backoff = config.store.backoff();
+    heard.mark_changed();
+    while heard.changed().await.is_ok() {
+        let newest = newest_of(&heard.borrow_and_update());
+        let Some(host) = newest.filter(|(number, _)| *number > config.number()) else {
+            backoff.reset();
             continue;
-        }
-        turn = (turn + 1) % hosts.len();
+        };
         let call = PeerCall::FetchTable;
-        let reply = config.peers.call(&hosts[turn], call, ASK_TIMEOUT_MS).await;
+        let reply = config.peers.call(&host.1, call, ASK_TIMEOUT_MS).await;
         if let Ok(PeerReply::Table(table)) = reply {
             config.offer(Arc::new(table));
+        } else {
+            // The same heartbeats are looked at again, as no new one need come.
+            tokio::time::sleep(backoff.next_wait().into()).await;
+            heard.mark_changed();
         }
     }
 }
+
+fn newest_of(heard: &BTreeMap<HostName, PeerHello>) -> Option<(u64, HostName)> {
+    heard
+        .values()
+        .map(|hello| (hello.table_number, hello.host.clone()))
+        .max()
+}
--- a/ragwortwick-daemon/src/daemon.rs
+++ b/ragwortwick-daemon/src/daemon.rs
@@ -1,21 +1,19 @@
 //! The running entry host: starts every duty and stops them in order.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use displaydoc::Display;
 use ragwortwick_core::log_event;
 use ragwortwick_http::{Server, ServerOptions};
-use ragwortwick_platform::{HostListOptions, HostListPoller, StoreClient, StoreOptions};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::config::TableDuty;
-use crate::nonce::Nonces;
-use crate::zone::{ZoneParts, ZoneRuntime};
+use crate::peers::PeerServer;
+use crate::state_duties::{StateDuties, StateSources};
 use crate::{
-    App, Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, RequestsHandle,
-    Settings, ZoneStartError, http,
+    App, Clock, Lifecycle, Metrics, PeerClient, Requests, Settings, StoreClaims, ZoneStartError,
+    http,
 };
 
 /// `DaemonError` says why the process could not start.
@@ -30,6 +28,8 @@
     },
     /// cannot register the metrics: {0}
     Metrics(prometheus::Error),
+    /// cannot start a duty: {0}
+    Duty(std::io::Error),
     /// {0}
     Zone(ZoneStartError),
 }
@@ -41,26 +41,12 @@
 pub struct Daemon {
     app: App,
     server: Server,
+    peer_server: PeerServer,
+    requests: Requests,
     lifecycle: watch::Sender<Lifecycle>,
     state: StateDuties,
 }
 
-/// `StateDuties` are the duties behind the feeds: table, host list and zone.
-#[derive(Debug)]
-struct StateDuties {
-    hosts: HostListPoller,
-    table: TableDuty,
-    zone: ZoneRuntime,
-}
-
-impl StateDuties {
-    async fn close(self) {
-        self.zone.close().await;
-        self.table.close().await;
-        self.hosts.close().await;
-    }
-}
-
 impl Daemon {
     /// `spawn` starts all duties and returns once the host can be called.
     ///
@@ -72,55 +58,36 @@
         let clock = Clock::open();
         let metrics = Metrics::open().map_err(DaemonError::Metrics)?;
         let (lifecycle, lifecycle_feed) = watch::channel(Lifecycle::Running);
-        let seed = clock.incarnation() ^ hash_of(settings.host.as_str());
-        let store = StoreClient::open(StoreOptions::new(&settings.store_address, seed));
+        let sources = StateSources::open(&settings, clock, lifecycle_feed);
+        let feeds = sources.feeds();
         metrics
             .state
-            .follow_store(store.counts())
+            .follow_store(sources.store.counts())
             .map_err(DaemonError::Metrics)?;
-        let hosts = HostListPoller::spawn(HostListOptions::new(&settings.hosts_address, seed));
-        let nonces = Nonces::new(&settings.host, clock.incarnation());
-        let peers = PeerClient;
-        let config = ConfigHandle::open(store.clone(), peers.clone(), clock, metrics.clone());
-        let feeds = Feeds {
-            table: config.feed(),
-            hosts: hosts.hosts(),
-            store_is_reachable: store.reachable(),
-            lifecycle: lifecycle_feed,
-        };
-        let zone = ZoneRuntime::spawn(ZoneParts {
-            settings: Arc::clone(&settings),
-            clock,
-            store: store.clone(),
-            nonces: nonces.clone(),
-            metrics: metrics.clone(),
-            table: feeds.table.clone(),
-            hosts: feeds.hosts.clone(),
-            lifecycle: feeds.lifecycle.clone(),
-        })
-        .map_err(DaemonError::Zone)?;
-        let table = TableDuty::spawn(&config, zone.owned());
-        let jobs = JobsHandle {
-            store,
-            config: config.clone(),
-            hosts: feeds.hosts.clone(),
-            peers: peers.clone(),
-            zone: zone.handle(),
+        let peers = PeerClient::open(&settings, clock, feeds.clone());
+        let state = StateDuties::spawn(&settings, clock, &metrics, &peers, sources)
+            .map_err(DaemonError::Zone)?;
+        let requests = Requests::open(
+            &settings,
             clock,
-            nonces,
-        };
+            metrics.clone(),
+            feeds.clone(),
+            peers.clone(),
+            StoreClaims::open(&settings.store_address, clock),
+        )
+        .map_err(DaemonError::Duty)?;
         let app = App {
             settings: Arc::clone(&settings),
             clock,
             metrics,
             feeds,
             peers,
-            requests: RequestsHandle,
-            jobs,
-            config,
-            zone: zone.handle(),
+            requests: requests.handle(),
+            jobs: state.jobs(),
+            config: state.config(),
+            zone: state.zone(),
         };
-        let state = StateDuties { hosts, table, zone };
+        let peer_server = bind_peers(&settings.peer_listen, &app).await?;
         let options = ServerOptions {
             max_connections: settings.max_connections,
             max_header_bytes: settings.max_header_bytes,
@@ -136,11 +103,14 @@
             Info,
             "listening",
             host = settings.host,
-            address = server.address()
+            address = server.address(),
+            peer_address = peer_server.address()
         );
         Ok(Self {
             app,
             server,
+            peer_server,
+            requests,
             lifecycle,
             state,
         })
@@ -152,20 +122,31 @@
         self.server.address()
     }
 
+    /// `peer_address` is where other entry hosts reach this host.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_server.address()
+    }
+
     /// `close` is the planned stop: it cuts off no request and then ends every duty.
     pub async fn close(self) {
         self.lifecycle.send_replace(Lifecycle::Stopping);
         log_event!(Info, "stopping", host = self.app.settings.host);
         tokio::time::sleep(self.app.settings.drain_notice_ms.into()).await;
+        // Requests that peers handed over end with the callers' own; only then the duty may go.
         self.server.close().await;
+        self.peer_server.close().await;
+        self.requests.close();
         self.state.close().await;
         log_event!(Info, "stopped", host = self.app.settings.host);
     }
 }
 
-/// A number that differs between hosts, so that two started in one millisecond share no jitter.
-fn hash_of(text: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    text.hash(&mut hasher);
-    hasher.finish()
+async fn bind_peers(address: &str, app: &App) -> Result<PeerServer, DaemonError> {
+    let failed = |cause| DaemonError::Listen {
+        address: address.to_owned(),
+        cause,
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    PeerServer::spawn(listener, app.clone()).map_err(failed)
 }
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod requests;
 mod settings;
+mod state_duties;
 mod status;
 mod zone;
 
@@ -27,8 +28,8 @@
 pub use jobs::{JobError, JobsHandle};
 pub use logging::open_log;
 pub use metrics::{Metrics, StateMetrics};
-pub use peers::{PEER_PROTOCOL, PeerClient, PeerError};
-pub use requests::RequestsHandle;
+pub use peers::{LocalLoad, PEER_PROTOCOL, PeerClient, PeerError};
+pub use requests::{ClaimStore, IdsRefused, RequestLoad, Requests, RequestsHandle, StoreClaims};
 pub use settings::{FieldKind, SETTINGS_FIELDS, Settings, SettingsField, SettingsProblem};
 pub use status::{fleet_status, host_status};
 pub use zone::{
