--- /dev/null
+++ b/ragwortwick-daemon/tests/state_jobs.rs
@@ -0,0 +1,184 @@
+//! Acceptance of jobs at an entry host while the store fails in every way.
+
+use ragwortwick_border::{JobPhase, StoreList};
+use ragwortwick_core::{CustomerName, DurationMs, JobId, ZoneName};
+use ragwortwick_http::HttpError;
+use ragwortwick_standin::{Faults, Fleet, FleetOptions, now, sample_job, wait_until};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ragwortwickd");
+
+async fn fleet() -> Fleet {
+    let options = FleetOptions {
+        hosts: 1,
+        runners: 0,
+        ..FleetOptions::two_zones(BINARY)
+    };
+    Fleet::open_with_table(options).await.expect("a fleet")
+}
+
+fn status_of<T: std::fmt::Debug>(reply: Result<T, HttpError>) -> u16 {
+    match reply {
+        Err(HttpError::Status { status, .. }) => status,
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+fn records(fleet: &Fleet) -> usize {
+    let question = StoreList {
+        prefix: "jobs/".to_owned(),
+        after_key: None,
+        limit: 1_000,
+    };
+    fleet
+        .store
+        .with_state(|state| state.list(now(), &question))
+        .entries
+        .len()
+}
+
+// The caller sees one acceptance. The store writes the record and loses the answer; the host
+// repeats the same write, finds its own nonce, and answers 202 for the one record.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_job_is_accepted_once_when_the_answer_is_lost() {
+    let fleet = fleet().await;
+    fleet.store.set_faults(Faults {
+        only: vec!["cas".to_owned()],
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    let job = sample_job("lost-answer", 1, 60_000, true);
+    let accepted = fleet.caller.job(fleet.address(0), &job).await;
+    assert_eq!(
+        accepted.expect("accepted").job_id,
+        JobId::new("lost-answer")
+    );
+    assert!(fleet.record("lost-answer").is_some());
+    assert_eq!(records(&fleet), 1);
+    fleet.close().await;
+}
+
+// A caller that got no answer asks again with the same id, and gets the first answer again, also
+// when the table would choose another zone now. Another job under the id is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_repeat_of_a_job_is_answered_like_the_first() {
+    let fleet = fleet().await;
+    let job = sample_job("twice", 1, 60_000, true);
+    let first = fleet.caller.job(fleet.address(0), &job).await;
+    let first = first.expect("accepted");
+    let second = fleet.caller.job(fleet.address(0), &job).await;
+    assert_eq!(second.expect("accepted again"), first);
+    let mut other = job;
+    other.payload.push(' ');
+    let refused = fleet.caller.job(fleet.address(0), &other).await;
+    assert_eq!(status_of(refused), 400);
+    assert_eq!(records(&fleet), 1);
+    fleet.close().await;
+}
+
+// A caller is told "not run" (503) only if nothing was written. The store is down; after it is
+// back, the same id is accepted as new.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_job_is_refused_while_the_store_is_down() {
+    let fleet = fleet().await;
+    fleet.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let job = sample_job("while-down", 1, 60_000, true);
+    let refused = fleet.caller.job(fleet.address(0), &job).await;
+    assert_eq!(status_of(refused), 503);
+    assert_eq!(fleet.record("while-down"), None);
+    fleet.store.set_faults(Faults::default());
+    wait_until("the job is accepted", async || {
+        fleet.caller.job(fleet.address(0), &job).await.is_ok()
+    })
+    .await;
+    assert_eq!(records(&fleet), 1);
+    fleet.close().await;
+}
+
+// The store writes and never answers. The caller must not hear "not run", since the record is
+// there; it hears "may be accepted" (504), asks again later with the same id, and gets its 202.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_unknown_acceptance_is_said_to_be_unknown() {
+    let fleet = fleet().await;
+    fleet.store.set_faults(Faults {
+        only: vec!["cas".to_owned()],
+        answer_delay_ms: DurationMs(60_000),
+        ..Faults::default()
+    });
+    let job = sample_job("unknown", 1, 60_000, true);
+    let doubt = fleet.caller.job(fleet.address(0), &job).await;
+    assert_eq!(status_of(doubt), 504);
+    assert!(fleet.record("unknown").is_some());
+    fleet.store.set_faults(Faults {
+        only: vec!["cas".to_owned()],
+        ..Faults::default()
+    });
+    wait_until("the repeat is accepted", async || {
+        fleet.caller.job(fleet.address(0), &job).await.is_ok()
+    })
+    .await;
+    assert_eq!(records(&fleet), 1);
+    fleet.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_impossible_jobs_are_refused_by_field() {
+    let fleet = fleet().await;
+    let good = sample_job("bad", 1, 1_000, true);
+    let mut bad_jobs = Vec::new();
+    let mut add = |field: &str, change: &dyn Fn(&mut ragwortwick_border::JobSubmit)| {
+        let mut job = good.clone();
+        change(&mut job);
+        bad_jobs.push((field.to_owned(), job));
+    };
+    add("job_id", &|job| job.job_id = Some(JobId::new("a/b")));
+    add("customer", &|job| {
+        job.customer = CustomerName::new("nobody")
+    });
+    add("class", &|job| job.class = "unheard-of".into());
+    add("shape.cells", &|job| job.shape.cells = 0);
+    add("shape.cell_accelerators", &|job| {
+        job.shape.cell_accelerators = 3
+    });
+    add("shape", &|job| job.shape.cells = 1_000);
+    add("tasks_per_cell", &|job| job.tasks_per_cell = 0);
+    add("deadline_ms", &|job| job.deadline_ms = Some(DurationMs(0)));
+    add("zone", &|job| job.zone = Some(ZoneName::new("nowhere")));
+    for (field, job) in bad_jobs {
+        let refused = fleet.caller.job(fleet.address(0), &job).await;
+        let Err(HttpError::Status { status, body, .. }) = refused else {
+            panic!("{field}: expected a refusal, got {refused:?}");
+        };
+        assert_eq!(status, 400, "{field}: {body}");
+        assert!(body.contains(&format!("\"field\":\"{field}\"")), "{body}");
+    }
+    assert_eq!(records(&fleet), 0);
+    fleet.close().await;
+}
+
+// A wish to cancel and the owner's own write meet at one record; the wish is kept whichever is
+// first, and a repeat of it changes nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_cancel_is_recorded_once() {
+    let fleet = fleet().await;
+    let job = sample_job("cancel-me", 1, 60_000, true);
+    let id = JobId::new("cancel-me");
+    fleet
+        .caller
+        .job(fleet.address(0), &job)
+        .await
+        .expect("accepted");
+    for _ in 0..2 {
+        let status = fleet.caller.cancel_job(fleet.address(0), &id).await;
+        let record = status.expect("recorded").record;
+        assert!(record.cancel_requested || record.phase == JobPhase::Cancelled);
+    }
+    let unknown = fleet
+        .caller
+        .cancel_job(fleet.address(0), &JobId::new("nobody"))
+        .await;
+    assert_eq!(status_of(unknown), 404);
+    fleet.close().await;
+}
