--- a/ragwortwick-standin/src/fleet/mod.rs
+++ b/ragwortwick-standin/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::caller::Caller;
 pub use self::child::{Daemon, DaemonOptions};
-pub use self::paths::ZonePaths;
+pub use self::paths::{PathBytes, ZonePaths};
 pub use self::sample::{sample_accept, sample_answer, sample_job, sample_request, sample_table};
 pub use self::waiting::wait_until;
 use crate::{Runners, RunnersOptions, Store, WorkerSpec, Workers, now};
--- a/ragwortwick-standin/src/fleet/paths.rs
+++ b/ragwortwick-standin/src/fleet/paths.rs
@@ -5,15 +5,15 @@
 use std::net::SocketAddr;
 
 use ragwortwick_border::{HostEntry, HostKind};
-use ragwortwick_core::{HostName, ZoneName};
+use ragwortwick_core::{HostName, ZoneName, common};
 use tokio::sync::Mutex;
 
 use crate::{Relay, RelayMode, Store};
 
-/// `ZonePaths` gives each zone its own path to the platform and to the hosts of other zones.
+/// `ZonePaths` gives each zone its own path to the platform and to every listed host.
 ///
-/// Each zone sees a host list of its own, in which the hosts of other zones stand with the address
-/// of a relay. So a cut between zones leaves the paths inside each zone alone.
+/// Each zone sees a host list of its own, in which each host stands with the address of a relay for
+/// that zone. So a cut between zones leaves the paths inside each zone alone.
 #[derive(Debug)]
 pub struct ZonePaths {
     views: BTreeMap<ZoneName, View>,
@@ -32,9 +32,26 @@
     from: ZoneName,
     to: ZoneName,
     host: HostName,
+    kind: HostKind,
     relay: Relay,
 }
 
+/// `PathBytes` counts bytes by the kind of the other end.
+#[common]
+#[derive(Copy, Default)]
+pub struct PathBytes {
+    /// To and from the store.
+    pub store: u64,
+    /// To and from the host list.
+    pub host_list: u64,
+    /// Between entry hosts.
+    pub entry_hosts: u64,
+    /// To and from runners.
+    pub runners: u64,
+    /// To and from workers.
+    pub workers: u64,
+}
+
 impl ZonePaths {
     /// `open` starts the relays from each zone to the platform.
     ///
@@ -77,12 +94,7 @@
     /// Fails if no port is free or the host has no usable address.
     pub async fn put_host(&self, host: &HostEntry) -> io::Result<()> {
         for (zone, view) in &self.views {
-            let seen = if *zone == host.zone {
-                host.clone()
-            } else {
-                self.through_relay(zone, host).await?
-            };
-            view.hosts.put_host(seen);
+            view.hosts.put_host(self.through_relay(zone, host).await?);
         }
         Ok(())
     }
@@ -97,12 +109,30 @@
     /// `set_between` changes the paths between the zone and all others, both ways.
     pub async fn set_between(&self, zone: &ZoneName, mode: RelayMode) {
         for path in self.between.lock().await.iter() {
-            if path.from == *zone || path.to == *zone {
+            if (path.from == *zone) != (path.to == *zone) {
                 path.relay.set_mode(mode);
             }
         }
     }
 
+    /// `bytes` counts the bytes on all paths, both ways.
+    pub async fn bytes(&self) -> PathBytes {
+        let mut bytes = PathBytes::default();
+        for view in self.views.values() {
+            bytes.store += view.to_store.bytes();
+            bytes.host_list += view.to_hosts.bytes();
+        }
+        for path in self.between.lock().await.iter() {
+            let kind = match path.kind {
+                HostKind::Entry => &mut bytes.entry_hosts,
+                HostKind::Runner => &mut bytes.runners,
+                HostKind::Worker => &mut bytes.workers,
+            };
+            *kind += path.relay.bytes();
+        }
+        bytes
+    }
+
     /// `close` ends all relays and host lists.
     pub async fn close(self) {
         for path in self.between.into_inner() {
@@ -119,9 +149,7 @@
         let mut seen = host.clone();
         let address = match host.kind {
             HostKind::Entry => seen.peer_address.as_mut(),
-            HostKind::Runner => Some(&mut seen.address),
-            // Only hosts of a worker's own zone talk to it.
-            HostKind::Worker => None,
+            HostKind::Runner | HostKind::Worker => Some(&mut seen.address),
         };
         let Some(address) = address else {
             return Ok(seen);
@@ -135,6 +163,7 @@
             from: from.clone(),
             to: host.zone.clone(),
             host: host.name.clone(),
+            kind: host.kind,
             relay,
         });
         Ok(seen)
--- a/ragwortwick-standin/src/lib.rs
+++ b/ragwortwick-standin/src/lib.rs
@@ -14,8 +14,8 @@
 pub use clock::now;
 pub use faults::{Faults, Gate};
 pub use fleet::{
-    Caller, Daemon, DaemonOptions, Fleet, FleetError, FleetOptions, ZonePaths, sample_accept,
-    sample_answer, sample_job, sample_request, sample_table, wait_until,
+    Caller, Daemon, DaemonOptions, Fleet, FleetError, FleetOptions, PathBytes, ZonePaths,
+    sample_accept, sample_answer, sample_job, sample_request, sample_table, wait_until,
 };
 pub use relay::{Relay, RelayMode};
 pub use runners::{Runner, RunnerOptions, Runners, RunnersOptions};
