Keep whole running gangs alive while the store is away and the owner is gone

Cause: when a zone's owner dies while the store is away nobody renews the leases of running members, and every gang of the zone ends with the lease. Ruled out: a standby order kept in the lease record, which names hosts that may be gone. Change: the first reachable host of the zone by name renews whole running gangs with the epoch that the workers show; it starts, stops and moves nothing.

--- a/ragwortwick-daemon/src/state_duties.rs
+++ b/ragwortwick-daemon/src/state_duties.rs
@@ -92,6 +92,7 @@
             clock,
             store: store.clone(),
             nonces: nonces.clone(),
+            peers: peers.clone(),
             metrics: metrics.clone(),
             table: feeds.table,
             hosts: feeds.hosts.clone(),
--- a/ragwortwick-daemon/src/zone/mod.rs
+++ b/ragwortwick-daemon/src/zone/mod.rs
@@ -1,6 +1,7 @@
 //! Ownership of the host's zone and the duty that drives its placer.
 
 mod capacity;
+mod caretaker;
 mod handle;
 mod job_feed;
 mod job_ledger;
--- a/ragwortwick-daemon/src/zone/runtime.rs
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
+use super::caretaker::Caretaker;
 use super::job_feed::JobFeed;
 use super::job_ledger::JobLedger;
 use super::job_writer::JobWriter;
@@ -20,7 +21,7 @@
 use super::zone_event::{ZoneDutyEvent, deliver};
 use super::{Ownership, Tenure, ZoneHandle};
 use crate::nonce::Nonces;
-use crate::{Clock, Duty, Lifecycle, Metrics, Ring, Settings};
+use crate::{Clock, Duty, Lifecycle, Metrics, PeerClient, Ring, Settings};
 
 /// Orders and records that may wait for a place; beyond it orders count as silent.
 const OUTPUT_LENGTH: usize = 4_096;
@@ -47,6 +48,8 @@
     pub(crate) store: StoreClient,
     /// Nonces of this process.
     pub(crate) nonces: Nonces,
+    /// Calls to other entry hosts.
+    pub(crate) peers: PeerClient,
     /// The process's metrics.
     pub(crate) metrics: Metrics,
     /// The table in force.
@@ -122,6 +125,19 @@
             owner: named_seen,
             hosts: parts.hosts.clone(),
         };
+        tasks.push(
+            Caretaker {
+                host: settings.host.clone(),
+                zone: handle.clone(),
+                owner_lease_ms: settings.owner_lease_ms,
+                task_lease_ms: ZoneOptions::default().task_lease_ms,
+                peers: parts.peers,
+                hosts: parts.hosts,
+                store_is_reachable: parts.store.reachable(),
+                jitter: parts.store.backoff(),
+            }
+            .spawn(),
+        );
         let owner_duty = OwnerDuty {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
