--- a/ragwortwick-policy/src/lib.rs
+++ b/ragwortwick-policy/src/lib.rs
@@ -12,5 +12,5 @@
     IssuedId, IssuedIdState, RefusalSeen, RequestAction, RequestEvent, RequestNotice, RunKey,
     RunLog, RunLogOptions, RunnerInfo, RunnerLoadSeen, Settlement, Ticket, TryOutcome,
 };
-pub use table::validate_table;
+pub use table::{table_changes, table_effects, validate_table};
 pub use zone::{OrderId, WorkerInfo, ZoneAction, ZoneEvent, ZoneNotice, ZoneOptions, ZonePlacer};
