--- a/ragwortwick-policy/src/request/dispatcher.rs
+++ b/ragwortwick-policy/src/request/dispatcher.rs
@@ -20,6 +20,9 @@
 /// Time to come back where nothing better is known.
 pub(super) const RETRY_AFTER_UNKNOWN_MS: u64 = 1_000;
 
+/// Interval of looking for room while requests wait.
+const LOOK_AGAIN_MS: DurationMs = DurationMs(50);
+
 /// `DispatcherOptions` sets the bounds of a dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DispatcherOptions {
@@ -123,7 +126,10 @@
         let probes = self.runners.iter();
         let next_probe = probes.filter_map(|(_, r)| r.standing.next_probe_at()).min();
         let overdue = self.queue.next_overdue_at(now);
-        next_probe.into_iter().chain(overdue).min()
+        // Slots that other hosts give back are not reported to a host that has nothing there.
+        let look_again = (self.queue.waiting() > 0).then(|| now + LOOK_AGAIN_MS);
+        let due = next_probe.into_iter().chain(overdue).chain(look_again);
+        due.min()
     }
 
     /// `load` counts what is here.
--- a/ragwortwick-policy/src/request/runners.rs
+++ b/ragwortwick-policy/src/request/runners.rs
@@ -9,8 +9,10 @@
 use super::messages::{RunnerInfo, RunnerLoadSeen};
 use super::standing::{Change, Standing};
 
-/// A reported load is trusted this long; then what others hold there is guessed from their share.
-const REPORT_FRESH_MS: DurationMs = DurationMs(1_000);
+/// A reported load is trusted this long; then what others hold there is guessed to halve as often.
+///
+/// Longer leaves slots idle that others have given back, shorter sends into full runners.
+const REPORT_FRESH_MS: DurationMs = DurationMs(250);
 
 /// Slots that routine work leaves free on a runner, as a divisor: one in ten.
 ///
--- a/ragwortwick-policy/src/request/standing.rs
+++ b/ragwortwick-policy/src/request/standing.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Health {
     Good,
-    /// Few requests at once, doubled with each answer: a healed runner that got all the work that
+    /// Few requests at once, one more with each answer: a healed runner that got all the work that
     /// waited for it would fail at once.
     Returning {
         limit: u32,
@@ -139,8 +139,8 @@
         let Health::Returning { limit } = self.health else {
             return None;
         };
-        if limit * 2 < slots {
-            self.health = Health::Returning { limit: limit * 2 };
+        if limit + 1 < slots {
+            self.health = Health::Returning { limit: limit + 1 };
             return None;
         }
         self.health = Health::Good;
