--- a/ragwortwick-daemon/src/daemon.rs
+++ b/ragwortwick-daemon/src/daemon.rs
@@ -4,16 +4,16 @@
 use std::sync::Arc;
 
 use displaydoc::Display;
-use ragwortwick_border::HostList;
-use ragwortwick_core::{TimeMs, log_event};
+use ragwortwick_core::log_event;
 use ragwortwick_http::{Server, ServerOptions};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::peers::PeerServer;
+use crate::state_duties::{StateDuties, StateSources};
 use crate::{
-    App, Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, Requests,
-    Settings, StoreClaims, ZoneHandle, http,
+    App, Clock, Lifecycle, Metrics, PeerClient, Requests, Settings, StoreClaims, ZoneStartError,
+    http,
 };
 
 /// `DaemonError` says why the process could not start.
@@ -30,6 +30,8 @@
     Metrics(prometheus::Error),
     /// cannot start a duty: {0}
     Duty(std::io::Error),
+    /// {0}
+    Zone(ZoneStartError),
 }
 
 impl std::error::Error for DaemonError {}
@@ -42,6 +44,7 @@
     peer_server: PeerServer,
     requests: Requests,
     lifecycle: watch::Sender<Lifecycle>,
+    state: StateDuties,
 }
 
 impl Daemon {
@@ -55,20 +58,15 @@
         let clock = Clock::open();
         let metrics = Metrics::open().map_err(DaemonError::Metrics)?;
         let (lifecycle, lifecycle_feed) = watch::channel(Lifecycle::Running);
-        let (_table, table_feed) = watch::channel(None);
-        let no_hosts = HostList {
-            hosts: Vec::new(),
-            as_of_ms: TimeMs(0),
-        };
-        let (_hosts, hosts_feed) = watch::channel(Arc::new(no_hosts));
-        let (_store, store_feed) = watch::channel(false);
-        let feeds = Feeds {
-            table: table_feed,
-            hosts: hosts_feed,
-            store_is_reachable: store_feed,
-            lifecycle: lifecycle_feed,
-        };
+        let sources = StateSources::open(&settings, clock, lifecycle_feed);
+        let feeds = sources.feeds();
+        metrics
+            .state
+            .follow_store(sources.store.counts())
+            .map_err(DaemonError::Metrics)?;
         let peers = PeerClient::open(&settings, clock, feeds.clone());
+        let state = StateDuties::spawn(&settings, clock, &metrics, &peers, sources)
+            .map_err(DaemonError::Zone)?;
         let requests = Requests::open(
             &settings,
             clock,
@@ -85,9 +83,9 @@
             feeds,
             peers,
             requests: requests.handle(),
-            jobs: JobsHandle,
-            config: ConfigHandle,
-            zone: ZoneHandle,
+            jobs: state.jobs(),
+            config: state.config(),
+            zone: state.zone(),
         };
         let peer_server = bind_peers(&settings.peer_listen, &app).await?;
         let options = ServerOptions {
@@ -114,6 +112,7 @@
             peer_server,
             requests,
             lifecycle,
+            state,
         })
     }
 
@@ -138,6 +137,7 @@
         self.server.close().await;
         self.peer_server.close().await;
         self.requests.close();
+        self.state.close().await;
         log_event!(Info, "stopped", host = self.app.settings.host);
     }
 }
