Name the body when a malformed request has no field to blame

Cause: cut-off JSON was answered with the field "?". Change: a place that the reader can't name is called body, as the whole value is. Conclusion: every refusal of a body names a field or the body.

--- a/ragwortwick-http/src/reply.rs
+++ b/ragwortwick-http/src/reply.rs
@@ -83,7 +83,9 @@
     let mut reader = serde_json::Deserializer::from_slice(bytes);
     let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
         let path = error.path().to_string();
-        let field = if path == "." { "body".to_owned() } else { path };
+        // The whole value reads as `.`, a place that the reader could not name as `?`.
+        let is_nameless = matches!(path.as_str(), "." | "?");
+        let field = if is_nameless { "body".to_owned() } else { path };
         Refusal::new(
             StatusCode::BAD_REQUEST,
             field,
