--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -8,11 +8,14 @@
 mod feeds;
 mod http;
 mod jobs;
+mod keys;
 mod logging;
 mod metrics;
+mod nonce;
 mod peers;
 mod requests;
 mod settings;
+mod state_duties;
 mod status;
 mod zone;
 
@@ -24,9 +27,12 @@
 pub use feeds::{Feeds, Lifecycle};
 pub use jobs::{JobError, JobsHandle};
 pub use logging::open_log;
-pub use metrics::Metrics;
-pub use peers::{PEER_PROTOCOL, PeerClient, PeerError};
-pub use requests::RequestsHandle;
+pub use metrics::{Metrics, StateMetrics};
+pub use peers::{LocalLoad, PEER_PROTOCOL, PeerClient, PeerError};
+pub use requests::{ClaimStore, IdsRefused, RequestLoad, Requests, RequestsHandle, StoreClaims};
 pub use settings::{FieldKind, SETTINGS_FIELDS, Settings, SettingsField, SettingsProblem};
 pub use status::{fleet_status, host_status};
-pub use zone::ZoneHandle;
+pub use zone::{
+    Claim, Ownership, OwnershipAction, OwnershipEvent, OwnershipGuard, OwnershipState, Tenure,
+    ZoneHandle, ZoneStartError,
+};
