--- a/ragwortwick-daemon/src/peers/mod.rs
+++ b/ragwortwick-daemon/src/peers/mod.rs
@@ -4,13 +4,11 @@
 mod codec;
 mod link;
 mod server;
-mod status;
 
 use displaydoc::Display;
 
 pub use client::{LocalLoad, PeerClient};
 pub(crate) use server::PeerServer;
-pub(crate) use status::host_status;
 
 /// Version of the protocol between entry hosts; a host refuses peers with another one.
 pub const PEER_PROTOCOL: u32 = 1;
--- a/ragwortwick-daemon/src/peers/server.rs
+++ b/ragwortwick-daemon/src/peers/server.rs
@@ -13,9 +13,9 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
 
+use super::PEER_PROTOCOL;
 use super::codec::{call_path, decode, encode, read_body};
-use super::{PEER_PROTOCOL, host_status};
-use crate::App;
+use crate::{App, host_status};
 
 /// Most peer connections open at once; a fleet has far fewer entry hosts per zone group.
 const MAX_CONNECTIONS: usize = 256;
--- a/ragwortwick-daemon/src/status.rs
+++ b/ragwortwick-daemon/src/status.rs
@@ -15,6 +15,7 @@
     let table_number = app.config.current().map_or(0, |table| table.number);
     let store_is_reachable = *app.feeds.store_is_reachable.borrow();
     let lifecycle = *app.feeds.lifecycle.borrow();
+    let requests = app.requests.load();
     let owned_zone = owned_zone(app).await;
     HostStatus {
         host: app.settings.host.clone(),
@@ -23,10 +24,10 @@
         table_number,
         store_is_reachable,
         is_stopping: lifecycle == Lifecycle::Stopping,
-        requests_in_flight: 0,
-        requests_queued: 0,
+        requests_in_flight: requests.running,
+        requests_queued: requests.waiting,
         peers: app.peers.reachable(),
-        runners: Vec::new(),
+        runners: requests.runners,
         owned_zone,
     }
 }
