Prove the records of jobs and the orders of owners against fencing and races

Cause: the records of jobs and the orders of an owner that slept had no tests. Change: zone/tests, among them one that shows the double start without the workers' refusal.

--- a/ragwortwick-daemon/src/zone/mod.rs
+++ b/ragwortwick-daemon/src/zone/mod.rs
@@ -11,6 +11,8 @@
 mod ownership;
 mod runtime;
 mod tenure;
+#[cfg(test)]
+mod tests;
 mod zone_duty;
 mod zone_event;
 
--- /dev/null
+++ b/ragwortwick-daemon/src/zone/tests.rs
@@ -0,0 +1,418 @@
+//! The duties around the placer against stand-ins of the store and of workers.
+
+use std::sync::mpsc;
+use std::time::Duration;
+
+use ragwortwick_border::{
+    CommitCommand, GangMember, GangSpec, JobPhase, JobRecord, ReserveCommand, StoreCas, StoreGet,
+    WorkerCommand, WorkerOutcome,
+};
+use ragwortwick_core::{
+    CustomerName, DurationMs, Epoch, GangId, JobId, Revision, TimeMs, WorkerName, ZoneName,
+};
+use ragwortwick_platform::{StoreClient, StoreOptions};
+use ragwortwick_policy::OrderId;
+use ragwortwick_standin::{Faults, LogEvent, Store, WorkerSpec, Workers, now, sample_job};
+use tokio::sync::watch;
+
+use super::Tenure;
+use super::job_feed::JobFeed;
+use super::job_ledger::JobLedger;
+use super::job_writer::{JobWriter, RecordOrder};
+use super::order_sender::{OrderSender, OutgoingOrder};
+use super::zone_event::ZoneDutyEvent;
+use crate::nonce::Nonces;
+use crate::{Clock, Duty, Machine};
+
+/// Outer limit of a wait; only a hung or failed test reaches it.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// `Collector` is a duty that hands on what it learns.
+struct Collector(mpsc::Sender<ZoneDutyEvent>);
+
+impl Machine for Collector {
+    type Event = ZoneDutyEvent;
+
+    fn on_event(&mut self, _now: TimeMs, event: ZoneDutyEvent) {
+        // A test that has seen enough looks no more.
+        drop(self.0.send(event));
+    }
+
+    fn on_wakeup(&mut self, _now: TimeMs) {}
+
+    fn next_wakeup(&self) -> Option<TimeMs> {
+        None
+    }
+}
+
+/// `Owner` is a host that believes it owns the zone.
+struct Owner {
+    duty: Duty<ZoneDutyEvent>,
+    events: mpsc::Receiver<ZoneDutyEvent>,
+    tenure: Tenure,
+    clock: Clock,
+    ledger: JobLedger,
+    store: StoreClient,
+    nonces: Nonces,
+    epoch: Epoch,
+}
+
+impl Owner {
+    fn open(store: &Store, name: &str, epoch: u64) -> Self {
+        let clock = Clock::open();
+        let (sender, events) = mpsc::channel();
+        let duty = Duty::spawn(name, 100, clock, Collector(sender)).expect("a thread");
+        let tenure = Tenure::default();
+        tenure.set(Epoch(epoch), clock.now() + DurationMs(60_000));
+        let mut options = StoreOptions::new(store.address().to_string(), epoch);
+        options.call_timeout_ms = DurationMs(300);
+        Self {
+            duty,
+            events,
+            tenure,
+            clock,
+            ledger: JobLedger::default(),
+            store: StoreClient::open(options),
+            nonces: Nonces::new(&name.into(), epoch),
+            epoch: Epoch(epoch),
+        }
+    }
+
+    fn writer(&self) -> tokio::sync::mpsc::Sender<RecordOrder> {
+        let (orders, orders_out) = tokio::sync::mpsc::channel(16);
+        let writer = JobWriter {
+            store: self.store.clone(),
+            ledger: self.ledger.clone(),
+            tenure: self.tenure.clone(),
+            clock: self.clock,
+            nonces: self.nonces.clone(),
+            ring: self.duty.ring(),
+        };
+        drop(writer.spawn(orders_out));
+        orders
+    }
+
+    fn sender(&self) -> tokio::sync::mpsc::Sender<OutgoingOrder> {
+        let (orders, orders_out) = tokio::sync::mpsc::channel(16);
+        let ring = self.duty.ring();
+        drop(OrderSender::spawn(
+            self.tenure.clone(),
+            self.clock,
+            ring,
+            orders_out,
+        ));
+        orders
+    }
+
+    /// Sends one order and waits for its answer or its absence.
+    fn order(
+        &self,
+        orders: &tokio::sync::mpsc::Sender<OutgoingOrder>,
+        workers: &Workers,
+        command: WorkerCommand,
+    ) -> Option<WorkerOutcome> {
+        let outgoing = OutgoingOrder {
+            epoch: self.epoch,
+            order: OrderId(1),
+            worker: WorkerName::new("w"),
+            address: workers.address().to_string(),
+            command,
+        };
+        assert!(orders.try_send(outgoing).is_ok());
+        match self.next() {
+            ZoneDutyEvent::Answered(answer) => answer.reply.map(|reply| reply.outcome),
+            other => panic!("expected an answer, got {other:?}"),
+        }
+    }
+
+    fn next(&self) -> ZoneDutyEvent {
+        tokio::task::block_in_place(|| self.events.recv_timeout(LIMIT)).expect("an event")
+    }
+}
+
+fn record(phase: JobPhase, attempt: u32) -> JobRecord {
+    JobRecord {
+        job_id: JobId::new("job"),
+        spec: sample_job("job", 1, 1_000, false),
+        zone: ZoneName::new("east"),
+        accepted_at_ms: now(),
+        phase,
+        attempt,
+        cancel_requested: false,
+        reason: String::new(),
+        nonce: "accepted".to_owned(),
+    }
+}
+
+fn put(store: &Store, record: &JobRecord) {
+    let (revision, _) = read(store);
+    let cas = StoreCas {
+        key: "jobs/job".to_owned(),
+        expected_revision: revision,
+        value: serde_json::to_string(record).ok(),
+        lease_id: None,
+    };
+    assert!(store.with_state(|state| state.cas(now(), cas)).applied);
+}
+
+fn read(store: &Store) -> (Revision, Option<JobRecord>) {
+    let question = StoreGet {
+        key: "jobs/job".to_owned(),
+    };
+    let reply = store.with_state(|state| state.get(now(), &question));
+    reply.entry.map_or((Revision(0), None), |entry| {
+        (entry.revision, serde_json::from_str(&entry.value).ok())
+    })
+}
+
+async fn store() -> Store {
+    Store::bind("127.0.0.1:0").await.expect("a free port")
+}
+
+// Two hosts believe that they own the zone and both want to start a job that must not be repeated.
+// Both read "never started" and record attempt 1; one write applies, and only its host hears that
+// the start is recorded. The other hears what stands there, and its gang is never committed.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_one_of_two_owners_records_the_only_start() {
+    let store = store().await;
+    put(&store, &record(JobPhase::Waiting, 0));
+    let owners = [Owner::open(&store, "a", 1), Owner::open(&store, "b", 2)];
+    let mut recorded = 0;
+    let mut overtaken = 0;
+    let writers = owners.each_ref().map(Owner::writer);
+    for (owner, orders) in owners.iter().zip(&writers) {
+        let order = RecordOrder {
+            epoch: owner.epoch,
+            record: record(JobPhase::Starting, 1),
+        };
+        orders.send(order).await.expect("a place");
+    }
+    for owner in &owners {
+        match owner.next() {
+            ZoneDutyEvent::JobRecorded { attempt: 1, .. } => recorded += 1,
+            ZoneDutyEvent::JobFound(found) => {
+                assert_eq!(found.phase, JobPhase::Starting);
+                overtaken += 1;
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+    assert_eq!((recorded, overtaken), (1, 1));
+}
+
+// The write of a start takes effect and its answer is lost, twice. The placer hears once that the
+// start is recorded, and the store holds one version of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_lost_answer_of_a_start_is_no_failure() {
+    let store = store().await;
+    put(&store, &record(JobPhase::Waiting, 0));
+    let before = store.with_state(|state| state.revision());
+    store.set_faults(Faults {
+        only: vec!["cas".to_owned()],
+        lose_answers: 2,
+        ..Faults::default()
+    });
+    let owner = Owner::open(&store, "a", 1);
+    let order = RecordOrder {
+        epoch: owner.epoch,
+        record: record(JobPhase::Starting, 1),
+    };
+    let orders = owner.writer();
+    orders.send(order).await.expect("a place");
+    let event = owner.next();
+    assert!(
+        matches!(event, ZoneDutyEvent::JobRecorded { attempt: 1, .. }),
+        "{event:?}"
+    );
+    let after = store.with_state(|state| state.revision());
+    assert_eq!(after, Revision(before.0 + 1));
+}
+
+// A caller's wish to cancel is written between the owner's read and its write. The owner's record
+// is written all the same, with the wish in it; without the merge one of the two would be lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_wish_to_cancel_survives_the_owners_write() {
+    let store = store().await;
+    let waiting = record(JobPhase::Waiting, 0);
+    put(&store, &waiting);
+    let owner = Owner::open(&store, "a", 1);
+    let (revision, _) = read(&store);
+    owner.ledger.take_in(super::job_ledger::StoredJob {
+        revision,
+        record: waiting.clone(),
+    });
+    put(
+        &store,
+        &JobRecord {
+            cancel_requested: true,
+            nonce: "cancel".to_owned(),
+            ..waiting
+        },
+    );
+    let order = RecordOrder {
+        epoch: owner.epoch,
+        record: record(JobPhase::Starting, 1),
+    };
+    let orders = owner.writer();
+    orders.send(order).await.expect("a place");
+    assert!(matches!(owner.next(), ZoneDutyEvent::JobRecorded { .. }));
+    let stored = read(&store).1.expect("the record");
+    assert!(stored.cancel_requested);
+    assert_eq!(stored.phase, JobPhase::Starting);
+}
+
+// The zone was lost while a record waited for the store. The record says what the old placer
+// believed; written late, it would undo what the next owner wrote. It is dropped.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_record_of_a_lost_zone_is_dropped() {
+    let store = store().await;
+    put(&store, &record(JobPhase::Waiting, 0));
+    let owner = Owner::open(&store, "a", 1);
+    store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let order = |attempt, epoch| RecordOrder {
+        epoch,
+        record: record(JobPhase::Starting, attempt),
+    };
+    let orders = owner.writer();
+    orders.send(order(1, Epoch(1))).await.expect("a place");
+    owner.tenure.clear();
+    owner
+        .tenure
+        .set(Epoch(2), owner.clock.now() + DurationMs(60_000));
+    orders.send(order(2, Epoch(2))).await.expect("a place");
+    store.set_faults(Faults::default());
+    let event = owner.next();
+    let ZoneDutyEvent::JobRecorded { epoch, attempt, .. } = event else {
+        panic!("unexpected {event:?}");
+    };
+    assert_eq!((epoch, attempt), (Epoch(2), 2));
+    assert_eq!(read(&store).1.map(|stored| stored.attempt), Some(2));
+}
+
+// A job is accepted elsewhere, and the owner's watch misses the change without a word. No hint
+// comes either, as the accepting host died. A later listing finds the job.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_job_is_found_though_the_watch_misses_it() {
+    let store = store().await;
+    store.set_faults(Faults {
+        only: vec!["watch".to_owned()],
+        miss_changes: 1_000,
+        ..Faults::default()
+    });
+    let owner = Owner::open(&store, "a", 1);
+    let (owning, is_owning) = watch::channel(Some(Epoch(1)));
+    let feed = JobFeed {
+        zone: ZoneName::new("east"),
+        store: owner.store.clone(),
+        ledger: owner.ledger.clone(),
+        ring: owner.duty.ring(),
+        owned: is_owning,
+    };
+    let task = feed.spawn();
+    while !store.calls().contains_key("watch") {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    put(&store, &record(JobPhase::Waiting, 0));
+    let event = owner.next();
+    assert!(matches!(event, ZoneDutyEvent::JobFound(_)), "{event:?}");
+    task.abort();
+    drop(owning);
+}
+
+fn gang(attempt: u32) -> GangSpec {
+    let job_id = JobId::new("job");
+    GangSpec {
+        gang_id: GangId::of_attempt(&job_id, attempt),
+        job_id,
+        attempt,
+        customer: CustomerName::new("padana"),
+        is_borrowed: false,
+        members: vec![GangMember {
+            worker: WorkerName::new("w"),
+            device_mask: 0xff,
+            tasks: 1,
+        }],
+        payload: r#"{"run_ms":60000}"#.to_owned(),
+    }
+}
+
+fn reserve(attempt: u32) -> WorkerCommand {
+    WorkerCommand::Reserve(ReserveCommand {
+        spec: gang(attempt),
+        lease_ms: DurationMs(10_000),
+    })
+}
+
+fn commit(attempt: u32) -> WorkerCommand {
+    WorkerCommand::Commit(CommitCommand {
+        gang_id: gang(attempt).gang_id,
+        lease_ms: DurationMs(60_000),
+    })
+}
+
+async fn one_worker() -> Workers {
+    let spec = WorkerSpec {
+        name: WorkerName::new("w"),
+        rack: "r".into(),
+        zone: ZoneName::new("east"),
+        accelerators: 8,
+    };
+    let workers = Workers::bind("127.0.0.1:0", vec![spec]).await;
+    workers.expect("a free port")
+}
+
+// The first line: an owner whose permission has run out sends no order at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_no_order_leaves_after_the_permission_ran_out() {
+    let store = store().await;
+    let workers = one_worker().await;
+    let owner = Owner::open(&store, "a", 1);
+    owner.tenure.set(owner.epoch, owner.clock.now());
+    let orders = owner.sender();
+    assert_eq!(owner.order(&orders, &workers, reserve(1)), None);
+    assert!(workers.calls().is_empty());
+}
+
+// The last line: an owner is frozen between its check and its order, and wakes after the next owner
+// has sent its epoch to the worker. Its commit arrives and is refused as stale; the gang that the
+// next owner released does not start, and nothing of two owners runs side by side.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_worker_refuses_the_order_of_an_owner_that_slept() {
+    let store = store().await;
+    let workers = one_worker().await;
+    let old = Owner::open(&store, "a", 1);
+    let new = Owner::open(&store, "b", 2);
+    let (old_orders, new_orders) = (old.sender(), new.sender());
+    let done = Some(WorkerOutcome::Done);
+    assert_eq!(old.order(&old_orders, &workers, reserve(1)), done);
+    assert_eq!(
+        new.order(&new_orders, &workers, WorkerCommand::Inventory),
+        done
+    );
+    let late = old.order(&old_orders, &workers, commit(1));
+    assert_eq!(late, Some(WorkerOutcome::StaleEpoch));
+    assert_eq!(workers.log().count("job.1", LogEvent::Started), 0);
+}
+
+// What the fence is for: the same order of events with the old owner using the new owner's epoch,
+// as if workers looked at no epoch. The late commit starts the gang although the new owner counts
+// its accelerators as free.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_without_the_fence_the_order_of_an_owner_that_slept_starts_a_gang() {
+    let store = store().await;
+    let workers = one_worker().await;
+    let old = Owner::open(&store, "a", 2);
+    let new = Owner::open(&store, "b", 2);
+    let (old_orders, new_orders) = (old.sender(), new.sender());
+    let done = Some(WorkerOutcome::Done);
+    assert_eq!(old.order(&old_orders, &workers, reserve(1)), done);
+    assert_eq!(
+        new.order(&new_orders, &workers, WorkerCommand::Inventory),
+        done
+    );
+    assert_eq!(old.order(&old_orders, &workers, commit(1)), done);
+    assert_eq!(workers.log().count("job.1", LogEvent::Started), 1);
+}
--- a/ragwortwick-daemon/tests/state_jobs.rs
+++ b/ragwortwick-daemon/tests/state_jobs.rs
@@ -97,6 +97,31 @@
     fleet.close().await;
 }
 
+// The store is silent rather than down: each call runs into its time limit. A host that knows so
+// asks with a read first, so that the caller hears "not run" instead of being left in doubt.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_job_is_refused_while_the_store_is_silent() {
+    let fleet = fleet().await;
+    fleet.store.set_faults(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    let name = fleet.daemons[0].host().clone();
+    wait_until("the host knows that the store is away", async || {
+        let status = fleet.caller.status(fleet.address(0)).await;
+        status.is_ok_and(|status| {
+            let own = status.hosts.iter().find(|host| host.host == name);
+            own.is_some_and(|host| !host.store_is_reachable)
+        })
+    })
+    .await;
+    let job = sample_job("while-silent", 1, 60_000, true);
+    let refused = fleet.caller.job(fleet.address(0), &job).await;
+    assert_eq!(status_of(refused), 503);
+    assert_eq!(fleet.record("while-silent"), None);
+    fleet.close().await;
+}
+
 // The store writes and never answers. The caller must not hear "not run", since the record is
 // there; it hears "may be accepted" (504), asks again later with the same id, and gets its 202.
 #[tokio::test(flavor = "multi_thread")]
--- a/ragwortwick-daemon/tests/state_table.rs
+++ b/ragwortwick-daemon/tests/state_table.rs
@@ -160,6 +160,23 @@
     fleet.close().await;
 }
 
+// The second operator accepts minutes later, still from the table reviewed first. Nothing of it is
+// written: the conflict shows the first one's row, and the table in force stays the first one's.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_late_operator_overwrites_nothing() {
+    let fleet = fleet(2).await;
+    let winner = accepted(accept(&fleet, 0, &edit(&fleet, 1, "anna", 2.0)).await);
+    wait_for_number(&fleet, 2).await;
+    let reply = accept(&fleet, 1, &edit(&fleet, 1, "bolat", 3.0)).await;
+    let TableAcceptReply::Conflict(conflict) = reply else {
+        panic!("expected a conflict, got {reply:?}");
+    };
+    assert_eq!(conflict.changes, ["customers: padana: weight 1 -> 2"]);
+    assert_eq!(conflict.current, winner);
+    wait_for_number(&fleet, 2).await;
+    fleet.close().await;
+}
+
 // The operator's client gets no answer and accepts again with the same nonce. The first try is in
 // the store, its answer lost on the way to the host; the repeat, also at another host and after a
 // further acceptance, gets the first outcome, and the table has one version of it.
