--- a/ragwortwick-daemon/examples/capacity_slopes/messages.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/messages.rs
@@ -40,6 +40,7 @@
             host: name.as_str().into(),
             zone: name.as_str().into(),
             incarnation: 1_800_000_000_000,
+            leaving_runners: Vec::new(),
             is_stopping: false,
             protocol: 1,
             running_share: 20,
