Run the operators' commands against entry hosts with a store

Cause: acceptance, history and jobs had not been run against a host.

Change: tests of each command with an entry host and the store's stand-in in one process: a first table, a revert, two operators who race, mistakes, a lost answer, a store that is away or slow, jobs, JSON. A refusal's reason is shown instead of its JSON. The proofs' check also reads comments that stand above a test.

Conclusion: an operator can put a table in force and go back, and sees every failure as a sentence.

--- a/ragwortwick-cli/src/entry.rs
+++ b/ragwortwick-cli/src/entry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use ragwortwick_border::Problem;
+use ragwortwick_border::{Problem, RequestRefusal, StoreAway};
 use ragwortwick_core::DurationMs;
 use ragwortwick_http::{HttpClient, HttpClientOptions, HttpError, HttpReply};
 use serde::Serialize;
@@ -104,10 +104,7 @@
 }
 
 fn refusal(reply: &HttpReply) -> CliError {
-    let text = match serde_json::from_slice::<Problem>(&reply.body) {
-        Ok(problem) => format!("{}: {}", problem.field, problem.problem),
-        Err(_) => String::from_utf8_lossy(&reply.body).into_owned(),
-    };
+    let text = reason(&reply.body);
     match reply.status {
         StatusCode::NOT_FOUND => CliError::new(ExitClass::NotFound, text, "check the name"),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT => CliError::new(
@@ -126,6 +123,20 @@
     }
 }
 
+/// The sentence in a refusal: a field's problem, a reason, or that the store is away.
+fn reason(body: &[u8]) -> String {
+    if let Ok(problem) = serde_json::from_slice::<Problem>(body) {
+        return format!("{}: {}", problem.field, problem.problem);
+    }
+    if let Ok(refusal) = serde_json::from_slice::<RequestRefusal>(body) {
+        return refusal.reason;
+    }
+    if let Ok(away) = serde_json::from_slice::<StoreAway>(body) {
+        return format!("it can be asked again in {} ms", away.retry_after_ms);
+    }
+    String::from_utf8_lossy(body).into_owned()
+}
+
 fn describe(error: &HttpError) -> String {
     error.to_string()
 }
--- a/ragwortwick-cli/tests/thin_path.rs
+++ b/ragwortwick-cli/tests/commands/entry_hosts.rs
@@ -2,9 +2,10 @@
 
 use std::net::TcpListener;
 
-use ragwortwick_cli::{Environment, Outcome};
 use ragwortwick_daemon::{Daemon, Settings};
 
+use crate::bench::run;
+
 fn settings() -> Settings {
     let text = r#"{
         "host": "e1", "zone": "north",
@@ -15,14 +16,6 @@
     Settings::parse(text).expect("settings")
 }
 
-async fn run(words: &[&str]) -> Outcome {
-    let arguments = words.iter().map(Into::into).collect();
-    let environment = Environment::default();
-    tokio::task::spawn_blocking(move || ragwortwick_cli::run(arguments, &environment))
-        .await
-        .expect("the command ends")
-}
-
 /// An address that refuses connections, since its listener is gone.
 fn dead_address() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -41,7 +34,7 @@
         outcome.stdout.contains("e1    north  serving"),
         "{outcome:?}"
     );
-    daemon.close().await;
+    Box::pin(daemon.close()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -51,7 +44,7 @@
     let outcome = run(&["--entry", &entry, "table", "show"]).await;
     assert_eq!(outcome.exit_code, 7, "{outcome:?}");
     assert!(outcome.stderr.contains("way out:"), "{outcome:?}");
-    daemon.close().await;
+    Box::pin(daemon.close()).await;
 }
 
 #[tokio::test]
--- /dev/null
+++ b/ragwortwick-cli/tests/commands/main.rs
@@ -0,0 +1,6 @@
+//! The commands as an operator gives them, against entry hosts in this process.
+
+mod bench;
+mod entry_hosts;
+mod job;
+mod table;
--- a/ragwortwick-daemon/examples/capacity_slopes/messages.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/messages.rs
@@ -41,6 +41,7 @@
             zone: name.as_str().into(),
             incarnation: 1_800_000_000_000,
             is_stopping: false,
+            leaving_runners: Vec::new(),
             protocol: 1,
             running_share: 20,
             table_number: 8_200,
--- a/ragwortwick-daemon/tests/operators_bad_input.rs
+++ b/ragwortwick-daemon/tests/operators_bad_input.rs
@@ -77,7 +77,7 @@
         assert_eq!(reply.status.as_u16(), status, "{path} {body}");
         assert_eq!(field(&reply), expected, "{path} {body}");
     }
-    daemon.close().await;
+    Box::pin(daemon.close()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -93,7 +93,7 @@
     // The server may reset the connection behind its answer, which has arrived by then.
     let _ = stream.read_to_string(&mut answer).await;
     assert!(answer.starts_with("HTTP/1.1 431 "), "{answer:?}");
-    daemon.close().await;
+    Box::pin(daemon.close()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -109,5 +109,5 @@
             .expect("an answer");
         assert_eq!(reply.status.as_u16(), status, "{path}");
     }
-    daemon.close().await;
+    Box::pin(daemon.close()).await;
 }
--- a/ragwortwick-daemon/tests/proofs/tree.rs
+++ b/ragwortwick-daemon/tests/proofs/tree.rs
@@ -71,7 +71,7 @@
         if let Some(function) = function_name(line) {
             tests.push(Test {
                 name: format!("{package}/{}::{function}", relative.display()),
-                is_of_failure: opens_by_telling(&lines[index..]),
+                is_of_failure: is_told_above(&lines[..index]) || is_told_inside(&lines[index..]),
             });
         }
     }
@@ -85,8 +85,14 @@
     is_definition.then_some(name)
 }
 
-/// The comment lines that follow the line where the body opens.
-fn opens_by_telling(lines: &[&str]) -> bool {
+/// Comment lines right above the function and its attributes.
+fn is_told_above(lines: &[&str]) -> bool {
+    let above = lines.iter().rev().skip_while(|line| line.starts_with("#["));
+    above.take_while(|line| line.starts_with("//")).count() >= TELLING_LINES
+}
+
+/// Comment lines that follow the line where the body opens.
+fn is_told_inside(lines: &[&str]) -> bool {
     let body = lines.iter().skip_while(|line| !line.ends_with('{')).skip(1);
     body.take_while(|line| line.starts_with("//")).count() >= TELLING_LINES
 }
--- a/ragwortwick-daemon/tests/state_jobs.rs
+++ b/ragwortwick-daemon/tests/state_jobs.rs
@@ -135,12 +135,12 @@
     };
     add("job_id", &|job| job.job_id = Some(JobId::new("a/b")));
     add("customer", &|job| {
-        job.customer = CustomerName::new("nobody")
+        job.customer = CustomerName::new("nobody");
     });
     add("class", &|job| job.class = "unheard-of".into());
     add("shape.cells", &|job| job.shape.cells = 0);
     add("shape.cell_accelerators", &|job| {
-        job.shape.cell_accelerators = 3
+        job.shape.cell_accelerators = 3;
     });
     add("shape", &|job| job.shape.cells = 1_000);
     add("tasks_per_cell", &|job| job.tasks_per_cell = 0);
