Bound what the store keeps: ended jobs and the table's history

Ruled out: leases on the records, since one lapse would lose an accepted job. Measured: the test of the removal passes; the removal of history entries is not tested.

--- a/ragwortwick-daemon/src/config/accept.rs
+++ b/ragwortwick-daemon/src/config/accept.rs
@@ -177,6 +177,7 @@
         tokio::spawn(async move {
             // If this fails, the next acceptance adds the entry before it replaces the table.
             drop(config.write_history(&accepted).await);
+            drop(config.prune_history(accepted.number).await);
         });
     }
 }
--- a/ragwortwick-daemon/src/config/history.rs
+++ b/ragwortwick-daemon/src/config/history.rs
@@ -10,6 +10,10 @@
 use super::accept::{away, decode, encode};
 use crate::keys;
 
+/// Entries kept; at 8,200 acceptances a day they reach back some three hours, and at today's few a
+/// day for years. Without a bound the history would fill the store.
+const KEEP_HISTORY: u64 = 1_000;
+
 /// Most entries read at once; values are a few kilobytes and an answer must stay below 8 MB.
 const MAX_HISTORY: u32 = 200;
 
@@ -61,4 +65,24 @@
         };
         self.store.write(&write).await.map(drop)
     }
+
+    /// `prune_history` removes the entry that fell out of the history when `number` was added.
+    ///
+    /// One that is left out by a crash stays, which costs its bytes and nothing else.
+    pub(super) async fn prune_history(&self, number: u64) -> Result<(), StoreError> {
+        let Some(old) = number.checked_sub(KEEP_HISTORY).filter(|old| *old > 0) else {
+            return Ok(());
+        };
+        let key = keys::table_history(old);
+        let Some(entry) = self.store.get(&key).await? else {
+            return Ok(());
+        };
+        let write = StoreWrite {
+            key,
+            expected_revision: entry.revision,
+            value: None,
+            lease_id: None,
+        };
+        self.store.write(&write).await.map(drop)
+    }
 }
--- a/ragwortwick-daemon/src/zone/job_ledger.rs
+++ b/ragwortwick-daemon/src/zone/job_ledger.rs
@@ -32,6 +32,11 @@
         self.lock().get(job_id).cloned()
     }
 
+    /// `remove` drops a job whose record is gone.
+    pub(crate) fn remove(&self, job_id: &JobId) {
+        self.lock().remove(job_id);
+    }
+
     /// `len` gives the number of jobs known.
     pub(crate) fn len(&self) -> usize {
         self.lock().len()
--- a/ragwortwick-daemon/src/zone/mod.rs
+++ b/ragwortwick-daemon/src/zone/mod.rs
@@ -5,6 +5,7 @@
 mod handle;
 mod job_feed;
 mod job_ledger;
+mod job_retention;
 mod job_writer;
 mod order_sender;
 mod owner_duty;
--- a/ragwortwick-daemon/src/zone/runtime.rs
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -14,6 +14,7 @@
 use super::caretaker::Caretaker;
 use super::job_feed::JobFeed;
 use super::job_ledger::JobLedger;
+use super::job_retention::KEEP_MS;
 use super::job_writer::JobWriter;
 use super::order_sender::OrderSender;
 use super::owner_duty::OwnerDuty;
@@ -103,6 +104,8 @@
                 ledger: ledger.clone(),
                 ring: ring.clone(),
                 owned: owned_seen.clone(),
+                clock: parts.clock,
+                keep_ms: KEEP_MS,
             }
             .spawn(),
         );
--- a/ragwortwick-daemon/src/zone/tests.rs
+++ b/ragwortwick-daemon/src/zone/tests.rs
@@ -18,6 +18,7 @@
 use super::Tenure;
 use super::job_feed::JobFeed;
 use super::job_ledger::JobLedger;
+use super::job_retention::JobRetention;
 use super::job_writer::{JobWriter, RecordOrder};
 use super::order_sender::{OrderSender, OutgoingOrder};
 use super::zone_event::ZoneDutyEvent;
@@ -118,7 +119,8 @@
             address: workers.address().to_string(),
             command,
         };
-        assert!(orders.try_send(outgoing).is_ok());
+        let refused = orders.try_send(outgoing).err();
+        assert!(refused.is_none(), "{refused:?}");
         match self.next() {
             ZoneDutyEvent::Answered(answer) => answer.reply.map(|reply| reply.outcome),
             other => panic!("expected an answer, got {other:?}"),
@@ -310,6 +312,8 @@
         ledger: owner.ledger.clone(),
         ring: owner.duty.ring(),
         owned: is_owning,
+        clock: owner.clock,
+        keep_ms: DurationMs(60_000),
     };
     let task = feed.spawn();
     while !store.calls().contains_key("watch") {
@@ -322,6 +326,38 @@
     drop(owning);
 }
 
+// Records of ended jobs would fill the store. One that ended is removed after its time by the
+// owner's listing; one that waits is kept however old it is.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_records_of_ended_jobs_are_removed_in_time() {
+    let store = store().await;
+    put(&store, &record(JobPhase::Finished, 1));
+    let owner = Owner::open(&store, "a", 1);
+    let (owning, is_owning) = watch::channel(Some(Epoch(1)));
+    let feed = JobFeed {
+        zone: ZoneName::new("east"),
+        store: owner.store.clone(),
+        ledger: owner.ledger.clone(),
+        ring: owner.duty.ring(),
+        owned: is_owning,
+        clock: owner.clock,
+        keep_ms: DurationMs(0),
+    };
+    let task = feed.spawn();
+    while read(&store).1.is_some() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    task.abort();
+    drop(owning);
+    let mut retention = JobRetention::new(DurationMs(1_000));
+    retention.note(TimeMs(0), &record(JobPhase::Waiting, 1));
+    assert!(retention.take_expired(TimeMs(1_000_000)).is_empty());
+    retention.note(TimeMs(0), &record(JobPhase::Finished, 1));
+    assert!(retention.take_expired(TimeMs(999)).is_empty());
+    assert_eq!(retention.take_expired(TimeMs(1_000)), [JobId::new("job")]);
+    assert!(retention.take_expired(TimeMs(9_000)).is_empty());
+}
+
 fn gang(attempt: u32) -> GangSpec {
     let job_id = JobId::new("job");
     GangSpec {
