Prove that a cut zone keeps its table and takes the newest

Cause: a cut zone's table had no test. Change: one in state_table: the cut host keeps its table and takes the newest when it is back.

--- a/ragwortwick-daemon/tests/state_table.rs
+++ b/ragwortwick-daemon/tests/state_table.rs
@@ -4,7 +4,7 @@
 
 use ragwortwick_border::{AcceptedTable, StoreCas, StoreGet, TableAccept, TableAcceptReply};
 use ragwortwick_core::Revision;
-use ragwortwick_standin::{Faults, Fleet, FleetOptions, now, sample_table, wait_until};
+use ragwortwick_standin::{Faults, Fleet, FleetOptions, RelayMode, now, sample_table, wait_until};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ragwortwickd");
 const CURRENT: &str = "table/current";
@@ -245,3 +245,33 @@
     assert!(!away.may_have_taken_effect);
     fleet.close().await;
 }
+
+// A zone is cut off from the platform and from the other zones while the others accept two tables.
+// Its host keeps serving under the last table that it saw, and takes the newest once it is back;
+// what it had neither comes back anywhere nor keeps the newest out.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_cut_zone_keeps_its_table_and_takes_the_newest() {
+    let options = FleetOptions {
+        hosts: 4,
+        runners: 0,
+        has_relays: true,
+        ..FleetOptions::two_zones(BINARY)
+    };
+    let fleet = Fleet::open_with_table(options).await.expect("a fleet");
+    let paths = fleet.paths.as_ref().expect("paths");
+    let west = fleet.zones()[1].clone();
+    paths.set_platform(&west, RelayMode::Blackhole);
+    paths.set_between(&west, RelayMode::Blackhole).await;
+    accepted(accept(&fleet, 0, &edit(&fleet, 1, "second", 2.0)).await);
+    accepted(accept(&fleet, 2, &edit(&fleet, 2, "third", 3.0)).await);
+    wait_until("the other zone has the third", async || {
+        number_at(&fleet, 0).await == 3 && number_at(&fleet, 2).await == 3
+    })
+    .await;
+    assert_eq!(number_at(&fleet, 1).await, 1);
+    assert_eq!(number_at(&fleet, 3).await, 1);
+    paths.set_platform(&west, RelayMode::Pass);
+    paths.set_between(&west, RelayMode::Pass).await;
+    wait_for_number(&fleet, 3).await;
+    fleet.close().await;
+}
