Check that all guarantees of a table pack into the zones

Cause: a table whose guarantees cannot all be reclaimed must be refused with the row named. Ruled out: a search over placements; sizes are powers of two that divide each other, so largest first packs whenever any order does (bin packing with divisible sizes). Change: cells, the pool of free accelerators, check_guarantees_pack(table, capacity).

--- a/ragwortwick-policy/src/lib.rs
+++ b/ragwortwick-policy/src/lib.rs
@@ -8,4 +8,7 @@
 mod zone;
 
 pub use table::validate_table;
-pub use zone::{OrderId, WorkerInfo, ZoneAction, ZoneEvent, ZoneNotice, ZoneOptions, ZonePlacer};
+pub use zone::{
+    OrderId, RackCapacity, WorkerInfo, ZoneAction, ZoneCapacity, ZoneEvent, ZoneNotice,
+    ZoneOptions, ZonePlacer, check_guarantees_pack,
+};
