--- a/ragwortwick-policy/src/lib.rs
+++ b/ragwortwick-policy/src/lib.rs
@@ -13,4 +13,7 @@
     RunLog, RunLogOptions, RunnerInfo, RunnerLoadSeen, Settlement, Ticket, TryOutcome,
 };
 pub use table::{table_changes, table_effects, validate_table};
-pub use zone::{OrderId, WorkerInfo, ZoneAction, ZoneEvent, ZoneNotice, ZoneOptions, ZonePlacer};
+pub use zone::{
+    OrderId, RackCapacity, WorkerInfo, ZoneAction, ZoneCapacity, ZoneEvent, ZoneNotice,
+    ZoneOptions, ZonePlacer, check_guarantees_pack,
+};
