--- a/ragwortwick-daemon/src/zone/mod.rs
+++ b/ragwortwick-daemon/src/zone/mod.rs
@@ -5,12 +5,15 @@
 mod handle;
 mod job_feed;
 mod job_ledger;
+mod job_retention;
 mod job_writer;
 mod order_sender;
 mod owner_duty;
 mod ownership;
 mod runtime;
 mod tenure;
+#[cfg(test)]
+mod tests;
 mod zone_duty;
 mod zone_event;
 
