--- a/ragwortwick-daemon/examples/capacity_slopes/messages.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/messages.rs
@@ -40,7 +40,6 @@
             host: name.as_str().into(),
             zone: name.as_str().into(),
             incarnation: 1_800_000_000_000,
-            leaving_runners: Vec::new(),
             is_stopping: false,
             leaving_runners: Vec::new(),
             protocol: 1,
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -27,7 +27,7 @@
 pub use feeds::{Feeds, Lifecycle};
 pub use jobs::{JobError, JobsHandle};
 pub use logging::open_log;
-pub use metrics::{Metrics, StateMetrics};
+pub use metrics::{MetricDescription, MetricRegistry, Metrics, StateMetrics};
 pub use peers::{LocalLoad, PEER_PROTOCOL, PeerClient, PeerError};
 pub use requests::{ClaimStore, IdsRefused, RequestLoad, Requests, RequestsHandle, StoreClaims};
 pub use settings::{FieldKind, SETTINGS_FIELDS, Settings, SettingsField, SettingsProblem};
--- a/ragwortwick-daemon/src/metrics.rs
+++ b/ragwortwick-daemon/src/metrics.rs
@@ -1,9 +1,11 @@
 //! The process's metrics, read at `/metrics`.
 
-use prometheus::{Encoder, HistogramOpts, HistogramVec, Registry, TextEncoder};
+use prometheus::{Encoder, HistogramOpts, HistogramVec, TextEncoder};
 
+mod registry;
 mod state;
 
+pub use registry::{MetricDescription, MetricRegistry};
 pub use state::StateMetrics;
 
 /// Buckets in seconds from a millisecond to the longest deadline of a request.
@@ -14,7 +16,7 @@
 /// `Metrics` holds the registered metrics; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Completion of requests by customer, class and verdict.
     pub request_completion_seconds: HistogramVec,
     /// Metrics of the table, the zone and its jobs.
@@ -28,7 +30,7 @@
     ///
     /// Fails if two metrics have one name.
     pub fn open() -> prometheus::Result<Self> {
-        let registry = Registry::new();
+        let registry = MetricRegistry::default();
         let request_completion_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "ragwortwick_request_completion_seconds",
@@ -46,6 +48,12 @@
         })
     }
 
+    /// `describe` lists every metric, also those without a value so far.
+    #[must_use]
+    pub fn describe(&self) -> Vec<MetricDescription> {
+        self.registry.describe()
+    }
+
     /// `render` writes all metrics in the text format.
     ///
     /// # Errors
--- a/ragwortwick-daemon/src/metrics/state.rs
+++ b/ragwortwick-daemon/src/metrics/state.rs
@@ -1,17 +1,18 @@
 //! Metrics of the table in force, of the owned zone and of the store's calls.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::MetricFamily;
-use prometheus::{
-    Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry,
-};
+use prometheus::{Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts};
 use ragwortwick_border::ZoneStatus;
 use ragwortwick_core::{DurationMs, ZoneName};
 use ragwortwick_platform::{CallCounts, StoreCallKind};
 use ragwortwick_policy::ZoneNotice;
 
+use super::MetricRegistry;
+
 /// Buckets in seconds around the bounds that are promised: 5 s for urgent work, 8 s for a table.
 const PROMISE_BUCKETS_S: [f64; 12] = [
     0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 8.0, 30.0, 120.0, 600.0, 3_600.0,
@@ -20,7 +21,7 @@
 /// `StateMetrics` are the metrics of the table, the zone and its jobs; clones share them.
 #[derive(Clone, Debug)]
 pub struct StateMetrics {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Time from a job's acceptance to the start of its gang.
     pub job_wait_seconds: HistogramVec,
     /// Time from a call of a guarantee to its free accelerators.
@@ -47,7 +48,7 @@
     /// # Errors
     ///
     /// Fails if two metrics have one name.
-    pub fn open(registry: &Registry) -> prometheus::Result<Self> {
+    pub fn open(registry: &MetricRegistry) -> prometheus::Result<Self> {
         let metrics = Self {
             registry: registry.clone(),
             job_wait_seconds: HistogramVec::new(
@@ -197,10 +198,17 @@
         self.zone_jobs
             .with_label_values(&[zone, "running"])
             .set(f64::from(status.jobs_running));
+        // A customer may hold cells of several sizes; the gauge is their sum.
+        let mut short_cells = BTreeMap::new();
         for guarantee in &status.guarantees {
+            *short_cells
+                .entry(guarantee.customer.as_str())
+                .or_insert(0.0) += f64::from(guarantee.cells_short);
+        }
+        for (customer, cells) in short_cells {
             self.guarantee_short_cells
-                .with_label_values(&[zone, guarantee.customer.as_str()])
-                .set(f64::from(guarantee.cells_short));
+                .with_label_values(&[zone, customer])
+                .set(cells);
         }
     }
 
