Refuse jobs beyond a customer's limit, and never say 'not run' of one in doubt

Cause: max_queued_jobs had no effect, and a repeat during an outage was told 'not run' although its first try may have been written. Ruled out: a read of all records at each acceptance; a count in the store, which every acceptance would write. Change: an owner's heartbeat tells its waiting jobs by customer; an entry host adds what it accepted in the last 3 s. A host remembers ids whose write has an unknown outcome and answers 'may be accepted' until it saw the record. PeerHello gains waiting_jobs. Conclusion: the limit may be passed by what other hosts accept within a heartbeat.

--- a/ragwortwick-border/src/generated.rs
+++ b/ragwortwick-border/src/generated.rs
@@ -92,6 +92,19 @@
         value.clone()
     }
 }
+/// `CustomerJobs` counts a customer's waiting jobs in the zone that the speaker owns.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CustomerJobs {
+    /// The customer.
+    pub customer: ragwortwick_core::CustomerName,
+    /// Its jobs that wait.
+    pub waiting: u32,
+}
+impl ::std::convert::From<&CustomerJobs> for CustomerJobs {
+    fn from(value: &CustomerJobs) -> Self {
+        value.clone()
+    }
+}
 /// `CustomerRow` creates a customer and ranks its work.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -859,6 +872,8 @@
     pub table_number: u64,
     /// Requests that wait there.
     pub waiting: u32,
+    /// Waiting jobs of the zone that it owns, by customer; empty if it owns none.
+    pub waiting_jobs: ::std::vec::Vec<CustomerJobs>,
     /// Its zone.
     pub zone: ragwortwick_core::ZoneName,
 }
--- a/ragwortwick-border/src/lib.rs
+++ b/ragwortwick-border/src/lib.rs
@@ -17,15 +17,15 @@
 mod generated;
 
 pub use generated::{
-    AcceptedTable, ClassRow, CommitCommand, CustomerRow, FleetStatus, ForwardRequest, GangMember,
-    GangOnWorker, GangPhase, GangRef, GangSpec, GuaranteeRow, GuaranteeStatus, HostEntry, HostKind,
-    HostList, HostState, HostStatus, IssuedIds, JobAccepted, JobCall, JobList, JobPhase, JobRecord,
-    JobStatus, JobSubmit, JobWhy, LeaseGrant, LeaseRenew, LeaseReply, PeerCall, PeerHello,
-    PeerRefusal, PeerReply, PolicyWeights, Problem, RefusalVerdict, RenewCommand, RequestAnswer,
-    RequestOutcome, RequestRefusal, RequestSubmit, ReserveCommand, RunnerAnswer, RunnerLoad,
-    RunnerRefusal, RunnerRefusalReason, RunnerRequest, RunnerStatus, Shape, StopCommand, StoreAway,
-    StoreCas, StoreCasReply, StoreChange, StoreEntry, StoreGet, StoreGetReply, StoreList,
-    StoreListReply, StoreWatch, StoreWatchReply, Table, TableAccept, TableAcceptReply,
-    TableConflict, TableProblem, TableReview, ThrottleCommand, WorkerCommand, WorkerOrder,
-    WorkerOutcome, WorkerReply, WorkerStatus, ZoneEpoch, ZoneOwner, ZoneStatus,
+    AcceptedTable, ClassRow, CommitCommand, CustomerJobs, CustomerRow, FleetStatus, ForwardRequest,
+    GangMember, GangOnWorker, GangPhase, GangRef, GangSpec, GuaranteeRow, GuaranteeStatus,
+    HostEntry, HostKind, HostList, HostState, HostStatus, IssuedIds, JobAccepted, JobCall, JobList,
+    JobPhase, JobRecord, JobStatus, JobSubmit, JobWhy, LeaseGrant, LeaseRenew, LeaseReply,
+    PeerCall, PeerHello, PeerRefusal, PeerReply, PolicyWeights, Problem, RefusalVerdict,
+    RenewCommand, RequestAnswer, RequestOutcome, RequestRefusal, RequestSubmit, ReserveCommand,
+    RunnerAnswer, RunnerLoad, RunnerRefusal, RunnerRefusalReason, RunnerRequest, RunnerStatus,
+    Shape, StopCommand, StoreAway, StoreCas, StoreCasReply, StoreChange, StoreEntry, StoreGet,
+    StoreGetReply, StoreList, StoreListReply, StoreWatch, StoreWatchReply, Table, TableAccept,
+    TableAcceptReply, TableConflict, TableProblem, TableReview, ThrottleCommand, WorkerCommand,
+    WorkerOrder, WorkerOutcome, WorkerReply, WorkerStatus, ZoneEpoch, ZoneOwner, ZoneStatus,
 };
--- a/ragwortwick-daemon/examples/capacity_slopes/messages.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/messages.rs
@@ -42,6 +42,7 @@
             incarnation: 1_800_000_000_000,
             is_stopping: false,
             leaving_runners: Vec::new(),
+            waiting_jobs: Vec::new(),
             protocol: 1,
             running_share: 20,
             table_number: 8_200,
--- a/ragwortwick-daemon/src/feeds.rs
+++ b/ragwortwick-daemon/src/feeds.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ragwortwick_border::{AcceptedTable, HostList};
+use ragwortwick_border::{AcceptedTable, CustomerJobs, HostList};
 use tokio::sync::watch;
 
 /// `Lifecycle` is the state of the process as a whole.
@@ -23,6 +23,8 @@
     pub hosts: watch::Receiver<Arc<HostList>>,
     /// Whether the store answered the last call.
     pub store_is_reachable: watch::Receiver<bool>,
+    /// Waiting jobs of the zone that this host owns, by customer; empty if it owns none.
+    pub waiting_jobs: watch::Receiver<Arc<Vec<CustomerJobs>>>,
     /// State of the process.
     pub lifecycle: watch::Receiver<Lifecycle>,
 }
--- a/ragwortwick-daemon/src/jobs/accept.rs
+++ b/ragwortwick-daemon/src/jobs/accept.rs
@@ -2,7 +2,7 @@
 
 use ragwortwick_border::{JobAccepted, JobPhase, JobRecord, JobSubmit, StoreEntry};
 use ragwortwick_core::{JobId, Revision, log_event};
-use ragwortwick_platform::{StoreWrite, WriteOutcome};
+use ragwortwick_platform::{StoreError, StoreWrite, WriteOutcome};
 
 use super::check::{check_id, check_job, choose_zone};
 use super::{JobError, JobsHandle};
@@ -16,19 +16,30 @@
     /// Fails if the job is invalid or can't be recorded now.
     pub async fn accept(&self, job: JobSubmit) -> Result<JobAccepted, JobError> {
         let record = self.make_record(job)?;
-        self.probe_store().await?;
+        let job_id = record.job_id.clone();
+        if let Some(waiting) = self.full_queue(&record) {
+            return self.refuse_unless_accepted(&record, waiting).await;
+        }
+        if let Err(error) = self.probe_store().await {
+            return Err(self.refuse(&job_id, &error));
+        }
         let write = StoreWrite {
-            key: keys::job(&record.job_id),
+            key: keys::job(&job_id),
             expected_revision: Revision(0),
             value: serde_json::to_string(&record).ok(),
             lease_id: None,
         };
         match self.store.write(&write).await {
-            Ok(WriteOutcome::Written(_)) => {}
+            Ok(WriteOutcome::Written(_)) => self.doubts.remove(&job_id),
             Ok(WriteOutcome::Conflict { found, .. }) => {
                 return self.settle_repeat(&record, found.as_ref());
             }
-            Err(error) => return Err(JobError::of_write(&error)),
+            Err(error) => {
+                if error.may_have_taken_effect() {
+                    self.doubts.add(&job_id);
+                }
+                return Err(self.refuse(&job_id, &error));
+            }
         }
         log_event!(
             Info,
@@ -38,6 +49,8 @@
             class = record.spec.class,
             zone = record.zone
         );
+        self.queue_limit
+            .note_accepted(self.clock.now(), &record.spec.customer);
         let accepted = JobAccepted {
             job_id: record.job_id.clone(),
             zone: record.zone.clone(),
@@ -70,16 +83,50 @@
         })
     }
 
+    /// The customer's waiting jobs, if they reach the limit of the table.
+    fn full_queue(&self, record: &JobRecord) -> Option<u32> {
+        let customer = &record.spec.customer;
+        let table = self.config.current()?;
+        let mut rows = table.table.customers.iter();
+        let row = rows.find(|row| &row.customer == customer)?;
+        let heard = self.peers.follow();
+        let now = self.clock.now();
+        let waiting = self.queue_limit.waiting(now, customer, &heard.borrow());
+        (waiting >= row.max_queued_jobs).then_some(waiting)
+    }
+
+    /// A repeat of an accepted job gets its answer again, however full the queue is by now.
+    async fn refuse_unless_accepted(
+        &self,
+        record: &JobRecord,
+        waiting: u32,
+    ) -> Result<JobAccepted, JobError> {
+        match self.store.get(&keys::job(&record.job_id)).await {
+            Ok(None) => {
+                let customer = &record.spec.customer;
+                let text = format!("{waiting} jobs of {customer} wait already");
+                Err(JobError::not_run(text))
+            }
+            Ok(found) => self.settle_repeat(record, found.as_ref()),
+            Err(error) => Err(self.refuse(&record.job_id, &error)),
+        }
+    }
+
     /// While the store is away, a read goes first: if it fails, nothing was written and the caller
     /// can be told "not run". Without it the write would time out and leave the caller in doubt.
-    async fn probe_store(&self) -> Result<(), JobError> {
+    async fn probe_store(&self) -> Result<(), StoreError> {
         if *self.store.reachable().borrow() {
             return Ok(());
         }
-        match self.store.get(keys::TABLE_CURRENT).await {
-            Ok(_) => Ok(()),
-            Err(error) => Err(JobError::not_run(format!("the store is away, {error}"))),
+        self.store.get(keys::TABLE_CURRENT).await.map(drop)
+    }
+
+    /// Says what a failed call to the store means for this id, earlier calls included.
+    fn refuse(&self, job_id: &JobId, error: &StoreError) -> JobError {
+        if self.doubts.contains(job_id) {
+            return JobError::MayBeAccepted;
         }
+        JobError::not_run(format!("this call wrote nothing, {error}"))
     }
 
     /// The same id was accepted before: a repeat gets the same answer, another job is refused.
@@ -96,6 +143,7 @@
             let text = "expected a new id: another job was accepted under this one";
             return Err(JobError::invalid("job_id", text));
         }
+        self.doubts.remove(&earlier.job_id);
         self.hint_new(earlier.clone());
         Ok(JobAccepted {
             job_id: earlier.job_id,
--- a/ragwortwick-daemon/src/jobs/mod.rs
+++ b/ragwortwick-daemon/src/jobs/mod.rs
@@ -2,8 +2,10 @@
 
 mod accept;
 mod check;
+mod doubt;
 mod hint;
 mod query;
+mod queue_limit;
 
 use std::sync::Arc;
 
@@ -13,6 +15,9 @@
 use ragwortwick_platform::{StoreClient, StoreError};
 use tokio::sync::watch;
 
+pub(crate) use doubt::Doubts;
+pub(crate) use queue_limit::QueueLimit;
+
 use crate::nonce::Nonces;
 use crate::{Clock, ConfigHandle, PeerClient, ZoneHandle};
 
@@ -76,4 +81,6 @@
     pub(crate) zone: ZoneHandle,
     pub(crate) clock: Clock,
     pub(crate) nonces: Nonces,
+    pub(crate) queue_limit: QueueLimit,
+    pub(crate) doubts: Doubts,
 }
--- a/ragwortwick-daemon/src/peers/client.rs
+++ b/ragwortwick-daemon/src/peers/client.rs
@@ -151,6 +151,7 @@
             waiting: load.waiting,
             is_stopping: *self.feeds.lifecycle.borrow() == Lifecycle::Stopping,
             leaving_runners: load.leaving_runners,
+            waiting_jobs: self.feeds.waiting_jobs.borrow().to_vec(),
         }
     }
 
--- a/ragwortwick-daemon/src/state_duties.rs
+++ b/ragwortwick-daemon/src/state_duties.rs
@@ -3,11 +3,13 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
+use ragwortwick_border::CustomerJobs;
 use ragwortwick_core::HostName;
 use ragwortwick_platform::{HostListOptions, HostListPoller, StoreClient, StoreOptions};
 use tokio::sync::watch;
 
 use crate::config::{TableDuty, TableInForce};
+use crate::jobs::{Doubts, QueueLimit};
 use crate::nonce::Nonces;
 use crate::zone::{ZoneParts, ZoneRuntime, ZoneStartError};
 use crate::{
@@ -20,6 +22,7 @@
     pub(crate) store: StoreClient,
     hosts: HostListPoller,
     in_force: TableInForce,
+    waiting_jobs: watch::Sender<Arc<Vec<CustomerJobs>>>,
     feeds: Feeds,
 }
 
@@ -34,16 +37,19 @@
         let store = StoreClient::open(StoreOptions::new(&settings.store_address, seed));
         let hosts = HostListPoller::spawn(HostListOptions::new(&settings.hosts_address, seed));
         let in_force = TableInForce::default();
+        let (waiting_jobs, waiting_seen) = watch::channel(Arc::default());
         let feeds = Feeds {
             table: in_force.subscribe(),
             hosts: hosts.hosts(),
             store_is_reachable: store.reachable(),
+            waiting_jobs: waiting_seen,
             lifecycle,
         };
         Self {
             store,
             hosts,
             in_force,
+            waiting_jobs,
             feeds,
         }
     }
@@ -77,6 +83,7 @@
             store,
             hosts,
             in_force,
+            waiting_jobs,
             feeds,
         } = sources;
         let nonces = Nonces::new(&settings.host, clock.incarnation());
@@ -97,6 +104,7 @@
             table: feeds.table,
             hosts: feeds.hosts.clone(),
             lifecycle: feeds.lifecycle,
+            waiting_jobs,
         })?;
         let table = TableDuty::spawn(&config, zone.owned());
         let jobs = JobsHandle {
@@ -107,6 +115,8 @@
             zone: zone.handle(),
             clock,
             nonces,
+            queue_limit: QueueLimit::open(feeds.waiting_jobs),
+            doubts: Doubts::default(),
         };
         Ok(Self {
             hosts,
--- a/ragwortwick-daemon/src/zone/job_ledger.rs
+++ b/ragwortwick-daemon/src/zone/job_ledger.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use ragwortwick_border::{JobPhase, JobRecord, StoreEntry};
-use ragwortwick_core::{JobId, Revision, log_event};
+use ragwortwick_border::{CustomerJobs, JobPhase, JobRecord, StoreEntry};
+use ragwortwick_core::{CustomerName, JobId, Revision, log_event};
 
 /// `StoredJob` is a job's record with its revision.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,6 +37,21 @@
         self.lock().remove(job_id);
     }
 
+    /// `waiting` counts the waiting jobs by customer.
+    pub(crate) fn waiting(&self) -> Vec<CustomerJobs> {
+        let mut counts: BTreeMap<CustomerName, u32> = BTreeMap::new();
+        for stored in self.lock().values() {
+            if stored.record.phase == JobPhase::Waiting {
+                let customer = stored.record.spec.customer.clone();
+                *counts.entry(customer).or_default() += 1;
+            }
+        }
+        counts
+            .into_iter()
+            .map(|(customer, waiting)| CustomerJobs { customer, waiting })
+            .collect()
+    }
+
     /// `len` gives the number of jobs known.
     pub(crate) fn len(&self) -> usize {
         self.lock().len()
--- a/ragwortwick-daemon/src/zone/mod.rs
+++ b/ragwortwick-daemon/src/zone/mod.rs
@@ -14,6 +14,7 @@
 mod tenure;
 #[cfg(test)]
 mod tests;
+mod waiting_jobs;
 mod zone_duty;
 mod zone_event;
 
--- a/ragwortwick-daemon/src/zone/runtime.rs
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use displaydoc::Display;
-use ragwortwick_border::{AcceptedTable, HostList};
+use ragwortwick_border::{AcceptedTable, CustomerJobs, HostList};
 use ragwortwick_core::Epoch;
 use ragwortwick_platform::StoreClient;
 use ragwortwick_policy::{ZoneOptions, ZonePlacer};
@@ -18,6 +18,7 @@
 use super::job_writer::JobWriter;
 use super::order_sender::OrderSender;
 use super::owner_duty::OwnerDuty;
+use super::waiting_jobs::count_waiting;
 use super::zone_duty::{Outputs, ZoneDuty};
 use super::zone_event::{ZoneDutyEvent, deliver};
 use super::{Ownership, Tenure, ZoneHandle};
@@ -59,6 +60,8 @@
     pub(crate) hosts: watch::Receiver<Arc<HostList>>,
     /// State of the process.
     pub(crate) lifecycle: watch::Receiver<Lifecycle>,
+    /// Waiting jobs of the owned zone, for the heartbeats.
+    pub(crate) waiting_jobs: watch::Sender<Arc<Vec<CustomerJobs>>>,
 }
 
 /// `ZoneRuntime` is the running duty with its tasks.
@@ -97,6 +100,11 @@
             ring.clone(),
             orders_out,
         ));
+        tasks.push(tokio::spawn(count_waiting(
+            ledger.clone(),
+            owned_seen.clone(),
+            parts.waiting_jobs,
+        )));
         tasks.push(
             JobFeed {
                 zone: settings.zone.clone(),
--- a/ragwortwick-daemon/tests/state_jobs.rs
+++ b/ragwortwick-daemon/tests/state_jobs.rs
@@ -1,9 +1,11 @@
 //! Acceptance of jobs at an entry host while the store fails in every way.
 
-use ragwortwick_border::{JobPhase, StoreList};
+use ragwortwick_border::{JobPhase, StoreList, TableAcceptReply};
 use ragwortwick_core::{CustomerName, DurationMs, JobId, ZoneName};
 use ragwortwick_http::HttpError;
-use ragwortwick_standin::{Faults, Fleet, FleetOptions, now, sample_job, wait_until};
+use ragwortwick_standin::{
+    Faults, Fleet, FleetOptions, now, sample_accept, sample_job, wait_until,
+};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ragwortwickd");
 
@@ -123,7 +125,8 @@
 }
 
 // The store writes and never answers. The caller must not hear "not run", since the record is
-// there; it hears "may be accepted" (504), asks again later with the same id, and gets its 202.
+// there; it hears "may be accepted" (504), hears it again while the store is down, and asks with the
+// same id until it gets its 202.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_unknown_acceptance_is_said_to_be_unknown() {
     let fleet = fleet().await;
@@ -136,6 +139,13 @@
     let doubt = fleet.caller.job(fleet.address(0), &job).await;
     assert_eq!(status_of(doubt), 504);
     assert!(fleet.record("unknown").is_some());
+    fleet.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let doubt = fleet.caller.job(fleet.address(0), &job).await;
+    assert_eq!(status_of(doubt), 504);
+    fleet.store.set_faults(Faults::default());
     fleet.store.set_faults(Faults {
         only: vec!["cas".to_owned()],
         ..Faults::default()
@@ -207,3 +217,27 @@
     assert_eq!(status_of(unknown), 404);
     fleet.close().await;
 }
+
+// A customer's burst fills its own queue. Further jobs are refused with a time to come back and
+// leave no record, while a repeat of an accepted one still gets its 202.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_jobs_beyond_the_limit_are_refused() {
+    let fleet = fleet().await;
+    let mut accept = sample_accept(fleet.zones());
+    accept.based_on_number = 1;
+    accept.nonce = "limit".to_owned();
+    accept.table.customers[0].max_queued_jobs = 2;
+    let reply = fleet.caller.accept_table(fleet.address(0), &accept).await;
+    assert!(matches!(reply, Ok(TableAcceptReply::Accepted(_))));
+    let jobs = ["one", "two", "three"].map(|id| sample_job(id, 1, 60_000, true));
+    for job in &jobs[..2] {
+        let accepted = fleet.caller.job(fleet.address(0), job).await;
+        accepted.expect("accepted");
+    }
+    let refused = fleet.caller.job(fleet.address(0), &jobs[2]).await;
+    assert_eq!(status_of(refused), 503);
+    let repeated = fleet.caller.job(fleet.address(0), &jobs[0]).await;
+    repeated.expect("accepted before");
+    assert_eq!(records(&fleet), 2);
+    fleet.close().await;
+}
