--- a/ragwortwick-daemon/src/requests/claims.rs
+++ b/ragwortwick-daemon/src/requests/claims.rs
@@ -14,13 +14,13 @@
 
 /// Time to live of the lease that claims are written under; it is never renewed.
 ///
-/// The lease only clears old claims away, it says nothing of the holder's life. It must outlast the
-/// longest deadline by far: a holder that was frozen finds its deadline over long before its claim
-/// can be taken by another host.
-const CLAIM_LEASE_MS: DurationMs = DurationMs(1_800_000);
+/// The lease only clears old claims away, it says nothing of the holder's life. A repeat that comes
+/// after the claim is gone would run a second time, so it must outlast every repeat: a caller that
+/// lost its answer in the evening asks again in the morning, not days later.
+const CLAIM_LEASE_MS: DurationMs = DurationMs(25 * 3_600_000);
 
-/// A lease is used for new claims this long; each claim then lives for at least the rest.
-const LEASE_USE_MS: DurationMs = DurationMs(600_000);
+/// A lease is used for new claims this long; each claim then lives for at least the rest, a day.
+const LEASE_USE_MS: DurationMs = DurationMs(3_600_000);
 
 /// Longest wait for one call of the store, which answers in milliseconds.
 const STORE_TIMEOUT_MS: DurationMs = DurationMs(400);
