--- a/ragwortwick-daemon/src/daemon.rs
+++ b/ragwortwick-daemon/src/daemon.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 
 use displaydoc::Display;
-use ragwortwick_border::HostList;
-use ragwortwick_core::{TimeMs, log_event};
+use ragwortwick_core::log_event;
 use ragwortwick_http::{Server, ServerOptions};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::peers::PeerServer;
+use crate::state_duties::{StateDuties, StateSources};
 use crate::{
-    App, Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, RequestsHandle,
-    Settings, ZoneHandle, http,
+    App, Clock, Lifecycle, Metrics, PeerClient, Requests, Settings, StoreClaims, ZoneStartError,
+    http,
 };
 
 /// `DaemonError` says why the process could not start.
@@ -26,6 +28,10 @@
     },
     /// cannot register the metrics: {0}
     Metrics(prometheus::Error),
+    /// cannot start a duty: {0}
+    Duty(std::io::Error),
+    /// {0}
+    Zone(ZoneStartError),
 }
 
 impl std::error::Error for DaemonError {}
@@ -35,7 +41,10 @@
 pub struct Daemon {
     app: App,
     server: Server,
+    peer_server: PeerServer,
+    requests: Requests,
     lifecycle: watch::Sender<Lifecycle>,
+    state: StateDuties,
 }
 
 impl Daemon {
@@ -49,30 +58,36 @@
         let clock = Clock::open();
         let metrics = Metrics::open().map_err(DaemonError::Metrics)?;
         let (lifecycle, lifecycle_feed) = watch::channel(Lifecycle::Running);
-        let (_table, table_feed) = watch::channel(None);
-        let no_hosts = HostList {
-            hosts: Vec::new(),
-            as_of_ms: TimeMs(0),
-        };
-        let (_hosts, hosts_feed) = watch::channel(Arc::new(no_hosts));
-        let (_store, store_feed) = watch::channel(false);
-        let feeds = Feeds {
-            table: table_feed,
-            hosts: hosts_feed,
-            store_is_reachable: store_feed,
-            lifecycle: lifecycle_feed,
-        };
+        let sources = StateSources::open(&settings, clock, lifecycle_feed);
+        let feeds = sources.feeds();
+        metrics
+            .state
+            .follow_store(sources.store.counts())
+            .map_err(DaemonError::Metrics)?;
+        let peers = PeerClient::open(&settings, clock, feeds.clone());
+        let state = StateDuties::spawn(&settings, clock, &metrics, &peers, sources)
+            .map_err(DaemonError::Zone)?;
+        let requests = Requests::open(
+            &settings,
+            clock,
+            metrics.clone(),
+            feeds.clone(),
+            peers.clone(),
+            StoreClaims::open(&settings.store_address, clock),
+        )
+        .map_err(DaemonError::Duty)?;
         let app = App {
             settings: Arc::clone(&settings),
             clock,
             metrics,
             feeds,
-            peers: PeerClient,
-            requests: RequestsHandle,
-            jobs: JobsHandle,
-            config: ConfigHandle,
-            zone: ZoneHandle,
+            peers,
+            requests: requests.handle(),
+            jobs: state.jobs(),
+            config: state.config(),
+            zone: state.zone(),
         };
+        let peer_server = bind_peers(&settings.peer_listen, &app).await?;
         let options = ServerOptions {
             max_connections: settings.max_connections,
             max_header_bytes: settings.max_header_bytes,
@@ -88,12 +103,16 @@
             Info,
             "listening",
             host = settings.host,
-            address = server.address()
+            address = server.address(),
+            peer_address = peer_server.address()
         );
         Ok(Self {
             app,
             server,
+            peer_server,
+            requests,
             lifecycle,
+            state,
         })
     }
 
@@ -103,12 +122,31 @@
         self.server.address()
     }
 
+    /// `peer_address` is where other entry hosts reach this host.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_server.address()
+    }
+
     /// `close` is the planned stop: it cuts off no request and then ends every duty.
     pub async fn close(self) {
         self.lifecycle.send_replace(Lifecycle::Stopping);
         log_event!(Info, "stopping", host = self.app.settings.host);
         tokio::time::sleep(self.app.settings.drain_notice_ms.into()).await;
+        // Requests that peers handed over end with the callers' own; only then the duty may go.
         self.server.close().await;
+        self.peer_server.close().await;
+        self.requests.close();
+        self.state.close().await;
         log_event!(Info, "stopped", host = self.app.settings.host);
     }
 }
+
+async fn bind_peers(address: &str, app: &App) -> Result<PeerServer, DaemonError> {
+    let failed = |cause| DaemonError::Listen {
+        address: address.to_owned(),
+        cause,
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    PeerServer::spawn(listener, app.clone()).map_err(failed)
+}
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -8,11 +8,15 @@
 mod feeds;
 mod http;
 mod jobs;
+mod keys;
 mod logging;
 mod metrics;
+mod nonce;
 mod peers;
 mod requests;
 mod settings;
+mod state_duties;
+mod status;
 mod zone;
 
 pub use app::App;
@@ -23,8 +27,12 @@
 pub use feeds::{Feeds, Lifecycle};
 pub use jobs::{JobError, JobsHandle};
 pub use logging::open_log;
-pub use metrics::Metrics;
-pub use peers::{PEER_PROTOCOL, PeerClient, PeerError};
-pub use requests::RequestsHandle;
-pub use settings::{Settings, SettingsProblem};
-pub use zone::ZoneHandle;
+pub use metrics::{MetricDescription, MetricRegistry, Metrics, StateMetrics};
+pub use peers::{LocalLoad, PEER_PROTOCOL, PeerClient, PeerError};
+pub use requests::{ClaimStore, IdsRefused, RequestLoad, Requests, RequestsHandle, StoreClaims};
+pub use settings::{FieldKind, SETTINGS_FIELDS, Settings, SettingsField, SettingsProblem};
+pub use status::{fleet_status, host_status};
+pub use zone::{
+    Claim, Ownership, OwnershipAction, OwnershipEvent, OwnershipGuard, OwnershipState, Tenure,
+    ZoneHandle, ZoneStartError,
+};
--- /dev/null
+++ b/ragwortwick-daemon/src/state_duties.rs
@@ -0,0 +1,149 @@
+//! The duties behind the feeds: table, host list, jobs and zone.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+use ragwortwick_core::HostName;
+use ragwortwick_platform::{HostListOptions, HostListPoller, StoreClient, StoreOptions};
+use tokio::sync::watch;
+
+use crate::config::{TableDuty, TableInForce};
+use crate::nonce::Nonces;
+use crate::zone::{ZoneParts, ZoneRuntime, ZoneStartError};
+use crate::{
+    Clock, ConfigHandle, Feeds, JobsHandle, Lifecycle, Metrics, PeerClient, Settings, ZoneHandle,
+};
+
+/// `StateSources` are the clients of the platform, running before anything needs them.
+#[derive(Debug)]
+pub(crate) struct StateSources {
+    pub(crate) store: StoreClient,
+    hosts: HostListPoller,
+    in_force: TableInForce,
+    feeds: Feeds,
+}
+
+impl StateSources {
+    /// `open` makes the clients and the feeds that follow them.
+    pub(crate) fn open(
+        settings: &Settings,
+        clock: Clock,
+        lifecycle: watch::Receiver<Lifecycle>,
+    ) -> Self {
+        let seed = seed_of(&settings.host, clock.incarnation());
+        let store = StoreClient::open(StoreOptions::new(&settings.store_address, seed));
+        let hosts = HostListPoller::spawn(HostListOptions::new(&settings.hosts_address, seed));
+        let in_force = TableInForce::default();
+        let feeds = Feeds {
+            table: in_force.subscribe(),
+            hosts: hosts.hosts(),
+            store_is_reachable: store.reachable(),
+            lifecycle,
+        };
+        Self {
+            store,
+            hosts,
+            in_force,
+            feeds,
+        }
+    }
+
+    /// `feeds` gives the feeds.
+    pub(crate) fn feeds(&self) -> Feeds {
+        self.feeds.clone()
+    }
+}
+
+/// `StateDuties` are the running duties.
+#[derive(Debug)]
+pub(crate) struct StateDuties {
+    hosts: HostListPoller,
+    table: TableDuty,
+    zone: ZoneRuntime,
+    config: ConfigHandle,
+    jobs: JobsHandle,
+}
+
+impl StateDuties {
+    /// `spawn` starts following table, zone and jobs.
+    pub(crate) fn spawn(
+        settings: &Arc<Settings>,
+        clock: Clock,
+        metrics: &Metrics,
+        peers: &PeerClient,
+        sources: StateSources,
+    ) -> Result<Self, ZoneStartError> {
+        let StateSources {
+            store,
+            hosts,
+            in_force,
+            feeds,
+        } = sources;
+        let nonces = Nonces::new(&settings.host, clock.incarnation());
+        let config = ConfigHandle::open(
+            in_force,
+            store.clone(),
+            peers.clone(),
+            clock,
+            metrics.clone(),
+        );
+        let zone = ZoneRuntime::spawn(ZoneParts {
+            settings: Arc::clone(settings),
+            clock,
+            store: store.clone(),
+            nonces: nonces.clone(),
+            peers: peers.clone(),
+            metrics: metrics.clone(),
+            table: feeds.table,
+            hosts: feeds.hosts.clone(),
+            lifecycle: feeds.lifecycle,
+        })?;
+        let table = TableDuty::spawn(&config, zone.owned());
+        let jobs = JobsHandle {
+            store,
+            config: config.clone(),
+            hosts: feeds.hosts,
+            peers: peers.clone(),
+            zone: zone.handle(),
+            clock,
+            nonces,
+        };
+        Ok(Self {
+            hosts,
+            table,
+            zone,
+            config,
+            jobs,
+        })
+    }
+
+    /// `config` gives a handle to the table.
+    pub(crate) fn config(&self) -> ConfigHandle {
+        self.config.clone()
+    }
+
+    /// `jobs` gives a handle to the jobs.
+    pub(crate) fn jobs(&self) -> JobsHandle {
+        self.jobs.clone()
+    }
+
+    /// `zone` gives a handle to the zone.
+    pub(crate) fn zone(&self) -> ZoneHandle {
+        self.zone.handle()
+    }
+
+    /// `close` gives the zone up and ends the duties.
+    pub(crate) async fn close(self) {
+        self.zone.close().await;
+        self.table.close().await;
+        self.hosts.close().await;
+    }
+}
+
+/// A number that differs between hosts, so that two started in one millisecond share no jitter.
+fn seed_of(host: &HostName, incarnation: u64) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    host.hash(&mut hasher);
+    incarnation.hash(&mut hasher);
+    hasher.finish()
+}
--- a/ragwortwick-policy/src/lib.rs
+++ b/ragwortwick-policy/src/lib.rs
@@ -7,7 +7,12 @@
 mod table;
 mod zone;
 
-pub use table::validate_table;
+pub use request::{
+    Arrival, Begin, ClaimOutcome, Dispatcher, DispatcherLoad, DispatcherOptions, HOME_WINDOW_MS,
+    IssuedId, IssuedIdState, RefusalSeen, RequestAction, RequestEvent, RequestNotice, RunKey,
+    RunLog, RunLogOptions, RunnerInfo, RunnerLoadSeen, Settlement, Ticket, TryOutcome,
+};
+pub use table::{table_changes, table_effects, validate_table};
 pub use zone::{
     OrderId, RackCapacity, WorkerInfo, ZoneAction, ZoneCapacity, ZoneEvent, ZoneNotice,
     ZoneOptions, ZonePlacer, check_guarantees_pack,
