Prove that accepted jobs survive kills of every host and outages of the store

Cause: no test killed every host between acceptance and finish, or took the store away meanwhile. Change: state_recovery: storms of kills, a taken-over gang, starts during an outage.

--- /dev/null
+++ b/ragwortwick-daemon/tests/state_recovery.rs
@@ -0,0 +1,164 @@
+//! Accepted jobs through kills of every host, in any order, at any point.
+
+use std::time::Duration;
+
+use ragwortwick_border::JobPhase;
+use ragwortwick_core::{GangId, ZoneName};
+use ragwortwick_standin::{Faults, Fleet, FleetOptions, LogEvent, sample_job, wait_until};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Map, json};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ragwortwickd");
+
+/// Jobs of the storm; half of them must not be repeated.
+const JOBS: usize = 12;
+
+/// Seed of the storm's kills and faults; a failing one becomes a test of its own.
+const SEED: u64 = 20_261_202;
+
+async fn fleet(hosts: usize) -> Fleet {
+    let mut settings = Map::new();
+    settings.insert("owner_lease_ms".to_owned(), json!(3_000));
+    let options = FleetOptions {
+        hosts,
+        zones: vec![ZoneName::new("east")],
+        workers: 8,
+        runners: 0,
+        settings,
+        ..FleetOptions::two_zones(BINARY)
+    };
+    Fleet::open_with_table(options).await.expect("a fleet")
+}
+
+async fn submit(fleet: &Fleet, id: &str, run_ms: u64, is_repeatable: bool) {
+    let job = sample_job(id, 2, run_ms, is_repeatable);
+    let mut host = 0;
+    wait_until(&format!("job {id} is accepted"), async || {
+        host = (host + 1) % fleet.daemons.len();
+        fleet.caller.job(fleet.address(host), &job).await.is_ok()
+    })
+    .await;
+}
+
+/// Members started in each attempt of a job; more than the gang's size is a double start.
+fn starts(fleet: &Fleet, id: &str) -> Vec<usize> {
+    let job = id.into();
+    (1..=5)
+        .map(|attempt| GangId::of_attempt(&job, attempt))
+        .map(|gang| fleet.workers.log().count(gang.as_str(), LogEvent::Started))
+        .collect()
+}
+
+// Callers see every accepted job finish, whatever is killed. Each round kills one or all hosts at a
+// random moment, puts empty ones in their place, and loses answers of the store meanwhile. A job
+// that must not be repeated is started once; no attempt of any job starts a member twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_storm_of_kills_loses_and_doubles_no_job() {
+    let mut fleet = fleet(3).await;
+    let mut rng = StdRng::seed_from_u64(SEED);
+    for number in 0..JOBS {
+        submit(&fleet, &format!("job-{number}"), 300, number % 2 == 0).await;
+        if number % 3 != 2 {
+            continue;
+        }
+        fleet.store.set_faults(Faults {
+            only: vec!["cas".to_owned()],
+            lose_answers: rng.random_range(0..4),
+            ..Faults::default()
+        });
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+        let hosts: Vec<usize> = if rng.random_bool(0.5) {
+            fleet.kill_all().expect("killed");
+            (0..3).collect()
+        } else {
+            let host = rng.random_range(0..3);
+            fleet.daemons[host].kill().expect("killed");
+            vec![host]
+        };
+        for host in hosts {
+            fleet.replace_daemon(host).await.expect("a new host");
+        }
+    }
+    fleet.store.set_faults(Faults {
+        only: vec!["cas".to_owned()],
+        ..Faults::default()
+    });
+    for number in 0..JOBS {
+        let id = format!("job-{number}");
+        wait_until(&format!("{id} ends"), async || {
+            let phase = fleet.record(&id).map(|record| record.phase);
+            matches!(phase, Some(JobPhase::Finished | JobPhase::MayHaveRun))
+        })
+        .await;
+        let starts = starts(&fleet, &id);
+        assert!(
+            starts.iter().all(|started| *started <= 2),
+            "{id}: {starts:?}"
+        );
+        let is_repeatable = number % 2 == 0;
+        if is_repeatable {
+            let phase = fleet.record(&id).map(|record| record.phase);
+            assert_eq!(phase, Some(JobPhase::Finished), "{id}");
+        } else {
+            assert!(starts.iter().sum::<usize>() <= 2, "{id}: {starts:?}");
+        }
+    }
+    fleet.close().await;
+}
+
+// A gang runs while its zone's owner is killed. The next owner finds it by its inventory and renews
+// it; the caller sees one start and one finish, and the gang's lease never runs out.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_running_gang_is_taken_over() {
+    let mut fleet = fleet(3).await;
+    submit(&fleet, "long", 12_000, false).await;
+    wait_until("the gang runs", async || starts(&fleet, "long")[0] == 2).await;
+    let owner = fleet.owner(&fleet.zones()[0]).expect("an owner");
+    fleet.daemons[owner].kill().expect("killed");
+    fleet.wait_for_phase("long", JobPhase::Finished).await;
+    assert_eq!(starts(&fleet, "long"), [2, 0, 0, 0, 0]);
+    assert!(fleet.gang_events("long", LogEvent::Lapsed).is_empty());
+    fleet.close().await;
+}
+
+// The store is away while the owner lives: an accepted job that waits is started in the outage, and
+// one that must not be repeated waits for the store, since its start has to be recorded first.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_accepted_jobs_start_during_an_outage() {
+    let fleet = fleet(3).await;
+    submit(&fleet, "first", 4_000, true).await;
+    wait_until("the gang runs", async || starts(&fleet, "first")[0] == 2).await;
+    for number in 0..6 {
+        submit(&fleet, &format!("waits-{number}"), 500, number != 5).await;
+    }
+    let kinds = ["get", "list", "cas", "watch", "lease_grant", "lease_renew"];
+    fleet.store.set_faults(Faults {
+        only: kinds.map(str::to_owned).to_vec(),
+        down: true,
+        ..Faults::default()
+    });
+    let holder = fleet.owner(&fleet.zones()[0]).expect("an owner");
+    wait_until("the owner holds on", async || {
+        let is_holding = |line: &String| line.contains("state=holding");
+        fleet.daemons[holder].lines().iter().any(is_holding)
+    })
+    .await;
+    for number in 0..5 {
+        let id = format!("waits-{number}");
+        wait_until(&format!("{id} starts"), async || {
+            starts(&fleet, &id)[0] == 2
+        })
+        .await;
+    }
+    fleet.store.set_faults(Faults {
+        only: kinds.map(str::to_owned).to_vec(),
+        ..Faults::default()
+    });
+    for number in 0..6 {
+        let id = format!("waits-{number}");
+        fleet.wait_for_phase(&id, JobPhase::Finished).await;
+        assert_eq!(starts(&fleet, &id), [2, 0, 0, 0, 0], "{id}");
+    }
+    fleet.close().await;
+}
