Tell the epoch of ownership in heartbeats, and stop an owner that hears a higher one

Cause: an owner cut from the store learned of its successor only from workers, that is when it had an order under way; and a host replaced under the dead owner's name kept the caretaker from acting. Ruled out: asking every worker in each round of an outage. Change: PeerHello gains owned_epoch; the highest one of the zone fences like a worker's. Measured: the tests of ownership, recovery and caretaker pass. Conclusion: two hosts that believe they own a zone and hear each other are down to one.

--- a/ragwortwick-border/src/generated.rs
+++ b/ragwortwick-border/src/generated.rs
@@ -864,6 +864,8 @@
     pub is_stopping: bool,
     /// Runners that it saw leaving.
     pub leaving_runners: ::std::vec::Vec<ragwortwick_core::HostName>,
+    /// Epoch under which it owns its zone; 0 if it owns none.
+    pub owned_epoch: ragwortwick_core::Epoch,
     /// Version of the peer protocol.
     pub protocol: u32,
     /// Requests it runs now.
--- a/ragwortwick-daemon/examples/capacity_slopes/messages.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/messages.rs
@@ -43,6 +43,7 @@
             is_stopping: false,
             leaving_runners: Vec::new(),
             waiting_jobs: Vec::new(),
+            owned_epoch: ragwortwick_core::Epoch(7),
             protocol: 1,
             running_share: 20,
             table_number: 8_200,
--- a/ragwortwick-daemon/examples/takeover_times.rs
+++ b/ragwortwick-daemon/examples/takeover_times.rs
@@ -54,7 +54,11 @@
     let id = format!("after-{number}");
     let job = sample_job(&id, 1, 100, true);
     let other = (first + 1) % fleet.daemons.len();
-    fleet.caller.job(fleet.address(other), &job).await?;
+    // The other host may have been replaced a moment ago and have no table yet.
+    wait_until("the job is accepted", async || {
+        fleet.caller.job(fleet.address(other), &job).await.is_ok()
+    })
+    .await;
     wait_until("another host owns the zone", async || {
         fleet.owner(&zone).is_some_and(|owner| owner != first)
     })
--- a/ragwortwick-daemon/src/feeds.rs
+++ b/ragwortwick-daemon/src/feeds.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ragwortwick_border::{AcceptedTable, CustomerJobs, HostList};
+use ragwortwick_core::Epoch;
 use tokio::sync::watch;
 
 /// `Lifecycle` is the state of the process as a whole.
@@ -23,6 +24,8 @@
     pub hosts: watch::Receiver<Arc<HostList>>,
     /// Whether the store answered the last call.
     pub store_is_reachable: watch::Receiver<bool>,
+    /// Epoch under which this host owns its zone.
+    pub owned_epoch: watch::Receiver<Option<Epoch>>,
     /// Waiting jobs of the zone that this host owns, by customer; empty if it owns none.
     pub waiting_jobs: watch::Receiver<Arc<Vec<CustomerJobs>>>,
     /// State of the process.
--- a/ragwortwick-daemon/src/peers/client.rs
+++ b/ragwortwick-daemon/src/peers/client.rs
@@ -152,6 +152,7 @@
             is_stopping: *self.feeds.lifecycle.borrow() == Lifecycle::Stopping,
             leaving_runners: load.leaving_runners,
             waiting_jobs: self.feeds.waiting_jobs.borrow().to_vec(),
+            owned_epoch: self.feeds.owned_epoch.borrow().unwrap_or_default(),
         }
     }
 
--- a/ragwortwick-daemon/src/state_duties.rs
+++ b/ragwortwick-daemon/src/state_duties.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use ragwortwick_border::CustomerJobs;
-use ragwortwick_core::HostName;
+use ragwortwick_core::{Epoch, HostName};
 use ragwortwick_platform::{HostListOptions, HostListPoller, StoreClient, StoreOptions};
 use tokio::sync::watch;
 
@@ -23,6 +23,7 @@
     hosts: HostListPoller,
     in_force: TableInForce,
     waiting_jobs: watch::Sender<Arc<Vec<CustomerJobs>>>,
+    owned_epoch: watch::Sender<Option<Epoch>>,
     feeds: Feeds,
 }
 
@@ -37,11 +38,13 @@
         let store = StoreClient::open(StoreOptions::new(&settings.store_address, seed));
         let hosts = HostListPoller::spawn(HostListOptions::new(&settings.hosts_address, seed));
         let in_force = TableInForce::default();
+        let (owned_epoch, owned_seen) = watch::channel(None);
         let (waiting_jobs, waiting_seen) = watch::channel(Arc::default());
         let feeds = Feeds {
             table: in_force.subscribe(),
             hosts: hosts.hosts(),
             store_is_reachable: store.reachable(),
+            owned_epoch: owned_seen,
             waiting_jobs: waiting_seen,
             lifecycle,
         };
@@ -50,6 +53,7 @@
             hosts,
             in_force,
             waiting_jobs,
+            owned_epoch,
             feeds,
         }
     }
@@ -84,6 +88,7 @@
             hosts,
             in_force,
             waiting_jobs,
+            owned_epoch,
             feeds,
         } = sources;
         let nonces = Nonces::new(&settings.host, clock.incarnation());
@@ -105,8 +110,9 @@
             hosts: feeds.hosts.clone(),
             lifecycle: feeds.lifecycle,
             waiting_jobs,
+            owned_epoch,
         })?;
-        let table = TableDuty::spawn(&config, zone.owned());
+        let table = TableDuty::spawn(&config, feeds.owned_epoch);
         let jobs = JobsHandle {
             store,
             config: config.clone(),
--- a/ragwortwick-daemon/src/zone/caretaker.rs
+++ b/ragwortwick-daemon/src/zone/caretaker.rs
@@ -83,20 +83,19 @@
         if self.zone.owned_epoch().is_some() {
             return false;
         }
-        let reachable: BTreeSet<HostName> = self.peers.reachable().into_iter().collect();
-        if self
-            .zone
-            .owner()
-            .is_some_and(|owner| reachable.contains(&owner))
-        {
+        let heard = self.peers.follow();
+        let heard = heard.borrow();
+        let mut of_zone = heard
+            .values()
+            .filter(|hello| &hello.zone == self.zone.zone());
+        // A host that was replaced under the owner's name answers too, but owns nothing.
+        if of_zone.any(|hello| hello.owned_epoch > Epoch(0)) {
             return false;
         }
-        let hosts = self.hosts.borrow();
-        let mut of_zone = hosts
-            .hosts
-            .iter()
-            .filter(|host| host.kind == HostKind::Entry && &host.zone == self.zone.zone());
-        !of_zone.any(|host| reachable.contains(&host.name) && host.name < self.host)
+        let mut hosts_of_zone = heard
+            .values()
+            .filter(|hello| &hello.zone == self.zone.zone());
+        !hosts_of_zone.any(|hello| hello.host < self.host)
     }
 
     async fn round(&self, client: &WorkerClient) {
--- a/ragwortwick-daemon/src/zone/mod.rs
+++ b/ragwortwick-daemon/src/zone/mod.rs
@@ -10,6 +10,7 @@
 mod order_sender;
 mod owner_duty;
 mod ownership;
+mod peer_epochs;
 mod runtime;
 mod tenure;
 #[cfg(test)]
--- a/ragwortwick-daemon/src/zone/runtime.rs
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -18,6 +18,7 @@
 use super::job_writer::JobWriter;
 use super::order_sender::OrderSender;
 use super::owner_duty::OwnerDuty;
+use super::peer_epochs::follow_peer_epochs;
 use super::waiting_jobs::count_waiting;
 use super::zone_duty::{Outputs, ZoneDuty};
 use super::zone_event::{ZoneDutyEvent, deliver};
@@ -62,6 +63,8 @@
     pub(crate) lifecycle: watch::Receiver<Lifecycle>,
     /// Waiting jobs of the owned zone, for the heartbeats.
     pub(crate) waiting_jobs: watch::Sender<Arc<Vec<CustomerJobs>>>,
+    /// The epoch owned, for the feeds.
+    pub(crate) owned_epoch: watch::Sender<Option<Epoch>>,
 }
 
 /// `ZoneRuntime` is the running duty with its tasks.
@@ -71,7 +74,6 @@
     duty: Duty<ZoneDutyEvent>,
     owner: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
-    owned: watch::Receiver<Option<Epoch>>,
 }
 
 impl ZoneRuntime {
@@ -83,6 +85,8 @@
         let (fenced, fenced_seen) = watch::channel(Epoch(0));
         let (orders, orders_out) = mpsc::channel(OUTPUT_LENGTH);
         let (records, records_out) = mpsc::channel(OUTPUT_LENGTH);
+        let heard_epochs =
+            follow_peer_epochs(settings.zone.clone(), parts.peers.clone(), fenced.clone());
         let outputs = Outputs {
             orders,
             records,
@@ -90,10 +94,11 @@
         };
         let duty = spawn_duty(&parts, tenure.clone(), outputs).map_err(ZoneStartError::Thread)?;
         let ring = duty.ring();
-        let (owned, owned_seen) = watch::channel(None);
+        let owned_seen = parts.owned_epoch.subscribe();
         let (named, named_seen) = watch::channel(None);
         let ledger = JobLedger::default();
         let mut tasks = spawn_feeds(&parts, &ring);
+        tasks.push(tokio::spawn(heard_epochs));
         tasks.push(OrderSender::spawn(
             tenure.clone(),
             parts.clock,
@@ -159,7 +164,7 @@
             nonces: parts.nonces,
             tenure,
             ring,
-            owned,
+            owned: parts.owned_epoch,
             owner: named,
             fenced: fenced_seen,
             lifecycle: parts.lifecycle,
@@ -171,7 +176,6 @@
             duty,
             owner: tokio::spawn(owner_duty.run()),
             tasks,
-            owned: owned_seen,
         })
     }
 
@@ -180,11 +184,6 @@
         self.handle.clone()
     }
 
-    /// `owned` follows the epoch under which this host owns the zone.
-    pub(crate) fn owned(&self) -> watch::Receiver<Option<Epoch>> {
-        self.owned.clone()
-    }
-
     /// `close` waits until the zone is given up and ends the duty.
     pub(crate) async fn close(self) {
         // The planned stop has told the owner task; it ends once the lease is given back.
--- a/ragwortwick-daemon/src/zone/zone_duty.rs
+++ b/ragwortwick-daemon/src/zone/zone_duty.rs
@@ -13,6 +13,7 @@
 use super::Tenure;
 use super::job_writer::RecordOrder;
 use super::order_sender::OutgoingOrder;
+use super::peer_epochs::report_epoch;
 use super::zone_event::{OrderAnswer, ZoneDutyEvent};
 use crate::{Machine, Metrics};
 
@@ -184,11 +185,7 @@
     }
 
     fn report_fenced(&self, shown: Epoch) {
-        self.outputs.fenced.send_if_modified(|known| {
-            let is_higher = *known < shown;
-            *known = shown.max(*known);
-            is_higher
-        });
+        report_epoch(&self.outputs.fenced, shown);
     }
 
     /// Gives the event to the placer and carries out what it asks for.
