--- a/ragwortwick-daemon/tests/state_owner_moves.rs
+++ b/ragwortwick-daemon/tests/state_owner_moves.rs
@@ -1,8 +1,10 @@
 //! Ownership of a zone between processes: killed, frozen, cut from the store, and stopped.
 
-use ragwortwick_border::{HostStatus, StoreGet, ZoneEpoch};
+use ragwortwick_border::{HostStatus, JobPhase, StoreGet, ZoneEpoch};
 use ragwortwick_core::{Epoch, ZoneName};
-use ragwortwick_standin::{Faults, Fleet, FleetOptions, now, wait_until};
+use ragwortwick_standin::{
+    Faults, Fleet, FleetOptions, LogEvent, Relay, RelayMode, now, sample_job, wait_until,
+};
 use serde_json::{Map, json};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ragwortwickd");
@@ -209,3 +211,46 @@
     assert!(status.is_some_and(|status| status.success()));
     fleet.close().await;
 }
+
+// The store is cut from the owner alone: it still reaches workers and peers and holds on, while its
+// lease lapses and another host takes the zone. Two hosts own it for a moment; the old one hears
+// the higher epoch from a heartbeat or a worker and stands by. The running gang is not disturbed.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_owner_cut_from_the_store_yields_to_the_next() {
+    let mut fleet = one_zone().await;
+    let mut relays = Vec::new();
+    for host in 0..3 {
+        let relay = Relay::bind("127.0.0.1:0", fleet.store.address()).await;
+        let relay = relay.expect("a free port");
+        let mut options = fleet.daemon_options(host);
+        options.store_address = relay.address().to_string();
+        fleet.daemons[host].kill().expect("killed");
+        fleet.daemons[host] = fleet.spawn_daemon(options).await.expect("a new host");
+        relays.push(relay);
+    }
+    wait_until("the job is accepted", async || {
+        let job = sample_job("long", 1, 12_000, false);
+        fleet.caller.job(fleet.address(0), &job).await.is_ok()
+    })
+    .await;
+    wait_until("the gang runs", async || {
+        fleet.workers.log().count("long.1", LogEvent::Started) == 1
+    })
+    .await;
+    let first = wait_for_owner(&fleet, None).await;
+    relays[first].set_mode(RelayMode::Blackhole);
+    let second = wait_for_owner(&fleet, Some(first)).await;
+    wait_until("the old owner stands by", async || {
+        let is_fenced = |line: &String| line.contains("cause=fenced");
+        fleet.daemons[first].lines().iter().any(is_fenced)
+    })
+    .await;
+    wait_until("the new owner knows", async || {
+        owned_epoch(&fleet, second).await.is_some()
+    })
+    .await;
+    assert_eq!(owned_epoch(&fleet, first).await, None);
+    fleet.wait_for_phase("long", JobPhase::Finished).await;
+    assert_eq!(fleet.gang_events("long", LogEvent::Started).len(), 1);
+    fleet.close().await;
+}
