Bound the bytes of listings and reads that back up the watches

Ruled out: no back-up at all, since watches miss changes. Conclusion: the bytes fit; a job that watch and hint both missed waits longer the more jobs there are.

--- a/ragwortwick-daemon/src/config/table_duty.rs
+++ b/ragwortwick-daemon/src/config/table_duty.rs
@@ -16,12 +16,16 @@
 /// Longest wait of one watch.
 const WATCH_MS: DurationMs = DurationMs(20_000);
 
-/// Longest time between two reads of the table besides the watch.
+/// Shortest time between two reads of the table besides the watch.
 ///
 /// A watch that misses a change says nothing; 4 s keeps such a host within the 8 s that an accepted
 /// table may take, with one read lost.
 const READ_INTERVAL_MS: DurationMs = DurationMs(4_000);
 
+/// Bytes a second that these reads may cost; a large table is read more rarely, and the heartbeats
+/// of peers, which carry its number, are what keeps the bound.
+const READ_BYTES_PER_S: u64 = 1_000;
+
 /// Longest wait for a peer's table.
 const ASK_TIMEOUT_MS: DurationMs = DurationMs(1_000);
 
@@ -97,10 +101,14 @@
 
 async fn follow_reads(config: ConfigHandle) {
     let mut jitter = config.store.backoff();
+    let mut interval_ms = READ_INTERVAL_MS;
     loop {
-        tokio::time::sleep(jitter.spread(READ_INTERVAL_MS).into()).await;
+        tokio::time::sleep(jitter.spread(interval_ms).into()).await;
         if let Ok(Some(entry)) = config.store.get(keys::TABLE_CURRENT).await {
             take_entry(&config, &entry);
+            let bytes = u64::try_from(entry.value.len()).unwrap_or(u64::MAX);
+            let pause_ms = bytes.saturating_mul(1_000) / READ_BYTES_PER_S;
+            interval_ms = READ_INTERVAL_MS.max(DurationMs(pause_ms));
         }
     }
 }
--- a/ragwortwick-daemon/src/zone/job_feed.rs
+++ b/ragwortwick-daemon/src/zone/job_feed.rs
@@ -19,9 +19,9 @@
 /// Shortest time between two listings.
 const RELIST_MS: DurationMs = DurationMs(10_000);
 
-/// Time added between two listings for each known job, so that a listing's bytes a second stay
-/// the same however many jobs there are.
-const RELIST_PER_JOB_MS: DurationMs = DurationMs(10);
+/// Bytes a second that listings may cost in the long run. The watch and the hints of accepting hosts
+/// come first; a listing only finds what both have missed.
+const RELIST_BYTES_PER_S: u64 = 1_000;
 
 /// `JobFeed` reads the zone's jobs while this host owns the zone.
 #[derive(Debug)]
@@ -62,9 +62,10 @@
     async fn follow(&mut self, epoch: Option<Epoch>) {
         let mut jobs = PrefixWatch::open(self.store.clone(), keys::JOBS_PREFIX, WATCH_MS);
         let mut listed_at = Instant::now();
+        let mut pause_ms = RELIST_MS;
         let mut retention = JobRetention::new(self.keep_ms);
         while *self.owned.borrow() == epoch {
-            if listed_at.elapsed() >= Duration::from(relist_ms(self.ledger.len())) {
+            if listed_at.elapsed() >= Duration::from(pause_ms) {
                 jobs.relist();
             }
             let news = tokio::select! {
@@ -79,6 +80,7 @@
             match news {
                 Ok(WatchNews::Listed(entries)) => {
                     listed_at = Instant::now();
+                    pause_ms = relist_ms(&entries);
                     for entry in &entries {
                         self.take_in(entry, &mut retention).await;
                     }
@@ -136,11 +138,8 @@
     }
 }
 
-fn relist_ms(jobs: usize) -> DurationMs {
-    let jobs = u64::try_from(jobs).unwrap_or(u64::MAX);
-    DurationMs(
-        RELIST_MS
-            .0
-            .saturating_add(RELIST_PER_JOB_MS.0.saturating_mul(jobs)),
-    )
+fn relist_ms(entries: &[StoreEntry]) -> DurationMs {
+    let bytes: usize = entries.iter().map(|entry| entry.value.len()).sum();
+    let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+    RELIST_MS.max(DurationMs(bytes.saturating_mul(1_000) / RELIST_BYTES_PER_S))
 }
--- a/ragwortwick-daemon/src/zone/job_ledger.rs
+++ b/ragwortwick-daemon/src/zone/job_ledger.rs
@@ -52,11 +52,6 @@
             .collect()
     }
 
-    /// `len` gives the number of jobs known.
-    pub(crate) fn len(&self) -> usize {
-        self.lock().len()
-    }
-
     /// `take_in` keeps the record if it is newer, and tells whether it was.
     ///
     /// Watches repeat events and listings overlap with them; an old record that came late would
