Treat hints of new jobs as a reason to read, not as the record

Cause: a hint carried the record as it was accepted; one that came late to a new owner could bring back a job that had ended since, and an owner heard of jobs before its duty did. Ruled out: revisions in the hint, since the accepting host may be behind as well. Change: the owner reads the job that is hinted at unless it knows it; the duty hears of its ownership before the feeds do. The start of the zone's tasks and the notices' log lines move to functions and a module of their own. Conclusion: what an owner knows of a job always has the revision it was read at.

--- a/ragwortwick-daemon/src/zone/handle.rs
+++ b/ragwortwick-daemon/src/zone/handle.rs
@@ -4,7 +4,7 @@
 
 use ragwortwick_border::{HostList, JobRecord, Shape, ZoneStatus};
 use ragwortwick_core::{Epoch, HostName, JobId, ZoneName, log_event};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::Tenure;
 use super::capacity::fits_listed;
@@ -16,6 +16,7 @@
 pub struct ZoneHandle {
     pub(super) zone: ZoneName,
     pub(super) ring: Ring<ZoneDutyEvent>,
+    pub(super) hints: mpsc::Sender<JobId>,
     pub(super) tenure: Tenure,
     pub(super) clock: Clock,
     pub(super) owner: watch::Receiver<Option<HostName>>,
@@ -59,14 +60,17 @@
 
     /// `new_job` tells the owner of a record that was just written; the watch would tell it later.
     pub fn new_job(&self, record: JobRecord) {
-        if record.zone == self.zone {
-            self.hint(ZoneDutyEvent::JobFound(record));
+        if record.zone == self.zone && self.hints.try_send(record.job_id).is_err() {
+            self.log_lost_hint();
         }
     }
 
     /// `cancel_job` tells the owner of a recorded wish to cancel.
     pub fn cancel_job(&self, job_id: &JobId) {
-        self.hint(ZoneDutyEvent::JobCancelled(job_id.clone()));
+        let event = ZoneDutyEvent::JobCancelled(job_id.clone());
+        if self.ring.offer(event).is_err() {
+            self.log_lost_hint();
+        }
     }
 
     /// `can_ever_fit` tells whether the shape fits this host's zone when it is empty.
@@ -74,10 +78,8 @@
         std::future::ready(fits_listed(&self.hosts.borrow(), &self.zone, &shape)).await
     }
 
-    fn hint(&self, event: ZoneDutyEvent) {
-        if self.ring.offer(event).is_err() {
-            // Only a hint was lost: the record is in the store, and the watch brings it.
-            log_event!(Warn, "zone_ring_full", zone = self.zone);
-        }
+    /// Only a hint was lost: the record is in the store, and the watch brings it.
+    fn log_lost_hint(&self) {
+        log_event!(Warn, "job_hint_lost", zone = self.zone);
     }
 }
--- a/ragwortwick-daemon/src/zone/job_feed.rs
+++ b/ragwortwick-daemon/src/zone/job_feed.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::job_ledger::{JobLedger, decode_job, is_final};
+use super::job_ledger::{JobLedger, StoredJob, decode_job, is_final};
 use super::job_retention::JobRetention;
 use super::zone_event::{ZoneDutyEvent, deliver};
 use crate::{Clock, Ring, keys};
@@ -107,16 +107,7 @@
             return;
         }
         retention.note(self.clock.now(), &stored.record);
-        if !self.ledger.take_in(stored.clone()) {
-            return;
-        }
-        let record = stored.record;
-        let is_cancelled = record.cancel_requested && !is_final(record.phase);
-        let job_id = record.job_id.clone();
-        deliver(&self.ring, ZoneDutyEvent::JobFound(record)).await;
-        if is_cancelled {
-            deliver(&self.ring, ZoneDutyEvent::JobCancelled(job_id)).await;
-        }
+        take_in(&self.ledger, &self.ring, stored).await;
     }
 
     /// `remove` deletes the record of a job that ended long ago, unless it changed since it was read.
@@ -138,6 +129,20 @@
     }
 }
 
+/// `take_in` tells the zone duty of a record that is newer than what is known.
+pub(super) async fn take_in(ledger: &JobLedger, ring: &Ring<ZoneDutyEvent>, stored: StoredJob) {
+    if !ledger.take_in(stored.clone()) {
+        return;
+    }
+    let record = stored.record;
+    let is_cancelled = record.cancel_requested && !is_final(record.phase);
+    let job_id = record.job_id.clone();
+    deliver(ring, ZoneDutyEvent::JobFound(record)).await;
+    if is_cancelled {
+        deliver(ring, ZoneDutyEvent::JobCancelled(job_id)).await;
+    }
+}
+
 fn relist_ms(entries: &[StoreEntry]) -> DurationMs {
     let bytes: usize = entries.iter().map(|entry| entry.value.len()).sum();
     let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
--- a/ragwortwick-daemon/src/zone/owner_duty.rs
+++ b/ragwortwick-daemon/src/zone/owner_duty.rs
@@ -147,8 +147,9 @@
         self.extend();
         if let Some(claim) = self.claim {
             self.owner.send_replace(Some(self.host.clone()));
-            self.owned.send_replace(Some(claim.epoch));
+            // The duty is told first: what the feeds find for an owner would be dropped before.
             deliver(&self.ring, ZoneDutyEvent::Gained(claim.epoch)).await;
+            self.owned.send_replace(Some(claim.epoch));
         }
     }
 
--- a/ragwortwick-daemon/src/zone/runtime.rs
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 use ragwortwick_border::{AcceptedTable, CustomerJobs, HostList};
-use ragwortwick_core::Epoch;
+use ragwortwick_core::{Epoch, JobId};
 use ragwortwick_platform::StoreClient;
 use ragwortwick_policy::{ZoneOptions, ZonePlacer};
 use tokio::sync::{mpsc, watch};
@@ -13,9 +13,10 @@
 
 use super::caretaker::Caretaker;
 use super::job_feed::JobFeed;
+use super::job_hints::{HINTS_LENGTH, JobHints};
 use super::job_ledger::JobLedger;
 use super::job_retention::KEEP_MS;
-use super::job_writer::JobWriter;
+use super::job_writer::{JobWriter, RecordOrder};
 use super::order_sender::OrderSender;
 use super::owner_duty::OwnerDuty;
 use super::peer_epochs::follow_peer_epochs;
@@ -94,9 +95,8 @@
         };
         let duty = spawn_duty(&parts, tenure.clone(), outputs).map_err(ZoneStartError::Thread)?;
         let ring = duty.ring();
-        let owned_seen = parts.owned_epoch.subscribe();
         let (named, named_seen) = watch::channel(None);
-        let ledger = JobLedger::default();
+        let (hints, hints_out) = mpsc::channel(HINTS_LENGTH);
         let mut tasks = spawn_feeds(&parts, &ring);
         tasks.push(tokio::spawn(heard_epochs));
         tasks.push(OrderSender::spawn(
@@ -105,35 +105,9 @@
             ring.clone(),
             orders_out,
         ));
-        tasks.push(tokio::spawn(count_waiting(
-            ledger.clone(),
-            owned_seen.clone(),
-            parts.waiting_jobs,
-        )));
-        tasks.push(
-            JobFeed {
-                zone: settings.zone.clone(),
-                store: parts.store.clone(),
-                ledger: ledger.clone(),
-                ring: ring.clone(),
-                owned: owned_seen.clone(),
-                clock: parts.clock,
-                keep_ms: KEEP_MS,
-            }
-            .spawn(),
-        );
-        tasks.push(
-            JobWriter {
-                store: parts.store.clone(),
-                ledger,
-                tenure: tenure.clone(),
-                clock: parts.clock,
-                nonces: parts.nonces.clone(),
-                ring: ring.clone(),
-            }
-            .spawn(records_out),
-        );
+        tasks.extend(spawn_jobs(&parts, &ring, &tenure, records_out, hints_out));
         let handle = ZoneHandle {
+            hints,
             zone: settings.zone.clone(),
             ring: ring.clone(),
             tenure: tenure.clone(),
@@ -219,6 +193,47 @@
     Duty::spawn("zone", settings.ring_length, parts.clock, machine)
 }
 
+/// The tasks that read, write and count the records of the zone's jobs.
+fn spawn_jobs(
+    parts: &ZoneParts,
+    ring: &Ring<ZoneDutyEvent>,
+    tenure: &Tenure,
+    records: mpsc::Receiver<RecordOrder>,
+    hints: mpsc::Receiver<JobId>,
+) -> Vec<JoinHandle<()>> {
+    let ledger = JobLedger::default();
+    let owned = parts.owned_epoch.subscribe();
+    let feed = JobFeed {
+        zone: parts.settings.zone.clone(),
+        store: parts.store.clone(),
+        ledger: ledger.clone(),
+        ring: ring.clone(),
+        owned: owned.clone(),
+        clock: parts.clock,
+        keep_ms: KEEP_MS,
+    };
+    let writer = JobWriter {
+        store: parts.store.clone(),
+        ledger: ledger.clone(),
+        tenure: tenure.clone(),
+        clock: parts.clock,
+        nonces: parts.nonces.clone(),
+        ring: ring.clone(),
+    };
+    let job_hints = JobHints {
+        store: parts.store.clone(),
+        ledger: ledger.clone(),
+        ring: ring.clone(),
+        owned: owned.clone(),
+    };
+    vec![
+        feed.spawn(),
+        writer.spawn(records),
+        tokio::spawn(job_hints.run(hints)),
+        tokio::spawn(count_waiting(ledger, owned, parts.waiting_jobs.clone())),
+    ]
+}
+
 fn spawn_feeds(parts: &ZoneParts, ring: &Ring<ZoneDutyEvent>) -> Vec<JoinHandle<()>> {
     let mut table = parts.table.clone();
     let mut hosts = parts.hosts.clone();
--- a/ragwortwick-daemon/src/zone/zone_duty.rs
+++ b/ragwortwick-daemon/src/zone/zone_duty.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 
 use ragwortwick_border::{AcceptedTable, HostEntry, HostKind, HostList, HostState};
-use ragwortwick_core::{
-    DurationMs, Epoch, HostName, RackName, TimeMs, WorkerName, ZoneName, log_event,
-};
+use ragwortwick_core::{DurationMs, Epoch, HostName, RackName, TimeMs, WorkerName, ZoneName};
 use ragwortwick_policy::{OrderId, WorkerInfo, ZoneAction, ZoneEvent, ZoneNotice, ZonePlacer};
 use tokio::sync::{mpsc, watch};
 
 use super::Tenure;
 use super::job_writer::RecordOrder;
+use super::notices::log_notice;
 use super::order_sender::OutgoingOrder;
 use super::peer_epochs::report_epoch;
 use super::zone_event::{OrderAnswer, ZoneDutyEvent};
@@ -336,69 +335,3 @@
             .min()
     }
 }
-
-fn log_notice(zone: &ZoneName, notice: &ZoneNotice) {
-    match notice {
-        ZoneNotice::GangStarted {
-            gang_id,
-            customer,
-            wait_ms,
-            is_borrowed,
-        } => log_event!(
-            Info,
-            "gang_started",
-            zone = zone,
-            gang_id = gang_id,
-            customer = customer,
-            wait_ms = wait_ms,
-            is_borrowed = is_borrowed
-        ),
-        ZoneNotice::GangEnded {
-            gang_id,
-            customer,
-            reason,
-        } => log_event!(
-            Info,
-            "gang_ended",
-            zone = zone,
-            gang_id = gang_id,
-            customer = customer,
-            reason = reason
-        ),
-        ZoneNotice::Reclaimed {
-            customer,
-            reclaim_ms,
-        } => log_event!(
-            Info,
-            "guarantee_reclaimed",
-            zone = zone,
-            customer = customer,
-            reclaim_ms = reclaim_ms
-        ),
-        ZoneNotice::GuaranteeShort {
-            customer,
-            cells_short,
-        } => log_event!(
-            Warn,
-            "guarantee_short",
-            zone = zone,
-            customer = customer,
-            cells_short = cells_short
-        ),
-        ZoneNotice::WorkerJudged {
-            worker,
-            state,
-            reason,
-        } => log_event!(
-            Warn,
-            "worker_judged",
-            zone = zone,
-            worker = worker,
-            state = state,
-            reason = reason
-        ),
-        ZoneNotice::Fenced { epoch } => {
-            log_event!(Warn, "zone_fenced", zone = zone, highest_epoch = epoch);
-        }
-    }
-}
