Work out the planned size from measured slopes and say what breaks

Cause: the design has to hold 8,400 workers in 24 zones, and nothing said what today's mechanisms cost there.

Change: docs/CAPACITY.md for each role with formula, budget and mechanism; capacity_slopes also measures memory, processor time and bytes a second of idle entry hosts in their own processes.

Placing is not measured yet.

--- a/ragwortwick-daemon/examples/capacity_slopes/main.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/main.rs
@@ -1,15 +1,23 @@
-//! Measures the slopes of docs/CAPACITY.md: `cargo run --release --example capacity_slopes`.
+//! Measures the slopes of docs/CAPACITY.md.
 //!
-//! Each series has three or more sizes; its line shows every point and the least-squares fit.
+//! Run with `cargo build --release --bin ragwortwickd` and then
+//! `cargo run --release -p ragwortwick-daemon --example capacity_slopes`. Each series has three or
+//! more sizes; its line shows every point and the least-squares fit.
 
 mod messages;
+mod processes;
 mod sample;
 mod series;
 mod table;
 
-fn main() {
+use std::error::Error;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
     println!("# bytes of messages and records");
     messages::run();
     println!("# the operators' table");
     table::run();
+    println!("# idle entry hosts as processes");
+    processes::run().await
 }
