--- a/ragwortwick-daemon/src/requests/duty.rs
+++ b/ragwortwick-daemon/src/requests/duty.rs
@@ -1,6 +1,7 @@
 //! The duty that drives the dispatcher and carries out its actions.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -8,7 +9,8 @@
 use ragwortwick_border::RunnerRequest;
 use ragwortwick_core::{DurationMs, HostName, TimeMs, Verdict, log_event};
 use ragwortwick_policy::{
-    Arrival, Dispatcher, RequestAction, RequestEvent, RequestNotice, RunnerLoadSeen, Ticket,
+    Arrival, ClaimOutcome, Dispatcher, RequestAction, RequestEvent, RequestNotice, RunnerLoadSeen,
+    Ticket,
 };
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -50,6 +52,8 @@
 pub(super) struct Claim {
     pub(super) id: String,
     pub(super) nonce: String,
+    /// Set once the store says that another host holds it.
+    pub(super) is_held_elsewhere: Arc<AtomicBool>,
 }
 
 /// `DutyRing` reaches the duty from its own tasks; it is set once the duty runs.
@@ -198,6 +202,8 @@
         let (claims, ring, host) = (self.claims.clone(), self.ring.clone(), self.host.clone());
         self.runtime.spawn(async move {
             let outcome = claims.claim(&claim.id, &host, &claim.nonce).await;
+            let is_held = outcome == ClaimOutcome::HeldElsewhere;
+            claim.is_held_elsewhere.store(is_held, Ordering::Release);
             let event = RequestEvent::ClaimDecided { ticket, outcome };
             ring.deliver(DutyEvent::Policy(event)).await;
         });
--- a/ragwortwick-daemon/src/requests/once.rs
+++ b/ragwortwick-daemon/src/requests/once.rs
@@ -1,7 +1,8 @@
 //! Requests that must not be repeated: each id runs on one host, once.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ragwortwick_border::{
     ForwardRequest, PeerCall, PeerReply, RefusalVerdict, RequestOutcome, RequestSubmit,
@@ -133,8 +134,16 @@
                 let this = self.clone();
                 tokio::spawn(async move {
                     let claim = needs_claim.then(|| this.claim_of(&key));
-                    let outcome = this.run(id, request, claim).await;
-                    this.once().lock().settle(&key, settlement(&outcome));
+                    let outcome = this.run(id, request, claim.clone()).await;
+                    // What another host does with its claim is in the store, not in this log.
+                    let is_elsewhere =
+                        claim.is_some_and(|c| c.is_held_elsewhere.load(Ordering::Acquire));
+                    let settlement = if is_elsewhere {
+                        Settlement::NotRun
+                    } else {
+                        settlement(&outcome)
+                    };
+                    this.once().lock().settle(&key, settlement);
                     done.send_replace(Some(outcome));
                 });
                 wait(waiter, &own_id).await
@@ -158,6 +167,7 @@
         Claim {
             id: format!("{}/{}", key.customer, key.request_id),
             nonce: self.fresh_nonce(),
+            is_held_elsewhere: Arc::default(),
         }
     }
 }
--- a/ragwortwick-daemon/src/requests/sender.rs
+++ b/ragwortwick-daemon/src/requests/sender.rs
@@ -147,7 +147,7 @@
         links.get(runner).cloned()
     }
 
-    /// Gives an idle connection that answered lately or answers now, else a new one.
+    /// Gives an idle connection that answered lately or answers now, else a new one that does.
     async fn proven(&self, link: &Arc<Link>, request: &RunnerRequest) -> Option<Connection> {
         while let Some(mut connection) = link.take_idle() {
             if !connection.is_open() || connection.last_id.as_ref() == Some(&request.request_id) {
@@ -162,7 +162,10 @@
             // One silent connection is a sign for all that have been idle for as long.
             link.drop_idle();
         }
-        self.connect(link).await.ok()
+        // That a connection opens shows only that something in between took it.
+        let mut connection = self.connect(link).await.ok()?;
+        ask_load(self.clock, &mut connection).await?;
+        Some(connection)
     }
 
     async fn connect(&self, link: &Arc<Link>) -> Result<Connection, String> {
