--- a/ragwortwick-border/src/generated.rs
+++ b/ragwortwick-border/src/generated.rs
@@ -92,6 +92,19 @@
         value.clone()
     }
 }
+/// `CustomerJobs` counts a customer's waiting jobs in the zone that the speaker owns.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CustomerJobs {
+    /// The customer.
+    pub customer: ragwortwick_core::CustomerName,
+    /// Its jobs that wait.
+    pub waiting: u32,
+}
+impl ::std::convert::From<&CustomerJobs> for CustomerJobs {
+    fn from(value: &CustomerJobs) -> Self {
+        value.clone()
+    }
+}
 /// `CustomerRow` creates a customer and ranks its work.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -859,6 +872,8 @@
     pub table_number: u64,
     /// Requests that wait there.
     pub waiting: u32,
+    /// Waiting jobs of the zone that it owns, by customer; empty if it owns none.
+    pub waiting_jobs: ::std::vec::Vec<CustomerJobs>,
     /// Its zone.
     pub zone: ragwortwick_core::ZoneName,
 }
@@ -1786,6 +1801,34 @@
         value.clone()
     }
 }
+/// `ZoneEpoch` is the last epoch given in a zone; it outlives every lease.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ZoneEpoch {
+    /// The epoch.
+    pub epoch: ragwortwick_core::Epoch,
+    /// Writer's nonce.
+    pub nonce: ::std::string::String,
+}
+impl ::std::convert::From<&ZoneEpoch> for ZoneEpoch {
+    fn from(value: &ZoneEpoch) -> Self {
+        value.clone()
+    }
+}
+/// `ZoneOwner` names the entry host that places in a zone; its key is held by a lease.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ZoneOwner {
+    /// Epoch of its ownership.
+    pub epoch: ragwortwick_core::Epoch,
+    /// The owner.
+    pub host: ragwortwick_core::HostName,
+    /// Writer's nonce.
+    pub nonce: ::std::string::String,
+}
+impl ::std::convert::From<&ZoneOwner> for ZoneOwner {
+    fn from(value: &ZoneOwner) -> Self {
+        value.clone()
+    }
+}
 /// `ZoneStatus` is an owner's view of its zone.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ZoneStatus {
