Give the test rig of requests the new feeds

Cause: the feeds gained the owned epoch, the rig of the request tests did not. Change: the field. Measured: the request tests build and pass.

--- a/ragwortwick-daemon/tests/requests/rig.rs
+++ b/ragwortwick-daemon/tests/requests/rig.rs
@@ -141,6 +141,8 @@
             table: table_feed,
             hosts: hosts_feed,
             store_is_reachable,
+            owned_epoch: watch::channel(None).1,
+            waiting_jobs: watch::channel(Arc::default()).1,
             lifecycle: lifecycle_feed,
         };
         let peers = PeerClient::open(&settings, clock, feeds.clone());
