--- a/ragwortwick-daemon/tests/requests/rig.rs
+++ b/ragwortwick-daemon/tests/requests/rig.rs
@@ -142,6 +142,7 @@
             hosts: hosts_feed,
             store_is_reachable,
             lifecycle: lifecycle_feed,
+            waiting_jobs: watch::channel(Arc::default()).1,
         };
         let peers = PeerClient::open(&settings, clock, feeds.clone());
         let claims = StoreClaims::open(&settings.store_address, clock);
--- a/ragwortwick-daemon/tests/requests/silent.rs
+++ b/ragwortwick-daemon/tests/requests/silent.rs
@@ -50,7 +50,7 @@
         rig.relays[0].set_mode(RelayMode::SilenceOpen);
     };
     let submit = rig.submit(request("again", 200));
-    let (outcome, ()) = within(async { tokio::join!(submit, silence) }).await;
+    let (outcome, ()) = Box::pin(within(async { tokio::join!(submit, silence) })).await;
     assert!(is_answer(&outcome, "again"), "{outcome:?}");
     rig.close().await;
 }
