Prove the request path over several processes: killed, frozen, cut, leaving and stopped

Cause: at most once, leaving runners, planned stops and cut zones were only proved on one host.

Change: checks with three entry host processes, zone paths that can be cut, SIGSTOP, SIGKILL and SIGTERM. A claim that is refused though nobody holds the id now takes a new lease: a store that let the lease lapse early would otherwise have kept this host from claiming for ten minutes.

--- a/ragwortwick-daemon/src/requests/claims.rs
+++ b/ragwortwick-daemon/src/requests/claims.rs
@@ -134,6 +134,26 @@
         host: &HostName,
         nonce: &str,
     ) -> Result<ClaimOutcome, HttpError> {
+        match self.create(id, host, nonce).await {
+            Ok(reply) if reply.applied => Ok(ClaimOutcome::Made),
+            // Refused though nobody holds the id: the lease is gone, so a new one is taken.
+            Ok(reply) if reply.entry.is_none() => {
+                self.drop_lease();
+                let reply = self.create(id, host, nonce).await?;
+                Ok(judge(reply.entry.as_ref(), nonce))
+            }
+            Ok(reply) => Ok(judge(reply.entry.as_ref(), nonce)),
+            // The answer may be lost after the write took effect: the nonce tells whose claim it is.
+            Err(_cause) => self.read_back(id, nonce).await,
+        }
+    }
+
+    async fn create(
+        &self,
+        id: &str,
+        host: &HostName,
+        nonce: &str,
+    ) -> Result<StoreCasReply, HttpError> {
         let value = serde_json::to_string(&ClaimValue {
             host: host.clone(),
             nonce: nonce.to_owned(),
@@ -148,12 +168,7 @@
             value: Some(value),
             lease_id: Some(self.lease().await?),
         };
-        match self.post::<_, StoreCasReply>("/v1/cas", &create).await {
-            Ok(reply) if reply.applied => Ok(ClaimOutcome::Made),
-            Ok(reply) => Ok(judge(reply.entry.as_ref(), nonce)),
-            // The answer may be lost after the write took effect: the nonce tells whose claim it is.
-            Err(_cause) => self.read_back(id, nonce).await,
-        }
+        self.post("/v1/cas", &create).await
     }
 
     /// An absent claim after a lost answer may still be written late, so it is not ours to use.
@@ -179,6 +194,10 @@
         Ok(())
     }
 
+    fn drop_lease(&self) {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+
     async fn lease(&self) -> Result<u64, HttpError> {
         let now = self.clock.now();
         if let Some(lease) = *self.lease.lock().unwrap_or_else(PoisonError::into_inner)
--- a/ragwortwick-daemon/tests/requests/rig.rs
+++ b/ragwortwick-daemon/tests/requests/rig.rs
@@ -141,6 +141,7 @@
             table: table_feed,
             hosts: hosts_feed,
             store_is_reachable,
+            waiting_jobs: watch::channel(Arc::default()).1,
             lifecycle: lifecycle_feed,
         };
         let peers = PeerClient::open(&settings, clock, feeds.clone());
--- a/ragwortwick-daemon/tests/requests/silent.rs
+++ b/ragwortwick-daemon/tests/requests/silent.rs
@@ -49,7 +49,7 @@
         rig.wait_for_start("again").await;
         rig.relays[0].set_mode(RelayMode::SilenceOpen);
     };
-    let submit = rig.submit(request("again", 200));
+    let submit = Box::pin(rig.submit(request("again", 200)));
     let (outcome, ()) = within(async { tokio::join!(submit, silence) }).await;
     assert!(is_answer(&outcome, "again"), "{outcome:?}");
     rig.close().await;
--- /dev/null
+++ b/ragwortwick-daemon/tests/requests_fleet/main.rs
@@ -0,0 +1,7 @@
+//! Checks of the request path over several entry host processes, under kills, cuts and stops.
+
+mod cut;
+mod fleet;
+mod leaving;
+mod once;
+mod stop;
--- /dev/null
+++ b/ragwortwick-daemon/tests/requests_fleet/stop.rs
@@ -0,0 +1,108 @@
+//! Proves that a planned stop cuts off no request and that a kill touches no other host's callers.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use futures_util::future::join_all;
+use http::Method;
+use ragwortwick_core::DurationMs;
+use ragwortwick_standin::{Faults, Fleet, sample_request};
+
+use crate::fleet::{is_answer, one_zone, order, pause, submit, wait_for_start};
+
+/// Callers that send one request after another.
+const CALLERS: usize = 8;
+
+/// What a balancer asks before it sends a request to a host.
+async fn is_healthy(fleet: &Fleet, host: usize) -> bool {
+    let http = fleet.caller.http();
+    let limit_ms = DurationMs(2_000);
+    let reply = http
+        .send(Method::GET, fleet.address(host), "/healthz", None, limit_ms)
+        .await;
+    reply.is_ok_and(|reply| reply.status.is_success())
+}
+
+/// Sends requests through a balancer until it is told to stop; counts those without an answer.
+async fn call_on(fleet: &Fleet, caller: usize, stop: &AtomicBool, failed: &AtomicUsize) -> usize {
+    let mut sent = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let id = format!("c{caller}-{sent}");
+        let host = usize::from(!is_healthy(fleet, 0).await);
+        let request = sample_request(&id, 20, true);
+        let outcome = fleet.caller.request(fleet.address(host), &request).await;
+        let is_served = outcome.as_ref().is_ok_and(|o| is_answer(o, &id));
+        if !is_served {
+            failed.fetch_add(1, Ordering::Relaxed);
+        }
+        sent += 1;
+    }
+    sent
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_planned_stop_under_load_cuts_off_no_request() {
+    // Every caller sees its answer. A host gets SIGTERM under load while the store is down and an
+    // order runs on it; a second SIGTERM follows. The balancer stops sending when the check fails;
+    // what came before is answered, also the order that ends long after the signal.
+    let mut fleet = one_zone(3, 4).await;
+    let id = crate::fleet::issue_id(&fleet, 0).await.to_string();
+    let long = order(&id, 5_000, 20_000);
+    let address = fleet.address(0).to_owned();
+    let caller = fleet.caller.clone();
+    let running = tokio::spawn(async move { caller.request(&address, &long).await });
+    wait_for_start(&fleet, &id).await;
+    let (stop, failed) = (AtomicBool::new(false), AtomicUsize::new(0));
+    let calls = join_all((0..CALLERS).map(|c| call_on(&fleet, c, &stop, &failed)));
+    let signals = async {
+        pause(300).await;
+        fleet.store.set_faults(Faults {
+            down: true,
+            ..Faults::default()
+        });
+        fleet.daemons[0].terminate().expect("a process");
+        pause(500).await;
+        fleet.daemons[0].terminate().expect("a process");
+        pause(4_000).await;
+        stop.store(true, Ordering::Relaxed);
+    };
+    let (sent, ()) = tokio::join!(calls, signals);
+    let outcome = running.await.expect("no panic").expect("an outcome");
+    assert!(is_answer(&outcome, &id), "{outcome:?}");
+    assert_eq!(failed.load(Ordering::Relaxed), 0, "of {sent:?}");
+    let status = fleet.daemons[0].wait().await.expect("it ends");
+    assert!(status.is_some_and(|status| status.success()));
+    fleet.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_kill_of_a_host_is_not_noticed_by_callers_of_others() {
+    // The callers of two hosts see all their answers while the third one is killed under load.
+    let mut fleet = one_zone(3, 4).await;
+    let hit: Vec<_> = (0..10)
+        .map(|number| {
+            let request = sample_request(&format!("hit-{number}"), 300, true);
+            let (caller, address) = (fleet.caller.clone(), fleet.address(0).to_owned());
+            tokio::spawn(async move { caller.request(&address, &request).await })
+        })
+        .collect();
+    wait_for_start(&fleet, "hit-0").await;
+    fleet.daemons[0].kill().expect("it ends");
+    for (number, hit) in hit.into_iter().enumerate() {
+        // Their callers see the broken connection and may come back: they are repeatable.
+        drop(hit.await.expect("no panic"));
+        let id = format!("hit-{number}");
+        let again = submit(&fleet, 1, &sample_request(&id, 0, true)).await;
+        assert!(is_answer(&again, &id), "{again:?}");
+    }
+    let others = (0..100).map(|number| {
+        let fleet = &fleet;
+        async move {
+            let id = format!("other-{number}");
+            let request = sample_request(&id, 10, true);
+            let outcome = submit(fleet, 1 + number % 2, &request).await;
+            assert!(is_answer(&outcome, &id), "{outcome:?}");
+        }
+    });
+    join_all(others).await;
+    fleet.close().await;
+}
