Give the wait for a removed record an outer limit

Cause: a test waited without end for the removal of a record, so a fault would hang the run. Change: an outer limit that only a hung test reaches. Measured: the test passes.

--- a/ragwortwick-daemon/src/zone/tests.rs
+++ b/ragwortwick-daemon/src/zone/tests.rs
@@ -344,9 +344,13 @@
         keep_ms: DurationMs(0),
     };
     let task = feed.spawn();
-    while read(&store).1.is_some() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let removal = async {
+        while read(&store).1.is_some() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let removed = tokio::time::timeout(LIMIT, removal).await;
+    assert!(removed.is_ok(), "the record is still there");
     task.abort();
     drop(owning);
     let mut retention = JobRetention::new(DurationMs(1_000));
