Let store calls of a burst wait in turn, and duties of the zone not behind them

Cause: calls beyond the budget slept and tried again, each for itself: an unlucky one could wait without end, and a burst of jobs delayed the looks at the zone's key. Ruled out: a larger budget; nine hosts at 40 calls/s are what the store takes. Change: a call takes its place in advance and waits for its own turn, at most 2 s, else it is refused as not sent; duties that pace themselves don't wait in the line. Conclusion: a burst costs its callers a repeat, and nobody else anything.

--- a/ragwortwick-daemon/src/state_duties.rs
+++ b/ragwortwick-daemon/src/state_duties.rs
@@ -94,7 +94,7 @@
         let nonces = Nonces::new(&settings.host, clock.incarnation());
         let config = ConfigHandle::open(
             in_force,
-            store.clone(),
+            store.paced(),
             peers.clone(),
             clock,
             metrics.clone(),
--- a/ragwortwick-daemon/src/zone/runtime.rs
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -133,7 +133,7 @@
             zone: settings.zone.clone(),
             ttl_ms: settings.owner_lease_ms,
             jitter: parts.store.backoff(),
-            store: parts.store,
+            store: parts.store.paced(),
             clock: parts.clock,
             nonces: parts.nonces,
             tenure,
@@ -205,7 +205,7 @@
     let owned = parts.owned_epoch.subscribe();
     let feed = JobFeed {
         zone: parts.settings.zone.clone(),
-        store: parts.store.clone(),
+        store: parts.store.paced(),
         ledger: ledger.clone(),
         ring: ring.clone(),
         owned: owned.clone(),
--- a/ragwortwick-daemon/tests/state_jobs.rs
+++ b/ragwortwick-daemon/tests/state_jobs.rs
@@ -6,6 +6,10 @@
 use ragwortwick_standin::{
     Faults, Fleet, FleetOptions, now, sample_accept, sample_job, wait_until,
 };
+use tokio::task::JoinSet;
+
+/// Jobs of a burst; several times what the budget of one host carries within its longest wait.
+const BURST: usize = 400;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ragwortwickd");
 
@@ -241,3 +245,41 @@
     assert_eq!(records(&fleet), 2);
     fleet.close().await;
 }
+
+// Hundreds of jobs arrive at one host at once, more than its calls to the store may carry. Each
+// caller hears 202 or "not run" at once, truthfully: a record stands for each 202 and for no 503.
+// The zone's lease is renewed all the while, so its owner stays the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_burst_of_jobs_is_answered_truthfully() {
+    let fleet = fleet().await;
+    let zone = fleet.zones()[0].clone();
+    wait_until("the zone has an owner", async || {
+        fleet.owner(&zone).is_some()
+    })
+    .await;
+    let mut calls = JoinSet::new();
+    for number in 0..BURST {
+        let caller = fleet.caller.clone();
+        let address = fleet.address(0).to_owned();
+        calls.spawn(async move {
+            let id = format!("burst-{number}");
+            let job = sample_job(&id, 1, 60_000, true);
+            (id, caller.job(&address, &job).await)
+        });
+    }
+    let mut refused = 0;
+    while let Some(answer) = calls.join_next().await {
+        let (id, answer) = answer.expect("a call that ends");
+        if answer.is_ok() {
+            assert!(fleet.record(&id).is_some(), "{id}");
+        } else {
+            assert_eq!(status_of(answer), 503, "{id}");
+            assert_eq!(fleet.record(&id), None, "{id}");
+            refused += 1;
+        }
+    }
+    assert!(refused > 0 && refused < BURST);
+    let is_lost = |line: &String| line.contains("state=standby");
+    assert!(!fleet.daemons[0].lines().iter().any(is_lost));
+    fleet.close().await;
+}
--- a/ragwortwick-platform/src/store_client.rs
+++ b/ragwortwick-platform/src/store_client.rs
@@ -29,6 +29,8 @@
     pub write_limit_ms: DurationMs,
     /// Waits between retries.
     pub backoff: BackoffOptions,
+    /// Longest wait for a place in the budget; a call that would wait longer is not sent.
+    pub longest_budget_wait_ms: DurationMs,
     /// Rate of calls.
     pub budget: CallBudgetOptions,
     /// Seed of all jitter; differs between hosts.
@@ -44,6 +46,7 @@
             call_timeout_ms: DurationMs(1_500),
             write_limit_ms: DurationMs(4_000),
             backoff: BackoffOptions::default(),
+            longest_budget_wait_ms: DurationMs(2_000),
             budget: CallBudgetOptions::default(),
             seed,
         }
@@ -77,6 +80,7 @@
     options: Arc<StoreOptions>,
     opened_at: Instant,
     budget: Arc<Mutex<CallBudget>>,
+    is_paced: bool,
     counts: Arc<CallCounts>,
     is_reachable: Arc<watch::Sender<bool>>,
     backoffs_made: Arc<AtomicU64>,
@@ -96,12 +100,25 @@
             options: Arc::new(options),
             opened_at: Instant::now(),
             budget: Arc::new(Mutex::new(budget)),
+            is_paced: false,
             counts: Arc::default(),
             is_reachable: Arc::new(watch::channel(false).0),
             backoffs_made: Arc::default(),
         }
     }
 
+    /// `paced` gives a client for a duty that paces its own calls by the intervals of its polls.
+    ///
+    /// Its calls don't wait behind a burst of job writes: a renewal or a look at the zone's key that
+    /// waits for seconds makes a zone change its owner, or stay without one, for no reason.
+    #[must_use]
+    pub fn paced(&self) -> Self {
+        Self {
+            is_paced: true,
+            ..self.clone()
+        }
+    }
+
     /// `options` lends the client's bounds.
     #[must_use]
     pub fn options(&self) -> &StoreOptions {
@@ -218,7 +235,7 @@
         body: &Q,
         limit_ms: DurationMs,
     ) -> Result<R, StoreError> {
-        self.wait_for_budget(kind).await;
+        self.wait_for_budget().await?;
         self.counts.add(kind);
         let answer = self
             .http
@@ -229,23 +246,26 @@
         answer
     }
 
-    async fn wait_for_budget(&self, kind: StoreCallKind) {
-        // Renewals are few and bounded by themselves; behind a queue of job writes the lease would
-        // lapse and the zone would change its owner for no reason.
-        if kind == StoreCallKind::LeaseRenew {
-            return;
+    async fn wait_for_budget(&self) -> Result<(), StoreError> {
+        if self.is_paced {
+            return Ok(());
         }
-        while let Err(wait_ms) = self.take_call() {
+        let wait_ms = self.take_call().map_err(|wait_ms| {
+            StoreError::NotSent(format!("calls wait here for more than {wait_ms} ms"))
+        })?;
+        if wait_ms > DurationMs(0) {
             tokio::time::sleep(wait_ms.into()).await;
         }
+        Ok(())
     }
 
-    fn take_call(&self) -> Result<(), DurationMs> {
+    fn take_call(&self) -> Result<DurationMs, DurationMs> {
         let elapsed_ms = u64::try_from(self.opened_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let longest_wait_ms = self.options.longest_budget_wait_ms;
         self.budget
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .take(TimeMs(elapsed_ms))
+            .take(TimeMs(elapsed_ms), longest_wait_ms)
     }
 
     fn note_reachable(&self, error: Option<&StoreError>) {
--- a/ragwortwick-platform/tests/budget.rs
+++ b/ragwortwick-platform/tests/budget.rs
@@ -14,7 +14,8 @@
     for now_ms in 0..10_000 {
         // Ten callers ask in every millisecond.
         for _ in 0..10 {
-            taken += u32::from(budget.take(TimeMs(now_ms)).is_ok());
+            let call = budget.take(TimeMs(now_ms), DurationMs(0));
+            taken += u32::from(call.is_ok());
         }
     }
     assert_eq!(taken, 40 + 40 * 10 - 1);
@@ -27,10 +28,31 @@
         burst: 1,
     };
     let mut budget = CallBudget::new(TimeMs(0), options);
-    assert_eq!(budget.take(TimeMs(0)), Ok(()));
-    assert_eq!(budget.take(TimeMs(0)), Err(DurationMs(100)));
-    assert_eq!(budget.take(TimeMs(99)), Err(DurationMs(1)));
-    assert_eq!(budget.take(TimeMs(100)), Ok(()));
+    let none = DurationMs(0);
+    assert_eq!(budget.take(TimeMs(0), none), Ok(none));
+    assert_eq!(budget.take(TimeMs(0), none), Err(DurationMs(100)));
+    assert_eq!(budget.take(TimeMs(99), none), Err(DurationMs(1)));
+    assert_eq!(budget.take(TimeMs(100), none), Ok(none));
+}
+
+// In a burst each call waits for its own place, later ones longer; one that would wait beyond the
+// limit is refused at once, and a refusal takes no place.
+#[test]
+fn verify_calls_of_a_burst_wait_in_turn() {
+    let options = CallBudgetOptions {
+        calls_per_s: 10,
+        burst: 1,
+    };
+    let mut budget = CallBudget::new(TimeMs(0), options);
+    let longest = DurationMs(250);
+    let mut take = |now_ms| budget.take(TimeMs(now_ms), longest);
+    assert_eq!(take(0), Ok(DurationMs(0)));
+    assert_eq!(take(0), Ok(DurationMs(100)));
+    assert_eq!(take(0), Ok(DurationMs(200)));
+    assert_eq!(take(0), Err(DurationMs(300)));
+    assert_eq!(take(0), Err(DurationMs(300)));
+    assert_eq!(take(50), Ok(DurationMs(250)));
+    assert_eq!(take(350), Ok(DurationMs(50)));
 }
 
 #[test]
