Prove that gangs outlive every host during an outage, and name a wrong limit

Cause: that gangs outlive every host of a zone in an outage was not tested, and a wrong limit of a job list was refused without naming the field. Change: a test in state_caretaker; the refusal names 'limit'.

--- a/ragwortwick-daemon/src/http/jobs.rs
+++ b/ragwortwick-daemon/src/http/jobs.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, Deserialize, StateData, StaticResponseExtender)]
 struct JobsQuery {
     after: Option<String>,
-    limit: Option<u32>,
+    limit: Option<String>,
 }
 
 pub(super) fn routes(route: &mut RouteBuilder<'_>) {
@@ -59,7 +59,12 @@
     let app = App::borrow_from(state).clone();
     let query = JobsQuery::take_from(state);
     let after = query.after.map(JobId::new);
-    let limit = query.limit.unwrap_or(DEFAULT_PAGE);
+    let Ok(limit) = query.limit.as_deref().map(str::parse).transpose() else {
+        let expected = "expected a whole number of jobs, at least 1";
+        let refusal = Refusal::new(StatusCode::BAD_REQUEST, "limit", expected);
+        return Ok(refusal.into_response(state));
+    };
+    let limit = limit.unwrap_or(DEFAULT_PAGE);
     let answer = app.jobs.list(after.as_ref(), limit).await;
     Ok(respond(state, StatusCode::OK, answer))
 }
--- a/ragwortwick-daemon/tests/state_caretaker.rs
+++ b/ragwortwick-daemon/tests/state_caretaker.rs
@@ -93,13 +93,7 @@
         .map(|member| member.lease_left_ms)
 }
 
-// Callers of running jobs notice nothing though the store is away and the owner of the zone dies in
-// the outage: another host renews the leases of gangs that are whole, under the epoch that the
-// workers show. A gang that lost a member is left to lapse, so that no part of it goes on running.
-#[tokio::test(flavor = "multi_thread")]
-async fn verify_whole_gangs_outlive_the_owner_during_an_outage() {
-    let mut fleet = one_zone().await;
-    let (owner, epoch) = wait_for_owner(&fleet).await;
+fn store_down(fleet: &Fleet) {
     let kinds = [
         "get",
         "list",
@@ -114,13 +108,27 @@
         down: true,
         ..Faults::default()
     });
-    fleet.daemons[owner].kill().expect("killed");
-    wait_until("one of the others takes care", async || {
+}
+
+async fn wait_for_caretaker(fleet: &Fleet) {
+    wait_until("one of the hosts takes care", async || {
         let is_round = |line: &String| line.contains("event=caretaker_round");
         let mut hosts = fleet.daemons.iter();
         hosts.any(|daemon| daemon.lines().iter().any(is_round))
     })
     .await;
+}
+
+// Callers of running jobs notice nothing though the store is away and the owner of the zone dies in
+// the outage: another host renews the leases of gangs that are whole, under the epoch that the
+// workers show. A gang that lost a member is left to lapse, so that no part of it goes on running.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_whole_gangs_outlive_the_owner_during_an_outage() {
+    let mut fleet = one_zone().await;
+    let (owner, epoch) = wait_for_owner(&fleet).await;
+    store_down(&fleet);
+    fleet.daemons[owner].kill().expect("killed");
+    wait_for_caretaker(&fleet).await;
     let whole = gang("whole", &["worker-0", "worker-1"]);
     start(&fleet, &whole, "worker-0", epoch).await;
     start(&fleet, &whole, "worker-1", epoch).await;
@@ -140,3 +148,29 @@
     assert_eq!(fleet.workers.log().count("whole.1", LogEvent::Started), 2);
     fleet.close().await;
 }
+
+// The store is away and every host is replaced, so that nobody remembers anything. The new hosts
+// know the workers from the host list and keep alive what runs there, under the epoch that the
+// workers show, until the store is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_gangs_outlive_every_host_during_an_outage() {
+    let mut fleet = one_zone().await;
+    let (_, epoch) = wait_for_owner(&fleet).await;
+    store_down(&fleet);
+    fleet.kill_all().expect("killed");
+    for host in 0..3 {
+        fleet.replace_daemon(host).await.expect("a new host");
+    }
+    wait_for_caretaker(&fleet).await;
+    let whole = gang("whole", &["worker-0", "worker-1"]);
+    start(&fleet, &whole, "worker-0", epoch).await;
+    start(&fleet, &whole, "worker-1", epoch).await;
+    for worker in ["worker-0", "worker-1"] {
+        wait_until("the gang is renewed", async || {
+            lease_left_ms(&fleet, worker, &whole).is_some_and(|left| left > SHORT_LEASE_MS)
+        })
+        .await;
+    }
+    assert_eq!(fleet.workers.log().count("whole.1", LogEvent::Lapsed), 0);
+    fleet.close().await;
+}
