--- a/ragwortwick-daemon/tests/state_recovery.rs
+++ b/ragwortwick-daemon/tests/state_recovery.rs
@@ -14,7 +14,8 @@
 /// Jobs of the storm; half of them must not be repeated.
 const JOBS: usize = 12;
 
-/// Seed of the storm's kills and faults; a failing one becomes a test of its own.
+/// Seed of the storm's kills and faults, unless `STORM_SEED` has another; a failing one becomes a
+/// test of its own.
 const SEED: u64 = 20_261_202;
 
 async fn fleet(hosts: usize) -> Fleet {
@@ -61,7 +62,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_storm_of_kills_loses_and_doubles_no_job() {
     let mut fleet = fleet(3).await;
-    let mut rng = StdRng::seed_from_u64(SEED);
+    let seed = std::env::var("STORM_SEED").ok();
+    let seed = seed.and_then(|seed| seed.parse().ok()).unwrap_or(SEED);
+    println!("seed={seed}");
+    let mut rng = StdRng::seed_from_u64(seed);
     for number in 0..JOBS {
         submit(&fleet, &format!("job-{number}"), 300, number % 2 == 0).await;
         if number % 3 != 2 {
@@ -112,6 +116,124 @@
     fleet.close().await;
 }
 
+/// `Blow` is one fault of the second storm.
+#[derive(Clone, Copy, Debug)]
+enum Blow {
+    KillOne,
+    KillAll,
+    FreezeOwner,
+    StoreDown,
+    StoreAnswersLost,
+    WorkerAnswersLost,
+    LeasesLapse,
+}
+
+const BLOWS: [Blow; 7] = [
+    Blow::KillOne,
+    Blow::KillAll,
+    Blow::FreezeOwner,
+    Blow::StoreDown,
+    Blow::StoreAnswersLost,
+    Blow::WorkerAnswersLost,
+    Blow::LeasesLapse,
+];
+
+async fn strike(fleet: &mut Fleet, blow: Blow, rng: &mut StdRng) {
+    let some = rng.random_range(1..4);
+    let kinds = ["get", "list", "cas", "watch", "lease_grant", "lease_renew"];
+    match blow {
+        Blow::KillOne => {
+            let host = rng.random_range(0..3);
+            fleet.daemons[host].kill().expect("killed");
+            fleet.replace_daemon(host).await.expect("a new host");
+        }
+        Blow::KillAll => {
+            fleet.kill_all().expect("killed");
+            for host in 0..3 {
+                fleet.replace_daemon(host).await.expect("a new host");
+            }
+        }
+        Blow::FreezeOwner => {
+            if let Some(owner) = fleet.owner(&fleet.zones()[0]) {
+                fleet.daemons[owner].freeze().expect("frozen");
+                tokio::time::sleep(Duration::from_secs(5)).await;
+                fleet.daemons[owner].wake().expect("woken");
+            }
+        }
+        Blow::StoreDown => fleet.store.set_faults(Faults {
+            only: kinds.map(str::to_owned).to_vec(),
+            down: true,
+            ..Faults::default()
+        }),
+        Blow::StoreAnswersLost => fleet.store.set_faults(Faults {
+            only: kinds.map(str::to_owned).to_vec(),
+            lose_answers: some,
+            ..Faults::default()
+        }),
+        Blow::WorkerAnswersLost => fleet.workers.set_faults(Faults {
+            lose_answers: some,
+            ..Faults::default()
+        }),
+        Blow::LeasesLapse => fleet.store.set_faults(Faults {
+            lapse_leases: true,
+            ..Faults::default()
+        }),
+    }
+}
+
+fn heal(fleet: &Fleet) {
+    fleet.store.set_faults(Faults::default());
+    fleet.workers.set_faults(Faults::default());
+}
+
+// Two faults at once, again and again, while jobs of every length are accepted and run: kills,
+// freezes past the lease, a store that is down, forgets its leases or loses answers, workers whose
+// answers are lost. Callers see every accepted job end; none that must not be repeated starts twice,
+// and no attempt starts a member twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_storm_of_double_faults_loses_and_doubles_no_job() {
+    let mut fleet = fleet(3).await;
+    let seed = std::env::var("STORM_SEED").ok();
+    let seed = seed.and_then(|seed| seed.parse().ok()).unwrap_or(SEED);
+    println!("seed={seed}");
+    let mut rng = StdRng::seed_from_u64(seed);
+    for number in 0..JOBS {
+        let run_ms = rng.random_range(100..4_000);
+        submit(&fleet, &format!("job-{number}"), run_ms, number % 2 == 0).await;
+        if number % 3 != 2 {
+            continue;
+        }
+        let pair: [Blow; 2] = std::array::from_fn(|_| BLOWS[rng.random_range(0..BLOWS.len())]);
+        println!("blows={pair:?}");
+        for blow in pair {
+            strike(&mut fleet, blow, &mut rng).await;
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..2_000))).await;
+        heal(&fleet);
+    }
+    for number in 0..JOBS {
+        let id = format!("job-{number}");
+        wait_until(&format!("{id} ends"), async || {
+            let phase = fleet.record(&id).map(|record| record.phase);
+            matches!(phase, Some(JobPhase::Finished | JobPhase::MayHaveRun))
+        })
+        .await;
+        let starts = starts(&fleet, &id);
+        assert!(
+            starts.iter().all(|started| *started <= 2),
+            "{id}: {starts:?}"
+        );
+        let is_repeatable = number % 2 == 0;
+        let phase = fleet.record(&id).map(|record| record.phase);
+        if is_repeatable {
+            assert_eq!(phase, Some(JobPhase::Finished), "{id}");
+        } else {
+            assert!(started(&fleet, &id) <= 2, "{id}: {starts:?}");
+        }
+    }
+    fleet.close().await;
+}
+
 // A gang runs while its zone's owner is killed. The next owner finds it by its inventory and renews
 // it; the caller sees one start and one finish, and the gang's lease never runs out.
 #[tokio::test(flavor = "multi_thread")]
