--- a/ragwortwick-daemon/src/zone/mod.rs
+++ b/ragwortwick-daemon/src/zone/mod.rs
@@ -4,16 +4,20 @@
 mod caretaker;
 mod handle;
 mod job_feed;
+mod job_hints;
 mod job_ledger;
 mod job_retention;
 mod job_writer;
+mod notices;
 mod order_sender;
 mod owner_duty;
 mod ownership;
+mod peer_epochs;
 mod runtime;
 mod tenure;
 #[cfg(test)]
 mod tests;
+mod waiting_jobs;
 mod zone_duty;
 mod zone_event;
 
