--- a/ragwortwick-policy/tests/fake_zone/mod.rs
+++ b/ragwortwick-policy/tests/fake_zone/mod.rs
@@ -53,7 +53,7 @@
     pub workers: BTreeMap<WorkerName, FakeWorker>,
     pub truths: BTreeMap<JobId, Truth>,
     pub records: BTreeMap<JobId, JobRecord>,
-    pub written: Vec<JobRecord>,
+    pub written_at: Vec<(TimeMs, JobRecord)>,
     pub notices: Vec<(TimeMs, ZoneNotice)>,
     pub starts: BTreeMap<JobId, Vec<(TimeMs, GangId)>>,
     pub commits: Vec<(GangId, WorkerName)>,
@@ -66,6 +66,7 @@
     fates: Fates,
     pub after_event: Option<fn(&FakeZone)>,
     unwritten: Vec<JobRecord>,
+    checkpointed: BTreeSet<GangId>,
 }
 
 impl FakeZone {
@@ -86,7 +87,7 @@
             workers,
             truths: BTreeMap::new(),
             records: BTreeMap::new(),
-            written: Vec::new(),
+            written_at: Vec::new(),
             notices: Vec::new(),
             starts: BTreeMap::new(),
             commits: Vec::new(),
@@ -99,6 +100,7 @@
             fates: Box::new(|_, _| Fate::Deliver),
             after_event: None,
             unwritten: Vec::new(),
+            checkpointed: BTreeSet::new(),
         }
     }
 
@@ -216,6 +218,12 @@
         }
     }
 
+    pub fn break_worker(&mut self, name: &WorkerName, is_broken: bool) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.is_broken = is_broken;
+        }
+    }
+
     pub fn revive(&mut self, name: &WorkerName) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
@@ -296,7 +304,7 @@
             job_id: record.job_id.clone(),
             attempt: record.attempt,
         };
-        self.written.push(record.clone());
+        self.written_at.push((self.now, record.clone()));
         self.records.insert(record.job_id.clone(), record);
         self.later(5, event);
     }
@@ -322,6 +330,11 @@
     fn deliver(&mut self, order: OrderId, name: &WorkerName, command: &WorkerCommand) {
         self.orders_sent += 1;
         let fate = (self.fates)(name, command);
+        if let WorkerCommand::Stop(stop) = command
+            && stop.grace_ms > DurationMs(0)
+        {
+            self.checkpoint(name, &stop.gang_id, stop.grace_ms);
+        }
         let epoch = Epoch(self.epoch);
         let reply = self.workers.get_mut(name).and_then(|worker| {
             if worker.is_down || fate == Fate::LoseOrder {
@@ -354,6 +367,27 @@
         }
     }
 
+    /// Keeps what a whole gang has done, so that its job's next attempt has less to do.
+    fn checkpoint(&mut self, name: &WorkerName, gang_id: &GangId, grace_ms: DurationMs) {
+        let now = self.now;
+        let Some(held) = self.workers.get(name).and_then(|w| w.gangs.get(gang_id)) else {
+            return;
+        };
+        let is_whole = held.spec.members.iter().all(|member| {
+            let worker = self.workers.get(&member.worker);
+            worker.is_some_and(|worker| !worker.is_down)
+        });
+        if !held.is_active() || !is_whole || self.checkpointed.contains(gang_id) {
+            return;
+        }
+        let done_ms = (now + grace_ms).since(held.started_at);
+        let job_id = held.spec.job_id.clone();
+        self.checkpointed.insert(gang_id.clone());
+        if let Some(truth) = self.truths.get_mut(&job_id) {
+            truth.run_ms = truth.run_ms.saturating_sub(done_ms.0).max(1_000);
+        }
+    }
+
     /// Gangs of which some member runs and some does not.
     pub fn partial_gangs(&mut self) -> BTreeSet<GangId> {
         let now = self.now;
--- a/ragwortwick-policy/tests/fake_zone/worker.rs
+++ b/ragwortwick-policy/tests/fake_zone/worker.rs
@@ -26,7 +26,7 @@
         matches!(self.phase, GangPhase::Running | GangPhase::Checkpointing)
     }
 
-    fn is_over(&self) -> bool {
+    pub fn is_over(&self) -> bool {
         !self.is_active() && self.phase != GangPhase::Reserved
     }
 }
