Place the tests of the request path on the page of proofs and measure the placer

Change: a row for each point without any fault; rows for the tests of requests on one and several hosts. capacity_slopes drives a placer with workers that carry out every order at once: time of a start and of holding gangs, orders and bytes a second, memory.

--- a/ragwortwick-daemon/examples/capacity_slopes/main.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/main.rs
@@ -5,6 +5,7 @@
 //! more sizes; its line shows every point and the least-squares fit.
 
 mod messages;
+mod placer;
 mod processes;
 mod sample;
 mod series;
@@ -18,6 +19,8 @@
     messages::run();
     println!("# the operators' table");
     table::run();
+    println!("# the placer of one zone");
+    placer::run();
     println!("# idle entry hosts as processes");
     processes::run().await
 }
--- a/ragwortwick-daemon/tests/docs_proofs.rs
+++ b/ragwortwick-daemon/tests/docs_proofs.rs
@@ -7,8 +7,9 @@
 
 use proofs::{Page, Status, Test, tests_of_the_tree};
 
-/// The faults of the brief, in the order of every table on the page.
-const FAULTS: [&str; 13] = [
+/// No fault and the faults of the brief, in the order of every table on the page.
+const FAULTS: [&str; 14] = [
+    "none",
     "kill",
     "cut",
     "freeze",
