Check that a planned stop gives its lease back

Cause: the test of a planned stop would have passed with a lease that merely lapsed. Change: it looks at the revocation.

--- a/ragwortwick-daemon/tests/state_owner_moves.rs
+++ b/ragwortwick-daemon/tests/state_owner_moves.rs
@@ -198,8 +198,8 @@
     fleet.close().await;
 }
 
-// A planned stop gives the lease back at once: the zone moves without waiting for the lease's end,
-// which the key's new holder shows while the old host still drains.
+// A planned stop gives the lease back, so that the zone moves without waiting for the lease's end
+// while the old host still drains.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_planned_stop_hands_the_zone_over() {
     let mut fleet = one_zone().await;
@@ -207,6 +207,8 @@
     fleet.daemons[first].terminate().expect("asked to stop");
     let second = wait_for_owner(&fleet, Some(first)).await;
     assert_ne!(first, second);
+    let revoked = fleet.store.calls().get("lease_revoke").copied();
+    assert!(revoked.is_some_and(|calls| calls > 0), "{revoked:?}");
     let status = fleet.daemons[first].wait().await.expect("ended");
     assert!(status.is_some_and(|status| status.success()));
     fleet.close().await;
