--- a/ragwortwick-daemon/tests/state_jobs.rs
+++ b/ragwortwick-daemon/tests/state_jobs.rs
@@ -1,6 +1,6 @@
 //! Acceptance of jobs at an entry host while the store fails in every way.
 
-use ragwortwick_border::{JobPhase, StoreList, TableAcceptReply};
+use ragwortwick_border::{JobList, JobPhase, StoreList, TableAcceptReply};
 use ragwortwick_core::{CustomerName, DurationMs, JobId, ZoneName};
 use ragwortwick_http::HttpError;
 use ragwortwick_standin::{
@@ -283,3 +283,32 @@
     assert!(!fleet.daemons[0].lines().iter().any(is_lost));
     fleet.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_jobs_are_listed_in_pages() {
+    let fleet = fleet().await;
+    for id in ["a", "b", "c"] {
+        let job = sample_job(id, 1, 60_000, true);
+        let accepted = fleet.caller.job(fleet.address(0), &job).await;
+        accepted.expect("accepted");
+    }
+    let page = async |query: &str| {
+        let path = format!("/v1/jobs{query}");
+        let http = fleet.caller.http();
+        let page = http.get::<JobList>(fleet.address(0), &path, DurationMs(10_000));
+        page.await
+    };
+    let ids = |page: JobList| {
+        let ids = page.jobs.into_iter().map(|job| job.record.job_id);
+        ids.map(|id| id.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(ids(page("?limit=2").await.expect("a page")), ["a", "b"]);
+    assert_eq!(ids(page("?limit=2&after=b").await.expect("a page")), ["c"]);
+    let wrong = page("?limit=many").await;
+    let Err(HttpError::Status { status, body, .. }) = wrong else {
+        panic!("expected a refusal, got {wrong:?}");
+    };
+    assert_eq!(status, 400);
+    assert!(body.contains("\"field\":\"limit\""), "{body}");
+    fleet.close().await;
+}
