Prove the promises across processes: kills, freezes, cuts, outages, lost answers, planned stops

Cause: nothing showed the path, the stop and the recovery with entry hosts as processes of their own. Ruled out: a relay that accepts and then closes, or accepts and drops, for a cut path: callers meet an open port there, which no cut zone has. The relay now refuses, or completes no connection.

--- /dev/null
+++ b/ragwortwick-daemon/tests/e2e_store.rs
@@ -0,0 +1,46 @@
+//! Requests while the store is down.
+
+use ragwortwick_border::RequestOutcome;
+use ragwortwick_standin::{Faults, Fleet, FleetOptions, sample_answer, sample_request};
+
+async fn open_fleet() -> Fleet {
+    let options = FleetOptions::two_zones(env!("CARGO_BIN_EXE_ragwortwickd"));
+    let fleet = Fleet::open_with_table(options).await;
+    fleet.expect("the fleet starts")
+}
+
+fn down() -> Faults {
+    Faults {
+        down: true,
+        ..Faults::default()
+    }
+}
+
+// Requests go on while the store is down: a repeatable one is answered whole, one that must not be
+// repeated either runs once or is truthfully refused as not run, at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_requests_are_served_while_the_store_is_down() {
+    let fleet = open_fleet().await;
+    fleet.store.set_faults(down());
+    for number in 0..10 {
+        let id = format!("repeatable-{number}");
+        let request = sample_request(&id, 5, true);
+        let outcome = fleet
+            .caller
+            .request(fleet.address(number % 3), &request)
+            .await;
+        let RequestOutcome::Answered(answer) = outcome.expect("an outcome") else {
+            panic!("{id} is refused");
+        };
+        assert_eq!(answer.answer, sample_answer(&id));
+        let id = format!("order-{number}");
+        let request = sample_request(&id, 5, false);
+        let outcome = fleet
+            .caller
+            .request(fleet.address(number % 3), &request)
+            .await;
+        let is_answered = matches!(outcome.expect("an outcome"), RequestOutcome::Answered(_));
+        assert_eq!(fleet.runners.starts(&id), usize::from(is_answered));
+    }
+    fleet.close().await;
+}
--- a/ragwortwick-standin/examples/standin.rs
+++ b/ragwortwick-standin/examples/standin.rs
@@ -20,7 +20,7 @@
 
 Prints one line of key=value pairs per address, then runs until SIGTERM or SIGINT. With
 --end-with-input it also ends with its standard input. A relay takes the modes pass, cut,
-blackhole, silence_open and duplicate as input lines.
+blackhole, frozen, silence_open and duplicate as input lines.
 ";
 
 type Outcome = Result<(), Box<dyn Error>>;
--- a/ragwortwick-standin/src/relay.rs
+++ b/ragwortwick-standin/src/relay.rs
@@ -4,17 +4,29 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use ragwortwick_core::common;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 /// Bytes moved at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Tries to get the port back after a cut, and the pause between them.
+const RESERVE_TRIES: u32 = 250;
+const RESERVE_PAUSE: Duration = Duration::from_millis(20);
+
+/// A connection on loopback that takes longer is not going to be completed.
+const FILLER_WAIT: Duration = Duration::from_millis(100);
+
 /// `RelayMode` is what the relay does with the path.
 #[common(wire)]
 #[derive(Copy, Default, Eq)]
@@ -25,8 +37,10 @@
     Pass,
     /// Closes open connections and refuses new ones.
     Cut,
-    /// Keeps connections open, takes new ones and drops every byte.
+    /// Drops every byte and completes no new connection, as a path that loses all packets.
     Blackhole,
+    /// Drops every byte and takes new connections, as a frozen process behind a live system.
+    Frozen,
     /// Drops every byte of connections that are open now; new ones pass.
     SilenceOpen,
     /// Passes bytes, those towards the caller twice.
@@ -58,7 +72,7 @@
             mode: mode.clone(),
             bytes: Arc::clone(&bytes),
         };
-        let accept_loop = tokio::spawn(accept(listener, path));
+        let accept_loop = tokio::spawn(accept(listener, address, path));
         Ok(Self {
             address,
             mode,
@@ -98,14 +112,80 @@
     bytes: Arc<AtomicU64>,
 }
 
-async fn accept(listener: TcpListener, path: Path) {
+async fn accept(listener: TcpListener, address: SocketAddr, path: Path) {
+    let mut mode = path.mode.subscribe();
+    let mut listener = Some(listener);
     loop {
-        let Ok((caller, _)) = listener.accept().await else {
-            return;
+        let current = *mode.borrow_and_update();
+        let is_shut = matches!(current, RelayMode::Cut | RelayMode::Blackhole);
+        let Some(open) = listener.take().filter(|_| !is_shut) else {
+            let Ok(opened) = stay_shut(address, &mut mode, current).await else {
+                return;
+            };
+            listener = Some(opened);
+            continue;
         };
-        // Dropping the socket closes it: a relay can't refuse while its port stays bound.
-        if *path.mode.borrow() != RelayMode::Cut {
-            tokio::spawn(connect(caller, path.clone()));
+        tokio::select! {
+            accepted = open.accept() => {
+                if let Ok((caller, _)) = accepted {
+                    tokio::spawn(connect(caller, path.clone()));
+                }
+            }
+            changed = mode.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+        listener = Some(open);
+    }
+}
+
+/// `stay_shut` keeps new connections out until the mode changes, and then listens again.
+async fn stay_shut(
+    address: SocketAddr,
+    mode: &mut watch::Receiver<RelayMode>,
+    current: RelayMode,
+) -> io::Result<TcpListener> {
+    // Bound without listening, the port refuses every connection and nobody else gets it.
+    let socket = reserve(address).await?;
+    if current != RelayMode::Blackhole {
+        wait_for_other(mode, current).await?;
+        return socket.listen(BACKLOG);
+    }
+    // With the queue of connections full the system drops every further attempt without an answer.
+    let full = socket.listen(0)?;
+    let mut fillers = Vec::new();
+    while let Ok(Ok(filler)) = timeout(FILLER_WAIT, TcpStream::connect(address)).await {
+        fillers.push(filler);
+    }
+    wait_for_other(mode, current).await?;
+    drop(full);
+    drop(fillers);
+    reserve(address).await?.listen(BACKLOG)
+}
+
+async fn wait_for_other(
+    mode: &mut watch::Receiver<RelayMode>,
+    current: RelayMode,
+) -> io::Result<()> {
+    let changed = mode.wait_for(|mode| *mode != current).await;
+    changed.map(drop).map_err(io::Error::other)
+}
+
+/// Another process may hold the port for a moment as the near end of a connection of its own.
+async fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
+    let mut tries_left = RESERVE_TRIES;
+    loop {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        match socket.bind(address) {
+            Err(error) if tries_left == 0 => return Err(error),
+            Err(_) => {
+                tries_left -= 1;
+                tokio::time::sleep(RESERVE_PAUSE).await;
+            }
+            Ok(()) => return Ok(socket),
         }
     }
 }
@@ -187,7 +267,8 @@
     }
 
     fn is_dropping(&self) -> bool {
-        self.is_silenced || *self.mode.borrow() == RelayMode::Blackhole
+        let mode = *self.mode.borrow();
+        self.is_silenced || matches!(mode, RelayMode::Blackhole | RelayMode::Frozen)
     }
 
     async fn wait_for_cut(&mut self) -> bool {
--- a/ragwortwick-standin/tests/runners.rs
+++ b/ragwortwick-standin/tests/runners.rs
@@ -93,8 +93,26 @@
     fresh.expect("a new connection passes");
     assert_eq!(runners.starts("r2"), 0);
     relay.set_mode(RelayMode::Cut);
-    let cut = run(&http, relay.address(), "r4", LIMIT_MS).await;
-    cut.expect_err("the path is cut");
+    let mut cut = run(&http, relay.address(), "r4", LIMIT_MS).await;
+    while !matches!(cut, Err(HttpError::NotSent { .. })) {
+        cut = run(&http, relay.address(), "r4", LIMIT_MS).await;
+    }
+    relay.set_mode(RelayMode::Pass);
+    let mut healed = run(&http, relay.address(), "r5", LIMIT_MS).await;
+    while healed.is_err() {
+        healed = run(&http, relay.address(), "r5", LIMIT_MS).await;
+    }
+    relay.set_mode(RelayMode::Blackhole);
+    let mut lost = run(&http, relay.address(), "r6", DurationMs(300)).await;
+    while lost.is_ok() {
+        lost = run(&http, relay.address(), "r6", DurationMs(300)).await;
+    }
+    relay.set_mode(RelayMode::Pass);
+    let fresh = HttpClient::new(&HttpClientOptions::default());
+    let mut healed = run(&fresh, relay.address(), "r7", LIMIT_MS).await;
+    while healed.is_err() {
+        healed = run(&fresh, relay.address(), "r7", LIMIT_MS).await;
+    }
     relay.close();
     runners.close().await;
 }
