Give up work that would probably end too late, and refuse at once what can not start in time

Ruled out: last in, first out, which would fail those who waited longest.

Change: what still waits after all that could start has started is given up once mean plus three deviations no longer fit; an arrival whose line moves too slowly for its deadline is refused at once. Faults of runners in the checks now meet requests only, since a runner that loses its load reports gets no request at all.

--- a/ragwortwick-daemon/tests/requests/answers.rs
+++ b/ragwortwick-daemon/tests/requests/answers.rs
@@ -47,6 +47,7 @@
     let rig = Rig::open(1, 10).await;
     for id in ["again", "once"] {
         rig.runners[0].set_faults(Faults {
+            only: vec!["run".to_owned()],
             cut_answers: 1,
             ..Faults::default()
         });
--- a/ragwortwick-daemon/tests/requests/verdicts.rs
+++ b/ragwortwick-daemon/tests/requests/verdicts.rs
@@ -7,6 +7,14 @@
 
 use crate::rig::{Rig, is_answer, order, refusal, request, within};
 
+/// Faults of the requests only: a runner that also fails its load reports gets no request.
+fn on_runs() -> Faults {
+    Faults {
+        only: vec!["run".to_owned()],
+        ..Faults::default()
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_not_run_is_true_under_every_fault_of_a_runner() {
     // The callers see answers, "not run" and "may have run" while both runners have one of the
@@ -15,31 +23,31 @@
     let faults = [
         Faults {
             fail_starts: true,
-            ..Faults::default()
+            ..on_runs()
         },
         Faults {
             leaving: true,
-            ..Faults::default()
+            ..on_runs()
         },
         Faults {
             down: true,
-            ..Faults::default()
+            ..on_runs()
         },
         Faults {
             closing: true,
-            ..Faults::default()
+            ..on_runs()
         },
         Faults {
             lose_answers: 10,
-            ..Faults::default()
+            ..on_runs()
         },
         Faults {
             cut_answers: 10,
-            ..Faults::default()
+            ..on_runs()
         },
         Faults {
             answer_delay_ms: DurationMs(400),
-            ..Faults::default()
+            ..on_runs()
         },
         Faults::default(),
     ];
--- a/ragwortwick-policy/src/request/dispatcher.rs
+++ b/ragwortwick-policy/src/request/dispatcher.rs
@@ -10,7 +10,7 @@
 use super::entry::{ClaimState, Ending, Request};
 use super::lifecycle::{Happening, Lifecycle, lifecycle};
 use super::messages::{Arrival, ClaimOutcome, RequestAction, RequestEvent, RequestNotice, Ticket};
-use super::queue::{ClassKey, Queue, Room};
+use super::queue::{ClassKey, Queue, Room, Sureness};
 use super::runners::Runners;
 use super::standing::Change;
 
@@ -194,14 +194,14 @@
         };
         let within_ms = arrival.deadline_ms.unwrap_or(line.row.deadline_ms);
         let deadline = now + within_ms.min(longest_ms);
-        let estimate_ms = line.run_time.estimate_ms(now);
-        if now + estimate_ms >= deadline {
+        let wait_ms = line.pace.wait_ms(now, line.waiting());
+        if now + wait_ms + line.run_time.mean_ms(now) >= deadline {
             let reason = NotRunReason::DeadlineUnmeetable;
-            return Err(Ending::new(reason, back_after_ms));
+            return Err(Ending::new(reason, wait_ms.max(back_after_ms)));
         }
         // Every request passes through its line, so even a line of length 0 has one place.
         if line.waiting() >= line.row.max_queued.max(1) {
-            let back_ms = estimate_ms.max(back_after_ms);
+            let back_ms = wait_ms.max(back_after_ms);
             return Err(Ending::new(NotRunReason::QueueFull, back_ms));
         }
         if let Err(back_ms) = line.rate.take(now) {
@@ -271,7 +271,12 @@
                 out.push(RequestAction::Probe(name.clone()));
             }
         }
-        self.give_up_overdue(now, out);
+        self.give_up_overdue(now, Sureness::Probable, out);
+        self.start_all(now, out);
+        self.give_up_overdue(now, Sureness::AlmostSure, out);
+    }
+
+    fn start_all(&mut self, now: TimeMs, out: &mut Vec<RequestAction>) {
         loop {
             let room = Room {
                 for_urgent: self.runners.has_room(now, true),
@@ -287,14 +292,14 @@
         }
     }
 
-    fn give_up_overdue(&mut self, now: TimeMs, out: &mut Vec<RequestAction>) {
+    fn give_up_overdue(&mut self, now: TimeMs, sureness: Sureness, out: &mut Vec<RequestAction>) {
         let back_at = (!self.runners.is_any_usable())
             .then(|| self.runners.next_return(now).unwrap_or(TimeMs(u64::MAX)));
         let reason = match back_at {
             Some(_) => NotRunReason::NoRunner,
             None => NotRunReason::DeadlineUnmeetable,
         };
-        while let Some(ticket) = self.queue.overdue(now, back_at) {
+        while let Some(ticket) = self.queue.overdue(now, back_at, sureness) {
             let ending = Ending::new(reason, self.back_after_ms(now));
             self.step(now, ticket, Happening::GivenUp, Some(ending), out);
         }
@@ -317,7 +322,7 @@
         }
         request.runner = Some(name);
         self.queue.remove(&request.key, request.deadline, ticket);
-        self.queue.begin(&request.key);
+        self.queue.begin(now, &request.key);
         self.running += 1;
         request.tries += 1;
         if request.tries == 1
--- a/ragwortwick-policy/src/request/limits.rs
+++ b/ragwortwick-policy/src/request/limits.rs
@@ -46,27 +46,75 @@
 /// late would otherwise never be tried again, however fast the runners have become.
 const HALF_LIFE_MS: DurationMs = DurationMs(5_000);
 
+/// Deviations added to the mean where work must surely end in time.
+const SURE_DEVIATIONS: f64 = 3.0;
+
 /// `RunTime` estimates how long a class's requests take on a runner.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RunTime {
     mean_ms: f64,
+    deviation_ms: f64,
     as_of: TimeMs,
 }
 
 impl RunTime {
     pub(super) fn observe(&mut self, now: TimeMs, took_ms: DurationMs) {
         let took = ms_as_f64(took_ms);
-        self.mean_ms = if self.mean_ms > 0.0 {
-            self.mean_ms + (took - self.mean_ms) * NEWEST
+        if self.mean_ms > 0.0 {
+            let off = took - self.mean_ms;
+            self.mean_ms += off * NEWEST;
+            self.deviation_ms += (off.abs() - self.deviation_ms) * NEWEST;
         } else {
-            took
-        };
+            self.mean_ms = took;
+            self.deviation_ms = took / 4.0;
+        }
         self.as_of = now;
     }
 
-    pub(super) fn estimate_ms(&self, now: TimeMs) -> DurationMs {
+    /// `mean_ms` is the time that a request probably takes.
+    pub(super) fn mean_ms(&self, now: TimeMs) -> DurationMs {
+        self.faded_ms(now, self.mean_ms)
+    }
+
+    /// `sure_ms` is the time in which a request almost surely ends.
+    pub(super) fn sure_ms(&self, now: TimeMs) -> DurationMs {
+        self.faded_ms(now, self.mean_ms + self.deviation_ms * SURE_DEVIATIONS)
+    }
+
+    fn faded_ms(&self, now: TimeMs, span_ms: f64) -> DurationMs {
         let halvings = ms_as_f64(now.since(self.as_of)) / ms_as_f64(HALF_LIFE_MS);
-        f64_as_ms(self.mean_ms * (-halvings.floor()).exp2())
+        f64_as_ms(span_ms * (-halvings.floor()).exp2())
+    }
+}
+
+/// A pace that was seen longer ago says nothing of the present.
+const PACE_FRESH_MS: DurationMs = DurationMs(1_000);
+
+/// `Pace` estimates how fast a line moves while requests wait in it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pace {
+    interval_ms: f64,
+    last_start_at: Option<TimeMs>,
+}
+
+impl Pace {
+    pub(super) fn on_start(&mut self, now: TimeMs, is_more_waiting: bool) {
+        if let Some(last) = self.last_start_at {
+            let interval = ms_as_f64(now.since(last));
+            self.interval_ms += (interval - self.interval_ms) * NEWEST / 4.0;
+        }
+        self.last_start_at = is_more_waiting.then_some(now);
+    }
+
+    /// `wait_ms` is the time until a request behind so many others probably starts.
+    pub(super) fn wait_ms(&self, now: TimeMs, ahead: u32) -> DurationMs {
+        let is_fresh = self
+            .last_start_at
+            .is_some_and(|at| now.since(at) < PACE_FRESH_MS);
+        if !is_fresh {
+            return DurationMs(0);
+        }
+        f64_as_ms(self.interval_ms * f64::from(ahead))
     }
 }
 
--- a/ragwortwick-policy/src/request/queue.rs
+++ b/ragwortwick-policy/src/request/queue.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ragwortwick_border::{AcceptedTable, ClassRow};
-use ragwortwick_core::{ClassName, CustomerName, TimeMs};
+use ragwortwick_core::{ClassName, CustomerName, DurationMs, TimeMs};
 
-use super::limits::{RateLimit, RunTime};
+use super::limits::{Pace, RateLimit, RunTime};
 use super::messages::Ticket;
 use super::retry::RetryBudget;
 
@@ -23,6 +23,7 @@
     pub(super) row: ClassRow,
     pub(super) rate: RateLimit,
     pub(super) run_time: RunTime,
+    pub(super) pace: Pace,
     pub(super) in_flight: u32,
     waiting: BTreeSet<(TimeMs, Ticket)>,
     is_in_table: bool,
@@ -45,6 +46,13 @@
     waiting: u32,
 }
 
+/// `Sureness` is how sure it must be that work ends in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Sureness {
+    Probable,
+    AlmostSure,
+}
+
 /// `Room` tells which work could be sent now.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Room {
@@ -126,7 +134,11 @@
         }
     }
 
-    pub(super) fn begin(&mut self, key: &ClassKey) {
+    pub(super) fn begin(&mut self, now: TimeMs, key: &ClassKey) {
+        if let Some(line) = self.classes.get_mut(key) {
+            let is_more_waiting = !line.waiting.is_empty();
+            line.pace.on_start(now, is_more_waiting);
+        }
         self.count(key, |n| n + 1);
     }
 
@@ -144,11 +156,20 @@
     }
 
     /// `overdue` finds a waiting request that can no longer be answered in time.
-    pub(super) fn overdue(&self, now: TimeMs, back_at: Option<TimeMs>) -> Option<Ticket> {
+    ///
+    /// One that still waits after all that could start has started is given up while it would
+    /// almost surely end in time: whatever starts later only sometimes does, and a slot spent on an
+    /// answer that comes too late is lost to others.
+    pub(super) fn overdue(
+        &self,
+        now: TimeMs,
+        back_at: Option<TimeMs>,
+        sureness: Sureness,
+    ) -> Option<Ticket> {
         let start = back_at.map_or(now, |at| at.max(now));
         self.classes.values().find_map(|line| {
             let (deadline, ticket) = line.waiting.first()?;
-            let done_at = start + line.run_time.estimate_ms(now);
+            let done_at = start + line.needed_ms(now, sureness);
             (done_at >= *deadline).then_some(*ticket)
         })
     }
@@ -159,7 +180,7 @@
         lines
             .filter_map(|line| {
                 let (deadline, _) = line.waiting.first()?;
-                Some(*deadline - line.run_time.estimate_ms(now))
+                Some(*deadline - line.needed_ms(now, Sureness::AlmostSure))
             })
             .min()
     }
@@ -251,6 +272,7 @@
         Self {
             rate: RateLimit::new(now, row.rate_per_s),
             run_time: RunTime::default(),
+            pace: Pace::default(),
             in_flight: 0,
             waiting: BTreeSet::new(),
             is_in_table: true,
@@ -262,6 +284,13 @@
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
 
+    fn needed_ms(&self, now: TimeMs, sureness: Sureness) -> DurationMs {
+        match sureness {
+            Sureness::Probable => self.run_time.mean_ms(now),
+            Sureness::AlmostSure => self.run_time.sure_ms(now),
+        }
+    }
+
     fn is_needed(&self) -> bool {
         self.is_in_table || self.in_flight > 0 || !self.waiting.is_empty()
     }
