--- a/ragwortwick-daemon/tests/requests/rig.rs
+++ b/ragwortwick-daemon/tests/requests/rig.rs
@@ -142,6 +142,7 @@
             hosts: hosts_feed,
             store_is_reachable,
             waiting_jobs: watch::channel(Arc::default()).1,
+            owned_epoch: watch::channel(None).1,
             lifecycle: lifecycle_feed,
         };
         let peers = PeerClient::open(&settings, clock, feeds.clone());
