Bound callers that never end their body or stop reading their answer

Cause: a body that never ended held its connection for good, and a caller that took no byte of its answer held up a planned stop for ever.

Change: a body must be whole within 15 s, else 408 naming it; a connection whose caller takes no byte for 20 s is closed. Both are options of the server.

Ruled out: a bound on the whole answer, which would cut off slow but living callers.

--- a/ragwortwick-http/src/lib.rs
+++ b/ragwortwick-http/src/lib.rs
@@ -3,6 +3,7 @@
 mod client;
 mod reply;
 mod server;
+mod stall;
 
 pub use client::{HttpClient, HttpClientOptions, HttpError, HttpReply};
 pub use reply::{Refusal, json_response, read_json};
--- a/ragwortwick-http/src/reply.rs
+++ b/ragwortwick-http/src/reply.rs
@@ -4,12 +4,21 @@
 use gotham::handler::IntoResponse;
 use gotham::helpers::http::Body;
 use gotham::helpers::http::response::create_response;
-use gotham::state::{FromState, State};
+use gotham::state::{FromState, State, StateData};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use ragwortwick_border::Problem;
+use ragwortwick_core::DurationMs;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+/// Longest time for a body where the server sets none.
+pub(crate) const BODY_TIMEOUT_MS: DurationMs = DurationMs(15_000);
+
+/// `BodyTimeout` is the longest time for a request's body to be whole.
+#[derive(Clone, Copy, Debug, StateData)]
+pub(crate) struct BodyTimeout(pub(crate) DurationMs);
 
 /// `Refusal` is a 4xx answer that names the field at fault.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,13 +65,20 @@
 ///
 /// # Errors
 ///
-/// Fails with 413 for an oversized body and 400 for one that is no `T`, naming the field's path.
+/// Fails with 413 for an oversized body, 408 for one that does not end in time, and 400 for one that is no `T`, naming the field's path.
 pub async fn read_json<T: DeserializeOwned>(
     state: &mut State,
     max_bytes: usize,
 ) -> Result<T, Refusal> {
+    let limit_ms = BodyTimeout::try_borrow_from(state).map_or(BODY_TIMEOUT_MS, |limit| limit.0);
     let body = Body::take_from(state);
-    let bytes = match Limited::new(body, max_bytes).collect().await {
+    let body = Limited::new(body, max_bytes).collect();
+    // A caller that never ends its body would hold what it sent so far, and its connection, for good.
+    let Ok(body) = timeout(limit_ms.into(), body).await else {
+        let text = format!("expected whole within {limit_ms} ms");
+        return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body", text));
+    };
+    let bytes = match body {
         Ok(collected) => collected.to_bytes(),
         Err(error) if error.is::<LengthLimitError>() => {
             let text = format!("expected at most {max_bytes} bytes");
--- a/ragwortwick-http/src/server.rs
+++ b/ragwortwick-http/src/server.rs
@@ -14,10 +14,13 @@
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use ragwortwick_core::DurationMs;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::task::JoinHandle;
 
+use crate::reply::{BODY_TIMEOUT_MS, BodyTimeout};
+use crate::stall::StallGuard;
+
 /// `ServerOptions` sets the bounds of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerOptions {
@@ -30,6 +33,10 @@
     /// It must exceed the balancer's idle timeout: a server that closes first can close just as the
     /// balancer sends the next request, and that caller sees a reset.
     pub header_timeout_ms: DurationMs,
+    /// Longest time for a request's body to be whole.
+    pub body_timeout_ms: DurationMs,
+    /// Longest time for a caller to take no byte of its answer.
+    pub stall_timeout_ms: DurationMs,
 }
 
 impl Default for ServerOptions {
@@ -38,6 +45,8 @@
             max_connections: 4_096,
             max_header_bytes: 16 << 10,
             header_timeout_ms: DurationMs(75_000),
+            body_timeout_ms: BODY_TIMEOUT_MS,
+            stall_timeout_ms: DurationMs(20_000),
         }
     }
 }
@@ -113,25 +122,38 @@
             tokio::time::sleep(std::time::Duration::from_millis(20)).await;
             continue;
         };
-        serve(&builder, &graceful, socket, peer, router.clone(), permit);
+        // Small answers must not wait for more bytes; without the option the answer is only later.
+        drop(socket.set_nodelay(true));
+        let socket = StallGuard::new(socket, options.stall_timeout_ms.into());
+        let handling = Handling {
+            router: router.clone(),
+            peer,
+            body_timeout: BodyTimeout(options.body_timeout_ms),
+        };
+        serve(&builder, &graceful, socket, handling, permit);
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
+/// What every request of one connection is handled with.
+struct Handling {
+    router: Router,
+    peer: SocketAddr,
+    body_timeout: BodyTimeout,
+}
+
 fn serve(
     builder: &Builder<TokioExecutor>,
     graceful: &GracefulShutdown,
-    socket: TcpStream,
-    peer: SocketAddr,
-    router: Router,
+    socket: StallGuard,
+    handling: Handling,
     permit: OwnedSemaphorePermit,
 ) {
-    // Small answers must not wait for more bytes; without the option the answer is only later.
-    drop(socket.set_nodelay(true));
     let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let state = State::from_request(request, peer);
-        let router = router.clone();
+        let mut state = State::from_request(request, handling.peer);
+        state.put(handling.body_timeout);
+        let router = handling.router.clone();
         async move {
             call_handler(router, AssertUnwindSafe(state))
                 .await
--- a/ragwortwick-http/tests/http_bounds.rs
+++ b/ragwortwick-http/tests/http_bounds.rs
@@ -140,3 +140,57 @@
     let _ = read.await.expect("the server closes the connection");
     server.close().await;
 }
+
+#[tokio::test]
+async fn verify_half_sent_body_is_refused_in_time() {
+    // The caller sees a 408 that names the body: it sent half of what its head announced, then
+    // nothing, and would have held its connection for good.
+    let options = ServerOptions {
+        body_timeout_ms: DurationMs(100),
+        ..ServerOptions::default()
+    };
+    let server = Server::bind(ANY_PORT, router(), options)
+        .await
+        .expect("loopback binds");
+    let mut caller = TcpStream::connect(server.address())
+        .await
+        .expect("it listens");
+    let half = b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 20\r\n\r\n{\"cells";
+    caller.write_all(half).await.expect("sent");
+    let mut answer = [0; 12];
+    let read = caller.read_exact(&mut answer);
+    let read = tokio::time::timeout(Duration::from_secs(20), read).await;
+    read.expect("the server answers").expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 408");
+    drop(caller);
+    server.close().await;
+}
+
+#[tokio::test]
+async fn verify_caller_that_stops_reading_does_not_hold_up_a_planned_stop() {
+    // The operator sees the server end. A caller asks for a large answer and takes nothing of it;
+    // without a bound the close would wait for this caller for good.
+    let options = ServerOptions {
+        stall_timeout_ms: DurationMs(200),
+        ..ServerOptions::default()
+    };
+    let router = build_simple_router(|route| route.get("/large").to_async_borrowing(large));
+    let server = Server::bind(ANY_PORT, router, options)
+        .await
+        .expect("loopback binds");
+    let mut caller = TcpStream::connect(server.address())
+        .await
+        .expect("it listens");
+    let ask = b"GET /large HTTP/1.1\r\nhost: x\r\n\r\n";
+    caller.write_all(ask).await.expect("sent");
+    caller.readable().await.expect("the answer has begun");
+    let closed = tokio::time::timeout(Duration::from_secs(20), server.close()).await;
+    closed.expect("the server ends");
+    drop(caller);
+}
+
+/// More than the buffers of both ends take.
+async fn large(state: &mut State) -> SimpleHandlerResult {
+    let text = "x".repeat(64 << 20);
+    Ok(json_response(state, StatusCode::OK, &text))
+}
