Let the half of a cut answer leave, and prove the refusal of arrivals behind a slow line

Cause: the stand-in's cut body failed before its kept half was sent, so no caller ever met a truncated answer.

Change: the stand-in waits 20 ms between the kept half and the failure. A check of arrivals that can no longer start in time.

--- a/ragwortwick-policy/tests/request/verdicts.rs
+++ b/ragwortwick-policy/tests/request/verdicts.rs
@@ -124,6 +124,30 @@
     assert!(is_not_run(&ended[0].1));
 }
 
+#[test]
+fn verify_arrival_behind_a_line_that_moves_too_slowly_is_refused_at_once() {
+    // The caller sees "not run" in the moment in which it asks. Forty requests wait for the only
+    // slot, which serves one in 100 ms; its own deadline of 2 s can't be met, and waiting for it
+    // would only keep the caller from asking elsewhere.
+    let mut rig = Rig::new(vec![runner("a", 1)]);
+    let mut running = Vec::new();
+    for _ in 0..60 {
+        running.extend(sends(&rig.arrive("padana", "check").1));
+    }
+    for _ in 0..20 {
+        rig.pass(100);
+        let (ticket, _) = running.remove(0);
+        running.extend(sends(&rig.ended(ticket, answered(1, 0))));
+    }
+    let mut arrival = rig.arrival("padana", "check");
+    arrival.deadline_ms = Some(DurationMs(2_000));
+    let ticket = arrival.ticket;
+    let ended = finishes(&rig.on(RequestEvent::Arrived(arrival)));
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended[0].0, ticket);
+    assert!(is_not_run(&ended[0].1));
+}
+
 #[test]
 fn verify_claim_comes_before_the_first_byte() {
     // The caller sees its answer. Its own id is claimed in the store first; nothing is sent before
--- a/ragwortwick-standin/src/body.rs
+++ b/ragwortwick-standin/src/body.rs
@@ -3,30 +3,37 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{HeaderValue, Response, header};
 use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
+use tokio::time::{Sleep, sleep};
 
 /// `CutBody` gives some bytes and then fails, which closes the connection.
 struct CutBody {
     kept: Option<Bytes>,
+    pause: Pin<Box<Sleep>>,
 }
 
+/// Time for the kept half to leave; a body that failed at once would take it along unsent.
+const LEAVE_TIME: Duration = Duration::from_millis(20);
+
 impl hyper::body::Body for CutBody {
     type Data = Bytes;
     type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, io::Error>>> {
-        Poll::Ready(Some(match self.kept.take() {
-            Some(kept) => Ok(hyper::body::Frame::data(kept)),
-            None => Err(io::Error::other("cut by a fault")),
-        }))
+        if let Some(kept) = self.kept.take() {
+            return Poll::Ready(Some(Ok(hyper::body::Frame::data(kept))));
+        }
+        let left = self.pause.as_mut().poll(cx);
+        left.map(|()| Some(Err(io::Error::other("cut by a fault"))))
     }
 }
 
@@ -44,5 +51,6 @@
         HeaderValue::from(whole.len().max(1)),
     );
     let kept = keep_half.then(|| whole.slice(..whole.len() / 2));
-    Response::from_parts(head, UnsyncBoxBody::new(CutBody { kept }))
+    let pause = Box::pin(sleep(LEAVE_TIME));
+    Response::from_parts(head, UnsyncBoxBody::new(CutBody { kept, pause }))
 }
