Ask the peers in reach before an order is called "not run" in an outage of the store

Cause: with the store away the claims can't be seen, so a copy of an order that another host had run before the outage was called "not run", which was true of the copy only.

Change: a peer call that asks whether a request may have run there (additive: Seen).

Ruled out: saying "may have run" of every order in an outage, since callers could not come back.

--- a/ragwortwick-border/src/generated.rs
+++ b/ragwortwick-border/src/generated.rs
@@ -822,6 +822,8 @@
     NewJob(JobRecord),
     /// Send the own status.
     Status,
+    /// Tell whether a request may have run there.
+    Seen(SeenRequest),
 }
 impl ::std::convert::From<&Self> for PeerCall {
     fn from(value: &PeerCall) -> Self {
@@ -853,6 +855,11 @@
         Self::NewJob(value)
     }
 }
+impl ::std::convert::From<SeenRequest> for PeerCall {
+    fn from(value: SeenRequest) -> Self {
+        Self::Seen(value)
+    }
+}
 /// `PeerHello` opens a peer connection and is repeated as a heartbeat.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct PeerHello {
@@ -912,6 +919,8 @@
     Status(HostStatus),
     /// Not served.
     Refused(PeerRefusal),
+    /// Whether a request may have run there.
+    Seen(SeenReply),
 }
 impl ::std::convert::From<&Self> for PeerReply {
     fn from(value: &PeerReply) -> Self {
@@ -948,6 +957,11 @@
         Self::Refused(value)
     }
 }
+impl ::std::convert::From<SeenReply> for PeerReply {
+    fn from(value: SeenReply) -> Self {
+        Self::Seen(value)
+    }
+}
 /// `PolicyWeights` trades completion time against fragmentation in placement.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1297,6 +1311,30 @@
         value.clone()
     }
 }
+/// `SeenReply` tells whether a peer ran or runs a request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SeenReply {
+    /// Whether it may have run there.
+    pub is_known: bool,
+}
+impl ::std::convert::From<&SeenReply> for SeenReply {
+    fn from(value: &SeenReply) -> Self {
+        value.clone()
+    }
+}
+/// `SeenRequest` asks whether a peer ran or runs a request that must not be repeated.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SeenRequest {
+    /// Its customer.
+    pub customer: ragwortwick_core::CustomerName,
+    /// Its id.
+    pub request_id: ragwortwick_core::RequestId,
+}
+impl ::std::convert::From<&SeenRequest> for SeenRequest {
+    fn from(value: &SeenRequest) -> Self {
+        value.clone()
+    }
+}
 /// `Shape` is a number of equal cells; a cell is accelerators that are adjacent (1, 2, 4, 8, 16, 32 or 64).
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/ragwortwick-border/src/lib.rs
+++ b/ragwortwick-border/src/lib.rs
@@ -24,8 +24,9 @@
     PeerCall, PeerHello, PeerRefusal, PeerReply, PolicyWeights, Problem, RefusalVerdict,
     RenewCommand, RequestAnswer, RequestOutcome, RequestRefusal, RequestSubmit, ReserveCommand,
     RunnerAnswer, RunnerLoad, RunnerRefusal, RunnerRefusalReason, RunnerRequest, RunnerStatus,
-    Shape, StopCommand, StoreAway, StoreCas, StoreCasReply, StoreChange, StoreEntry, StoreGet,
-    StoreGetReply, StoreList, StoreListReply, StoreWatch, StoreWatchReply, Table, TableAccept,
-    TableAcceptReply, TableConflict, TableProblem, TableReview, ThrottleCommand, WorkerCommand,
-    WorkerOrder, WorkerOutcome, WorkerReply, WorkerStatus, ZoneEpoch, ZoneOwner, ZoneStatus,
+    SeenReply, SeenRequest, Shape, StopCommand, StoreAway, StoreCas, StoreCasReply, StoreChange,
+    StoreEntry, StoreGet, StoreGetReply, StoreList, StoreListReply, StoreWatch, StoreWatchReply,
+    Table, TableAccept, TableAcceptReply, TableConflict, TableProblem, TableReview,
+    ThrottleCommand, WorkerCommand, WorkerOrder, WorkerOutcome, WorkerReply, WorkerStatus,
+    ZoneEpoch, ZoneOwner, ZoneStatus,
 };
--- a/ragwortwick-daemon/src/peers/server.rs
+++ b/ragwortwick-daemon/src/peers/server.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
-use ragwortwick_border::{JobCall, JobWhy, PeerCall, PeerRefusal, PeerReply, RequestSubmit};
+use ragwortwick_border::{
+    JobCall, JobWhy, PeerCall, PeerRefusal, PeerReply, RequestSubmit, SeenReply,
+};
 use ragwortwick_core::log_event;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -181,6 +183,9 @@
             app.zone.new_job(record);
             PeerReply::Done
         }
+        PeerCall::Seen(seen) => PeerReply::Seen(SeenReply {
+            is_known: app.requests.knows(&seen),
+        }),
         PeerCall::Status => PeerReply::Status(host_status(app).await),
     }
 }
--- a/ragwortwick-daemon/src/requests/duty.rs
+++ b/ragwortwick-daemon/src/requests/duty.rs
@@ -54,6 +54,8 @@
     pub(super) nonce: String,
     /// Set once the store says that another host holds it.
     pub(super) is_held_elsewhere: Arc<AtomicBool>,
+    /// Set once the store gave no certain answer.
+    pub(super) is_store_away: Arc<AtomicBool>,
 }
 
 /// `DutyRing` reaches the duty from its own tasks; it is set once the duty runs.
@@ -204,6 +206,8 @@
             let outcome = claims.claim(&claim.id, &host, &claim.nonce).await;
             let is_held = outcome == ClaimOutcome::HeldElsewhere;
             claim.is_held_elsewhere.store(is_held, Ordering::Release);
+            let is_away = outcome == ClaimOutcome::StoreAway;
+            claim.is_store_away.store(is_away, Ordering::Release);
             let event = RequestEvent::ClaimDecided { ticket, outcome };
             ring.deliver(DutyEvent::Policy(event)).await;
         });
--- a/ragwortwick-daemon/src/requests/once.rs
+++ b/ragwortwick-daemon/src/requests/once.rs
@@ -4,8 +4,10 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use futures_util::future::join_all;
 use ragwortwick_border::{
-    ForwardRequest, PeerCall, PeerReply, RefusalVerdict, RequestOutcome, RequestSubmit,
+    ForwardRequest, PeerCall, PeerReply, RefusalVerdict, RequestOutcome, RequestSubmit, SeenReply,
+    SeenRequest,
 };
 use ragwortwick_core::{DurationMs, RequestId, TimeMs};
 use ragwortwick_policy::{
@@ -26,6 +28,9 @@
 /// Time to come back when too much is remembered.
 const FULL_RETRY_MS: DurationMs = DurationMs(5_000);
 
+/// Longest wait for a peer's word; peers in reach answer in milliseconds.
+const SEEN_TIMEOUT_MS: DurationMs = DurationMs(300);
+
 type Waiter = watch::Receiver<Option<RequestOutcome>>;
 
 /// `OnceLog` is the host's memory of requests that must not be repeated.
@@ -135,14 +140,8 @@
                 tokio::spawn(async move {
                     let claim = needs_claim.then(|| this.claim_of(&key));
                     let outcome = this.run(id, request, claim.clone()).await;
-                    // What another host does with its claim is in the store, not in this log.
-                    let is_elsewhere =
-                        claim.is_some_and(|c| c.is_held_elsewhere.load(Ordering::Acquire));
-                    let settlement = if is_elsewhere {
-                        Settlement::NotRun
-                    } else {
-                        settlement(&outcome)
-                    };
+                    let outcome = this.beyond_store(&key, claim.as_ref(), outcome).await;
+                    let settlement = settlement(claim.as_ref(), &outcome);
                     this.once().lock().settle(&key, settlement);
                     done.send_replace(Some(outcome));
                 });
@@ -163,11 +162,47 @@
         }
     }
 
+    /// With the store away nobody can see the claims, and a peer may have run a copy of the request
+    /// before: "not run" would be true of this copy only. So the peers in reach are asked first.
+    async fn beyond_store(
+        &self,
+        key: &RunKey,
+        claim: Option<&Claim>,
+        outcome: RequestOutcome,
+    ) -> RequestOutcome {
+        if !claim.is_some_and(|claim| claim.is_store_away.load(Ordering::Acquire)) {
+            return outcome;
+        }
+        let asked = self.peers().reachable().into_iter().map(|peer| async move {
+            let call = PeerCall::Seen(SeenRequest {
+                customer: key.customer.clone(),
+                request_id: key.request_id.clone(),
+            });
+            let reply = self.peers().call(&peer, call, SEEN_TIMEOUT_MS).await;
+            matches!(reply, Ok(PeerReply::Seen(SeenReply { is_known: true })))
+        });
+        if join_all(asked).await.contains(&true) {
+            let reason = "another entry host has taken this request id";
+            return may_have_run(Some(&key.request_id), reason);
+        }
+        outcome
+    }
+
+    /// `knows` tells whether a request runs here or may have run here.
+    pub(crate) fn knows(&self, seen: &SeenRequest) -> bool {
+        let key = RunKey {
+            customer: seen.customer.clone(),
+            request_id: seen.request_id.clone(),
+        };
+        self.once().lock().is_known(self.now(), &key)
+    }
+
     fn claim_of(&self, key: &RunKey) -> Claim {
         Claim {
             id: format!("{}/{}", key.customer, key.request_id),
             nonce: self.fresh_nonce(),
             is_held_elsewhere: Arc::default(),
+            is_store_away: Arc::default(),
         }
     }
 }
@@ -178,7 +213,15 @@
     outcome.unwrap_or_else(|| may_have_run(Some(id), "this host lost track of the request"))
 }
 
-fn settlement(outcome: &RequestOutcome) -> Settlement<RequestOutcome> {
+fn settlement(claim: Option<&Claim>, outcome: &RequestOutcome) -> Settlement<RequestOutcome> {
+    // What other hosts do with an id is in the store and in their logs, not in this one.
+    let is_elsewhere = claim.is_some_and(|claim| {
+        claim.is_held_elsewhere.load(Ordering::Acquire)
+            || claim.is_store_away.load(Ordering::Acquire)
+    });
+    if is_elsewhere {
+        return Settlement::NotRun;
+    }
     match outcome {
         RequestOutcome::Answered(answer) => Settlement::Answered {
             answer: outcome.clone(),
--- a/ragwortwick-daemon/tests/requests_fleet/once.rs
+++ b/ragwortwick-daemon/tests/requests_fleet/once.rs
@@ -125,6 +125,29 @@
     fleet.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_outage_of_the_store_hides_no_earlier_run() {
+    // The caller sees the answer from one host. The store goes down, and the balancer sends a copy to
+    // the other hosts, which can't see the claim: they ask the first one and say "may have run". An
+    // order that nobody has seen is "not run" at once.
+    let fleet = one_zone(3, 4).await;
+    let request = order("known", 0, 5_000);
+    assert!(is_answer(&submit(&fleet, 0, &request).await, "known"));
+    fleet.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    for host in [1, 2] {
+        let copy = submit(&fleet, host, &request).await;
+        assert_eq!(refusal(&copy), Some(RefusalVerdict::MayHaveRun), "{copy:?}");
+        let fresh = submit(&fleet, host, &order("fresh", 0, 60_000)).await;
+        assert_eq!(refusal(&fresh), Some(RefusalVerdict::NotRun), "{fresh:?}");
+    }
+    assert_eq!(fleet.runners.starts("known"), 1);
+    assert_eq!(fleet.runners.starts("fresh"), 0);
+    fleet.close().await;
+}
+
 fn set_runner_faults(fleet: &Fleet, faults: &Faults) {
     let runners = fleet.runners.all.iter();
     runners.for_each(|runner| runner.set_faults(faults.clone()));
--- a/ragwortwick-policy/src/request/run_log.rs
+++ b/ragwortwick-policy/src/request/run_log.rs
@@ -154,6 +154,15 @@
         }
     }
 
+    /// `is_known` tells whether a request runs or may have run here.
+    ///
+    /// A claim is still being asked for in some that count as running; the caller of the other copy
+    /// is then told "may have run", which is the safe side.
+    pub fn is_known(&mut self, now: TimeMs, key: &RunKey) -> bool {
+        self.forget(now);
+        self.entries.contains_key(key)
+    }
+
     /// `len` counts the requests remembered.
     #[must_use]
     pub fn len(&self) -> usize {
