--- a/ragwortwick-http/src/stall.rs
+++ b/ragwortwick-http/src/stall.rs
@@ -50,43 +50,43 @@
 impl AsyncRead for StallGuard {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(context, buffer)
+        Pin::new(&mut self.socket).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for StallGuard {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write(context, bytes);
-        self.watch(context, written)
+        let written = Pin::new(&mut self.socket).poll_write(cx, buf);
+        self.watch(cx, written)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[io::IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write_vectored(context, bytes);
-        self.watch(context, written)
+        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
+        self.watch(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.socket.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.socket).poll_flush(context);
-        self.watch(context, flushed)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.socket).poll_flush(cx);
+        self.watch(cx, flushed)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let shut = Pin::new(&mut self.socket).poll_shutdown(context);
-        self.watch(context, shut)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shut = Pin::new(&mut self.socket).poll_shutdown(cx);
+        self.watch(cx, shut)
     }
 }
