Refuse a table whose new guarantees do not fit the workers, by row

Cause: a promise that no zone can hold was accepted, and would have been found when it was called.

Ruled out: refusing every table while the one in force does not fit: after the loss of a rack operators could change nothing, not even shrink another guarantee.

Change: a review packs the guarantees into the live listed workers. A row that the new table makes not fit is a mistake; one that was short before with as many cells is told as an effect. A host that knows no worker yet does not judge.

Conclusion: growing a guarantee needs room for it at the moment of acceptance.

--- a/ragwortwick-cli/tests/commands/bench.rs
+++ b/ragwortwick-cli/tests/commands/bench.rs
@@ -2,9 +2,10 @@
 
 use std::path::PathBuf;
 
+use ragwortwick_border::{HostEntry, HostKind, HostState};
 use ragwortwick_cli::{Environment, Outcome};
 use ragwortwick_daemon::{Daemon, Settings};
-use ragwortwick_standin::{Faults, Store};
+use ragwortwick_standin::{Faults, Store, wait_until};
 use tempfile::TempDir;
 
 /// Rows of a first table: a customer with a guarantee and a class.
@@ -118,6 +119,31 @@
         run(&all).await
     }
 
+    /// Lists a worker of eight accelerators and waits until the entry host has read the list.
+    pub async fn list_worker(&self, name: &str, zone: &str) {
+        self.store.put_host(HostEntry {
+            name: name.into(),
+            kind: HostKind::Worker,
+            state: HostState::Live,
+            zone: zone.into(),
+            rack: Some("rack-1".into()),
+            // Nothing answers there; the worker is only counted.
+            address: "127.0.0.1:9".to_owned(),
+            peer_address: None,
+            accelerators: 8,
+            slots: 0,
+        });
+        let reads = self.reads_of_hosts();
+        wait_until("the host list is read twice", async || {
+            self.reads_of_hosts() >= reads + 2
+        })
+        .await;
+    }
+
+    fn reads_of_hosts(&self) -> u64 {
+        self.store.calls().get("hosts").copied().unwrap_or_default()
+    }
+
     pub fn set_faults(&self, faults: Faults) {
         self.store.set_faults(faults);
     }
--- a/ragwortwick-cli/tests/commands/table.rs
+++ b/ragwortwick-cli/tests/commands/table.rs
@@ -145,6 +145,24 @@
     bench.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_guarantees_beyond_the_workers_are_refused_by_row() {
+    let bench = Bench::open_with_table().await;
+    bench.list_worker("w1", "north").await;
+    let file = bench
+        .edited("p.csv", &["guarantees/civil/north/8/cells=2"])
+        .await;
+    let accept = ["table", "accept", &file, "--yes", "--reason", "x"];
+    let message = bench.fails(4, &accept).await;
+    assert!(
+        message.contains("row 4, column cells: does not pack"),
+        "{message}"
+    );
+    bench.list_worker("w2", "north").await;
+    bench.ok(&accept).await;
+    bench.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_a_slow_store_is_waited_for() {
     let bench = Bench::open_with_table().await;
--- a/ragwortwick-daemon/src/config/mod.rs
+++ b/ragwortwick-daemon/src/config/mod.rs
@@ -1,15 +1,16 @@
 //! The operators' table: accepted through the store, in force on every host, never going back.
 
 mod accept;
+mod capacity;
 mod history;
 mod table_duty;
 
 use std::sync::Arc;
 
-use ragwortwick_border::{AcceptedTable, PolicyWeights, Table, TableReview};
+use ragwortwick_border::{AcceptedTable, HostList, PolicyWeights, Table, TableReview};
 use ragwortwick_core::log_event;
 use ragwortwick_platform::StoreClient;
-use ragwortwick_policy::{table_changes, table_effects, validate_table};
+use ragwortwick_policy::{Packing, review_packing, table_changes, table_effects, validate_table};
 use tokio::sync::watch;
 
 pub(crate) use table_duty::TableDuty;
@@ -39,6 +40,7 @@
     in_force: TableInForce,
     store: StoreClient,
     peers: PeerClient,
+    hosts: watch::Receiver<Arc<HostList>>,
     clock: Clock,
     metrics: Metrics,
 }
@@ -49,6 +51,7 @@
         in_force: TableInForce,
         store: StoreClient,
         peers: PeerClient,
+        hosts: watch::Receiver<Arc<HostList>>,
         clock: Clock,
         metrics: Metrics,
     ) -> Self {
@@ -56,6 +59,7 @@
             in_force,
             store,
             peers,
+            hosts,
             clock,
             metrics,
         }
@@ -109,13 +113,26 @@
         let current = self.current();
         let empty = empty_table();
         let old = current.as_ref().map_or(&empty, |current| &current.table);
+        let mut problems = validate_table(table);
+        let mut effects = table_effects(old, table);
+        // Rows that are no promises at all can't be packed, and would be named twice.
+        if problems.is_empty() {
+            let packing = self.packing(old, table);
+            problems = packing.problems;
+            effects.extend(packing.effects);
+        }
         TableReview {
             current_number: self.number(),
             changes: table_changes(old, table),
-            effects: table_effects(old, table),
-            problems: validate_table(table),
+            effects,
+            problems,
         }
     }
+
+    fn packing(&self, old: &Table, new: &Table) -> Packing {
+        let capacity = capacity::listed_capacity(&self.hosts.borrow());
+        review_packing(old, new, &capacity)
+    }
 }
 
 /// `empty_table` is what the first accepted table is compared with.
--- a/ragwortwick-daemon/src/state_duties.rs
+++ b/ragwortwick-daemon/src/state_duties.rs
@@ -96,6 +96,7 @@
             in_force,
             store.paced(),
             peers.clone(),
+            feeds.hosts.clone(),
             clock,
             metrics.clone(),
         );
--- a/ragwortwick-policy/src/lib.rs
+++ b/ragwortwick-policy/src/lib.rs
@@ -12,7 +12,7 @@
     IssuedId, IssuedIdState, RefusalSeen, RequestAction, RequestEvent, RequestNotice, RunKey,
     RunLog, RunLogOptions, RunnerInfo, RunnerLoadSeen, Settlement, Ticket, TryOutcome,
 };
-pub use table::{table_changes, table_effects, validate_table};
+pub use table::{Packing, review_packing, table_changes, table_effects, validate_table};
 #[cfg(feature = "test-util")]
 pub use zone::{AuditedWorker, GuaranteeAudit, UnusedCell};
 pub use zone::{
