--- a/ragwortwick-policy/examples/policy_bench/deployment.rs
+++ b/ragwortwick-policy/examples/policy_bench/deployment.rs
@@ -28,6 +28,9 @@
 
 const MINUTE_MS: f64 = 60_000.0;
 
+/// Brings the load to about two thirds of the zone, bursts not counted.
+const GAP_FACTOR: f64 = 1.4;
+
 pub fn deployment(name: &str) -> Option<Deployment> {
     let mut racks = vec![vec![8; 8]; 6];
     racks.push(vec![8; 2]);
@@ -241,7 +244,7 @@
         customer: row.0,
         class: row.1,
         is_urgent: row.2,
-        gap_ms: row.4 * MINUTE_MS,
+        gap_ms: row.4 * MINUTE_MS * GAP_FACTOR,
         run_ms: row.5 * MINUTE_MS,
         deadline_ms: (row.5 * 4.0 + 10.0) * MINUTE_MS,
         shapes: row.6.to_vec(),
--- a/ragwortwick-policy/examples/policy_bench/main.rs
+++ b/ragwortwick-policy/examples/policy_bench/main.rs
@@ -28,14 +28,15 @@
         deployment.table.weights.completion = 1.0;
         deployment.table.weights.fragmentation = ratio;
     }
+    let is_capped = !args.contains("--naive-anywhere");
     let script = arrivals::script(&deployment, seed, hours);
     let ours = ours::run(&deployment, &script);
-    let naive = naive::run(&deployment, &script);
+    let naive = naive::run(&deployment, &script, is_capped);
     let line = json!({
         "deployment": deployment.name,
         "seed": seed,
-        "ours": ours,
-        "naive": naive,
+        "ours": measure::figures(&script, &ours, &naive),
+        "naive": measure::figures(&script, &naive, &ours),
     });
     println!("{line}");
     Ok(())
--- a/ragwortwick-policy/examples/policy_bench/ours.rs
+++ b/ragwortwick-policy/examples/policy_bench/ours.rs
@@ -9,7 +9,7 @@
 use crate::arrivals::{Fault, Script};
 use crate::deployment::Deployment;
 use crate::fake_zone::FakeZone;
-use crate::measure::{Figures, Outcome, Sampler, WorkerSample, figures};
+use crate::measure::{Outcome, Sampler, Side, WorkerSample};
 use crate::packing;
 
 const SAMPLE_MS: u64 = 10_000;
@@ -22,7 +22,7 @@
 /// A dead member is noticed within 14 s; a gang that stays partial longer is a fault.
 const PARTIAL_SAMPLES: u32 = 3;
 
-pub fn run(deployment: &Deployment, script: &Script) -> Figures {
+pub fn run(deployment: &Deployment, script: &Script) -> Side {
     let racks: Vec<&[u32]> = deployment.racks.iter().map(Vec::as_slice).collect();
     let mut zone = FakeZone::started(&racks, script.table.clone());
     let start_ms = zone.now.0;
@@ -114,7 +114,7 @@
         }
     }
 
-    fn close(self, zone: &FakeZone, script: &Script, start_ms: u64) -> Figures {
+    fn close(self, zone: &FakeZone, script: &Script, start_ms: u64) -> Side {
         let mut finished: BTreeMap<&JobId, u64> = BTreeMap::new();
         for (at, record) in &zone.written_at {
             if record.phase == JobPhase::Finished {
@@ -141,12 +141,13 @@
             matches!(notice, ZoneNotice::Reclaimed { reclaim_ms, .. } if reclaim_ms.0 > 5_000)
         });
         let late_reclaims = late_reclaims.count() as u64;
-        let mut figures = figures(script, &outcomes, &self.sampler);
-        figures.urgent_missed = packing::urgent_missed(script, &outcomes);
-        figures.reclaim_failures = self.reclaim_failures + late_reclaims;
-        figures.partial_gangs = self.partial_gangs.len() as u64;
-        figures.placement_steps = zone.placer.placement_steps();
-        figures
+        Side {
+            reclaim_failures: self.reclaim_failures + late_reclaims,
+            partial_gangs: self.partial_gangs.len() as u64,
+            placement_steps: zone.placer.placement_steps(),
+            outcomes,
+            sampler: self.sampler,
+        }
     }
 }
 
--- a/ragwortwick-policy/src/zone/gang.rs
+++ b/ragwortwick-policy/src/zone/gang.rs
@@ -156,6 +156,8 @@
     Cancelled,
     /// a guarantee called back its accelerators
     Reclaimed,
+    /// it is moved so that large cells become whole
+    Moved,
     /// it was stopped whole: {0}
     MemberLost(String),
     /// a worker did not take it: {0}
--- a/ragwortwick-policy/src/zone/homes.rs
+++ b/ragwortwick-policy/src/zone/homes.rs
@@ -82,20 +82,19 @@
             }
             let harm = home.touches(wanted.borrowed);
             for cell in home.open_cells(wanted) {
-                let conflict: u32 = cell
+                let touched = cell
                     .parts
                     .iter()
-                    .map(|part| (part.mask & wanted.borrowed[part.worker]).count_ones())
-                    .sum();
+                    .filter(|part| part.mask & wanted.borrowed[part.worker] != 0);
+                let conflict: u32 = touched.map(|part| wanted.stop_cost[part.worker]).sum();
                 choices.push(Choice {
                     // A cell that is opened already is used up before a whole one.
                     rank: (
-                        harm > 0 && conflict > 0,
+                        conflict,
                         home.is_unused() && home.size > wanted.size,
                         home.size,
                         harm,
                         index,
-                        conflict,
                     ),
                     cell,
                 });
@@ -195,6 +194,8 @@
     pub(super) size: u32,
     /// Accelerators held by borrowed work, by worker.
     pub(super) borrowed: &'a [u32],
+    /// Accelerators of the largest gang that would have to stop, by worker.
+    pub(super) stop_cost: &'a [u32],
     /// Accelerators that can't be had now, by worker.
     pub(super) closed: &'a [u32],
     /// Workers that this job must not use.
@@ -202,7 +203,7 @@
 }
 
 struct Choice {
-    rank: (bool, bool, u32, u32, usize, u32),
+    rank: (u32, bool, u32, u32, usize),
     cell: Cell,
 }
 
--- a/ragwortwick-policy/src/zone/mod.rs
+++ b/ragwortwick-policy/src/zone/mod.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod capacity;
 mod cells;
+mod defrag;
 mod gang;
 mod homes;
 mod jobs;
--- a/ragwortwick-policy/src/zone/placer.rs
+++ b/ragwortwick-policy/src/zone/placer.rs
@@ -63,6 +63,8 @@
     pub(super) last_tick: TimeMs,
     /// When waiting jobs are tried again although nothing changed: some waited long enough.
     pub(super) next_place: TimeMs,
+    /// Earliest time of the next move for the sake of large cells.
+    pub(super) next_move: TimeMs,
     pub(super) chart: GangChart,
     pub(super) table: Option<Arc<AcceptedTable>>,
     pub(super) weights: Weights,
@@ -96,6 +98,7 @@
             owned_since: TimeMs(0),
             last_tick: TimeMs(0),
             next_place: TimeMs(0),
+            next_move: TimeMs(0),
             chart: gang_chart(),
             table: None,
             weights: Weights::default(),
@@ -159,6 +162,9 @@
             self.unblock_claims(now);
             self.place_waiting(now);
         }
+        if self.ownership == Ownership::Placing && now >= self.next_move {
+            self.defragment(now);
+        }
     }
 
     /// `next_wakeup` tells when a `Tick` is due, if anything waits for time to pass.
--- a/ragwortwick-policy/src/zone/pool.rs
+++ b/ragwortwick-policy/src/zone/pool.rs
@@ -13,15 +13,29 @@
 pub(super) const SIZES: [u32; 7] = [64, 32, 16, 8, 4, 2, 1];
 
 /// `Pool` is a set of free accelerators, by worker.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Pool {
     pub(super) free: Vec<u32>,
     pub(super) rack_of: Vec<usize>,
     /// Accelerators to be taken last.
     pub(super) avoid: Vec<u32>,
+    /// Blocks in the cell that is worth keeping whole; breaking one is the last choice.
+    pub(super) rack_unit: u32,
     pub(super) steps: u64,
 }
 
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            free: Vec::new(),
+            rack_of: Vec::new(),
+            avoid: Vec::new(),
+            rack_unit: 1,
+            steps: 0,
+        }
+    }
+}
+
 impl Pool {
     /// `push` adds a worker's free accelerators.
     pub(super) fn push(&mut self, rack: usize, free: u32, avoid: u32) {
@@ -80,13 +94,14 @@
                 let around = containing(*free, mask, size);
                 // A whole block that is opened costs the rack one; take it where fewest are left.
                 let rack_cost = if around >= BLOCK { rack_blocks } else { 0 };
-                let score = (avoided > 0, around, rack_cost, worker, mask);
+                let harm = around >= BLOCK && rack_blocks.is_multiple_of(self.rack_unit);
+                let score = (harm, avoided > 0, around, rack_cost, worker, mask);
                 if best.is_none_or(|known| score < known) {
                     best = Some(score);
                 }
             }
         }
-        best.map(|(_, _, _, worker, mask)| vec![Part { worker, mask }])
+        best.map(|(_, _, _, _, worker, mask)| vec![Part { worker, mask }])
     }
 
     fn best_rack(&mut self, size: u32) -> Option<Vec<Part>> {
@@ -111,7 +126,10 @@
             .filter(|rack| rack.blocks.len() >= need as usize)
             .min_by_key(|rack| {
                 let avoided = rack.blocks[need as usize - 1].0;
-                (avoided, rack.blocks.len())
+                let blocks = u32::try_from(rack.blocks.len()).unwrap_or(u32::MAX);
+                let unit = self.rack_unit;
+                let harm = blocks / unit - (blocks - need) / unit > need / unit;
+                (harm, avoided, blocks)
             })?;
         let chosen = best.blocks.iter().take(need as usize);
         Some(
--- a/ragwortwick-policy/src/zone/queue.rs
+++ b/ragwortwick-policy/src/zone/queue.rs
@@ -77,7 +77,7 @@
 }
 
 /// Longest run time that a declaration can add to a job's rank: a hint may not postpone for ever.
-const MAX_HINT_MS: u64 = 4 * 3_600_000;
+const MAX_HINT_MS: u64 = 3_600_000;
 
 /// `rank` puts urgent work first, then the earliest time of acceptance plus declared run time.
 ///
--- a/ragwortwick-policy/src/zone/start.rs
+++ b/ragwortwick-policy/src/zone/start.rs
@@ -22,10 +22,15 @@
 /// Longest that a borrowed start waits rather than break a cell of the largest guaranteed size.
 const PATIENCE_MS: f64 = 120_000.0;
 
+/// Added to the cost of stopping urgent work: it is stopped only where nothing else would do.
+const URGENT_STOP_COST: u32 = 10_000;
+
 /// `Pass` is what one placement pass knows; rebuilt in part after every start.
 struct Pass {
     idle: Pool,
     borrowed: Vec<u32>,
+    /// Accelerators of the largest gang that a reclaim on the worker would stop.
+    stop_cost: Vec<u32>,
     closed: Vec<u32>,
     /// Shapes that found no place in this pass; equal ones need not be tried again.
     failed: BTreeSet<(CustomerName, bool, bool, u32, u32)>,
@@ -73,6 +78,7 @@
     fn new_pass(&self, failed: BTreeSet<(CustomerName, bool, bool, u32, u32)>) -> Pass {
         let mut idle = self.ledger.idle_pool();
         idle.avoid = self.homes.mask_by_worker(idle.free.len());
+        idle.rack_unit = (self.largest_guaranteed() / BLOCK).max(1);
         Pass {
             idle,
             borrowed: self
@@ -81,6 +87,7 @@
                 .iter()
                 .map(WorkerEntry::borrowed)
                 .collect(),
+            stop_cost: self.stop_cost(|gang| gang.is_borrowed),
             closed: self
                 .ledger
                 .workers
@@ -91,6 +98,31 @@
         }
     }
 
+    /// Whether a start there would break a large guaranteed cell that is whole.
+    fn opens_large_home(&self, cells: &[Cell]) -> bool {
+        let parts = merge_parts(cells);
+        let largest = self.largest_guaranteed();
+        self.homes.list.iter().any(|home| {
+            let is_whole = home.size == largest && home.is_unused();
+            is_whole && home.parts.iter().any(|part| overlaps(&parts, *part))
+        })
+    }
+
+    fn stop_cost(&self, counts: impl Fn(&Gang) -> bool) -> Vec<u32> {
+        let mut costs = vec![0; self.ledger.workers.len()];
+        for gang in self.gangs.values().filter(|gang| counts(gang)) {
+            let parts = gang.parts();
+            let size: u32 = parts.iter().map(|part| part.mask.count_ones()).sum();
+            let job = self.jobs.get(&gang.job_id);
+            let is_urgent = job.is_some_and(|job| self.weights.is_urgent(job));
+            let size = if is_urgent { size + URGENT_STOP_COST } else { size };
+            for part in parts {
+                costs[part.worker] = size.max(costs[part.worker]);
+            }
+        }
+        costs
+    }
+
     fn request_of(&self, now: TimeMs, job_id: &JobId) -> Request {
         let job = &self.jobs[job_id];
         let spec = &job.record.spec;
@@ -132,16 +164,24 @@
         if request.avoided.is_empty() && pass.failed.contains(&shape) {
             return false;
         }
-        if let Some(cells) = self.find_covered(request, pass) {
-            self.start_gang(now, request, &cells, false);
+        let covered = self.find_covered(request, pass);
+        let opens_home = covered.as_ref().is_none_or(|cells| self.opens_large_home(cells));
+        if opens_home && let Some(cells) = self.find_fragment(request, pass) {
+            self.start_gang(now, request, &cells, true);
             return true;
         }
-        if let Some(cells) = self.find_demoting(now, request, pass) {
+        let is_free = covered.as_ref().is_some_and(|c| !is_conflicting(c, &pass.borrowed));
+        if !is_free && let Some(cells) = self.find_borrowed(request, pass) {
+            // Idle accelerators elsewhere spare running work a checkpoint and its queue a setback.
+            self.start_gang(now, request, &cells, true);
+            return true;
+        }
+        if let Some(cells) = covered {
             self.start_gang(now, request, &cells, false);
             return true;
         }
-        if let Some(cells) = self.find_borrowed(request, pass) {
-            self.start_gang(now, request, &cells, true);
+        if let Some(cells) = self.find_demoting(now, request, pass) {
+            self.start_gang(now, request, &cells, false);
             return true;
         }
         pass.failed.insert(shape);
@@ -155,6 +195,7 @@
             cells: request.cells,
             size: request.size,
             borrowed: &pass.borrowed,
+            stop_cost: &pass.stop_cost,
             closed: &pass.closed,
             excluded: &request.avoided,
         };
@@ -204,11 +245,13 @@
         let borrowed: Vec<u32> = (0..closed.len())
             .map(|w| pass.borrowed[w] | held[w])
             .collect();
+        let stop_cost = self.stop_cost(|_| true);
         let wanted = Wanted {
             customer: &request.customer,
             cells: request.cells,
             size: request.size,
             borrowed: &borrowed,
+            stop_cost: &stop_cost,
             closed: &closed,
             excluded: &request.avoided,
         };
@@ -276,6 +319,29 @@
         found
     }
 
+    /// Looks for fragments that no large cell can use, so that small routine work opens no home.
+    ///
+    /// Small work that opened its customer's large cells would keep the customer's own large jobs
+    /// waiting; in fragments it can be moved off by a checkpoint.
+    fn find_fragment(&mut self, request: &Request, pass: &Pass) -> Option<Vec<Cell>> {
+        let largest = self.largest_guaranteed();
+        if !request.is_repeatable || request.size >= largest {
+            return None;
+        }
+        let mut idle = pass.idle.clone();
+        for worker in &request.avoided {
+            idle.free[*worker] = 0;
+        }
+        if idle.count(request.size) < request.cells {
+            return None;
+        }
+        let whole_before = idle.count(largest);
+        let steps_before = idle.steps;
+        let found = idle.take_shape(request.cells, request.size);
+        self.steps += idle.steps - steps_before;
+        found.filter(|_| idle.count(largest) == whole_before)
+    }
+
     fn is_ever_covered(&self, request: &Request) -> bool {
         let cells: u32 = self
             .homes
