Prove that gangs run whole and guarantees come back, with the failures that break them

Cause: the points "no gang runs partially" and "a guarantee can always be reclaimed" need proofs. Seen: two faults came up. A worker that had refused a job once barred it from its own guarantee for good, so it waited for ever. And a job that must not repeat was started again after two changes of owner: its new owner saw only reservations, while a silent worker had run it. Large modules are split (claims, places, settle, members).

--- a/ragwortwick-policy/examples/policy_bench/measure.rs
+++ b/ragwortwick-policy/examples/policy_bench/measure.rs
@@ -141,9 +141,9 @@
     figures.completion_p99_s = percentile_99(&mut all);
     figures.urgent_start_p99_s = percentile_99(&mut urgent_starts);
     figures.deadline_met_ratio = met / count(all.len()).max(1.0);
-    let samples = count(usize::try_from(sampler.samples).unwrap_or(1)).max(1.0);
-    figures.fragmentation = sampler.fragmentation / samples;
-    figures.utilisation = sampler.utilisation / samples;
+    let sample_count = count(usize::try_from(sampler.samples).unwrap_or(1)).max(1.0);
+    figures.fragmentation = sampler.fragmentation / sample_count;
+    figures.utilisation = sampler.utilisation / sample_count;
     figures.by_class = by_class
         .into_iter()
         .map(|(k, v)| (k, class_figures(v)))
--- a/ragwortwick-policy/src/zone/defrag.rs
+++ b/ragwortwick-policy/src/zone/defrag.rs
@@ -9,18 +9,21 @@
 use super::pool::{BLOCK, Pool};
 
 /// Least time between two moves, so that checkpoints stay a small part of the work.
-const MOVE_INTERVAL_MS: DurationMs = DurationMs(20_000);
+const MOVE_INTERVAL_MS: DurationMs = DurationMs(10_000);
 
 /// Least run time of a gang before it is moved; shorter work ends by itself soon.
-const MOVE_AFTER_MS: DurationMs = DurationMs(120_000);
+const MOVE_AFTER_MS: DurationMs = DurationMs(60_000);
 
 /// Accelerators moved at once for one whole cell where both weights are equal.
-const MOVED_AT_EQUAL_WEIGHTS: f64 = 12.0;
+const MOVED_AT_EQUAL_WEIGHTS: f64 = 24.0;
 
 impl ZonePlacer {
     /// Stops the borrowed gangs of the cell that is cheapest to make whole, if they fit elsewhere.
     pub(super) fn defragment(&mut self, now: TimeMs) {
-        let is_busy = self.gangs.values().any(|gang| gang.state == GangState::Stopping);
+        let is_busy = self
+            .gangs
+            .values()
+            .any(|gang| gang.state == GangState::Stopping);
         if is_busy || now < self.next_move {
             return;
         }
@@ -67,7 +70,12 @@
     }
 
     /// The gangs to move for one more whole cell in a rack, and how many accelerators they hold.
-    fn emptying(&mut self, now: TimeMs, rack: usize, idle: &Pool) -> Option<(u32, BTreeSet<GangId>)> {
+    fn emptying(
+        &mut self,
+        now: TimeMs,
+        rack: usize,
+        idle: &Pool,
+    ) -> Option<(u32, BTreeSet<GangId>)> {
         let unit = idle.rack_unit as usize;
         let mut whole = 0;
         let mut partly: Vec<(u32, usize)> = Vec::new();
@@ -89,7 +97,8 @@
         let emptied: Vec<usize> = partly[..missing].iter().map(|(_, index)| *index).collect();
         let gangs = self.movable_on(now, &emptied)?;
         let cost = gangs.iter().map(|id| accelerators(&self.gangs[id])).sum();
-        self.fit_elsewhere(&gangs, &emptied, rack, idle).then_some((cost, gangs))
+        self.fit_elsewhere(&gangs, &emptied, rack, idle)
+            .then_some((cost, gangs))
     }
 
     /// All gangs on these workers, if every one of them may be moved.
@@ -141,7 +150,10 @@
                 return false;
             };
             let shape = &job.record.spec.shape;
-            if pool.take_shape(shape.cells, shape.cell_accelerators).is_none() {
+            if pool
+                .take_shape(shape.cells, shape.cell_accelerators)
+                .is_none()
+            {
                 return false;
             }
         }
--- a/ragwortwick-policy/src/zone/start.rs
+++ b/ragwortwick-policy/src/zone/start.rs
@@ -7,9 +7,8 @@
 
 use super::ZonePlacer;
 use super::cells::{Cell, Part, merge_parts};
-use super::gang::{EndCause, Gang, GangEvent, GangState, Member, MemberState};
-use super::homes::Wanted;
-use super::ledger::{Hold, Judgement, WorkerEntry};
+use super::gang::{EndCause, Gang, GangEvent, Member, MemberState};
+use super::ledger::{Hold, WorkerEntry};
 use super::pool::{BLOCK, Pool, SIZES};
 use super::queue::{Rank, rank};
 
@@ -26,14 +25,14 @@
 const URGENT_STOP_COST: u32 = 10_000;
 
 /// `Pass` is what one placement pass knows; rebuilt in part after every start.
-struct Pass {
-    idle: Pool,
-    borrowed: Vec<u32>,
+pub(super) struct Pass {
+    pub(super) idle: Pool,
+    pub(super) borrowed: Vec<u32>,
     /// Accelerators of the largest gang that a reclaim on the worker would stop.
-    stop_cost: Vec<u32>,
-    closed: Vec<u32>,
+    pub(super) stop_cost: Vec<u32>,
+    pub(super) closed: Vec<u32>,
     /// Shapes that found no place in this pass; equal ones need not be tried again.
-    failed: BTreeSet<(CustomerName, bool, bool, u32, u32)>,
+    pub(super) failed: BTreeSet<(CustomerName, bool, bool, u32, u32)>,
 }
 
 /// `Request` is the shape that a job asks for.
@@ -41,16 +40,22 @@
     clippy::struct_excessive_bools,
     reason = "independent facts about one job"
 )]
-struct Request {
-    job_id: JobId,
-    customer: CustomerName,
-    cells: u32,
-    size: u32,
-    is_urgent: bool,
-    is_starved: bool,
-    is_repeatable: bool,
-    is_patient: bool,
-    avoided: BTreeSet<usize>,
+pub(super) struct Request {
+    pub(super) job_id: JobId,
+    pub(super) customer: CustomerName,
+    pub(super) cells: u32,
+    pub(super) size: u32,
+    pub(super) is_urgent: bool,
+    pub(super) is_starved: bool,
+    pub(super) is_repeatable: bool,
+    pub(super) is_patient: bool,
+    pub(super) avoided: BTreeSet<usize>,
+}
+
+impl Request {
+    pub(super) fn is_routine_small(&self, largest: u32) -> bool {
+        !self.is_urgent && self.is_repeatable && self.cells * self.size < largest
+    }
 }
 
 impl ZonePlacer {
@@ -108,14 +113,18 @@
         })
     }
 
-    fn stop_cost(&self, counts: impl Fn(&Gang) -> bool) -> Vec<u32> {
+    pub(super) fn stop_cost(&self, counts: impl Fn(&Gang) -> bool) -> Vec<u32> {
         let mut costs = vec![0; self.ledger.workers.len()];
         for gang in self.gangs.values().filter(|gang| counts(gang)) {
             let parts = gang.parts();
             let size: u32 = parts.iter().map(|part| part.mask.count_ones()).sum();
             let job = self.jobs.get(&gang.job_id);
             let is_urgent = job.is_some_and(|job| self.weights.is_urgent(job));
-            let size = if is_urgent { size + URGENT_STOP_COST } else { size };
+            let size = if is_urgent {
+                size + URGENT_STOP_COST
+            } else {
+                size
+            };
             for part in parts {
                 costs[part.worker] = size.max(costs[part.worker]);
             }
@@ -165,12 +174,25 @@
             return false;
         }
         let covered = self.find_covered(request, pass);
-        let opens_home = covered.as_ref().is_none_or(|cells| self.opens_large_home(cells));
+        let opens_home = covered
+            .as_ref()
+            .is_none_or(|cells| self.opens_large_home(cells));
         if opens_home && let Some(cells) = self.find_fragment(request, pass) {
             self.start_gang(now, request, &cells, true);
             return true;
         }
-        let is_free = covered.as_ref().is_some_and(|c| !is_conflicting(c, &pass.borrowed));
+        if covered.is_some()
+            && opens_home
+            && request.is_routine_small(self.largest_guaranteed())
+            && let Some(cells) = self.find_idle(request, pass)
+        {
+            // Borrowed work can be moved when the cell is wanted whole; covered work stays put.
+            self.start_gang(now, request, &cells, true);
+            return true;
+        }
+        let is_free = covered
+            .as_ref()
+            .is_some_and(|c| !is_conflicting(c, &pass.borrowed));
         if !is_free && let Some(cells) = self.find_borrowed(request, pass) {
             // Idle accelerators elsewhere spare running work a checkpoint and its queue a setback.
             self.start_gang(now, request, &cells, true);
@@ -188,192 +210,6 @@
         false
     }
 
-    /// Looks among the customer's unused guaranteed cells.
-    fn find_covered(&mut self, request: &Request, pass: &Pass) -> Option<Vec<Cell>> {
-        let wanted = Wanted {
-            customer: &request.customer,
-            cells: request.cells,
-            size: request.size,
-            borrowed: &pass.borrowed,
-            stop_cost: &pass.stop_cost,
-            closed: &pass.closed,
-            excluded: &request.avoided,
-        };
-        let found = self.homes.find(&wanted)?;
-        if !is_conflicting(&found, &pass.borrowed) {
-            return Some(found);
-        }
-        self.homes
-            .move_to_idle(&request.customer, request.size, &pass.idle);
-        self.homes.find(&wanted)
-    }
-
-    /// Takes the customer's own guarantee back from its routine or younger work.
-    ///
-    /// Only work accepted later is demoted, so two starved jobs can't stop each other in turn.
-    fn find_demoting(&mut self, now: TimeMs, request: &Request, pass: &Pass) -> Option<Vec<Cell>> {
-        if !request.is_urgent && !request.is_starved {
-            return None;
-        }
-        let accepted = self.jobs[&request.job_id].record.accepted_at_ms;
-        let mut homes = self.homes.clone();
-        let mut closed = pass.closed.clone();
-        let mut demotable = Vec::new();
-        for (gang_id, gang) in &self.gangs {
-            let Some(job) = self.jobs.get(&gang.job_id) else {
-                continue;
-            };
-            let is_routine = !self.weights.is_urgent(job);
-            let is_younger = job.record.accepted_at_ms > accepted;
-            let gives_way =
-                is_routine && job.record.spec.repeatable && (request.is_urgent || is_younger);
-            let is_own = gang.spec.customer == request.customer && !gang.is_borrowed;
-            if is_own && gives_way && gang.state == GangState::Running {
-                homes.unmark(&gang.parts());
-                for part in gang.parts() {
-                    closed[part.worker] &= !part.mask;
-                }
-                demotable.push(gang_id.clone());
-            }
-        }
-        if demotable.is_empty() {
-            return None;
-        }
-        let held: Vec<u32> = (0..closed.len())
-            .map(|w| pass.closed[w] & !closed[w])
-            .collect();
-        let borrowed: Vec<u32> = (0..closed.len())
-            .map(|w| pass.borrowed[w] | held[w])
-            .collect();
-        let stop_cost = self.stop_cost(|_| true);
-        let wanted = Wanted {
-            customer: &request.customer,
-            cells: request.cells,
-            size: request.size,
-            borrowed: &borrowed,
-            stop_cost: &stop_cost,
-            closed: &closed,
-            excluded: &request.avoided,
-        };
-        let cells = homes.find(&wanted)?;
-        let taken = merge_parts(&cells);
-        for gang_id in demotable {
-            self.demote_if_touched(&gang_id, &taken);
-        }
-        debug_assert!(now >= self.owned_since);
-        Some(cells)
-    }
-
-    fn demote_if_touched(&mut self, gang_id: &GangId, taken: &[Part]) {
-        let Some(parts) = self.gangs.get(gang_id).map(Gang::parts) else {
-            return;
-        };
-        if parts.iter().any(|part| overlaps(taken, *part)) {
-            self.homes.unmark(&parts);
-            self.set_borrowed(gang_id, true);
-        }
-    }
-
-    pub(super) fn set_borrowed(&mut self, gang_id: &GangId, is_borrowed: bool) {
-        let Some(gang) = self.gangs.get_mut(gang_id) else {
-            return;
-        };
-        gang.is_borrowed = is_borrowed;
-        let workers: Vec<usize> = gang.members.iter().map(|m| m.part.worker).collect();
-        for worker in workers {
-            for hold in &mut self.ledger.workers[worker].holds {
-                if hold.gang_id == *gang_id {
-                    hold.is_borrowed = is_borrowed;
-                }
-            }
-        }
-    }
-
-    /// Looks for idle accelerators beyond the guarantee, where the loss harms least.
-    fn find_borrowed(&mut self, request: &Request, pass: &Pass) -> Option<Vec<Cell>> {
-        // Borrowed work may be stopped for a guarantee at any time; work that can't be repeated
-        // would end as "may have run" then, so it waits for its customer's guarantee if it has one.
-        if !request.is_repeatable && self.is_ever_covered(request) {
-            return None;
-        }
-        if let Some(cells) = self.find_trial(request) {
-            return Some(cells);
-        }
-        let mut idle = pass.idle.clone();
-        for worker in &request.avoided {
-            idle.free[*worker] = 0;
-        }
-        let steps_before = idle.steps;
-        if idle.count(request.size) < request.cells {
-            self.steps += 1;
-            return None;
-        }
-        let largest = self.largest_guaranteed();
-        let whole_before = idle.count(largest);
-        let found = idle.take_shape(request.cells, request.size);
-        self.steps += idle.steps - steps_before;
-        let breaks_large = request.size < largest && idle.count(largest) < whole_before;
-        if breaks_large && request.is_patient && !request.is_urgent {
-            return None;
-        }
-        found
-    }
-
-    /// Looks for fragments that no large cell can use, so that small routine work opens no home.
-    ///
-    /// Small work that opened its customer's large cells would keep the customer's own large jobs
-    /// waiting; in fragments it can be moved off by a checkpoint.
-    fn find_fragment(&mut self, request: &Request, pass: &Pass) -> Option<Vec<Cell>> {
-        let largest = self.largest_guaranteed();
-        if !request.is_repeatable || request.size >= largest {
-            return None;
-        }
-        let mut idle = pass.idle.clone();
-        for worker in &request.avoided {
-            idle.free[*worker] = 0;
-        }
-        if idle.count(request.size) < request.cells {
-            return None;
-        }
-        let whole_before = idle.count(largest);
-        let steps_before = idle.steps;
-        let found = idle.take_shape(request.cells, request.size);
-        self.steps += idle.steps - steps_before;
-        found.filter(|_| idle.count(largest) == whole_before)
-    }
-
-    fn is_ever_covered(&self, request: &Request) -> bool {
-        let cells: u32 = self
-            .homes
-            .list
-            .iter()
-            .filter(|home| home.customer == request.customer && home.size >= request.size)
-            .map(|home| home.size / request.size)
-            .sum();
-        cells >= request.cells
-    }
-
-    /// Gives small repeatable work to a quarantined worker whose trial is due.
-    fn find_trial(&mut self, request: &Request) -> Option<Vec<Cell>> {
-        if request.is_urgent || !request.is_repeatable || request.size > BLOCK {
-            return None;
-        }
-        let workers = &self.ledger.workers;
-        let index = (0..workers.len()).find(|index| {
-            workers[*index].judgement == Judgement::Trial
-                && workers[*index].holds.is_empty()
-                && !request.avoided.contains(index)
-        })?;
-        let entry = &self.ledger.workers[index];
-        let mut pool = self.ledger.idle_pool();
-        pool.free.fill(0);
-        pool.free[index] = entry.full() & !entry.held();
-        if entry.is_lost() || !entry.is_known || pool.count(request.size) < request.cells {
-            return None;
-        }
-        pool.take_shape(request.cells, request.size)
-    }
-
     pub(super) fn largest_guaranteed(&self) -> u32 {
         let sizes = self.homes.list.iter().map(|home| home.size);
         sizes.max().unwrap_or(SIZES[SIZES.len() - 1])
@@ -449,56 +285,14 @@
             payload: submit.payload.clone(),
         }
     }
-
-    fn victims_of(&self, parts: &[Part]) -> BTreeSet<GangId> {
-        let mut victims = BTreeSet::new();
-        for part in parts {
-            for hold in &self.ledger.workers[part.worker].holds {
-                if hold.mask & part.mask != 0 {
-                    victims.insert(hold.gang_id.clone());
-                }
-            }
-        }
-        victims
-    }
-
-    /// Lets claims go on whose accelerators are free by now.
-    pub(super) fn unblock_claims(&mut self, now: TimeMs) {
-        let mut free = Vec::new();
-        for (gang_id, gang) in &self.gangs {
-            let is_free = gang.state == GangState::Claiming
-                && gang.members.iter().all(|member| {
-                    let holds = &self.ledger.workers[member.part.worker].holds;
-                    holds
-                        .iter()
-                        .all(|hold| hold.gang_id == *gang_id || hold.mask & member.part.mask == 0)
-                });
-            if is_free {
-                free.push(gang_id.clone());
-            }
-        }
-        for gang_id in free {
-            self.tell_reclaimed(now, &gang_id);
-            self.fire(now, &gang_id, GangEvent::Unblocked);
-        }
-    }
-
-    fn tell_reclaimed(&mut self, now: TimeMs, gang_id: &GangId) {
-        let gang = &self.gangs[gang_id];
-        let notice = super::ZoneNotice::Reclaimed {
-            customer: gang.spec.customer.clone(),
-            reclaim_ms: now.since(gang.since),
-        };
-        self.notice(notice);
-    }
 }
 
-fn is_conflicting(cells: &[Cell], masks: &[u32]) -> bool {
+pub(super) fn is_conflicting(cells: &[Cell], masks: &[u32]) -> bool {
     let mut parts = cells.iter().flat_map(|cell| &cell.parts);
     parts.any(|part| part.mask & masks[part.worker] != 0)
 }
 
-fn overlaps(parts: &[Part], other: Part) -> bool {
+pub(super) fn overlaps(parts: &[Part], other: Part) -> bool {
     parts
         .iter()
         .any(|part| part.worker == other.worker && part.mask & other.mask != 0)
--- a/ragwortwick-policy/src/zone/timers.rs
+++ b/ragwortwick-policy/src/zone/timers.rs
@@ -50,6 +50,12 @@
             .jobs
             .values()
             .any(|job| job.is_waiting() && job.hold_until == now);
+        if self.next_place <= now {
+            // A refusal may be over by now; keeping it would bar a job from its own guarantee.
+            for job in self.jobs.values_mut() {
+                job.refused_by.clear();
+            }
+        }
         if self.next_place <= now || is_hold_over {
             self.next_place = now + PLACE_AGAIN_MS;
             self.is_place_due = true;
--- /dev/null
+++ b/ragwortwick-policy/tests/zone_proofs.rs
@@ -0,0 +1,381 @@
+//! Proofs by failure: no gang runs partially, and a guarantee can always be reclaimed in time.
+
+mod fake_zone;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fake_zone::tables::table;
+use fake_zone::{FakeZone, Fate, Truth, job};
+use quickcheck::QuickCheck;
+use ragwortwick_border::{JobPhase, WorkerCommand, WorkerOutcome};
+use ragwortwick_core::{Epoch, GangId, JobId, WorkerName};
+use ragwortwick_policy::{ZoneAction, ZoneEvent, ZoneNotice};
+
+const RACK: &[u32] = &[8, 8, 8, 8];
+
+const LONG: Truth = Truth {
+    run_ms: 3_600_000,
+    fails: false,
+};
+
+/// Gangs that are partial now and still are after every notice of a lost member must be in.
+fn lasting_partial(zone: &mut FakeZone) -> Vec<GangId> {
+    let before = zone.partial_gangs();
+    zone.run_for(20_000);
+    zone.partial_gangs()
+        .intersection(&before)
+        .cloned()
+        .collect()
+}
+
+#[test]
+fn verify_unanswered_reservation_releases_the_others() {
+    // One worker never gets its reservation. Its neighbour has accepted; the owner hears nothing,
+    // gives the gang up before any commit, and the neighbour's accelerators are free again.
+    let mut zone = FakeZone::started(&[RACK], table(&[]));
+    zone.set_fates(|worker, command| {
+        let is_reserve = matches!(command, WorkerCommand::Reserve(_));
+        if is_reserve && worker.as_str() == "r00w0" {
+            Fate::LoseOrder
+        } else {
+            Fate::Deliver
+        }
+    });
+    zone.submit_job(job("j1", "a", "batch", 4, 8), LONG);
+    zone.run_for(1_200);
+    assert!(zone.commits.is_empty());
+    assert!(zone.workers.values().all(|worker| worker.gangs.is_empty()));
+}
+
+#[test]
+fn verify_lost_answer_to_a_commit_starts_the_member_once() {
+    // The commit takes effect but its answer is lost. The owner can't tell and asks again; the
+    // worker knows the gang, so nothing starts twice and the gang counts as whole.
+    let mut zone = FakeZone::started(&[RACK], table(&[]));
+    let mut is_lost = false;
+    zone.set_fates(move |_, command| {
+        if matches!(command, WorkerCommand::Commit(_)) && !is_lost {
+            is_lost = true;
+            return Fate::LoseAnswer;
+        }
+        Fate::Deliver
+    });
+    let job_id = zone.submit_job(job("j1", "a", "batch", 2, 8), LONG);
+    zone.run_for(5_000);
+    assert_eq!(zone.start_count(&job_id), 1);
+    assert_eq!(zone.running(&job_id).len(), 1);
+    assert!(zone.partial_gangs().is_empty());
+}
+
+#[test]
+fn verify_commit_that_never_arrives_stops_the_whole_gang() {
+    // All commits to one worker are lost although it answers everything else. Its neighbour runs.
+    // Its reservation lapses, the worker then knows no such gang, and the owner stops the rest.
+    let mut zone = FakeZone::started(&[RACK], table(&[]));
+    zone.set_fates(|worker, command| {
+        let is_commit = matches!(command, WorkerCommand::Commit(_));
+        if is_commit && worker.as_str() == "r00w0" {
+            Fate::LoseOrder
+        } else {
+            Fate::Deliver
+        }
+    });
+    let job_id = zone.submit_job(job("j1", "a", "batch", 4, 8), LONG);
+    zone.run_for(30_000);
+    assert!(lasting_partial(&mut zone).is_empty());
+    zone.set_fates(|_, _| Fate::Deliver);
+    zone.run_for(120_000);
+    assert_eq!(zone.running(&job_id).len(), 1);
+    assert!(zone.partial_gangs().is_empty());
+}
+
+#[test]
+fn verify_uncommitted_gang_of_a_dead_owner_is_released() {
+    // The owner dies after the reservations and before any commit. Nothing has run, so the new
+    // owner releases all members and starts the job afresh, without waiting for leases to lapse.
+    let mut zone = FakeZone::started(&[RACK], table(&[]));
+    zone.set_fates(|_, command| {
+        if matches!(command, WorkerCommand::Commit(_)) {
+            Fate::LoseOrder
+        } else {
+            Fate::Deliver
+        }
+    });
+    let job_id = zone.submit_job(job("j1", "a", "batch", 4, 8), LONG);
+    zone.run_for(10);
+    zone.set_fates(|_, _| Fate::Deliver);
+    zone.take_over();
+    zone.run_for(2_000);
+    assert_eq!(zone.running(&job_id).len(), 1);
+    assert_eq!(zone.commits.len(), 4);
+}
+
+#[test]
+fn verify_paused_owner_that_wakes_is_fenced_and_stops_acting() {
+    // An owner is paused after its first commit. Another takes the zone and finishes the gang. The
+    // old one wakes and goes on: the worker refuses its epoch, and it must not order anything more.
+    let mut zone = FakeZone::started(&[RACK], table(&[]));
+    let job_id = zone.submit_job(job("j1", "a", "batch", 2, 8), LONG);
+    zone.run_for(10);
+    let placer = ragwortwick_policy::ZonePlacer::new(
+        fake_zone::ZONE.into(),
+        ragwortwick_policy::ZoneOptions::default(),
+        1,
+    );
+    let mut old = std::mem::replace(&mut zone.placer, placer);
+    zone.take_over();
+    zone.run_for(2_000);
+    let now = zone.now;
+    let woken = old.on_event(now, ZoneEvent::Tick);
+    let Some(ZoneAction::Order {
+        order,
+        worker,
+        command,
+    }) = woken.into_iter().next()
+    else {
+        panic!("the old owner renews its workers");
+    };
+    let truths = BTreeMap::new();
+    let answering = zone.workers.get_mut(&worker).expect("known worker");
+    let reply = answering.obey(now, Epoch(1), &command, &truths);
+    assert_eq!(reply.outcome, WorkerOutcome::StaleEpoch);
+    let after = old.on_event(
+        now,
+        ZoneEvent::WorkerReplied {
+            worker,
+            order,
+            reply,
+        },
+    );
+    assert_eq!(
+        after,
+        vec![ZoneAction::Notice(ZoneNotice::Fenced { epoch: Epoch(2) })]
+    );
+    assert!(old.on_event(now, ZoneEvent::Tick).is_empty());
+    assert_eq!(zone.running(&job_id).len(), 1);
+}
+
+#[test]
+fn verify_death_of_a_worker_in_any_phase_leaves_no_partial_gang() {
+    // One worker of a gang dies at some instant between its reservation and its stop. The other
+    // members are released or stopped, and the job runs whole again later.
+    for kill_after_ms in [0, 1, 2, 3, 5, 100, 1_500, 2_001, 2_500, 4_000] {
+        let mut zone = FakeZone::started(&[RACK], table(&[("b", 2, 8)]));
+        let job_id = zone.submit_job(job("j1", "a", "batch", 3, 8), LONG);
+        if kill_after_ms > 2_000 {
+            // By then the gang is being stopped for a guarantee.
+            zone.run_for(2_000);
+            zone.submit_job(job("u1", "b", "urgent", 2, 8), LONG);
+            zone.run_for(kill_after_ms - 2_000);
+        } else {
+            zone.run_for(kill_after_ms);
+        }
+        zone.kill(&WorkerName::new("r00w1"));
+        zone.run_for(20_000);
+        assert!(
+            zone.partial_gangs().is_empty(),
+            "killed after {kill_after_ms} ms"
+        );
+        zone.revive(&WorkerName::new("r00w1"));
+        zone.cancel(&JobId::new("u1"));
+        zone.run_for(120_000);
+        assert_eq!(
+            zone.running(&job_id).len(),
+            1,
+            "killed after {kill_after_ms} ms"
+        );
+    }
+}
+
+#[test]
+fn verify_no_partial_gang_and_no_second_start_under_random_loss() {
+    // Orders and answers are lost or refused at random while owners change. Once that ends, no gang
+    // is partial, every repeatable job ends, and no other job was committed in two gangs.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands over owned values"
+    )]
+    fn holds(fates: Vec<u8>, takeovers: Vec<u16>) -> bool {
+        let mut zone = FakeZone::started(&[RACK, RACK], table(&[("a", 1, 16), ("b", 2, 8)]));
+        let mut next = fates.into_iter();
+        zone.set_fates(move |_, _| match next.next().unwrap_or(0) % 8 {
+            5 => Fate::LoseOrder,
+            6 => Fate::LoseAnswer,
+            7 => Fate::Refuse,
+            _ => Fate::Deliver,
+        });
+        let mut jobs = Vec::new();
+        for number in 0..6 {
+            let customer = ["a", "b"][number % 2];
+            let mut spec = job(&format!("j{number}"), customer, "batch", 2, 8);
+            spec.repeatable = number % 3 != 0;
+            let truth = Truth {
+                run_ms: 20_000,
+                fails: false,
+            };
+            jobs.push((zone.submit_job(spec.clone(), truth), spec.repeatable));
+        }
+        for span in takeovers.iter().take(3) {
+            zone.run_for(u64::from(*span % 4_000));
+            zone.take_over();
+        }
+        zone.run_for(400_000);
+        assert!(lasting_partial(&mut zone).is_empty());
+        let mut committed: BTreeMap<JobId, BTreeSet<GangId>> = BTreeMap::new();
+        for (gang_id, _) in &zone.commits {
+            let (job_id, _) = gang_id.job_and_attempt().expect("a gang's id");
+            committed.entry(job_id).or_default().insert(gang_id.clone());
+        }
+        for (job_id, is_repeatable) in jobs {
+            let phase = zone.phase(&job_id);
+            let gangs = committed.get(&job_id).map_or(0, BTreeSet::len);
+            if is_repeatable {
+                assert_eq!(phase, JobPhase::Finished, "{job_id}");
+            } else {
+                assert!(gangs <= 1, "{job_id} was started {gangs} times");
+                let is_ended = matches!(phase, JobPhase::Finished | JobPhase::MayHaveRun);
+                assert!(is_ended, "{job_id} is {phase}");
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(60)
+        .quickcheck(holds as fn(Vec<u8>, Vec<u16>) -> bool);
+}
+
+#[test]
+fn verify_urgent_work_starts_within_five_seconds_on_a_full_zone() {
+    // Borrowed work holds every accelerator, and one of its workers dies as the guarantee is
+    // called. The notice, the grace and the stop together stay under five seconds.
+    let mut zone = FakeZone::started(&[RACK, RACK], table(&[("a", 1, 16), ("a", 2, 4)]));
+    for number in 0..8 {
+        zone.submit_job(job(&format!("b{number}"), "b", "batch", 1, 8), LONG);
+    }
+    zone.run_for(10_000);
+    for number in 0..2 {
+        let urgent = zone.submit(&format!("u{number}"), "a", "urgent", 1, 4);
+        let submitted = zone.now;
+        zone.run_for(5_000);
+        let started = zone.starts[&urgent][0].0;
+        assert!(started.since(submitted).0 <= 5_000);
+    }
+    let large = zone.submit("u2", "a", "urgent", 1, 16);
+    zone.run_for(5_000);
+    assert_eq!(zone.start_count(&large), 1);
+}
+
+#[test]
+fn verify_lost_rack_is_reported_as_shortage_and_mended_on_return() {
+    // A rack with guaranteed cells is lost. What no longer fits is told once, with the number of
+    // cells, and told as none again when the rack is back.
+    let mut zone = FakeZone::started(&[RACK, RACK], table(&[("a", 2, 32)]));
+    for index in 0..4 {
+        zone.kill(&WorkerName::new(format!("r01w{index}")));
+    }
+    zone.run_for(30_000);
+    let status = zone.placer.status(None);
+    assert_eq!(status.guarantees[0].cells_short, 1);
+    for index in 0..4 {
+        zone.revive(&WorkerName::new(format!("r01w{index}")));
+    }
+    zone.run_for(30_000);
+    let status = zone.placer.status(None);
+    assert_eq!(status.guarantees[0].cells_short, 0);
+    let told: Vec<u32> = zone
+        .notices
+        .iter()
+        .filter_map(|(_, notice)| match notice {
+            ZoneNotice::GuaranteeShort { cells_short, .. } => Some(*cells_short),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(told, vec![1, 0]);
+}
+
+#[test]
+fn verify_worker_that_fails_everything_is_quarantined_and_comes_back_by_a_trial() {
+    // A worker fails all that it starts, quickly, so it is always idle and attracts every job.
+    // After three different jobs it is put aside; mended, one trial brings it back.
+    let mut zone = FakeZone::started(&[RACK], table(&[]));
+    let bad = WorkerName::new("r00w0");
+    zone.break_worker(&bad, true);
+    let mut jobs = Vec::new();
+    for number in 0..12 {
+        jobs.push(zone.submit(&format!("j{number}"), "a", "batch", 1, 2));
+    }
+    zone.run_for(60_000);
+    let state_of = |zone: &FakeZone| {
+        let workers = zone.placer.status(None).workers;
+        workers
+            .into_iter()
+            .find(|w| w.worker == bad)
+            .expect("listed")
+            .state
+    };
+    assert_eq!(state_of(&zone), "quarantined");
+    zone.run_for(120_000);
+    assert!(
+        jobs.iter()
+            .all(|job_id| zone.phase(job_id) == JobPhase::Finished)
+    );
+    zone.break_worker(&bad, false);
+    zone.run_for(300_000);
+    zone.submit("t1", "a", "batch", 1, 2);
+    zone.run_for(80_000);
+    assert_eq!(state_of(&zone), "live");
+}
+
+#[test]
+fn verify_job_that_fails_everywhere_is_stopped_and_blames_no_worker() {
+    // Four jobs that always fail are tried on three workers each. They are stopped as failed, and
+    // the evidence against the workers is taken back.
+    let mut zone = FakeZone::started(&[RACK], table(&[]));
+    let hopeless = Truth {
+        run_ms: 1_000,
+        fails: true,
+    };
+    let job_id = zone.submit_job(job("j1", "a", "batch", 1, 8), hopeless);
+    zone.run_for(60_000);
+    assert_eq!(zone.phase(&job_id), JobPhase::Failed);
+    assert_eq!(zone.commits.len(), 3);
+    let workers = zone.placer.status(None).workers;
+    assert!(
+        workers
+            .iter()
+            .all(|w| w.state == "live" && w.reason.is_empty())
+    );
+}
+
+#[test]
+fn verify_large_job_within_its_guarantee_starts_within_the_stated_bound() {
+    // Small jobs of the same customer arrive without end and hold its guarantee in turn. The large
+    // job takes the guarantee back from younger work after ten minutes at the latest.
+    let mut zone = FakeZone::started(&[RACK], table(&[("a", 1, 32)]));
+    for number in 0..4 {
+        zone.submit_job(job(&format!("s{number}"), "a", "batch", 1, 8), LONG);
+    }
+    zone.run_for(1_000);
+    let large = zone.submit_job(job("large", "a", "batch", 1, 32), LONG);
+    for number in 4..200 {
+        let truth = Truth {
+            run_ms: 400_000,
+            fails: false,
+        };
+        zone.submit_job(job(&format!("s{number}"), "a", "batch", 1, 8), truth);
+        zone.run_for(10_000);
+        if number == 6 {
+            // The first four were there before the large one; they are older and may finish.
+            for old in 0..4 {
+                zone.cancel(&JobId::new(format!("s{old}")));
+            }
+        }
+    }
+    let started = zone.starts[&large][0].0;
+    let submitted = zone.records[&large].accepted_at_ms;
+    assert!(
+        started.since(submitted).0 <= 610_000,
+        "{}",
+        started.since(submitted)
+    );
+}
