--- a/ragwortwick-policy/src/zone/settle.rs
+++ b/ragwortwick-policy/src/zone/settle.rs
@@ -67,17 +67,16 @@
                 self.end_job(&gang.job_id, JobPhase::Failed, reason);
             }
             EndCause::Failed(reason) => self.retry_failed(now, &gang.job_id, reason),
-            EndCause::Refused(_) if may_have_run && !is_repeatable => {
-                let reason = format!("it was started and its outcome is unknown: {cause}");
-                self.end_job(&gang.job_id, JobPhase::MayHaveRun, &reason);
-            }
-            EndCause::Refused(reason) => self.retry_refused(now, &gang.job_id, reason),
-            EndCause::Reclaimed | EndCause::Moved | EndCause::MemberLost(_)
+            EndCause::Reclaimed
+            | EndCause::Moved
+            | EndCause::MemberLost(_)
+            | EndCause::Refused(_)
                 if may_have_run && !is_repeatable =>
             {
                 let reason = format!("it was started and its outcome is unknown: {cause}");
                 self.end_job(&gang.job_id, JobPhase::MayHaveRun, &reason);
             }
+            EndCause::Refused(reason) => self.retry_refused(now, &gang.job_id, reason),
             EndCause::Reclaimed | EndCause::Moved | EndCause::MemberLost(_) => {
                 self.requeue(&gang.job_id, &cause.to_string(), may_have_run);
             }
