--- a/ragwortwick-daemon/tests/state_jobs.rs
+++ b/ragwortwick-daemon/tests/state_jobs.rs
@@ -1,6 +1,6 @@
 //! Acceptance of jobs at an entry host while the store fails in every way.
 
-use ragwortwick_border::{JobList, JobPhase, StoreList, TableAcceptReply};
+use ragwortwick_border::{JobList, JobPhase, StoreGet, StoreList, TableAcceptReply};
 use ragwortwick_core::{CustomerName, DurationMs, JobId, ZoneName};
 use ragwortwick_http::HttpError;
 use ragwortwick_standin::{
@@ -47,6 +47,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_job_is_accepted_once_when_the_answer_is_lost() {
     let fleet = fleet().await;
+    wait_until("no other write is under way", async || {
+        let key = "table/history/0000000001".to_owned();
+        let question = StoreGet { key };
+        let entry = fleet.store.with_state(|state| state.get(now(), &question));
+        entry.entry.is_some() && fleet.owner(&fleet.zones()[0]).is_some()
+    })
+    .await;
     fleet.store.set_faults(Faults {
         only: vec!["cas".to_owned()],
         lose_answers: 1,
