--- a/ragwortwick-daemon/tests/e2e_zone_owner.rs
+++ b/ragwortwick-daemon/tests/e2e_zone_owner.rs
@@ -68,6 +68,49 @@
     fleet.close().await;
 }
 
+// Callers see each job run once, though the woken owner goes on as if it still owned the zone.
+// It is frozen with gangs running and jobs waiting; its successor finishes the gangs and starts the
+// waiting jobs. When it wakes, the store answers no renewal, so it holds on to its old epoch: only
+// the workers can tell it, by refusing that epoch.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_a_woken_owner_without_the_store_is_fenced_by_the_workers() {
+    let fleet = open_fleet().await;
+    let ids: Vec<String> = (0..10).map(|number| format!("fence-{number}")).collect();
+    for id in &ids {
+        accept(&fleet, 0, id, 4_000).await;
+    }
+    // Of gangs of two, the eight workers hold four.
+    wait_until("the workers are full", async || started(&fleet, &ids) == 4).await;
+    let frozen = freeze_owner_past_its_lease(&fleet).await;
+    wait_until("the successor starts more", async || {
+        started(&fleet, &ids) > 4
+    })
+    .await;
+    fleet.store.set_faults(Faults {
+        only: vec!["lease_renew".to_owned()],
+        down: true,
+        ..Faults::default()
+    });
+    fleet.daemons[frozen].wake().expect("the owner wakes");
+    wait_until("a worker refuses the old epoch", async || {
+        let log = fleet.workers.log().entries();
+        log.iter().any(|entry| entry.event == LogEvent::Fenced)
+    })
+    .await;
+    fleet.store.set_faults(Faults::default());
+    for id in &ids {
+        fleet.wait_for_phase(id, JobPhase::Finished).await;
+        let starts = fleet.gang_events(id, LogEvent::Started);
+        assert_eq!(starts.len(), 2, "{id} is started once: {starts:?}");
+    }
+    fleet.close().await;
+}
+
+fn started(fleet: &Fleet, ids: &[String]) -> usize {
+    let is_started = |id: &&String| fleet.gang_events(id, LogEvent::Started).len() == 2;
+    ids.iter().filter(is_started).count()
+}
+
 // A gang that runs goes on when the owner is killed, and new work starts within the bound.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_ownership_moves_after_a_kill_without_stopping_a_gang() {
