--- a/ragwortwick-policy/src/request/entry.rs
+++ b/ragwortwick-policy/src/request/entry.rs
@@ -41,13 +41,14 @@
 
 impl Request {
     /// The answer must leave before the deadline, so the wait ends a little earlier; work that may
-    /// be repeated keeps half of its time for a second try.
-    pub(super) fn answer_by(&self, now: TimeMs) -> TimeMs {
+    /// be repeated keeps some of its time for a second try, if a first one has surely ended by then.
+    pub(super) fn answer_by(&self, now: TimeMs, sure_ms: DurationMs) -> TimeMs {
         let left_ms = self.deadline.since(now).0;
         let margin_ms = (left_ms / 20).clamp(5, 500);
         let whole = self.deadline - DurationMs(margin_ms);
         if self.is_repeatable && !self.may_have_run {
-            return whole.min(now + DurationMs(left_ms * 6 / 10));
+            let first_ms = DurationMs(left_ms * 6 / 10).max(sure_ms);
+            return whole.min(now + first_ms);
         }
         whole
     }
--- a/ragwortwick-policy/src/request/steps.rs
+++ b/ragwortwick-policy/src/request/steps.rs
@@ -1,6 +1,6 @@
 //! Moves requests along their state chart and carries out its effects.
 
-use ragwortwick_core::{TimeMs, Verdict};
+use ragwortwick_core::{DurationMs, TimeMs, Verdict};
 
 use super::dispatcher::Dispatcher;
 use super::entry::{ClaimState, Ending, may_have_run};
@@ -76,10 +76,12 @@
                     return;
                 };
                 request.sent_at = now;
+                let line = self.queue.line(&request.key);
+                let sure_ms = line.map_or(DurationMs(0), |line| line.run_time.sure_ms(now));
                 out.push(RequestAction::Send {
                     ticket,
                     runner,
-                    answer_by: request.answer_by(now),
+                    answer_by: request.answer_by(now, sure_ms),
                     deadline: request.deadline,
                 });
             }
