Prove requests beside a frozen host, without the store, and between versions

Cause: no check showed requests while the store is down or slow, beside a frozen host, or with peers of another version; a peer that connected and said nothing kept its place for good.

Ruled out: none.

--- a/ragwortwick-daemon/src/peers/server.rs
+++ b/ragwortwick-daemon/src/peers/server.rs
@@ -10,10 +10,11 @@
 use ragwortwick_border::{
     JobCall, JobWhy, PeerCall, PeerRefusal, PeerReply, RequestSubmit, SeenReply,
 };
-use ragwortwick_core::log_event;
+use ragwortwick_core::{DurationMs, log_event};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::timeout;
 
 use super::PEER_PROTOCOL;
 use super::codec::{call_path, decode, encode, read_body};
@@ -25,6 +26,9 @@
 /// Most calls of one peer answered at once; more wait on the peer's side.
 const MAX_CALLS_PER_PEER: u32 = 1_024;
 
+/// Longest time for a peer to open its h2 session.
+const HANDSHAKE_TIMEOUT_MS: DurationMs = DurationMs(5_000);
+
 /// `PeerServer` is the running answering side.
 #[derive(Debug)]
 pub(crate) struct PeerServer {
@@ -95,10 +99,14 @@
 ) -> Result<(), h2::Error> {
     // Without it a small reply is only later; the connection works all the same.
     drop(socket.set_nodelay(true));
-    let mut connection = h2::server::Builder::new()
-        .max_concurrent_streams(MAX_CALLS_PER_PEER)
-        .handshake::<_, Bytes>(socket)
-        .await?;
+    let mut builder = h2::server::Builder::new();
+    builder.max_concurrent_streams(MAX_CALLS_PER_PEER);
+    let handshake = builder.handshake::<_, Bytes>(socket);
+    // One that connects and says nothing would keep its place among the connections for good.
+    let Ok(connection) = timeout(HANDSHAKE_TIMEOUT_MS.into(), handshake).await else {
+        return Ok(());
+    };
+    let mut connection = connection?;
     let mut is_stopping = *stopped.borrow();
     if is_stopping {
         connection.graceful_shutdown();
--- a/ragwortwick-daemon/tests/requests_fleet/leaving.rs
+++ b/ragwortwick-daemon/tests/requests_fleet/leaving.rs
@@ -1,5 +1,6 @@
 //! Proves that a leaving runner gets no new work from any entry host, and finishes what it runs.
 
+use futures_util::future::join_all;
 use ragwortwick_border::{HostEntry, HostState};
 use ragwortwick_standin::{Faults, sample_request};
 
@@ -69,3 +70,39 @@
     assert_eq!(starts_on(&fleet, 0), at_bound);
     fleet.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_leaving_is_seen_in_a_burst_while_the_store_is_down() {
+    // No caller sees a refusal. The store and the host list are down, so only the runner itself can
+    // say that it leaves; callers of all hosts keep every slot busy. After the bound no host calls
+    // the runner any more.
+    let fleet = one_zone(3, 3).await;
+    fleet.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    fleet.runners.all[0].set_faults(Faults {
+        leaving: true,
+        ..Faults::default()
+    });
+    let mut at_bound = None;
+    let start = std::time::Instant::now();
+    let mut round = 0;
+    while start.elapsed().as_millis() < u128::from(BOUND_MS + 1_500) {
+        let calls = (0..24).map(|number| {
+            let (fleet, id) = (&fleet, format!("r{round}-{number}"));
+            async move {
+                let request = sample_request(&id, 20, true);
+                let outcome = submit(fleet, number % 3, &request).await;
+                assert!(is_answer(&outcome, &id), "{outcome:?}");
+            }
+        });
+        join_all(calls).await;
+        round += 1;
+        if at_bound.is_none() && start.elapsed().as_millis() >= u128::from(BOUND_MS) {
+            at_bound = Some(run_calls(&fleet, 0));
+        }
+    }
+    assert_eq!(Some(run_calls(&fleet, 0)), at_bound);
+    fleet.close().await;
+}
--- a/ragwortwick-daemon/tests/requests_fleet/main.rs
+++ b/ragwortwick-daemon/tests/requests_fleet/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod leaving;
 mod once;
+mod peers;
 mod stop;
