Carry an operator's edits over to the table that someone else accepted

Cause: after a lost race the only way out was to export again and repeat every edit by hand.

Ruled out: merging at acceptance without a look: two edits that are right by themselves may be wrong together, so the merged file is reviewed again.

Change: table rebase FILE compares the file, the table that it was exported from and the one in force, cell by cell. Cells that only one side changed are taken from that side; cells that both set are named and the file stays as it was.

Seen red: with the own row in place of theirs, the review after the rebase would have set civil's weight back from 5 to 2; with cells that both set taken from the file, the third operator's rebase ended with 0 instead of 5.

Conclusion: the second operator keeps the work of both.

--- a/ragwortwick-cli/src/arguments/command.rs
+++ b/ragwortwick-cli/src/arguments/command.rs
@@ -62,6 +62,11 @@
         /// Who and why.
         signature: Signature,
     },
+    /// Carry a file's edits over to the table in force.
+    Rebase {
+        /// The file.
+        file: PathBuf,
+    },
     /// Show the accepted tables.
     History {
         /// Most tables to show.
@@ -145,6 +150,9 @@
             let file = file(arguments)?;
             Ok(TableCommand::Accept { file, signature })
         }
+        Some("rebase") => Ok(TableCommand::Rebase {
+            file: file(arguments)?,
+        }),
         Some("history") => Ok(TableCommand::History {
             limit: option(arguments, "--limit")?.unwrap_or(HISTORY_LIMIT),
         }),
--- a/ragwortwick-cli/src/arguments/help.rs
+++ b/ragwortwick-cli/src/arguments/help.rs
@@ -18,6 +18,8 @@
       --remove PART/KEY       remove a row
   table review FILE           what accepting FILE would change and do, and every mistake in it
   table accept FILE           review FILE again, ask, and put it in force
+  table rebase FILE           carry the edits in FILE over to the table in force, after someone else
+                              accepted one
   table history [--limit N]   the accepted tables, newest first: who, when, why and what
   table revert-to NUMBER      accept the rows of an earlier table again
       --reason TEXT           accept, revert-to: why, for the history (required)
--- a/ragwortwick-cli/src/sheet/mod.rs
+++ b/ragwortwick-cli/src/sheet/mod.rs
@@ -7,6 +7,7 @@
 mod edit;
 mod from_table;
 mod raw;
+mod rebase;
 #[cfg(test)]
 mod tests;
 mod to_table;
@@ -18,6 +19,7 @@
 pub(crate) use edit::{Edit, apply};
 pub(crate) use from_table::from_table;
 pub(crate) use raw::RawSheet;
+pub(crate) use rebase::rebase;
 pub(crate) use to_table::to_draft;
 
 use column::Column;
--- a/ragwortwick-cli/src/table/mod.rs
+++ b/ragwortwick-cli/src/table/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod file;
 mod history;
+mod rebase;
 mod review;
 mod show;
 
@@ -34,6 +35,7 @@
         TableCommand::Accept { file, signature } => {
             accept::file(hosts, &file, signature, is_quiet).await
         }
+        TableCommand::Rebase { file } => rebase::run(hosts, &file).await,
         TableCommand::History { limit } => history::run(hosts, limit).await,
         TableCommand::RevertTo { number, signature } => {
             accept::revert(hosts, number, signature, is_quiet).await
--- a/ragwortwick-cli/src/table/review.rs
+++ b/ragwortwick-cli/src/table/review.rs
@@ -57,7 +57,7 @@
 
 /// `way_out` tells what to do after a lost race.
 pub(super) fn way_out() -> &'static str {
-    "export again to a new file, repeat your own changes there and review it; \
+    "ragwortwick table rebase FILE carries your own edits over to it; review the file again then; \
      ragwortwick table history shows who accepted what"
 }
 
--- a/ragwortwick-cli/tests/commands/docs.rs
+++ b/ragwortwick-cli/tests/commands/docs.rs
@@ -35,5 +35,5 @@
         assert!(PAGE.contains(&name), "docs/OPERATIONS.md lacks {name}");
         count += 1;
     }
-    assert_eq!(count, 12);
+    assert_eq!(count, 13);
 }
--- a/ragwortwick-cli/tests/commands/table.rs
+++ b/ragwortwick-cli/tests/commands/table.rs
@@ -85,6 +85,35 @@
     bench.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_a_rebase_keeps_the_rows_of_both_operators() {
+    // Two operators edit different cells of the same row from one table. The second one's edits are
+    // carried over to the first one's table, and accepting them undoes nothing. Where both set the
+    // same cell, nothing is guessed: the cell is named and the file stays as it was.
+    let bench = Bench::open_with_table().await;
+    let first = bench.edited("a.csv", &["customers/civil/weight=5"]).await;
+    let second = bench
+        .edited("b.csv", &["customers/civil/max_queued_jobs=7"])
+        .await;
+    let third = bench.edited("c.csv", &["customers/civil/weight=6"]).await;
+    assert_eq!(bench.accept(&first, "a").await.exit_code, 0);
+    bench.ok(&["table", "rebase", &second]).await;
+    let review = bench.ok(&["table", "review", &second]).await;
+    assert!(
+        review.contains("civil: max_queued_jobs 100 -> 7\n"),
+        "{review}"
+    );
+    assert_eq!(bench.accept(&second, "b").await.exit_code, 0);
+    let before = std::fs::read_to_string(&third).expect("the file");
+    let message = bench.fails(5, &["table", "rebase", &third]).await;
+    assert!(
+        message.contains("customers/civil: weight: you set 6, they set 5"),
+        "{message}"
+    );
+    assert_eq!(std::fs::read_to_string(&third).expect("the file"), before);
+    bench.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_mistakes_name_the_rows_of_the_file_and_nothing_is_accepted() {
     let bench = Bench::open_with_table().await;
