--- a/ragwortwick-cli/tests/commands/entry_hosts.rs
+++ b/ragwortwick-cli/tests/commands/entry_hosts.rs
@@ -3,8 +3,9 @@
 use std::net::TcpListener;
 
 use ragwortwick_daemon::{Daemon, Settings};
+use ragwortwick_standin::wait_until;
 
-use crate::bench::run;
+use crate::bench::{Bench, run};
 
 fn settings() -> Settings {
     let text = r#"{
@@ -83,3 +84,28 @@
     assert_eq!(outcome.exit_code, 0);
     assert!(outcome.stdout.contains("usage: ragwortwick"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_status_shows_the_owner_guarantees_and_workers_that_need_a_look() {
+    // A listed worker answers nobody. The operator sees the zone with its owner, the guarantee that
+    // no worker can hold now, and the worker by name with its reason, without asking for healthy ones.
+    let bench = Bench::open_with_table().await;
+    bench.list_worker("w1", "north").await;
+    let mut text = String::new();
+    wait_until("the status names the lost worker", async || {
+        text = bench.ok(&["status"]).await;
+        text.contains("w1")
+    })
+    .await;
+    let expected = [
+        "zones\n",
+        "north  e1",
+        "guarantees\n",
+        "civil",
+        "workers that need a look",
+    ];
+    for part in expected {
+        assert!(text.contains(part), "{part}\nin\n{text}");
+    }
+    bench.close().await;
+}
