--- a/ragwortwick-daemon/tests/e2e_kill.rs
+++ b/ragwortwick-daemon/tests/e2e_kill.rs
@@ -105,15 +105,19 @@
     fleet.close().await;
 }
 
-// The caller that cancelled sees a cancelled job, also when all hosts die right after the answer.
-// The wish to cancel is in the store before the answer; the new owner carries it out.
+// The caller that cancelled sees a cancelled job, though its zone's owner never heard of the wish.
+// The owner is frozen, another host takes the wish, and then all hosts die. The wish is in the store
+// before the answer, so the next owner carries it out on the gang that it finds running.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_a_cancelled_job_stays_cancelled_after_the_kill_of_every_host() {
     let mut fleet = open_fleet().await;
-    accept(&fleet, 0, "cancelled", 30_000).await;
+    let mut job = sample_job("cancelled", 2, 30_000, true);
+    job.zone = Some(fleet.daemons[1].zone().clone());
+    let accepted = fleet.caller.job(fleet.address(1), &job).await;
+    let id = accepted.expect("the job is accepted").job_id;
     wait_for_starts(&fleet, "cancelled").await;
-    let id = fleet.record("cancelled").expect("the record").job_id;
-    let answer = fleet.caller.cancel_job(fleet.address(1), &id).await;
+    fleet.daemons[1].freeze().expect("the owner is frozen");
+    let answer = fleet.caller.cancel_job(fleet.address(0), &id).await;
     answer.expect("the wish is recorded");
     fleet.kill_all().expect("the hosts are killed");
     restart_all(&mut fleet).await;
