Keep a share of what guarantees leave over from borrowed work, by the table's weights

Change: borrowed work leaves 75 % x sqrt(fragmentation's part of the weights) of what guaranteed work does not use idle; urgent work is exempt, and so is a job where no borrowed work runs.

--- a/ragwortwick-policy/src/zone/places.rs
+++ b/ragwortwick-policy/src/zone/places.rs
@@ -38,6 +38,9 @@
         if let Some(cells) = self.find_trial(request) {
             return Some(cells);
         }
+        if request.is_beyond_spare(pass) {
+            return None;
+        }
         let mut idle = pass.idle.clone();
         for worker in &request.avoided {
             idle.free[*worker] = 0;
@@ -64,7 +67,8 @@
     /// waiting; in fragments it can be moved off by a checkpoint.
     pub(super) fn find_fragment(&mut self, request: &Request, pass: &Pass) -> Option<Vec<Cell>> {
         let largest = self.largest_guaranteed();
-        if !request.is_repeatable || request.size >= largest {
+        let is_small = request.size < largest;
+        if !request.is_repeatable || !is_small || request.is_beyond_spare(pass) {
             return None;
         }
         let mut idle = pass.idle.clone();
@@ -81,7 +85,11 @@
         found.filter(|_| idle.count(largest) == whole_before)
     }
 
+    /// Looks for idle accelerators anywhere, for small work that would open its customer's large cell.
     pub(super) fn find_idle(&mut self, request: &Request, pass: &Pass) -> Option<Vec<Cell>> {
+        if request.is_beyond_spare(pass) {
+            return None;
+        }
         let mut idle = pass.idle.clone();
         for worker in &request.avoided {
             idle.free[*worker] = 0;
--- a/ragwortwick-policy/src/zone/start.rs
+++ b/ragwortwick-policy/src/zone/start.rs
@@ -24,6 +24,12 @@
 /// Added to the cost of stopping urgent work: it is stopped only where nothing else would do.
 const URGENT_STOP_COST: u32 = 10_000;
 
+/// Share kept idle where only fragmentation has a weight.
+///
+/// More would leave borrowed work less than the naive policy leaves; docs/design/0020-placement.md
+/// has the curve.
+const MOST_KEPT_SHARE: f64 = 0.75;
+
 /// `Pass` is what one placement pass knows; rebuilt in part after every start.
 pub(super) struct Pass {
     pub(super) idle: Pool,
@@ -31,6 +37,8 @@
     /// Accelerators of the largest gang that a reclaim on the worker would stop.
     pub(super) stop_cost: Vec<u32>,
     pub(super) closed: Vec<u32>,
+    /// Accelerators that borrowed work may still take.
+    pub(super) spare: u32,
     /// Shapes that found no place in this pass; equal ones need not be tried again.
     pub(super) failed: BTreeSet<(CustomerName, bool, bool, u32, u32)>,
 }
@@ -53,8 +61,17 @@
 }
 
 impl Request {
+    pub(super) fn accelerators(&self) -> u32 {
+        self.cells.saturating_mul(self.size)
+    }
+
+    /// Urgent work starts on whatever is idle; its place is never kept from it.
+    pub(super) fn is_beyond_spare(&self, pass: &Pass) -> bool {
+        !self.is_urgent && self.accelerators() > pass.spare
+    }
+
     pub(super) fn is_routine_small(&self, largest: u32) -> bool {
-        !self.is_urgent && self.is_repeatable && self.cells * self.size < largest
+        !self.is_urgent && self.is_repeatable && self.accelerators() < largest
     }
 }
 
@@ -84,14 +101,12 @@
         let mut idle = self.ledger.idle_pool();
         idle.avoid = self.homes.mask_by_worker(idle.free.len());
         idle.rack_unit = (self.largest_guaranteed() / BLOCK).max(1);
+        let workers = &self.ledger.workers;
+        let borrowed: Vec<u32> = workers.iter().map(WorkerEntry::borrowed).collect();
         Pass {
+            spare: self.spare_for_borrowed(&idle, &borrowed),
             idle,
-            borrowed: self
-                .ledger
-                .workers
-                .iter()
-                .map(WorkerEntry::borrowed)
-                .collect(),
+            borrowed,
             stop_cost: self.stop_cost(|gang| gang.is_borrowed),
             closed: self
                 .ledger
@@ -149,6 +164,36 @@
         }
     }
 
+    /// How many more accelerators borrowed work may take, so that a share stays idle.
+    ///
+    /// Borrowed work that takes all that is idle leaves holes of many sizes: large jobs find no
+    /// adjacent accelerators though enough are free in total. The share is one of what guaranteed
+    /// work leaves over, so borrowed work is slowed and never shut out, whatever guarantees take;
+    /// and where none runs, a job larger than the rest may take everything.
+    fn spare_for_borrowed(&self, idle: &Pool, borrowed: &[u32]) -> u32 {
+        let free: u32 = idle.free.iter().map(|mask| mask.count_ones()).sum();
+        let taken: u32 = borrowed.iter().map(|mask| mask.count_ones()).sum();
+        if taken == 0 {
+            return free;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share between 0 and 1 of a count"
+        )]
+        let allowed = (f64::from(free + taken) * (1.0 - self.kept_share())) as u32;
+        allowed.saturating_sub(taken)
+    }
+
+    /// Share of what guaranteed work leaves over that stays idle, by the table's weights.
+    fn kept_share(&self) -> f64 {
+        let weights = self.table.as_ref().map(|table| &table.table.weights);
+        weights.map_or(0.0, |w| {
+            let share = w.fragmentation / (w.fragmentation + w.completion).max(0.01);
+            MOST_KEPT_SHARE * share.clamp(0.0, 1.0).sqrt()
+        })
+    }
+
     /// How long a borrowed start waits for a place that harms no large cell, by the table's weights.
     fn patience(&self) -> DurationMs {
         let weights = self.table.as_ref().map(|table| &table.table.weights);
