Fill opened guaranteed cells first with urgent work

Ruled out: stopping borrowed work outside the homes for it, which a later assignment could undo. Change: urgent work prefers an opened cell even where borrowed work has to leave.

--- a/ragwortwick-policy/src/zone/claims.rs
+++ b/ragwortwick-policy/src/zone/claims.rs
@@ -58,6 +58,7 @@
             customer: &request.customer,
             cells: request.cells,
             size: request.size,
+            is_urgent: request.is_urgent,
             borrowed: &borrowed,
             stop_cost: &stop_cost,
             closed: &closed,
--- a/ragwortwick-policy/src/zone/homes.rs
+++ b/ragwortwick-policy/src/zone/homes.rs
@@ -90,9 +90,10 @@
                 choices.push(Choice {
                     // A cell that is opened already is used up before a whole one.
                     rank: (
-                        conflict,
+                        if wanted.is_urgent { 0 } else { conflict },
                         home.is_unused() && home.size > wanted.size,
                         home.size,
+                        conflict,
                         harm,
                         index,
                     ),
@@ -194,6 +195,9 @@
     pub(super) size: u32,
     /// Accelerators held by borrowed work, by worker.
     pub(super) borrowed: &'a [u32],
+    /// Urgent work fills its opened cells first, also where borrowed work has to leave: spread over
+    /// whole cells it would leave no room for the next urgent job that the guarantee covers.
+    pub(super) is_urgent: bool,
     /// Accelerators of the largest gang that would have to stop, by worker.
     pub(super) stop_cost: &'a [u32],
     /// Accelerators that can't be had now, by worker.
@@ -203,7 +207,7 @@
 }
 
 struct Choice {
-    rank: (u32, bool, u32, u32, usize),
+    rank: (u32, bool, u32, u32, u32, usize),
     cell: Cell,
 }
 
--- a/ragwortwick-policy/src/zone/places.rs
+++ b/ragwortwick-policy/src/zone/places.rs
@@ -14,6 +14,7 @@
             customer: &request.customer,
             cells: request.cells,
             size: request.size,
+            is_urgent: request.is_urgent,
             borrowed: &pass.borrowed,
             stop_cost: &pass.stop_cost,
             closed: &pass.closed,
