--- a/ragwortwick-daemon/tests/docs_proofs.rs
+++ b/ragwortwick-daemon/tests/docs_proofs.rs
@@ -79,6 +79,17 @@
     );
 }
 
+#[test]
+fn verify_no_test_stands_twice_for_one_fault() {
+    let mut seen = BTreeSet::new();
+    for row in page().rows {
+        for test in row.tests {
+            let at = format!("{}, {}: {test}", row.point, row.fault);
+            assert!(seen.insert(at.clone()), "stands twice: {at}");
+        }
+    }
+}
+
 #[test]
 fn verify_each_status_has_what_it_claims() {
     for row in page().rows {
