--- a/ragwortwick-standin/src/faults.rs
+++ b/ragwortwick-standin/src/faults.rs
@@ -8,9 +8,9 @@
 use http::Response;
 use ragwortwick_core::{DurationMs, common};
 use tokio::sync::watch;
-use tokio::time::sleep;
 
 use crate::body;
+use crate::clock::pause;
 
 /// `Faults` is what goes wrong; the default is nothing.
 #[common(wire)]
@@ -120,7 +120,7 @@
             if faults.silent {
                 pending::<()>().await;
             }
-            sleep(faults.delay_ms.into()).await;
+            pause(faults.delay_ms).await;
         };
         // Without the close a stand-in with silent calls could never end.
         tokio::select! {
@@ -142,7 +142,7 @@
         response: Response<Body>,
     ) -> Response<Body> {
         let faults = self.faults(name, kind);
-        sleep(faults.answer_delay_ms.into()).await;
+        pause(faults.answer_delay_ms).await;
         if self.take(name, kind, |faults| &mut faults.lose_answers) {
             return body::cut(response, false).await;
         }
--- a/ragwortwick-standin/src/runners.rs
+++ b/ragwortwick-standin/src/runners.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admin::{self, Answer, Role, RouteBuilder, call, pass};
+use crate::clock::pause;
 use crate::faults::{Faults, Gate, lock};
 use crate::now;
 use crate::start_log::{LogEntry, LogEvent, StartLog};
@@ -126,7 +127,7 @@
             echo: request.payload.clone(),
             ..Work::default()
         });
-        tokio::time::sleep(work.work_ms.into()).await;
+        pause(work.work_ms).await;
         *lock(&self.busy) -= 1;
         self.note(&request, LogEvent::Finished);
         let answer = RunnerAnswer {
