Let a zone of one rack keep nothing idle, and say why a job waits beside idle workers

Cause: e2e_zone_owner's next gang started 20 s after the owner's kill instead of at once: its zone has 4 workers, the running gang was borrowed, and the share kept from borrowed work left no room. Change: no share in zones of 8 workers or fewer; job why names the weight of fragmentation. Conclusion: small zones serve what comes; operators of large ones can read why accelerators are idle.

--- a/ragwortwick-policy/src/zone/report.rs
+++ b/ragwortwick-policy/src/zone/report.rs
@@ -123,6 +123,13 @@
              and its customer's guarantee is in use or too small",
             shape.cells, shape.cell_accelerators
         );
+        if free >= shape.cells && self.kept_share() > 0.0 {
+            // An operator who sees idle accelerators beside a waiting job must learn why.
+            text.push_str(
+                "; the table's weight of fragmentation keeps a share of the zone idle from work \
+                 beyond guarantees",
+            );
+        }
         if !job.why.is_empty() {
             text.push_str("; ");
             text.push_str(&job.why);
--- a/ragwortwick-policy/src/zone/start.rs
+++ b/ragwortwick-policy/src/zone/start.rs
@@ -30,6 +30,9 @@
 /// has the curve.
 const MOST_KEPT_SHARE: f64 = 0.75;
 
+/// A zone of no more workers keeps nothing idle: its few jobs would wait beside empty workers.
+const WORKERS_OF_A_RACK: usize = 8;
+
 /// `Pass` is what one placement pass knows; rebuilt in part after every start.
 pub(super) struct Pass {
     pub(super) idle: Pool,
@@ -173,7 +176,8 @@
     fn spare_for_borrowed(&self, idle: &Pool, borrowed: &[u32]) -> u32 {
         let free: u32 = idle.free.iter().map(|mask| mask.count_ones()).sum();
         let taken: u32 = borrowed.iter().map(|mask| mask.count_ones()).sum();
-        if taken == 0 {
+        let is_small_zone = self.ledger.workers.len() <= WORKERS_OF_A_RACK;
+        if taken == 0 || is_small_zone {
             return free;
         }
         #[expect(
@@ -186,7 +190,7 @@
     }
 
     /// Share of what guaranteed work leaves over that stays idle, by the table's weights.
-    fn kept_share(&self) -> f64 {
+    pub(super) fn kept_share(&self) -> f64 {
         let weights = self.table.as_ref().map(|table| &table.table.weights);
         weights.map_or(0.0, |w| {
             let share = w.fragmentation / (w.fragmentation + w.completion).max(0.01);
