Ask for the permission to write before each try of a job's record

The permission was asked once, before the first try. Ruled out: harm in the store, since the write names the revision that it replaces; but the next owner's first start would have been overtaken by a belief of the former one. Change: write_while asks before each try. The test waits until the first order's try is over, which it took for granted. Conclusion: at most a try that is under way when the zone is lost reaches the store.

--- a/ragwortwick-daemon/src/zone/job_writer.rs
+++ b/ragwortwick-daemon/src/zone/job_writer.rs
@@ -140,7 +140,8 @@
             value: Some(encode(&record)?),
             lease_id: None,
         };
-        match self.store.write(&write).await? {
+        let may_write = || self.tenure.may_act(self.clock.now(), order.epoch);
+        match self.store.write_while(&write, may_write).await? {
             WriteOutcome::Written(revision) => {
                 self.ledger.take_in(StoredJob { revision, record });
                 Ok(Attempted::Recorded)
--- a/ragwortwick-daemon/src/zone/tests.rs
+++ b/ragwortwick-daemon/src/zone/tests.rs
@@ -285,6 +285,13 @@
         .tenure
         .set(Epoch(2), owner.clock.now() + DurationMs(60_000));
     orders.send(order(2, Epoch(2))).await.expect("a place");
+    // A try of the first order can be under way when its zone is lost. Orders of one job go one
+    // after the other, so the second call from here on is one of the second order.
+    let calls = || store.calls().values().sum::<u64>();
+    let calls_before = calls();
+    while calls() < calls_before + 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
     store.set_faults(Faults::default());
     let event = owner.next();
     let ZoneDutyEvent::JobRecorded { epoch, attempt, .. } = event else {
--- a/ragwortwick-platform/src/write.rs
+++ b/ragwortwick-platform/src/write.rs
@@ -47,6 +47,22 @@
     /// Fails with `NotSent` if no try can have reached the store, with `NoAnswer` if the outcome is
     /// unknown.
     pub async fn write(&self, write: &StoreWrite) -> Result<WriteOutcome, StoreError> {
+        self.write_while(write, || true).await
+    }
+
+    /// `write_while` is `write` that makes no further try once the writer may not write any more.
+    ///
+    /// A write that waits out an outage can outlast the writer's lease; a try made then would put
+    /// the belief of a former owner into the store. The permission is asked before each try.
+    ///
+    /// # Errors
+    ///
+    /// As `write`; a permission that has ended leaves the outcome of the tries before it.
+    pub async fn write_while(
+        &self,
+        write: &StoreWrite,
+        may_write: impl Fn() -> bool + Send,
+    ) -> Result<WriteOutcome, StoreError> {
         let cas = StoreCas {
             key: write.key.clone(),
             expected_revision: write.expected_revision,
@@ -57,6 +73,10 @@
         let mut backoff = self.backoff();
         let mut is_unknown = false;
         loop {
+            if !may_write() {
+                let error = StoreError::NotSent("the writer may not write any more".to_owned());
+                return Err(last_error(error, is_unknown));
+            }
             let error = match self.cas(&cas).await {
                 Ok(reply) if reply.applied || is_own(write, reply.entry.as_ref()) => {
                     let revision = reply.entry.map_or(reply.revision, |entry| entry.revision);
