Read the host list only when it changed

Cause: every entry host read the whole list about once a second: 3,319 bytes/s in a fleet of 17 listed hosts, more than the 3 KB/s that all control traffic of a node may take, and 190 bytes/s for each host listed. Ruled out: longer intervals (a leaving runner must get no work 3 s after it is listed so); one reader per zone (a cut or a kill then blinds the others). Change: conditional reads by ETag; a list server without tags is read whole as before.

--- a/ragwortwick-http/src/client.rs
+++ b/ragwortwick-http/src/client.rs
@@ -88,6 +88,20 @@
     pub body: Bytes,
 }
 
+/// `Fetched` is the answer to a conditional read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fetched<R> {
+    /// Nothing changed since the answer that the tag names.
+    Unchanged,
+    /// The whole answer.
+    Whole {
+        /// What was read.
+        value: R,
+        /// Names this answer in the next read, if the server gives tags.
+        tag: Option<String>,
+    },
+}
+
 /// `HttpClient` sends requests over pooled connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -129,8 +143,20 @@
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
-            .header(header::CONTENT_TYPE, mime::APPLICATION_JSON.as_ref())
-            .body(Full::new(body.unwrap_or_default()))
+            .header(header::CONTENT_TYPE, mime::APPLICATION_JSON.as_ref());
+        self.exchange(address, request, body.unwrap_or_default(), timeout_ms)
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        request: http::request::Builder,
+        body: Bytes,
+        timeout_ms: DurationMs,
+    ) -> Result<HttpReply, HttpError> {
+        let request = request
+            .body(Full::new(body))
             .map_err(|e| HttpError::NotSent {
                 address: address.to_owned(),
                 cause: e.to_string(),
@@ -204,6 +230,39 @@
             .await?;
         decode(address, &reply)
     }
+
+    /// `get_changed` reads a JSON answer unless it is still the one that `known_tag` names.
+    ///
+    /// The tag is the `ETag` of an earlier answer; a server without tags sends the whole each time.
+    ///
+    /// # Errors
+    ///
+    /// As `post`.
+    pub async fn get_changed<R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        known_tag: Option<&str>,
+        timeout_ms: DurationMs,
+    ) -> Result<Fetched<R>, HttpError> {
+        let mut request = Request::builder()
+            .method(Method::GET)
+            .uri(format!("http://{address}{path}"));
+        if let Some(tag) = known_tag {
+            request = request.header(header::IF_NONE_MATCH, tag);
+        }
+        let reply = self
+            .exchange(address, request, Bytes::new(), timeout_ms)
+            .await?;
+        if reply.status == StatusCode::NOT_MODIFIED {
+            return Ok(Fetched::Unchanged);
+        }
+        let tag = reply.headers.get(header::ETAG);
+        Ok(Fetched::Whole {
+            value: decode(address, &reply)?,
+            tag: tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned),
+        })
+    }
 }
 
 fn decode<R: DeserializeOwned>(address: &str, reply: &HttpReply) -> Result<R, HttpError> {
--- a/ragwortwick-http/src/lib.rs
+++ b/ragwortwick-http/src/lib.rs
@@ -5,6 +5,6 @@
 mod server;
 mod stall;
 
-pub use client::{HttpClient, HttpClientOptions, HttpError, HttpReply};
+pub use client::{Fetched, HttpClient, HttpClientOptions, HttpError, HttpReply};
 pub use reply::{Refusal, json_response, read_json};
 pub use server::{Server, ServerOptions};
--- a/ragwortwick-platform/src/host_list.rs
+++ b/ragwortwick-platform/src/host_list.rs
@@ -4,7 +4,7 @@
 
 use ragwortwick_border::HostList;
 use ragwortwick_core::{DurationMs, TimeMs, log_event};
-use ragwortwick_http::{HttpClient, HttpClientOptions};
+use ragwortwick_http::{Fetched, HttpClient, HttpClientOptions};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -76,14 +76,24 @@
     });
     let mut jitter = Backoff::new(BackoffOptions::default(), options.seed);
     let mut has_failed = false;
+    // The list grows with the fleet and rarely changes: read whole each second it would cost an
+    // entry host more bytes than all its other control traffic together.
+    let mut known_tag: Option<String> = None;
     loop {
         let answer = http
-            .get::<HostList>(&options.address, "/v1/hosts", options.timeout_ms)
+            .get_changed::<HostList>(
+                &options.address,
+                "/v1/hosts",
+                known_tag.as_deref(),
+                options.timeout_ms,
+            )
             .await;
         match answer {
-            Ok(list) => {
+            Ok(Fetched::Unchanged) => has_failed = false,
+            Ok(Fetched::Whole { value, tag }) => {
                 has_failed = false;
-                offer(&sender, list);
+                known_tag = tag;
+                offer(&sender, value);
             }
             Err(error) => {
                 if !has_failed {
--- a/ragwortwick-standin/src/store/routes.rs
+++ b/ragwortwick-standin/src/store/routes.rs
@@ -1,9 +1,12 @@
 //! The store's paths.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use gotham::handler::SimpleHandlerResult;
+use gotham::helpers::http::response::create_empty_response;
 use gotham::prelude::{DefineSingleRoute, DrawRoutes, FromState};
 use gotham::state::State;
-use http::StatusCode;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use ragwortwick_border::{
     HostEntry, LeaseGrant, LeaseRenew, Problem, StoreCas, StoreGet, StoreList, StoreWatch,
     StoreWatchReply,
@@ -183,10 +186,27 @@
     }
     let lag_ms = store.gate.faults("", "hosts").host_list_lag_ms;
     let list = store.with(|content| content.hosts(now(), lag_ms));
-    let response = json_response(state, StatusCode::OK, &list);
+    let tag = tag_of(&list.hosts);
+    let known = HeaderMap::borrow_from(state).get(header::IF_NONE_MATCH);
+    let mut response = if known == Some(&tag) {
+        create_empty_response(state, StatusCode::NOT_MODIFIED)
+    } else {
+        json_response(state, StatusCode::OK, &list)
+    };
+    response.headers_mut().insert(header::ETAG, tag);
     Ok(store.gate.leave("", "hosts", response).await)
 }
 
+/// The tag names the hosts, not the time at which they were asked for.
+fn tag_of(hosts: &[HostEntry]) -> HeaderValue {
+    let mut hasher = DefaultHasher::new();
+    serde_json::to_string(hosts)
+        .unwrap_or_default()
+        .hash(&mut hasher);
+    HeaderValue::from_str(&format!("\"{:x}\"", hasher.finish()))
+        .unwrap_or(HeaderValue::from_static("\"\""))
+}
+
 async fn put_host(state: &mut State) -> SimpleHandlerResult {
     on_state(state, "admin", |store, now, host: HostEntry| {
         store.put_host(now, host);
