Gather what the table's weights decide in placement in one module

Cause: the ratio of the weights was worked out in three places of two modules, and job why named the weights in zones that keep nothing idle. Change: tradeoff.rs holds kept share, patience and move limit over one ratio; a small zone's kept share is 0 for the explanation too. Conclusion: no change of behaviour but the sentence.

--- a/ragwortwick-policy/src/zone/defrag.rs
+++ b/ragwortwick-policy/src/zone/defrag.rs
@@ -14,9 +14,6 @@
 /// Least run time of a gang before it is moved; shorter work ends by itself soon.
 const MOVE_AFTER_MS: DurationMs = DurationMs(60_000);
 
-/// Accelerators moved at once for one whole cell where both weights are equal.
-const MOVED_AT_EQUAL_WEIGHTS: f64 = 100.0;
-
 impl ZonePlacer {
     /// Stops the borrowed gangs of the cell that is cheapest to make whole, if they fit elsewhere.
     pub(super) fn defragment(&mut self, now: TimeMs) {
@@ -57,18 +54,6 @@
         best.map(|(_, gangs)| gangs)
     }
 
-    fn move_limit(&self) -> u32 {
-        let weights = self.table.as_ref().map(|table| &table.table.weights);
-        let ratio = weights.map_or(0.0, |w| w.fragmentation / w.completion.max(0.01));
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "clamped to a small positive range"
-        )]
-        let limit = (MOVED_AT_EQUAL_WEIGHTS * ratio.clamp(0.0, 4.0)) as u32;
-        limit
-    }
-
     /// The gangs to move for one more whole cell in a rack, and how many accelerators they hold.
     fn emptying(
         &mut self,
--- a/ragwortwick-policy/src/zone/mod.rs
+++ b/ragwortwick-policy/src/zone/mod.rs
@@ -24,6 +24,7 @@
 mod settle;
 mod start;
 mod timers;
+mod tradeoff;
 mod workers;
 
 #[cfg(feature = "test-util")]
--- a/ragwortwick-policy/src/zone/start.rs
+++ b/ragwortwick-policy/src/zone/start.rs
@@ -18,21 +18,9 @@
 /// its customer's small ones.
 pub(super) const STARVATION_MS: DurationMs = DurationMs(10 * 60_000);
 
-/// Longest that a borrowed start waits rather than break a cell of the largest guaranteed size.
-const PATIENCE_MS: f64 = 120_000.0;
-
 /// Added to the cost of stopping urgent work: it is stopped only where nothing else would do.
 const URGENT_STOP_COST: u32 = 10_000;
 
-/// Share kept idle where only fragmentation has a weight.
-///
-/// More would leave borrowed work less than the naive policy leaves; docs/design/0020-placement.md
-/// has the curve.
-const MOST_KEPT_SHARE: f64 = 0.75;
-
-/// A zone of no more workers keeps nothing idle: its few jobs would wait beside empty workers.
-const WORKERS_OF_A_RACK: usize = 8;
-
 /// `Pass` is what one placement pass knows; rebuilt in part after every start.
 pub(super) struct Pass {
     pub(super) idle: Pool,
@@ -167,50 +155,6 @@
         }
     }
 
-    /// How many more accelerators borrowed work may take, so that a share stays idle.
-    ///
-    /// Borrowed work that takes all that is idle leaves holes of many sizes: large jobs find no
-    /// adjacent accelerators though enough are free in total. The share is one of what guaranteed
-    /// work leaves over, so borrowed work is slowed and never shut out, whatever guarantees take;
-    /// and where none runs, a job larger than the rest may take everything.
-    fn spare_for_borrowed(&self, idle: &Pool, borrowed: &[u32]) -> u32 {
-        let free: u32 = idle.free.iter().map(|mask| mask.count_ones()).sum();
-        let taken: u32 = borrowed.iter().map(|mask| mask.count_ones()).sum();
-        let is_small_zone = self.ledger.workers.len() <= WORKERS_OF_A_RACK;
-        if taken == 0 || is_small_zone {
-            return free;
-        }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a share between 0 and 1 of a count"
-        )]
-        let allowed = (f64::from(free + taken) * (1.0 - self.kept_share())) as u32;
-        allowed.saturating_sub(taken)
-    }
-
-    /// Share of what guaranteed work leaves over that stays idle, by the table's weights.
-    pub(super) fn kept_share(&self) -> f64 {
-        let weights = self.table.as_ref().map(|table| &table.table.weights);
-        weights.map_or(0.0, |w| {
-            let share = w.fragmentation / (w.fragmentation + w.completion).max(0.01);
-            MOST_KEPT_SHARE * share.clamp(0.0, 1.0).sqrt()
-        })
-    }
-
-    /// How long a borrowed start waits for a place that harms no large cell, by the table's weights.
-    fn patience(&self) -> DurationMs {
-        let weights = self.table.as_ref().map(|table| &table.table.weights);
-        let ratio = weights.map_or(0.0, |w| w.fragmentation / w.completion.max(0.01));
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "clamped to a small positive range"
-        )]
-        let span_ms = (PATIENCE_MS * ratio.clamp(0.0, 10.0)) as u64;
-        DurationMs(span_ms)
-    }
-
     fn try_start(&mut self, now: TimeMs, request: &Request, pass: &mut Pass) -> bool {
         let shape = (
             request.customer.clone(),
