Show that a frozen runner costs no request its deadline

Cause: a runner whose process is frozen still takes connections; a run over processes had shown requests to such a runner ending as 'may have run', and no test held it.

--- a/ragwortwick-daemon/tests/requests/silent.rs
+++ b/ragwortwick-daemon/tests/requests/silent.rs
@@ -59,12 +59,25 @@
 async fn verify_blackholed_runner_costs_no_request_its_deadline() {
     // The callers see answers from the other runner. The path to one runner drops every byte, of
     // open and of new connections; requests find that out by probes and go elsewhere.
+    orders_avoid_first_runner(RelayMode::Blackhole).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_frozen_runner_costs_no_request_its_deadline() {
+    // The callers see answers from the other runner. One runner's process is frozen: its system
+    // still opens connections, but nothing answers on them, so that a connection that opens proves
+    // nothing; it has to answer a probe before it carries a request.
+    orders_avoid_first_runner(RelayMode::Frozen).await;
+}
+
+async fn orders_avoid_first_runner(mode: RelayMode) {
     let rig = Rig::open(2, 10).await;
     for i in 0..6 {
         let id = format!("warm{i}");
         assert!(is_answer(&rig.submit(request(&id, 0)).await, &id));
     }
-    rig.relays[0].set_mode(RelayMode::Blackhole);
+    rig.relays[0].set_mode(mode);
+    // Connections that answered within the last second are trusted; none is after this.
     tokio::time::sleep(Duration::from_millis(1_100)).await;
     for i in 0..6 {
         let id = format!("r{i}");
