--- a/ragwortwick-daemon/examples/store_budget.rs
+++ b/ragwortwick-daemon/examples/store_budget.rs
@@ -20,6 +20,15 @@
 /// How long the return is watched.
 const RETURN_TIME: Duration = Duration::from_secs(10);
 
+/// How long the day's load is watched; five jobs and six tables fall into it.
+const DAY_LOAD_TIME: Duration = Duration::from_secs(66);
+
+/// 6,500 jobs a day.
+const DAY_JOB_GAP: Duration = Duration::from_millis(13_292);
+
+/// 8,200 changes of the table a day.
+const DAY_TABLE_GAP: Duration = Duration::from_millis(10_537);
+
 /// Jobs submitted for the slope of calls per job.
 const JOBS: usize = 60;
 
@@ -48,6 +57,7 @@
     idle(1, &["north"]).await?;
     idle(3, &["north"]).await?;
     idle(9, &["north", "middle", "south"]).await?;
+    day_load().await?;
     let fleet = open(9, &["north", "middle", "south"]).await?;
     jobs(&fleet).await?;
     tables(&fleet).await?;
@@ -124,24 +134,58 @@
     Ok(())
 }
 
+/// One host takes the jobs and the changes of the table of the planned fleet's whole day.
+async fn day_load() -> Outcome<()> {
+    let fleet = open(1, &["north"]).await?;
+    let before = fleet.store.calls();
+    let begun = Instant::now();
+    let (mut jobs, mut tables) = (0, 0);
+    while begun.elapsed() < DAY_LOAD_TIME {
+        if begun.elapsed() >= DAY_JOB_GAP * jobs {
+            jobs += 1;
+            let job = sample_job(&format!("day-{jobs}"), 1, 100, true);
+            fleet.caller.job(fleet.address(0), &job).await?;
+        }
+        if begun.elapsed() >= DAY_TABLE_GAP * tables {
+            tables += 1;
+            accept_next(&fleet, u64::from(tables), 0).await?;
+        }
+        tokio::time::sleep(SAMPLE).await;
+    }
+    let made = difference(&before, &fleet.store.calls());
+    for (kind, calls) in &made {
+        println!(
+            "figure=day_load_store_calls hosts=1 jobs={jobs} tables={tables} kind={kind} \
+             calls_per_s={:.3}",
+            as_f64(*calls) / begun.elapsed().as_secs_f64()
+        );
+    }
+    fleet.close().await;
+    Ok(())
+}
+
+/// Accepts a changed table on the base of the given number.
+async fn accept_next(fleet: &Fleet, number: u64, host: usize) -> Outcome<()> {
+    let mut table = sample_table(fleet.zones());
+    table.customers[0].weight += as_f64(number);
+    let accept = ragwortwick_border::TableAccept {
+        based_on_number: number,
+        nonce: format!("measure-{number}"),
+        accepted_by: "operator".to_owned(),
+        reason: "measure".to_owned(),
+        table,
+    };
+    let address = fleet.address(host);
+    fleet.caller.accept_table(address, &accept).await?;
+    Ok(())
+}
+
 async fn tables(fleet: &Fleet) -> Outcome<()> {
     let mut everywhere_ms = Vec::new();
     for number in 1..=TABLES {
-        let mut table = sample_table(fleet.zones());
-        table.customers[0].weight += as_f64(number as u64);
-        let accept = ragwortwick_border::TableAccept {
-            based_on_number: number as u64,
-            nonce: format!("measure-{number}"),
-            accepted_by: "operator".to_owned(),
-            reason: "measure".to_owned(),
-            table,
-        };
         let sent = Instant::now();
         let host = number % fleet.daemons.len();
-        fleet
-            .caller
-            .accept_table(fleet.address(host), &accept)
-            .await?;
+        accept_next(fleet, number as u64, host).await?;
         for daemon in &fleet.daemons {
             wait_until("the table is in force", async || {
                 let table = fleet.caller.table(daemon.address()).await;
