Record the start of a job only under a live lease

Cause: an owner that went on without the store recorded a start the moment the store was back, before it learned that its lease had lapsed; the next owner found the record, only reservations on the workers, and ended the job as 'may have run' although it never ran. Ruled out: trusting the reservations as proof that nothing ran (a silent worker may have run it under an owner before). Change: the permission to record a start ends with the lease; holding extends the permission to act only.

--- a/ragwortwick-daemon/src/zone/job_writer.rs
+++ b/ragwortwick-daemon/src/zone/job_writer.rs
@@ -117,7 +117,7 @@
 
     async fn attempt(&self, order: &RecordOrder) -> Result<Attempted, StoreError> {
         // A record of an ownership that has ended says what its placer believed, not what is.
-        if !self.tenure.may_act(self.clock.now(), order.epoch) {
+        if !self.may_write(order) {
             return Ok(if self.tenure.is_current(order.epoch) {
                 Attempted::Again
             } else {
@@ -140,8 +140,11 @@
             value: Some(encode(&record)?),
             lease_id: None,
         };
-        let may_write = || self.tenure.may_act(self.clock.now(), order.epoch);
-        match self.store.write_while(&write, may_write).await? {
+        match self
+            .store
+            .write_while(&write, || self.may_write(order))
+            .await?
+        {
             WriteOutcome::Written(revision) => {
                 self.ledger.take_in(StoredJob { revision, record });
                 Ok(Attempted::Recorded)
@@ -155,6 +158,15 @@
         }
     }
 
+    fn may_write(&self, order: &RecordOrder) -> bool {
+        let now = self.clock.now();
+        if order.record.phase == JobPhase::Starting {
+            self.tenure.may_record_start(now, order.epoch)
+        } else {
+            self.tenure.may_act(now, order.epoch)
+        }
+    }
+
     /// A wish to cancel is merged; any other change means that another owner wrote the record.
     fn settle(&self, base: &JobRecord, found: StoredJob) -> Attempted {
         let record = found.record.clone();
--- a/ragwortwick-daemon/src/zone/owner_duty.rs
+++ b/ragwortwick-daemon/src/zone/owner_duty.rs
@@ -136,7 +136,8 @@
                 return Some((asked_at, event));
             }
             OwnershipAction::Gain => self.gain().await,
-            OwnershipAction::Extend | OwnershipAction::Hold => self.extend(),
+            OwnershipAction::Extend => self.extend(),
+            OwnershipAction::Hold => self.hold(),
             OwnershipAction::Lose => self.lose().await,
             OwnershipAction::Revoke => self.revoke().await,
         }
@@ -159,6 +160,12 @@
         }
     }
 
+    fn hold(&self) {
+        if let Some(claim) = self.claim {
+            self.tenure.hold(claim.epoch, self.machine.act_until());
+        }
+    }
+
     async fn lose(&mut self) {
         self.tenure.clear();
         self.owned.send_replace(None);
--- a/ragwortwick-daemon/src/zone/tenure.rs
+++ b/ragwortwick-daemon/src/zone/tenure.rs
@@ -15,11 +15,20 @@
 struct Inner {
     epoch: AtomicU64,
     act_until_ms: AtomicU64,
+    record_until_ms: AtomicU64,
 }
 
 impl Tenure {
-    /// `set` gives the permission for one epoch until a time.
+    /// `set` gives the permission for one epoch until a time, under a live lease.
     pub fn set(&self, epoch: Epoch, act_until: TimeMs) {
+        self.hold(epoch, act_until);
+        self.inner
+            .record_until_ms
+            .store(act_until.0, Ordering::SeqCst);
+    }
+
+    /// `hold` goes on with the permission to act while the store is away and the lease has lapsed.
+    pub fn hold(&self, epoch: Epoch, act_until: TimeMs) {
         self.inner.epoch.store(epoch.0, Ordering::SeqCst);
         self.inner.act_until_ms.store(act_until.0, Ordering::SeqCst);
     }
@@ -28,6 +37,17 @@
     pub fn clear(&self) {
         self.inner.epoch.store(0, Ordering::SeqCst);
         self.inner.act_until_ms.store(0, Ordering::SeqCst);
+        self.inner.record_until_ms.store(0, Ordering::SeqCst);
+    }
+
+    /// `may_record_start` tells whether the start of a job may be recorded now.
+    ///
+    /// An owner that goes on without the store can be replaced the moment the store is back. A start
+    /// that it records then is found by the next owner, which can't rule out that the job ran and
+    /// ends it as "may have run". Under a live lease there is no next owner yet.
+    #[must_use]
+    pub fn may_record_start(&self, now: TimeMs, epoch: Epoch) -> bool {
+        self.may_act(now, epoch) && now.0 < self.inner.record_until_ms.load(Ordering::SeqCst)
     }
 
     /// `may_act` tells whether an order under the epoch may leave now.
