Read a process's memory and processor time in one place

Ruled out: joining placer.rs's reader, which reads its own process and no other. Change: ragwortwick-standin has them as resident_kb and processor_seconds; both examples call them. Conclusion: no change of behaviour.

--- a/ragwortwick-daemon/examples/capacity_slopes/processes.rs
+++ b/ragwortwick-daemon/examples/capacity_slopes/processes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ragwortwick_core::ZoneName;
-use ragwortwick_standin::{Fleet, FleetOptions};
+use ragwortwick_standin::{Fleet, FleetOptions, processor_seconds, resident_kb};
 
 use crate::series::Series;
 
@@ -15,9 +15,6 @@
 /// How long it is measured.
 const WINDOW: Duration = Duration::from_secs(15);
 
-/// The unit of processor times in `/proc` on Linux.
-const TICKS_PER_S: f64 = 100.0;
-
 type Outcome<T> = Result<T, Box<dyn Error>>;
 
 /// What one idle entry host costs.
@@ -123,7 +120,7 @@
     let used_s = processor_seconds(pid)? - before_s;
     let rate = |before: u64, after: u64| per_host_and_s(after - before, hosts);
     let cost = Cost {
-        resident_kb: resident_kb(pid)?,
+        resident_kb: f64::from(resident_kb(pid)?),
         core_percent: 100.0 * used_s / WINDOW.as_secs_f64(),
         host_list: rate(before.host_list, after.host_list),
         store: rate(before.store, after.store),
@@ -154,25 +151,3 @@
 fn per_host_and_s(bytes: u64, hosts: usize) -> f64 {
     bytes as f64 / WINDOW.as_secs_f64() / hosts as f64
 }
-
-fn resident_kb(pid: u32) -> Outcome<f64> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .ok_or("no VmRSS")?;
-    Ok(line.trim().trim_end_matches(" kB").parse()?)
-}
-
-fn processor_seconds(pid: u32) -> Outcome<f64> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    // The name in brackets may hold blanks; the fields after it do not.
-    let fields: Vec<&str> = stat
-        .rsplit_once(')')
-        .ok_or("no name in stat")?
-        .1
-        .split_whitespace()
-        .collect();
-    let ticks: u32 = fields[11].parse::<u32>()? + fields[12].parse::<u32>()?;
-    Ok(f64::from(ticks) / TICKS_PER_S)
-}
--- a/ragwortwick-standin/examples/path_figures.rs
+++ b/ragwortwick-standin/examples/path_figures.rs
@@ -9,7 +9,9 @@
 use hdrhistogram::Histogram;
 use ragwortwick_border::{RequestOutcome, RunnerAnswer, RunnerRequest};
 use ragwortwick_core::{DurationMs, ZoneName};
-use ragwortwick_standin::{Caller, Fleet, FleetOptions, sample_request};
+use ragwortwick_standin::{
+    Caller, Fleet, FleetOptions, processor_seconds, resident_kb, sample_request,
+};
 
 /// Requests timed one after another on each of the two paths.
 const TIMED_REQUESTS: usize = 5_000;
@@ -26,9 +28,6 @@
 /// How long nothing happens before and while an idle host is measured.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 
-/// The unit of processor times in `/proc` on Linux.
-const TICKS_PER_S: f64 = 100.0;
-
 type Outcome<T> = Result<T, Box<dyn Error>>;
 
 #[tokio::main]
@@ -180,25 +179,3 @@
 fn micros(begun: Instant) -> u64 {
     u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX)
 }
-
-fn resident_kb(pid: u32) -> Outcome<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .ok_or("no VmRSS")?;
-    Ok(line.trim().trim_end_matches(" kB").parse()?)
-}
-
-fn processor_seconds(pid: u32) -> Outcome<f64> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    // The name in brackets may hold blanks; the fields after it do not.
-    let fields: Vec<&str> = stat
-        .rsplit_once(')')
-        .ok_or("no name in stat")?
-        .1
-        .split_whitespace()
-        .collect();
-    let ticks: u32 = fields[11].parse::<u32>()? + fields[12].parse::<u32>()?;
-    Ok(f64::from(ticks) / TICKS_PER_S)
-}
--- a/ragwortwick-standin/src/lib.rs
+++ b/ragwortwick-standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod runners;
 mod start_log;
 mod store;
+mod usage;
 mod workers;
 
 pub use clock::now;
@@ -21,4 +22,5 @@
 pub use runners::{Runner, RunnerOptions, Runners, RunnersOptions};
 pub use start_log::{LogEntry, LogEvent, StartLog};
 pub use store::{Store, StoreState};
+pub use usage::{processor_seconds, resident_kb};
 pub use workers::{WorkerSpec, Workers, WorkersState};
