--- /dev/null
+++ b/ragwortwick-area/src/coordinator.rs
@@ -0,0 +1,349 @@
+//! The coordinator of an area: takes in events, asks for actions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use ragwortwick_core::{ClassName, DurationMs, JobId, TimeMs, WorkerName};
+
+use crate::desired::DesiredState;
+use crate::job::{JobRecord, QueueTerms};
+use crate::job_state::JobState;
+use crate::limits::Limits;
+use crate::messages::{Action, Event, WorkerEntry};
+use crate::progress::{JobPhase, Progress};
+use crate::records::Records;
+use crate::value::whole_work;
+use crate::worker::{Held, HeldPhase, LookState, Worker, longest_lease};
+
+/// How long a coordinator that lost the store goes on renewing what runs.
+///
+/// It covers a store outage of lease plus this; a successor waits as long before it gives up a run
+/// on a worker that it can't reach.
+pub(crate) const RENEWAL_AFTER_TENURE_MS: DurationMs = DurationMs(4_000);
+
+/// How old the list of workers may be when work is placed by it.
+///
+/// A worker that leaves must get no work two seconds after it said so.
+const WORKERS_FRESH_MS: DurationMs = DurationMs(1_300);
+
+/// Pause between two passes of placement, so that a burst of events costs one pass.
+const PASS_INTERVAL_MS: DurationMs = DurationMs(8);
+
+/// Longest sleep while work is under way.
+const TICK_MS: DurationMs = DurationMs(100);
+
+/// `Now` is the present time on the two clocks that decisions need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Now {
+    /// A clock that never steps and goes on while the machine is suspended.
+    pub steady: TimeMs,
+    /// Unix time.
+    pub unix: TimeMs,
+}
+
+/// `KnownJob` is a job as a new coordinator finds it in the store.
+#[derive(Clone, Debug)]
+pub struct KnownJob {
+    /// The job.
+    pub record: Arc<JobRecord>,
+    /// How far it is, if a coordinator stored that.
+    pub progress: Option<Progress>,
+    /// Whether a caller cancelled it.
+    pub is_cancelled: bool,
+}
+
+/// `Coordinator` decides what runs where in one area.
+#[derive(Debug)]
+pub struct Coordinator {
+    pub(crate) limits: Limits,
+    pub(crate) desired: Arc<DesiredState>,
+    pub(crate) workers: BTreeMap<WorkerName, Worker>,
+    pub(crate) jobs: BTreeMap<JobId, JobState>,
+    /// Jobs that are not over, so that a pass doesn't go through all that ever were.
+    pub(crate) open_jobs: BTreeSet<JobId>,
+    pub(crate) records: Records,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) tenure_until: TimeMs,
+    workers_fresh_at: Option<TimeMs>,
+    pub(crate) wants_pass: bool,
+    last_pass_at: TimeMs,
+    pub(crate) next_due_at: Option<TimeMs>,
+    /// Accelerator-seconds and number of the jobs that each queue has brought.
+    pub(crate) work_seen: BTreeMap<ClassName, (f64, u32)>,
+}
+
+impl Coordinator {
+    /// `take_over` begins a term with what the store holds.
+    ///
+    /// Runs that the records place on workers count as running until a look, or time, tells.
+    #[must_use]
+    pub fn take_over(
+        now: Now,
+        limits: Limits,
+        desired: Arc<DesiredState>,
+        jobs: Vec<KnownJob>,
+        entries: Vec<WorkerEntry>,
+    ) -> Self {
+        let mut coordinator = Self {
+            limits,
+            desired,
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            open_jobs: BTreeSet::new(),
+            records: Records::default(),
+            actions: Vec::new(),
+            tenure_until: now.steady,
+            workers_fresh_at: Some(now.steady),
+            wants_pass: true,
+            last_pass_at: TimeMs(0),
+            next_due_at: None,
+            work_seen: BTreeMap::new(),
+        };
+        for entry in entries {
+            let name = entry.name.clone();
+            coordinator
+                .workers
+                .insert(name, Worker::new(now.steady, entry));
+        }
+        for job in jobs {
+            coordinator.inherit(now, job);
+        }
+        coordinator
+    }
+
+    fn inherit(&mut self, now: Now, known: KnownJob) {
+        let job_id = known.record.job_id.clone();
+        let accepted_at = steady_of(now, known.record.accepted_unix_ms);
+        let mut job = JobState::new(known.record, accepted_at);
+        let mut inherited = Vec::new();
+        if let Some(progress) = &known.progress {
+            inherited = job.restore(now.steady, progress);
+        }
+        self.count_work(&job);
+        let is_over = job.phase.is_final();
+        for (task, worker_name) in inherited {
+            let need = job
+                .spec(task.step)
+                .map(crate::job::StepSpec::reserved)
+                .unwrap_or_default();
+            let state = job
+                .step(task.occurrence, task.step)
+                .and_then(|step| step.tasks.get(task.index as usize));
+            let Some(state) = state else { continue };
+            let held = Held {
+                run: state.last_run,
+                need,
+                phase: if is_over {
+                    HeldPhase::Stopping {
+                        sent_at: None,
+                        in_flight: false,
+                        confirmed_at: None,
+                    }
+                } else {
+                    HeldPhase::Inherited
+                },
+                priority: self.terms_of(&job).priority,
+                placed_at: now.steady,
+                started_at: None,
+                checkpoint: Arc::clone(&state.checkpoint),
+                percent: 0,
+                percent_rose_at: now.steady,
+                tries: 1,
+            };
+            let bound = now.steady + RENEWAL_AFTER_TENURE_MS + longest_lease(&self.limits);
+            let worker = self
+                .workers
+                .entry(worker_name.clone())
+                .or_insert_with(|| Worker::unlisted(now.steady, worker_name));
+            worker.lease_bound = bound;
+            worker.hold(task, held);
+        }
+        if !is_over {
+            self.open_jobs.insert(job_id.clone());
+        }
+        self.jobs.insert(job_id.clone(), job);
+        if known.is_cancelled {
+            self.cancel(now.steady, &job_id);
+        }
+    }
+
+    /// `on_event` takes in one event.
+    pub fn on_event(&mut self, now: Now, event: Event) -> Vec<Action> {
+        match event {
+            Event::Desired(desired) => self.desired = desired,
+            Event::WorkerSeen(entry) => self.worker_seen(now.steady, entry),
+            Event::WorkerGone(name) => self.worker_gone(&name),
+            Event::WorkersFresh => self.workers_fresh_at = Some(now.steady),
+            Event::JobAccepted(record) => self.job_accepted(now, record),
+            Event::JobCancelled(job_id) => self.cancel(now.steady, &job_id),
+            Event::Stored { batch } => self.stored(now.steady, batch),
+            Event::StartReplied {
+                worker,
+                task,
+                run,
+                reply,
+            } => self.start_replied(now.steady, &worker, &task, run, reply),
+            Event::StopReplied {
+                worker,
+                task,
+                run,
+                reply,
+            } => self.stop_replied(now.steady, &worker, &task, run, reply),
+            Event::Looked {
+                worker,
+                sent_at,
+                look,
+            } => self.looked(now.steady, &worker, sent_at, look),
+            Event::LookFailed {
+                worker,
+                is_wrong_life,
+                is_fenced,
+            } => self.look_failed(now.steady, &worker, is_wrong_life, is_fenced),
+            Event::Tenure { until } => self.tenure_until = until,
+        }
+        self.wants_pass = true;
+        self.act(now)
+    }
+
+    /// `on_wakeup` does what has become due.
+    pub fn on_wakeup(&mut self, now: Now) -> Vec<Action> {
+        self.act(now)
+    }
+
+    /// `next_wakeup` tells when something becomes due without an event.
+    #[must_use]
+    pub fn next_wakeup(&self, now: Now) -> Option<TimeMs> {
+        let is_busy = self.records.is_waiting()
+            || self.workers.values().any(|worker| worker.wants_look())
+            || !self.open_jobs.is_empty();
+        let tick = is_busy.then(|| now.steady + TICK_MS);
+        let pass = self
+            .wants_pass
+            .then(|| self.last_pass_at + PASS_INTERVAL_MS);
+        let due = self.next_due_at;
+        let look = self
+            .workers
+            .values()
+            .filter(|worker| worker.wants_look())
+            .filter_map(|worker| match worker.look {
+                LookState::Idle { next_at } => Some(worker.look_due_at(next_at)),
+                LookState::InFlight => None,
+            })
+            .min();
+        [tick, pass, due, look].into_iter().flatten().min()
+    }
+
+    fn act(&mut self, now: Now) -> Vec<Action> {
+        self.expire(now.steady);
+        let is_due = self.next_due_at.is_some_and(|at| at <= now.steady);
+        let is_spaced = now.steady.since(self.last_pass_at) >= PASS_INTERVAL_MS;
+        if (self.wants_pass || is_due) && is_spaced {
+            self.wants_pass = false;
+            self.last_pass_at = now.steady;
+            self.evacuate(now.steady);
+            self.pass(now);
+        }
+        self.flush(now.steady);
+        self.send_orders(now.steady);
+        self.send_looks(now.steady);
+        self.forget_old(now.steady);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// `phase` tells how far a job is, if it is known.
+    #[must_use]
+    pub fn phase(&self, job_id: &JobId) -> Option<JobPhase> {
+        self.jobs.get(job_id).map(|job| job.phase)
+    }
+
+    /// `may_order` tells whether the term still allows new work to be started.
+    pub(crate) fn may_order(&self, now: TimeMs) -> bool {
+        now < self.tenure_until
+    }
+
+    /// Whether the list of workers is new enough to place work by it.
+    pub(crate) fn knows_workers(&self, now: TimeMs) -> bool {
+        self.workers_fresh_at
+            .is_some_and(|at| now.since(at) <= WORKERS_FRESH_MS)
+    }
+
+    /// The terms in force for a job: the desired state's, or those of its acceptance.
+    pub(crate) fn terms_of<'a>(&'a self, job: &'a JobState) -> &'a QueueTerms {
+        self.desired
+            .queues
+            .get(&job.record.queue)
+            .map_or(&job.record.terms, |queue| &queue.terms)
+    }
+
+    fn worker_seen(&mut self, now: TimeMs, entry: WorkerEntry) {
+        if let Some(worker) = self.workers.get_mut(&entry.name) {
+            worker.refresh(now, entry);
+        } else {
+            self.workers
+                .insert(entry.name.clone(), Worker::new(now, entry));
+        }
+    }
+
+    fn worker_gone(&mut self, name: &WorkerName) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            // Its runs may go on: an entry also vanishes when the worker is cut off from the store.
+            worker.is_listed = false;
+            if worker.is_forgettable() {
+                self.workers.remove(name);
+            }
+        }
+    }
+
+    fn job_accepted(&mut self, now: Now, record: Arc<JobRecord>) {
+        let job_id = record.job_id.clone();
+        if self.jobs.contains_key(&job_id) {
+            return;
+        }
+        let accepted_at = steady_of(now, record.accepted_unix_ms);
+        let mut job = JobState::new(record, accepted_at);
+        if job.occurrences.iter().all(Vec::is_empty) {
+            job.phase = JobPhase::Completed;
+        }
+        self.count_work(&job);
+        self.jobs.insert(job_id.clone(), job);
+        self.open_jobs.insert(job_id);
+    }
+
+    fn count_work(&mut self, job: &JobState) {
+        let seen = self
+            .work_seen
+            .entry(job.record.queue.clone())
+            .or_insert((0.0, 0));
+        seen.0 += whole_work(job);
+        seen.1 += 1;
+    }
+
+    pub(crate) fn cancel(&mut self, now: TimeMs, job_id: &JobId) {
+        let Some(job) = self.jobs.get_mut(job_id) else {
+            return;
+        };
+        if job.phase.is_final() {
+            return;
+        }
+        job.phase = JobPhase::Cancelled;
+        self.job_over(now, job_id);
+    }
+
+    /// A job has come to its end: nothing of it is placed any more, and what runs has to stop.
+    pub(crate) fn job_over(&mut self, now: TimeMs, job_id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(job_id) {
+            job.ended_at = Some(now);
+        }
+        self.open_jobs.remove(job_id);
+        self.records.mark(job_id);
+        let is_completed = self.phase(job_id) == Some(JobPhase::Completed);
+        if !is_completed {
+            self.stop_where(now, |task| task.job_id == *job_id);
+        }
+    }
+}
+
+/// Unix time on the steady clock, not later than now.
+fn steady_of(now: Now, unix: TimeMs) -> TimeMs {
+    now.steady - now.unix.since(unix)
+}
--- /dev/null
+++ b/ragwortwick-area/src/ends.rs
@@ -0,0 +1,192 @@
+//! How runs come to their end: listed, refused, out of lease, or gone with their worker.
+
+use std::sync::Arc;
+
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
+
+use crate::coordinator::Coordinator;
+use crate::job::TaskId;
+use crate::job_state::{Outcome, Settled};
+use crate::messages::EndKind;
+use crate::worker::{HeldPhase, LookState};
+
+/// Failed runs in a row, of any jobs, after which a worker is suspected.
+const SUSPECT_FAILURES: u32 = 2;
+
+/// How long a suspected worker gets no new work.
+const SUSPECT_MS: DurationMs = DurationMs(6_000);
+
+/// Pause before the next look at a worker whose ends have to be stored first.
+const AFTER_ENDS_MS: DurationMs = DurationMs(5);
+
+impl Coordinator {
+    /// A run is over for good: its room is free, and its job goes on from there.
+    pub(crate) fn resolve(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        run: u32,
+        outcome: Outcome,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        if worker.held.get(task).is_none_or(|held| held.run != run) {
+            return;
+        }
+        let Some(held) = worker.release(task) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done => worker.failures_in_row = 0,
+            Outcome::Failed => {
+                worker.failures_in_row += 1;
+                if worker.failures_in_row >= SUSPECT_FAILURES {
+                    worker.avoid_until = now + SUSPECT_MS;
+                }
+            }
+            Outcome::Void => {}
+        }
+        let attempts = self.attempts_of(&task.job_id);
+        let Some(job) = self.jobs.get_mut(&task.job_id) else {
+            return;
+        };
+        let settled = job.settle(task, run, outcome, &held.checkpoint, attempts);
+        self.records.mark(&task.job_id);
+        self.wants_pass = true;
+        match settled {
+            Settled::Nothing => {}
+            Settled::StopGang => self.stop_group(now, task),
+            Settled::JobOver => self.job_over(now, &task.job_id.clone()),
+        }
+    }
+
+    /// Takes in one end that a worker lists.
+    pub(crate) fn end_listed(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        run: u32,
+        kind: EndKind,
+        checkpoint: &Arc<str>,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        let Some(held) = worker.held.get_mut(task) else {
+            return;
+        };
+        // A run that never was confirmed here and ends means that its start arrived after all.
+        if held.run != run || held.phase == HeldPhase::Intended {
+            return;
+        }
+        if !checkpoint.is_empty() {
+            held.checkpoint = Arc::clone(checkpoint);
+        }
+        let outcome = match kind {
+            EndKind::Done => Outcome::Done,
+            EndKind::Failed => Outcome::Failed,
+            EndKind::Stopped
+            | EndKind::LeaseExpired
+            | EndKind::GangBroken
+            | EndKind::GangIncomplete => Outcome::Void,
+        };
+        self.resolve(now, worker_name, task, run, outcome);
+    }
+
+    /// A worker's address answers as another life: nothing of the earlier one runs any more.
+    pub(crate) fn life_over(&mut self, now: TimeMs, worker_name: &WorkerName) {
+        if let Some(worker) = self.workers.get_mut(worker_name) {
+            worker.is_listed = false;
+            worker.stored = worker.told;
+            worker.taken_in = worker.told;
+        }
+        self.lose_all(now, worker_name);
+    }
+
+    fn lose_all(&mut self, now: TimeMs, worker_name: &WorkerName) {
+        for (task, run) in self.jobs_on(worker_name) {
+            self.resolve(now, worker_name, &task, run, Outcome::Void);
+        }
+        if self
+            .workers
+            .get(worker_name)
+            .is_some_and(crate::worker::Worker::is_forgettable)
+        {
+            self.workers.remove(worker_name);
+        }
+    }
+
+    /// Gives up runs on silent workers whose lease must have run out by now.
+    ///
+    /// Every order carries the end of the lease on the worker's clock, and a silent worker gets no
+    /// further lease, so past the bound everything there was killed, also what arrives late.
+    pub(crate) fn expire(&mut self, now: TimeMs) {
+        let expired: Vec<WorkerName> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                let is_silent = worker.is_silent || worker.entry.address.is_empty();
+                is_silent && !worker.held.is_empty() && now >= worker.lease_bound
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in expired {
+            self.lose_all(now, &name);
+        }
+    }
+
+    /// Takes in a look: what runs, what ended, and what is no longer there.
+    pub(crate) fn looked(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        sent_at: TimeMs,
+        look: crate::messages::Look,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        worker.hear_clock(now, look.clock_ms);
+        worker.is_silent = false;
+        worker.look = LookState::Idle {
+            next_at: now + AFTER_ENDS_MS,
+        };
+        let mut highest = worker.taken_in;
+        let new_ends: Vec<_> = look
+            .ended
+            .into_iter()
+            .filter(|end| end.number > worker.taken_in)
+            .collect();
+        let has_ends = !new_ends.is_empty();
+        for end in &new_ends {
+            highest = highest.max(end.number);
+        }
+        worker.taken_in = highest;
+        if has_ends {
+            self.records.note(worker_name, highest);
+        }
+        for end in new_ends {
+            let EndKindOf { kind, checkpoint } = EndKindOf::from(&end);
+            self.end_listed(now, worker_name, &end.task, end.run, kind, checkpoint);
+        }
+        self.see_running(now, worker_name, sent_at, &look.running);
+    }
+}
+
+/// The parts of a listed end that decide its outcome.
+struct EndKindOf<'a> {
+    kind: EndKind,
+    checkpoint: &'a Arc<str>,
+}
+
+impl<'a> From<&'a crate::messages::EndedTask> for EndKindOf<'a> {
+    fn from(end: &'a crate::messages::EndedTask) -> Self {
+        Self {
+            kind: end.kind,
+            checkpoint: &end.checkpoint,
+        }
+    }
+}
--- /dev/null
+++ b/ragwortwick-area/src/job.rs
@@ -0,0 +1,243 @@
+//! A job as its customer declares it: a graph of steps, each of many tasks.
+
+use std::fmt;
+use std::sync::Arc;
+
+use ragwortwick_core::{
+    ClassName, CustomerName, DurationMs, JobId, LabelName, PoolName, RackName, TimeMs, common,
+};
+use serde::{Deserialize, Serialize};
+
+/// `Resources` is an amount of what a worker has and a task needs.
+#[common(key)]
+#[derive(Default, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor time, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// `plus` adds two amounts.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis + other.cpu_millis,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// `minus` takes away another amount, down to zero.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// `times` multiplies the amount.
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis * count,
+            memory_mb: self.memory_mb * count,
+            accelerators: self.accelerators * count,
+        }
+    }
+
+    /// `fits` counts how many tasks of the given need go into this amount.
+    #[must_use]
+    pub fn fits(self, need: Self) -> u64 {
+        let part = |have: u64, want: u64| have.checked_div(want).unwrap_or(u64::MAX);
+        part(self.cpu_millis, need.cpu_millis)
+            .min(part(self.memory_mb, need.memory_mb))
+            .min(part(self.accelerators, need.accelerators))
+    }
+
+    /// `core_equivalents` weighs the amount in cores, an accelerator as `CORES_PER_ACCELERATOR`.
+    #[must_use]
+    pub fn core_equivalents(self) -> u64 {
+        self.cpu_millis / 1_000 + self.accelerators * CORES_PER_ACCELERATOR
+    }
+}
+
+/// What an accelerator counts for in cores when work is weighed, as the users price it.
+pub const CORES_PER_ACCELERATOR: u64 = 8;
+
+/// `StepSpec` declares one step: a number of alike tasks.
+#[common(wire)]
+#[derive(Eq, Default)]
+#[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is one independent property that the customer declares"
+)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub count: u32,
+    /// What one task needs.
+    pub need: Resources,
+    /// Rough duration of one task, by the customer.
+    pub estimate_ms: DurationMs,
+    /// Numbers of earlier steps that must be done before.
+    pub after: Vec<u32>,
+    /// Whether the tasks work only together.
+    pub is_gang: bool,
+    /// Whether the tasks are slower on more than one rack.
+    pub wants_same_rack: bool,
+    /// Label that the worker must have.
+    pub required_label: Option<LabelName>,
+    /// Rack where the step's data is; the tasks are slower elsewhere.
+    pub data_rack: Option<RackName>,
+    /// Most tasks of one occurrence on a worker.
+    pub max_per_worker: Option<u32>,
+    /// Whether tasks save checkpoints.
+    pub saves_checkpoints: bool,
+    /// Whether copies of a task may run in parallel.
+    pub may_duplicate: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub is_long_running: bool,
+    /// Name of what the tasks run; tasks of one image behave alike.
+    pub image: Option<Arc<str>>,
+    /// Bound of the tail latency that a long-running task gives its own users.
+    pub tail_target_ms: Option<DurationMs>,
+    /// Whether the tasks use only processor time that others leave unused.
+    pub is_filler: bool,
+    /// Tasks of a long-running step that may be away at once through our own actions.
+    pub may_miss: Option<u32>,
+}
+
+impl StepSpec {
+    /// `reserved` is what one task takes from a worker's capacity.
+    #[must_use]
+    pub fn reserved(&self) -> Resources {
+        if self.is_filler {
+            // A filler's processor share comes from what others leave unused.
+            Resources {
+                cpu_millis: 0,
+                ..self.need
+            }
+        } else {
+            self.need
+        }
+    }
+}
+
+/// `Schedule` repeats a job's steps at set times.
+#[common(wire)]
+#[derive(Eq)]
+pub struct Schedule {
+    /// Unix time at which the first occurrence is due.
+    pub first_unix_ms: TimeMs,
+    /// Time between occurrences.
+    pub interval_ms: DurationMs,
+    /// Number of occurrences.
+    pub occurrences: u32,
+}
+
+/// `QueueTerms` is what a queue promised when a job was accepted.
+///
+/// A later desired state goes before it; it stands in for a queue that was removed meanwhile.
+#[common(wire)]
+pub struct QueueTerms {
+    /// Pool of workers that runs the tasks.
+    pub pool: PoolName,
+    /// Zero comes first and may preempt the others.
+    pub priority: u32,
+    /// Runs of a task that may fail before the job fails.
+    pub attempts: u32,
+    /// The objective is this many times the longest chain of work, and `target_latency_ms` more.
+    pub stretch: f64,
+    /// Constant part of the objective.
+    pub target_latency_ms: DurationMs,
+}
+
+/// `JobRecord` is an accepted job as the store keeps it; it never changes.
+#[common(wire)]
+pub struct JobRecord {
+    /// Id that the caller chose.
+    pub job_id: JobId,
+    /// Queue that the job was handed in to.
+    pub queue: ClassName,
+    /// What the queue promised then.
+    pub terms: QueueTerms,
+    /// Customer whose key the call carried.
+    pub customer: CustomerName,
+    /// Text that every task gets.
+    pub payload: Arc<str>,
+    /// Steps in the order of their numbers.
+    pub steps: Vec<StepSpec>,
+    /// Set times, if the job has any.
+    pub schedule: Option<Schedule>,
+    /// Unix time of acceptance, by the accepting host's clock.
+    pub accepted_unix_ms: TimeMs,
+}
+
+impl JobRecord {
+    /// `occurrences` counts how often the steps run.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.schedule
+            .as_ref()
+            .map_or(1, |schedule| schedule.occurrences)
+    }
+
+    /// `due_unix_ms` is when the given occurrence may start.
+    #[must_use]
+    pub fn due_unix_ms(&self, occurrence: u32) -> TimeMs {
+        self.schedule
+            .as_ref()
+            .map_or(self.accepted_unix_ms, |schedule| {
+                schedule.first_unix_ms
+                    + DurationMs(schedule.interval_ms.0 * u64::from(occurrence))
+            })
+    }
+
+    /// `chain_ms` estimates the longest chain of steps of one occurrence.
+    #[must_use]
+    pub fn chain_ms(&self) -> DurationMs {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let begin = step
+                .after
+                .iter()
+                .filter_map(|&number| ends.get(number as usize))
+                .max()
+                .copied()
+                .unwrap_or(0);
+            ends.push(begin + step.estimate_ms.0);
+        }
+        DurationMs(ends.into_iter().max().unwrap_or(0))
+    }
+}
+
+/// `TaskId` names one task of one occurrence of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// The job.
+    pub job_id: JobId,
+    /// Occurrence, from 0.
+    pub occurrence: u32,
+    /// Number of the step, from 0.
+    pub step: u32,
+    /// Number of the task in its step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job_id,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(f, "{job_id}.{occurrence}.{step}.{index}")
+    }
+}
--- /dev/null
+++ b/ragwortwick-area/src/job_state.rs
@@ -0,0 +1,403 @@
+//! The coordinator's view of one job: its tasks, runs and ends.
+
+use std::sync::Arc;
+
+use ragwortwick_core::{TimeMs, WorkerName};
+
+use crate::job::{JobRecord, StepSpec, TaskId};
+use crate::progress::{GangProgress, JobPhase, Progress, TaskProgress};
+
+/// `TaskState` is where one task stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// It may be placed.
+    Waiting,
+    /// A run of it is or may be on the worker.
+    Placed(WorkerName),
+    /// Its run is over, but runs of other members of its gang are not.
+    Left,
+    /// A run of it ended well.
+    Done,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub(crate) state: TaskState,
+    pub(crate) last_run: u32,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: Arc<str>,
+}
+
+/// `StepState` is one step of one occurrence.
+#[derive(Clone, Debug)]
+pub(crate) struct StepState {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: usize,
+    pub(crate) placed: usize,
+    /// Failed runs of the gang as a whole.
+    pub(crate) gang_failures: u32,
+    /// Whether the gang's run is ending and its members are waited for.
+    pub(crate) gang_ending: bool,
+    pub(crate) gang_failed: bool,
+}
+
+impl StepState {
+    fn new(spec: &StepSpec) -> Self {
+        let task = Task {
+            state: TaskState::Waiting,
+            last_run: 0,
+            failures: 0,
+            checkpoint: "".into(),
+        };
+        Self {
+            tasks: vec![task; spec.count as usize],
+            done: 0,
+            placed: 0,
+            gang_failures: 0,
+            gang_ending: false,
+            gang_failed: false,
+        }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.tasks
+            .iter()
+            .filter(|task| task.state == TaskState::Waiting)
+            .count()
+    }
+}
+
+/// `Outcome` is how a run is over for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// It did its work.
+    Done,
+    /// It failed.
+    Failed,
+    /// It ended without a verdict on the task: stopped, lapsed, lost or never begun.
+    Void,
+}
+
+/// `Settled` tells what a run's outcome means for the rest of the job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Settled {
+    /// Nothing else has to be done.
+    Nothing,
+    /// The other members of the gang have to stop.
+    StopGang,
+    /// The job has come to its end; runs that are left have to stop.
+    JobOver,
+}
+
+/// `JobState` is one accepted job.
+#[derive(Clone, Debug)]
+pub(crate) struct JobState {
+    pub(crate) record: Arc<JobRecord>,
+    pub(crate) phase: JobPhase,
+    /// Steps by occurrence and number.
+    pub(crate) occurrences: Vec<Vec<StepState>>,
+    /// Acceptance on the coordinator's clock.
+    pub(crate) accepted_at: TimeMs,
+    pub(crate) ended_at: Option<TimeMs>,
+}
+
+impl JobState {
+    pub(crate) fn new(record: Arc<JobRecord>, accepted_at: TimeMs) -> Self {
+        let steps: Vec<StepState> = record.steps.iter().map(StepState::new).collect();
+        Self {
+            occurrences: vec![steps; record.occurrences() as usize],
+            record,
+            phase: JobPhase::Queued,
+            accepted_at,
+            ended_at: None,
+        }
+    }
+
+    /// Takes in what an earlier coordinator stored; gives the runs that may be on workers.
+    pub(crate) fn restore(&mut self, now: TimeMs, stored: &Progress) -> Vec<(TaskId, WorkerName)> {
+        self.phase = stored.phase;
+        self.ended_at = stored.phase.is_final().then_some(now);
+        for gang in &stored.gangs {
+            if let Some(step) = self.step_mut(gang.occurrence, gang.step) {
+                step.gang_failures = gang.failures;
+            }
+        }
+        let mut inherited = Vec::new();
+        for task in &stored.tasks {
+            let id = self.task_id(task.occurrence, task.step, task.index);
+            let Some(step) = self.step_mut(task.occurrence, task.step) else {
+                continue;
+            };
+            let Some(state) = step.tasks.get_mut(task.index as usize) else {
+                continue;
+            };
+            state.last_run = task.last_run;
+            state.failures = task.failures;
+            state.checkpoint = Arc::clone(&task.checkpoint);
+            if task.is_done {
+                state.state = TaskState::Done;
+                step.done += 1;
+            }
+            if let Some(worker) = &task.worker {
+                inherited.push((id, worker.clone()));
+                if !task.is_done {
+                    state.state = TaskState::Placed(worker.clone());
+                    step.placed += 1;
+                }
+            }
+        }
+        self.mend_partial_gangs();
+        inherited
+    }
+
+    /// A gang of which only a part is recorded as placed was ending; its rest waits for that.
+    fn mend_partial_gangs(&mut self) {
+        let specs = Arc::clone(&self.record);
+        for occurrence in &mut self.occurrences {
+            for (step, spec) in occurrence.iter_mut().zip(&specs.steps) {
+                if !spec.is_gang || step.placed == 0 || step.placed == step.tasks.len() {
+                    continue;
+                }
+                step.gang_ending = true;
+                for task in &mut step.tasks {
+                    if task.state == TaskState::Waiting {
+                        task.state = TaskState::Left;
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn task_id(&self, occurrence: u32, step: u32, index: u32) -> TaskId {
+        TaskId {
+            job_id: self.record.job_id.clone(),
+            occurrence,
+            step,
+            index,
+        }
+    }
+
+    pub(crate) fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut StepState> {
+        self.occurrences
+            .get_mut(occurrence as usize)?
+            .get_mut(step as usize)
+    }
+
+    pub(crate) fn step(&self, occurrence: u32, step: u32) -> Option<&StepState> {
+        self.occurrences
+            .get(occurrence as usize)?
+            .get(step as usize)
+    }
+
+    pub(crate) fn spec(&self, step: u32) -> Option<&StepSpec> {
+        self.record.steps.get(step as usize)
+    }
+
+    /// Whether all steps that the given one waits for are done.
+    pub(crate) fn is_step_open(&self, occurrence: u32, step: u32) -> bool {
+        let Some(spec) = self.spec(step) else {
+            return false;
+        };
+        spec.after.iter().all(|&earlier| {
+            self.step(occurrence, earlier)
+                .is_some_and(StepState::is_done)
+        })
+    }
+
+    /// Notes that a run of the task is placed; gives the number of the run.
+    pub(crate) fn place(&mut self, id: &TaskId, worker: &WorkerName, run: u32) {
+        if self.phase == JobPhase::Queued {
+            self.phase = JobPhase::Running;
+        }
+        let Some(step) = self.step_mut(id.occurrence, id.step) else {
+            return;
+        };
+        step.placed += 1;
+        let task = &mut step.tasks[id.index as usize];
+        task.last_run = run;
+        task.state = TaskState::Placed(worker.clone());
+    }
+
+    /// Takes in the outcome of a run that is over.
+    pub(crate) fn settle(
+        &mut self,
+        id: &TaskId,
+        run: u32,
+        outcome: Outcome,
+        checkpoint: &Arc<str>,
+        attempts: u32,
+    ) -> Settled {
+        let Some(spec) = self.spec(id.step).cloned() else {
+            return Settled::Nothing;
+        };
+        let is_over = self.phase.is_final();
+        let Some(step) = self.step_mut(id.occurrence, id.step) else {
+            return Settled::Nothing;
+        };
+        let Some(task) = step.tasks.get_mut(id.index as usize) else {
+            return Settled::Nothing;
+        };
+        if task.last_run != run || !matches!(task.state, TaskState::Placed(_)) {
+            return Settled::Nothing;
+        }
+        step.placed -= 1;
+        if !checkpoint.is_empty() {
+            task.checkpoint = Arc::clone(checkpoint);
+        }
+        // What has to last starts again however it ended.
+        let outcome = if spec.is_long_running && outcome != Outcome::Void {
+            Outcome::Void
+        } else {
+            outcome
+        };
+        let settled = if spec.is_gang {
+            settle_member(step, id.index as usize, outcome, checkpoint, attempts)
+        } else {
+            settle_single(step, id.index as usize, outcome, attempts)
+        };
+        if is_over {
+            return Settled::Nothing;
+        }
+        match settled {
+            Settled::JobOver => {
+                self.phase = JobPhase::Failed;
+                Settled::JobOver
+            }
+            _ if self.all_done() => {
+                self.phase = JobPhase::Completed;
+                Settled::JobOver
+            }
+            settled => settled,
+        }
+    }
+
+    fn all_done(&self) -> bool {
+        self.occurrences
+            .iter()
+            .all(|steps| steps.iter().all(StepState::is_done))
+    }
+
+    /// What the store has to keep, with the worker of each task that may be running.
+    pub(crate) fn progress(&self) -> Progress {
+        let mut progress = Progress {
+            phase: self.phase,
+            ..Progress::default()
+        };
+        for (occurrence, steps) in (0..).zip(&self.occurrences) {
+            for (number, step) in (0..).zip(steps) {
+                if step.gang_failures > 0 && !self.phase.is_final() {
+                    progress.gangs.push(GangProgress {
+                        occurrence,
+                        step: number,
+                        failures: step.gang_failures,
+                    });
+                }
+                for (index, task) in (0..).zip(&step.tasks) {
+                    let worker = match &task.state {
+                        TaskState::Placed(worker) => Some(worker.clone()),
+                        _ => None,
+                    };
+                    let is_done = task.state == TaskState::Done;
+                    let is_new = task.last_run == 0 && task.failures == 0 && !is_done;
+                    // Once a job is over, only runs that still have to stop matter.
+                    if is_new || (self.phase.is_final() && worker.is_none()) {
+                        continue;
+                    }
+                    progress.tasks.push(TaskProgress {
+                        occurrence,
+                        step: number,
+                        index,
+                        last_run: task.last_run,
+                        failures: task.failures,
+                        is_done,
+                        worker,
+                        checkpoint: Arc::clone(&task.checkpoint),
+                    });
+                }
+            }
+        }
+        progress
+    }
+}
+
+fn settle_single(step: &mut StepState, index: usize, outcome: Outcome, attempts: u32) -> Settled {
+    let task = &mut step.tasks[index];
+    match outcome {
+        Outcome::Done => {
+            task.state = TaskState::Done;
+            step.done += 1;
+            Settled::Nothing
+        }
+        Outcome::Failed => {
+            task.state = TaskState::Waiting;
+            task.failures += 1;
+            if task.failures >= attempts {
+                Settled::JobOver
+            } else {
+                Settled::Nothing
+            }
+        }
+        Outcome::Void => {
+            task.state = TaskState::Waiting;
+            Settled::Nothing
+        }
+    }
+}
+
+/// A gang ends as one: one member done is all done, and anything else ends the run for all.
+fn settle_member(
+    step: &mut StepState,
+    index: usize,
+    outcome: Outcome,
+    checkpoint: &Arc<str>,
+    attempts: u32,
+) -> Settled {
+    if step.is_done() {
+        return Settled::Nothing;
+    }
+    if !checkpoint.is_empty() {
+        // The checkpoint of any member is good for all, and all have to resume from the same one.
+        for task in &mut step.tasks {
+            task.checkpoint = Arc::clone(checkpoint);
+        }
+    }
+    step.tasks[index].state = TaskState::Left;
+    match outcome {
+        Outcome::Done => {
+            // Members whose end is not listed yet keep their room on their workers until it is.
+            for task in &mut step.tasks {
+                task.state = TaskState::Done;
+            }
+            step.done = step.tasks.len();
+            step.placed = 0;
+            step.gang_ending = false;
+            return Settled::Nothing;
+        }
+        Outcome::Failed => step.gang_failed = true,
+        Outcome::Void => {}
+    }
+    let is_first = !step.gang_ending;
+    step.gang_ending = true;
+    if step.placed > 0 {
+        return if is_first {
+            Settled::StopGang
+        } else {
+            Settled::Nothing
+        };
+    }
+    step.gang_ending = false;
+    let has_failed = std::mem::take(&mut step.gang_failed);
+    step.gang_failures += u32::from(has_failed);
+    for task in &mut step.tasks {
+        task.state = TaskState::Waiting;
+    }
+    if has_failed && step.gang_failures >= attempts {
+        Settled::JobOver
+    } else {
+        Settled::Nothing
+    }
+}
--- /dev/null
+++ b/ragwortwick-area/src/lib.rs
@@ -0,0 +1,34 @@
+//! Scheduling of job graphs over the workers of one area, as a state machine without I/O.
+//!
+//! The coordinator learns by events and asks for actions; the present time is an argument. What it
+//! promises and why each safeguard is enough stands in docs/design/0050-platform.md.
+
+mod check;
+mod coordinator;
+mod desired;
+mod ends;
+mod job;
+mod job_state;
+mod limits;
+mod looks;
+mod messages;
+mod orders;
+mod packing;
+mod preempt;
+mod progress;
+mod records;
+mod schedule;
+mod value;
+mod worker;
+
+pub use check::JobProblem;
+pub use coordinator::{Coordinator, KnownJob, Now};
+pub use desired::{Customer, DesiredState, Queue};
+pub use job::{JobRecord, QueueTerms, Resources, Schedule, StepSpec, TaskId};
+pub use limits::Limits;
+pub use messages::{
+    Action, EndKind, EndedTask, Event, Look, OrderReply, RefusalCause, RunningTask, StoredProgress,
+    WorkerEntry,
+};
+pub use progress::{GangProgress, JobPhase, Progress, TaskProgress};
+pub use records::MAX_BATCH_RECORDS;
--- /dev/null
+++ b/ragwortwick-area/src/looks.rs
@@ -0,0 +1,168 @@
+//! Looks at workers: each renews the lease of what runs there and lists ends.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
+
+use crate::coordinator::{Coordinator, RENEWAL_AFTER_TENURE_MS};
+use crate::job::TaskId;
+use crate::job_state::Outcome;
+use crate::messages::{Action, RunningTask};
+use crate::worker::{Held, HeldPhase, LookState};
+
+/// How long a worker may wait for an end before it answers a look.
+///
+/// The platform takes at most 2,000 ms, and each look is charged, so it is as long as can be.
+const LOOK_WAIT_MS: DurationMs = DurationMs(2_000);
+
+/// Pause between looks at a worker that does not answer.
+const SILENT_LOOK_MS: DurationMs = DurationMs(250);
+
+impl Coordinator {
+    /// Sends the looks that are due.
+    pub(crate) fn send_looks(&mut self, now: TimeMs) {
+        if now >= self.tenure_until + RENEWAL_AFTER_TENURE_MS {
+            return;
+        }
+        for (name, worker) in &mut self.workers {
+            let LookState::Idle { next_at } = worker.look else {
+                continue;
+            };
+            let is_due = worker.look_due_at(next_at) <= now && worker.wants_look();
+            if !is_due || worker.entry.address.is_empty() {
+                continue;
+            }
+            let is_unsure = worker.is_silent
+                || worker.held.values().any(|held| {
+                    matches!(
+                        held.phase,
+                        HeldPhase::Inherited
+                            | HeldPhase::Stopping {
+                                confirmed_at: Some(_),
+                                ..
+                            }
+                    )
+                });
+            let has_runs = !worker.held.is_empty();
+            let wait_ms = if is_unsure || !has_runs {
+                DurationMs(0)
+            } else {
+                LOOK_WAIT_MS
+            };
+            // A lease sent to a silent worker may arrive although no answer does. It would put off,
+            // again and again, the moment from which its runs can be given up.
+            let lease_until_ms = if worker.is_silent || !has_runs {
+                None
+            } else {
+                worker.lease_until(now, &self.limits)
+            };
+            if lease_until_ms.is_some() {
+                worker.note_lease_sent(now, &self.limits);
+            }
+            worker.look = LookState::InFlight;
+            worker.told = worker.told.max(worker.stored);
+            self.actions.push(Action::Look {
+                worker: name.clone(),
+                address: Arc::clone(&worker.entry.address),
+                lease_until_ms,
+                noted: worker.stored,
+                wait_ms,
+            });
+        }
+    }
+
+    pub(crate) fn look_failed(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        is_wrong_life: bool,
+        is_fenced: bool,
+    ) {
+        if is_fenced {
+            self.actions.push(Action::Resign);
+            return;
+        }
+        if is_wrong_life {
+            self.life_over(now, worker_name);
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(worker_name) {
+            worker.is_silent = true;
+            worker.look = LookState::Idle {
+                next_at: now + SILENT_LOOK_MS,
+            };
+        }
+    }
+
+    /// Compares what runs on a worker with what is held there.
+    pub(crate) fn see_running(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        sent_at: TimeMs,
+        running: &[RunningTask],
+    ) {
+        let present: BTreeSet<(&TaskId, u32)> =
+            running.iter().map(|row| (&row.task, row.run)).collect();
+        let mut vanished = Vec::new();
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        for (task, held) in &mut worker.held {
+            if present.contains(&(task, held.run)) {
+                continue;
+            }
+            let is_gone = match held.phase {
+                HeldPhase::Intended | HeldPhase::Ordered { .. } => false,
+                // The look carried our token: no order of an earlier coordinator begins any more.
+                HeldPhase::Inherited => true,
+                HeldPhase::Running { since } => since < sent_at,
+                HeldPhase::Stopping { confirmed_at, .. } => {
+                    confirmed_at.is_some_and(|at| at < sent_at)
+                }
+            };
+            if is_gone {
+                vanished.push((task.clone(), held.run));
+            }
+        }
+        let mut orphans = Vec::new();
+        for row in running {
+            match worker.held.get_mut(&row.task) {
+                Some(held) if held.run == row.run => confirm(now, held, row),
+                _ => orphans.push(row),
+            }
+        }
+        let address = Arc::clone(&worker.entry.address);
+        for row in orphans {
+            // Nobody waits for its end; it only takes room.
+            self.actions.push(Action::Stop {
+                worker: worker_name.clone(),
+                address: Arc::clone(&address),
+                task: row.task.clone(),
+                run: row.run,
+            });
+        }
+        for (task, run) in vanished {
+            self.resolve(now, worker_name, &task, run, Outcome::Void);
+        }
+    }
+}
+
+/// A run is seen on its worker.
+fn confirm(now: TimeMs, held: &mut Held, row: &RunningTask) {
+    if !row.checkpoint.is_empty() {
+        held.checkpoint = Arc::clone(&row.checkpoint);
+    }
+    if row.percent > held.percent {
+        held.percent = row.percent;
+        held.percent_rose_at = now;
+    }
+    if matches!(
+        held.phase,
+        HeldPhase::Inherited | HeldPhase::Ordered { .. }
+    ) {
+        held.phase = HeldPhase::Running { since: now };
+        held.started_at.get_or_insert(now);
+    }
+}
--- /dev/null
+++ b/ragwortwick-area/src/messages.rs
@@ -0,0 +1,258 @@
+//! What the coordinator learns and what it asks for.
+
+use std::sync::Arc;
+
+use ragwortwick_core::{
+    DurationMs, JobId, LabelName, PoolName, RackName, TimeMs, WorkerName, ZoneName,
+};
+
+use crate::desired::DesiredState;
+use crate::job::{JobRecord, Resources, TaskId};
+use crate::progress::Progress;
+
+/// `WorkerEntry` is what a worker tells of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerEntry {
+    /// Name of this life of the worker; a restarted worker has another.
+    pub name: WorkerName,
+    /// ip:port of its calls.
+    pub address: Arc<str>,
+    /// Pool that it works for.
+    pub pool: PoolName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Rack.
+    pub rack: RackName,
+    /// All its labels.
+    pub labels: Vec<LabelName>,
+    /// What it has in total.
+    pub capacity: Resources,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+    /// Least time until a draining worker leaves.
+    pub remaining_ms: Option<DurationMs>,
+    /// Its own clock when it wrote the entry.
+    pub clock_ms: Option<u64>,
+}
+
+/// `EndKind` tells how a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndKind {
+    /// It did its work.
+    Done,
+    /// It failed, through its own fault or the worker's.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// Its worker's lease ran out.
+    LeaseExpired,
+    /// Another member of its gang ended.
+    GangBroken,
+    /// It waited in vain for the other members of its gang.
+    GangIncomplete,
+}
+
+/// `RunningTask` is one run in progress on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+    /// Newest checkpoint, empty if there is none.
+    pub checkpoint: Arc<str>,
+    /// Share of its work that is done.
+    pub percent: u32,
+}
+
+/// `EndedTask` is one end that a worker lists until it is told that the end is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedTask {
+    /// Position in the worker's list of ends.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+    /// How it ended.
+    pub kind: EndKind,
+    /// Newest checkpoint, empty if there is none.
+    pub checkpoint: Arc<str>,
+}
+
+/// `Look` is a worker's answer to a look at what runs there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Look {
+    /// The worker's clock.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<RunningTask>,
+    /// What ended and is not yet forgotten.
+    pub ended: Vec<EndedTask>,
+}
+
+/// `OrderReply` is how an order to a worker went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It is carried out.
+    Accepted {
+        /// The worker's clock.
+        clock_ms: u64,
+    },
+    /// It was not and never will be carried out.
+    Refused(RefusalCause),
+    /// Another life of the worker answers at that address.
+    WrongLife,
+    /// There is no answer; the order may be carried out, also later.
+    Unknown,
+}
+
+/// `RefusalCause` is why a worker did not carry out an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// It has seen a higher fencing token: another coordinator is in charge.
+    Fenced,
+    /// The run is not higher than one that ended or was stopped there.
+    StaleRun,
+    /// The lease in the order has run out.
+    LeaseOver,
+    /// There is not enough room.
+    NoRoom,
+    /// The worker is unhealthy and did nothing.
+    Unhealthy,
+    /// The order is malformed or not allowed there.
+    Invalid,
+}
+
+/// `Event` is what the coordinator learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A desired state came into force.
+    Desired(Arc<DesiredState>),
+    /// A worker wrote its entry.
+    WorkerSeen(WorkerEntry),
+    /// A worker's entry was removed.
+    WorkerGone(WorkerName),
+    /// The list of workers was confirmed as complete up to now.
+    WorkersFresh,
+    /// A job was accepted.
+    JobAccepted(Arc<JobRecord>),
+    /// A caller cancelled a job.
+    JobCancelled(JobId),
+    /// The store has kept the batch.
+    Stored {
+        /// Number of the batch.
+        batch: u64,
+    },
+    /// A start was answered, or not.
+    StartReplied {
+        /// The worker.
+        worker: WorkerName,
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: u32,
+        /// The answer.
+        reply: OrderReply,
+    },
+    /// A stop was answered, or not.
+    StopReplied {
+        /// The worker.
+        worker: WorkerName,
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: u32,
+        /// The answer.
+        reply: OrderReply,
+    },
+    /// A look was answered.
+    Looked {
+        /// The worker.
+        worker: WorkerName,
+        /// When the look was sent.
+        sent_at: TimeMs,
+        /// What it told.
+        look: Look,
+    },
+    /// A look was not answered, or by another life of the worker.
+    LookFailed {
+        /// The worker.
+        worker: WorkerName,
+        /// Whether the address answered that this life of the worker is over.
+        is_wrong_life: bool,
+        /// Whether the worker knows a coordinator of a later term.
+        is_fenced: bool,
+    },
+    /// The lease as coordinator holds until then.
+    Tenure {
+        /// Last moment at which orders may be sent.
+        until: TimeMs,
+    },
+}
+
+/// `StoredProgress` is one record to store.
+#[derive(Clone, Debug)]
+pub struct StoredProgress {
+    /// The job.
+    pub job_id: JobId,
+    /// Its progress.
+    pub progress: Progress,
+}
+
+/// `Action` is what the coordinator asks for.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Store the records in one transaction and report `Event::Stored`.
+    Store {
+        /// Number of the batch.
+        batch: u64,
+        /// At most `MAX_BATCH_RECORDS` records.
+        records: Vec<StoredProgress>,
+    },
+    /// Tell a worker to start a run.
+    Start {
+        /// The worker.
+        worker: WorkerName,
+        /// Its address.
+        address: Arc<str>,
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: u32,
+        /// Text for the task.
+        payload: Arc<str>,
+        /// Checkpoint to resume from, empty for none.
+        checkpoint: Arc<str>,
+        /// End of the worker's lease, on its own clock.
+        lease_until_ms: u64,
+    },
+    /// Tell a worker to stop a run.
+    Stop {
+        /// The worker.
+        worker: WorkerName,
+        /// Its address.
+        address: Arc<str>,
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: u32,
+    },
+    /// Renew a worker's lease and ask what runs there.
+    Look {
+        /// The worker.
+        worker: WorkerName,
+        /// Its address.
+        address: Arc<str>,
+        /// End of the lease on the worker's clock; none leaves it as it is.
+        lease_until_ms: Option<u64>,
+        /// Highest number of an end that is stored.
+        noted: u64,
+        /// How long the worker may wait for an end before it answers.
+        wait_ms: DurationMs,
+    },
+    /// A worker knows a coordinator of a later term: stop coordinating.
+    Resign,
+    /// Forget the records of a job that ended long ago.
+    Forget(JobId),
+}
--- /dev/null
+++ b/ragwortwick-area/src/orders.rs
@@ -0,0 +1,365 @@
+//! Starts and stops: sent until their outcome is known.
+
+use std::sync::Arc;
+
+use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
+
+use crate::coordinator::Coordinator;
+use crate::job::TaskId;
+use crate::job_state::Outcome;
+use crate::messages::{Action, OrderReply, RefusalCause};
+use crate::worker::{Held, HeldPhase, LookState, is_wrong_life};
+
+/// Pause before an order without an answer is sent again.
+const RESEND_MS: DurationMs = DurationMs(150);
+
+/// Pause before a stop that was confirmed, but whose end was never listed, is looked after.
+const STOP_LISTED_MS: DurationMs = DurationMs(150);
+
+impl Coordinator {
+    /// Sends the start of a run whose record is stored, unless it has become pointless.
+    pub(crate) fn start(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId, run: u32) {
+        let may_order = self.may_order(now);
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        let takes_work = worker.is_listed && !worker.entry.is_draining;
+        let Some(held) = worker.held.get_mut(task) else {
+            return;
+        };
+        if held.run != run || held.phase != HeldPhase::Intended {
+            return;
+        }
+        if !takes_work || !may_order {
+            // Nothing was sent, so the run certainly never begins.
+            self.resolve(now, worker_name, task, run, Outcome::Void);
+            return;
+        }
+        held.phase = HeldPhase::Ordered {
+            sent_at: now,
+            in_flight: false,
+        };
+        self.send_start(now, worker_name, task);
+    }
+
+    fn send_start(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job_id) else {
+            return;
+        };
+        let payload = Arc::clone(&job.record.payload);
+        let checkpoint = job
+            .step(task.occurrence, task.step)
+            .and_then(|step| step.tasks.get(task.index as usize))
+            .map(|state| Arc::clone(&state.checkpoint))
+            .unwrap_or_default();
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        let Some(lease_until_ms) = worker.lease_until(now, &self.limits) else {
+            return;
+        };
+        worker.note_lease_sent(now, &self.limits);
+        let address = Arc::clone(&worker.entry.address);
+        let Some(held) = worker.held.get_mut(task) else {
+            return;
+        };
+        held.tries += 1;
+        held.phase = HeldPhase::Ordered {
+            sent_at: now,
+            in_flight: true,
+        };
+        self.actions.push(Action::Start {
+            worker: worker_name.clone(),
+            address,
+            task: task.clone(),
+            run: held.run,
+            payload,
+            checkpoint,
+            lease_until_ms,
+        });
+    }
+
+    /// Sends again what got no answer, and the stops that are due.
+    pub(crate) fn send_orders(&mut self, now: TimeMs) {
+        let may_order = self.may_order(now);
+        let mut starts = Vec::new();
+        let mut stops = Vec::new();
+        for (name, worker) in &self.workers {
+            for (task, held) in &worker.held {
+                match held.phase {
+                    HeldPhase::Ordered {
+                        sent_at,
+                        in_flight: false,
+                    } if now.since(sent_at) >= RESEND_MS && may_order => {
+                        starts.push((name.clone(), task.clone()));
+                    }
+                    HeldPhase::Stopping {
+                        sent_at,
+                        in_flight: false,
+                        confirmed_at: None,
+                    } if sent_at.is_none_or(|at| now.since(at) >= RESEND_MS)
+                        && !worker.entry.address.is_empty() =>
+                    {
+                        stops.push((name.clone(), task.clone()));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (worker, task) in starts {
+            self.resend_start(now, &worker, &task);
+        }
+        for (worker, task) in stops {
+            self.send_stop(now, &worker, &task);
+        }
+    }
+
+    /// Repeats a start: it is idempotent, and tells whether the first one arrived.
+    ///
+    /// A worker that leaves must not be told again to start something: if the first order never
+    /// arrived, the second would begin work there. A stop settles it as well.
+    fn resend_start(&mut self, now: TimeMs, worker: &WorkerName, task: &TaskId) {
+        let is_leaving = self
+            .workers
+            .get(worker)
+            .is_some_and(|worker| worker.entry.is_draining || !worker.is_listed);
+        if is_leaving {
+            self.stop_group(now, task);
+        } else {
+            self.send_start(now, worker, task);
+        }
+    }
+
+    fn send_stop(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId) {
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        let address = Arc::clone(&worker.entry.address);
+        let Some(held) = worker.held.get_mut(task) else {
+            return;
+        };
+        held.phase = HeldPhase::Stopping {
+            sent_at: Some(now),
+            in_flight: true,
+            confirmed_at: None,
+        };
+        self.actions.push(Action::Stop {
+            worker: worker_name.clone(),
+            address,
+            task: task.clone(),
+            run: held.run,
+        });
+    }
+
+    pub(crate) fn start_replied(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        run: u32,
+        reply: OrderReply,
+    ) {
+        if is_wrong_life(reply) {
+            self.life_over(now, worker_name);
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        if let OrderReply::Accepted { clock_ms } = reply {
+            worker.hear_clock(now, clock_ms);
+            worker.is_silent = false;
+        }
+        let look = worker.look;
+        let Some(held) = worker.held.get_mut(task) else {
+            return;
+        };
+        let HeldPhase::Ordered { sent_at, .. } = held.phase else {
+            return;
+        };
+        if held.run != run {
+            return;
+        }
+        match reply {
+            OrderReply::Accepted { .. } => {
+                held.phase = HeldPhase::Running { since: now };
+                held.started_at = Some(now);
+                held.percent_rose_at = now;
+                if let LookState::Idle { next_at } = look {
+                    worker.look = LookState::Idle {
+                        next_at: next_at.min(now),
+                    };
+                }
+            }
+            OrderReply::Unknown => {
+                held.phase = HeldPhase::Ordered {
+                    sent_at,
+                    in_flight: false,
+                };
+            }
+            OrderReply::Refused(RefusalCause::Fenced) => self.actions.push(Action::Resign),
+            // It was there and ended, or was stopped: the next look lists the end.
+            OrderReply::Refused(RefusalCause::StaleRun) => {
+                held.phase = HeldPhase::Running { since: now };
+            }
+            OrderReply::Refused(cause) => {
+                let is_first_try = held.tries <= 1;
+                if cause == RefusalCause::NoRoom || cause == RefusalCause::Unhealthy {
+                    worker.avoid_until = now + AVOID_AFTER_REFUSAL_MS;
+                }
+                if is_first_try {
+                    self.resolve(now, worker_name, task, run, Outcome::Void);
+                } else {
+                    // An earlier try may still be carried out late; a stop rules that out.
+                    self.stop_group(now, task);
+                }
+            }
+            OrderReply::WrongLife => {}
+        }
+    }
+
+    pub(crate) fn stop_replied(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        run: u32,
+        reply: OrderReply,
+    ) {
+        if is_wrong_life(reply) {
+            self.life_over(now, worker_name);
+            return;
+        }
+        if reply == OrderReply::Refused(RefusalCause::Fenced) {
+            self.actions.push(Action::Resign);
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        if let OrderReply::Accepted { clock_ms } = reply {
+            worker.hear_clock(now, clock_ms);
+        }
+        let Some(held) = worker.held.get_mut(task) else {
+            return;
+        };
+        let HeldPhase::Stopping { sent_at, .. } = held.phase else {
+            return;
+        };
+        if held.run != run {
+            return;
+        }
+        // A worker that refuses the stop as stale has nothing of that run any more.
+        let is_settled = !matches!(reply, OrderReply::Unknown);
+        held.phase = HeldPhase::Stopping {
+            sent_at,
+            in_flight: false,
+            confirmed_at: is_settled.then_some(now),
+        };
+        if let LookState::Idle { next_at } = worker.look {
+            worker.look = LookState::Idle {
+                next_at: next_at.min(now + STOP_LISTED_MS),
+            };
+        }
+    }
+
+    /// Tells all runs that match to stop.
+    pub(crate) fn stop_where(&mut self, now: TimeMs, matches: impl Fn(&TaskId) -> bool) {
+        let mut never_sent = Vec::new();
+        for (name, worker) in &mut self.workers {
+            for (task, held) in &mut worker.held {
+                if held.is_stopping() || !matches(task) {
+                    continue;
+                }
+                if held.phase == HeldPhase::Intended {
+                    never_sent.push((name.clone(), task.clone(), held.run));
+                    continue;
+                }
+                held.phase = HeldPhase::Stopping {
+                    sent_at: None,
+                    in_flight: false,
+                    confirmed_at: None,
+                };
+            }
+        }
+        for (worker, task, run) in never_sent {
+            self.resolve(now, &worker, &task, run, Outcome::Void);
+        }
+    }
+
+    /// Stops a task, and with it the whole gang that it is a member of.
+    pub(crate) fn stop_group(&mut self, now: TimeMs, task: &TaskId) {
+        let is_gang = self
+            .jobs
+            .get(&task.job_id)
+            .and_then(|job| job.spec(task.step))
+            .is_some_and(|spec| spec.is_gang);
+        if is_gang {
+            self.stop_where(now, |other| {
+                other.job_id == task.job_id
+                    && other.occurrence == task.occurrence
+                    && other.step == task.step
+            });
+        } else {
+            self.stop_where(now, |other| other == task);
+        }
+    }
+
+    /// Puts a run on a worker; its start is sent once the record of it is stored.
+    pub(crate) fn place(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        run: u32,
+        priority: u32,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job_id) else {
+            return;
+        };
+        let Some(need) = job.spec(task.step).map(crate::job::StepSpec::reserved) else {
+            return;
+        };
+        job.place(task, worker_name, run);
+        self.records.mark(&task.job_id);
+        if let Some(worker) = self.workers.get_mut(worker_name) {
+            let held = Held {
+                run,
+                need,
+                phase: HeldPhase::Intended,
+                priority,
+                placed_at: now,
+                started_at: None,
+                checkpoint: "".into(),
+                percent: 0,
+                percent_rose_at: now,
+                tries: 0,
+            };
+            worker.hold(task.clone(), held);
+        }
+    }
+
+    pub(crate) fn jobs_on(&self, worker_name: &WorkerName) -> Vec<(TaskId, u32)> {
+        self.workers
+            .get(worker_name)
+            .map(|worker| {
+                worker
+                    .held
+                    .iter()
+                    .map(|(task, held)| (task.clone(), held.run))
+                    .collect()
+            })
+            .unwrap_or_default()
+    }
+
+    pub(crate) fn attempts_of(&self, job_id: &JobId) -> u32 {
+        self.jobs
+            .get(job_id)
+            .map_or(1, |job| self.terms_of(job).attempts.max(1))
+    }
+}
+
+/// How long a worker that refused work for want of room or health gets none.
+///
+/// A refusal contradicts our ledger; the next entry of the worker or a look may explain it.
+const AVOID_AFTER_REFUSAL_MS: DurationMs = DurationMs(1_000);
--- /dev/null
+++ b/ragwortwick-area/src/packing.rs
@@ -0,0 +1,163 @@
+//! Where tasks go: best fit, whole racks for gangs that want one, data near its rack.
+
+use std::collections::BTreeMap;
+
+use ragwortwick_core::{RackName, WorkerName};
+
+use crate::job::{Resources, StepSpec};
+
+/// `Slot` is what a worker has left during one pass of placement.
+#[derive(Clone, Debug)]
+pub(crate) struct Slot {
+    pub(crate) worker: WorkerName,
+    pub(crate) rack: RackName,
+    pub(crate) labels: Vec<ragwortwick_core::LabelName>,
+    pub(crate) free: Resources,
+    /// Evidence against the worker; slots with less of it are taken first.
+    pub(crate) doubt: u32,
+}
+
+/// `Reach` says how far from its best place work may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// Only where it is not slowed down by distance.
+    Near,
+    /// Anywhere.
+    Anywhere,
+}
+
+/// Counts how many tasks of the step a slot takes.
+fn room(slot: &Slot, spec: &StepSpec, already: &BTreeMap<WorkerName, u32>) -> u64 {
+    if let Some(label) = &spec.required_label
+        && !slot.labels.contains(label)
+    {
+        return 0;
+    }
+    let fits = slot.free.fits(spec.reserved()).min(u64::from(u32::MAX));
+    match spec.max_per_worker {
+        Some(most) => {
+            let taken = already.get(&slot.worker).copied().unwrap_or(0);
+            fits.min(u64::from(most.saturating_sub(taken)))
+        }
+        None => fits,
+    }
+}
+
+/// `pack_gang` finds a slot for each of `count` members, or none at all.
+///
+/// A gang that wants one rack gets the rack that it leaves the least of, so that other racks stay
+/// whole; on any other, one slow link would stretch the work of all members.
+pub(crate) fn pack_gang(
+    slots: &[Slot],
+    spec: &StepSpec,
+    count: usize,
+    already: &BTreeMap<WorkerName, u32>,
+    reach: Reach,
+) -> Option<Vec<usize>> {
+    if spec.wants_same_rack {
+        let in_rack = best_rack(slots, spec, count, already);
+        if in_rack.is_some() || reach == Reach::Near {
+            return in_rack;
+        }
+    }
+    let all: Vec<usize> = (0..slots.len()).collect();
+    fill(slots, &all, spec, count, already)
+}
+
+fn best_rack(
+    slots: &[Slot],
+    spec: &StepSpec,
+    count: usize,
+    already: &BTreeMap<WorkerName, u32>,
+) -> Option<Vec<usize>> {
+    let mut racks: BTreeMap<&RackName, Vec<usize>> = BTreeMap::new();
+    for (index, slot) in slots.iter().enumerate() {
+        racks.entry(&slot.rack).or_default().push(index);
+    }
+    let mut best: Option<(bool, u32, u64, Vec<usize>)> = None;
+    for (rack, members) in racks {
+        let Some(places) = fill(slots, &members, spec, count, already) else {
+            continue;
+        };
+        let free: u64 = members
+            .iter()
+            .map(|&index| slots[index].free.accelerators)
+            .sum();
+        let is_far = spec.data_rack.as_ref().is_some_and(|data| data != rack);
+        let doubt = places.iter().map(|&index| slots[index].doubt).max();
+        let doubt = doubt.unwrap_or(0);
+        let is_better = best
+            .as_ref()
+            .is_none_or(|(far, least, left, _)| (is_far, doubt, free) < (*far, *least, *left));
+        if is_better {
+            best = Some((is_far, doubt, free, places));
+        }
+    }
+    best.map(|(_, _, _, places)| places)
+}
+
+/// Fills the fullest slots first; what stays whole can take large tasks later.
+fn fill(
+    slots: &[Slot],
+    members: &[usize],
+    spec: &StepSpec,
+    count: usize,
+    already: &BTreeMap<WorkerName, u32>,
+) -> Option<Vec<usize>> {
+    let mut ranked: Vec<(bool, u32, u64, usize, u64)> = members
+        .iter()
+        .map(|&index| {
+            let slot = &slots[index];
+            let is_far = spec
+                .data_rack
+                .as_ref()
+                .is_some_and(|data| *data != slot.rack);
+            let fits = room(slot, spec, already);
+            (is_far, slot.doubt, slot.free.accelerators, index, fits)
+        })
+        .filter(|entry| entry.4 > 0)
+        .collect();
+    ranked.sort_unstable();
+    let mut places = Vec::with_capacity(count);
+    for (_, _, _, index, fits) in ranked {
+        for _ in 0..fits {
+            if places.len() == count {
+                return Some(places);
+            }
+            places.push(index);
+        }
+    }
+    (places.len() == count).then_some(places)
+}
+
+/// `pack_single` finds the best slot for one task.
+pub(crate) fn pack_single(
+    slots: &[Slot],
+    spec: &StepSpec,
+    already: &BTreeMap<WorkerName, u32>,
+    reach: Reach,
+) -> Option<usize> {
+    let mut best: Option<((bool, u32, u64, u64), usize)> = None;
+    for (index, slot) in slots.iter().enumerate() {
+        let is_far = spec
+            .data_rack
+            .as_ref()
+            .is_some_and(|data| *data != slot.rack);
+        if is_far && reach == Reach::Near {
+            continue;
+        }
+        if room(slot, spec, already) == 0 {
+            continue;
+        }
+        let rank = (
+            is_far,
+            slot.doubt,
+            slot.free.accelerators,
+            slot.free.cpu_millis,
+        );
+        if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+            best = Some((rank, index));
+        }
+    }
+    best.map(|(_, index)| index)
+}
--- /dev/null
+++ b/ragwortwick-area/src/preempt.rs
@@ -0,0 +1,323 @@
+//! Room for guaranteed work: which runs of others have to stop for it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortwick_core::{JobId, RackName, TimeMs, WorkerName};
+
+use crate::coordinator::Coordinator;
+use crate::job::{Resources, StepSpec, TaskId};
+use crate::packing::{Reach, Slot, pack_gang, pack_single};
+use crate::schedule::{Candidate, Room};
+
+/// `Group` is what has to stop together: one task, or all members of a gang.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Group {
+    job_id: JobId,
+    occurrence: u32,
+    step: u32,
+    /// The task of a step that is no gang.
+    index: Option<u32>,
+}
+
+/// `Victim` is a group that may be stopped.
+#[derive(Clone, Debug)]
+struct Victim {
+    group: Group,
+    priority: u32,
+    /// Core-seconds of work that a stop throws away.
+    waste: f64,
+    /// What it frees on each worker.
+    frees: Vec<(WorkerName, Resources)>,
+    accelerators: u64,
+}
+
+impl Coordinator {
+    /// Reserves places for guaranteed work that waits, and stops others where that is needed.
+    pub(crate) fn make_room(&mut self, now: TimeMs, waiting: &[&Candidate], room: &mut Room) {
+        if waiting.is_empty() {
+            return;
+        }
+        // What is stopping already is as good as free.
+        let mut future = self.with_stopping_freed(&room.slots);
+        let mut victims = self.victims(now);
+        for candidate in waiting {
+            let Some(spec) = self
+                .jobs
+                .get(&candidate.job_id)
+                .and_then(|job| job.spec(candidate.step))
+                .cloned()
+            else {
+                continue;
+            };
+            let Some(count) = self
+                .jobs
+                .get(&candidate.job_id)
+                .and_then(|job| job.step(candidate.occurrence, candidate.step))
+                .map(crate::job_state::StepState::waiting)
+            else {
+                continue;
+            };
+            let places = match find(&future, &spec, count) {
+                Some(places) => places,
+                None => match cheapest(&future, &spec, count, &victims) {
+                    Some(plan) => {
+                        for group in &plan.stopped {
+                            self.stop_victim(now, group);
+                        }
+                        victims.retain(|victim| !plan.stopped.contains(&victim.group));
+                        future = plan.slots;
+                        plan.places
+                    }
+                    None => continue,
+                },
+            };
+            for index in places {
+                let need = spec.reserved();
+                let worker = future[index].worker.clone();
+                future[index].free = future[index].free.minus(need);
+                // What is reserved must not go to work that comes later in this pass.
+                if let Some(slot) = room.slots.iter_mut().find(|slot| slot.worker == worker) {
+                    slot.free = slot.free.minus(need);
+                }
+            }
+        }
+    }
+
+    fn with_stopping_freed(&self, slots: &[Slot]) -> Vec<Slot> {
+        let mut future = slots.to_vec();
+        for slot in &mut future {
+            let Some(worker) = self.workers.get(&slot.worker) else {
+                continue;
+            };
+            for held in worker.held.values().filter(|held| held.is_stopping()) {
+                slot.free = slot.free.plus(held.need);
+            }
+        }
+        future
+    }
+
+    fn victims(&self, now: TimeMs) -> Vec<Victim> {
+        let mut victims: BTreeMap<Group, Victim> = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            for (task, held) in &worker.held {
+                if held.priority == 0 || held.is_stopping() {
+                    continue;
+                }
+                let Some(spec) = self
+                    .jobs
+                    .get(&task.job_id)
+                    .and_then(|job| job.spec(task.step))
+                else {
+                    continue;
+                };
+                let since = held.started_at.unwrap_or(held.placed_at);
+                let mut lost_ms = now.since(since).0;
+                if spec.saves_checkpoints {
+                    lost_ms = lost_ms.min(self.limits.checkpoint_ms.0) + self.limits.restore_ms.0;
+                }
+                let group = group_of(task, spec);
+                let victim = victims.entry(group.clone()).or_insert_with(|| Victim {
+                    group,
+                    priority: held.priority,
+                    waste: 0.0,
+                    frees: Vec::new(),
+                    accelerators: 0,
+                });
+                victim.waste += waste(spec.need, lost_ms);
+                victim.frees.push((name.clone(), held.need));
+                victim.accelerators += held.need.accelerators;
+            }
+        }
+        let mut victims: Vec<Victim> = victims.into_values().collect();
+        victims.sort_by(|a, b| {
+            b.priority
+                .cmp(&a.priority)
+                .then_with(|| per_accelerator(a).total_cmp(&per_accelerator(b)))
+        });
+        victims
+    }
+
+    fn stop_victim(&mut self, now: TimeMs, group: &Group) {
+        self.stop_where(now, |task| {
+            task.job_id == group.job_id
+                && task.occurrence == group.occurrence
+                && task.step == group.step
+                && group.index.is_none_or(|index| index == task.index)
+        });
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "amounts of work are far below what a float holds exactly"
+)]
+fn waste(need: Resources, lost_ms: u64) -> f64 {
+    need.core_equivalents().max(1) as f64 * lost_ms as f64 / 1_000.0
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a count of accelerators is far below what a float holds exactly"
+)]
+fn per_accelerator(victim: &Victim) -> f64 {
+    victim.waste / victim.accelerators.max(1) as f64
+}
+
+fn group_of(task: &TaskId, spec: &StepSpec) -> Group {
+    Group {
+        job_id: task.job_id.clone(),
+        occurrence: task.occurrence,
+        step: task.step,
+        index: (!spec.is_gang).then_some(task.index),
+    }
+}
+
+/// `Plan` is a set of groups to stop and where the work then goes.
+struct Plan {
+    stopped: Vec<Group>,
+    places: Vec<usize>,
+    slots: Vec<Slot>,
+    waste: f64,
+}
+
+fn find(slots: &[Slot], spec: &StepSpec, count: usize) -> Option<Vec<usize>> {
+    let none_taken = BTreeMap::new();
+    if spec.is_gang {
+        return pack_gang(slots, spec, count, &none_taken, Reach::Near);
+    }
+    let mut slots = slots.to_vec();
+    let mut taken: BTreeMap<WorkerName, u32> = BTreeMap::new();
+    let mut places = Vec::with_capacity(count);
+    for _ in 0..count {
+        let index = pack_single(&slots, spec, &taken, Reach::Anywhere)?;
+        *taken.entry(slots[index].worker.clone()).or_insert(0) += 1;
+        slots[index].free = slots[index].free.minus(spec.reserved());
+        places.push(index);
+    }
+    Some(places)
+}
+
+/// The plan that throws away the least work, over all racks for work that wants one.
+fn cheapest(slots: &[Slot], spec: &StepSpec, count: usize, victims: &[Victim]) -> Option<Plan> {
+    let mut best: Option<Plan> = None;
+    if spec.is_gang && spec.wants_same_rack {
+        let racks: BTreeSet<&RackName> = slots.iter().map(|slot| &slot.rack).collect();
+        for rack in racks {
+            let plan = plan(slots, spec, count, victims, Some(rack));
+            best = cheaper(best, plan);
+        }
+    }
+    // On several racks the work is slower; that is still better than breaking the guarantee.
+    best.or_else(|| plan(slots, spec, count, victims, None))
+}
+
+fn cheaper(best: Option<Plan>, other: Option<Plan>) -> Option<Plan> {
+    match (best, other) {
+        (Some(best), Some(other)) if other.waste < best.waste => Some(other),
+        (None, other) => other,
+        (best, _) => best,
+    }
+}
+
+fn plan(
+    slots: &[Slot],
+    spec: &StepSpec,
+    count: usize,
+    victims: &[Victim],
+    rack: Option<&RackName>,
+) -> Option<Plan> {
+    let mut within = slots.to_vec();
+    if let Some(rack) = rack {
+        for slot in within.iter_mut().filter(|slot| slot.rack != *rack) {
+            slot.free = Resources::default();
+        }
+    }
+    let is_inside = |worker: &WorkerName| {
+        slots
+            .iter()
+            .any(|slot| slot.worker == *worker && rack.is_none_or(|rack| slot.rack == *rack))
+    };
+    let relaxed = if rack.is_none() {
+        StepSpec {
+            wants_same_rack: false,
+            ..spec.clone()
+        }
+    } else {
+        spec.clone()
+    };
+    let mut chosen: Vec<&Victim> = Vec::new();
+    let mut places = find(&within, &relaxed, count);
+    for victim in victims {
+        if places.is_some() {
+            break;
+        }
+        if !victim.frees.iter().any(|(worker, _)| is_inside(worker)) {
+            continue;
+        }
+        free(&mut within, victim, rack);
+        chosen.push(victim);
+        places = find(&within, &relaxed, count);
+    }
+    let mut places = places?;
+    spare_needless(&mut within, &mut chosen, &mut places, &relaxed, count, rack);
+    let waste = chosen.iter().map(|victim| victim.waste).sum();
+    let mut after = slots.to_vec();
+    for victim in &chosen {
+        free(&mut after, victim, None);
+    }
+    Some(Plan {
+        stopped: chosen.iter().map(|victim| victim.group.clone()).collect(),
+        places,
+        slots: after,
+        waste,
+    })
+}
+
+/// Victims that were chosen early may turn out needless once later ones are: they go on.
+fn spare_needless(
+    within: &mut Vec<Slot>,
+    chosen: &mut Vec<&Victim>,
+    places: &mut Vec<usize>,
+    spec: &StepSpec,
+    count: usize,
+    rack: Option<&RackName>,
+) {
+    let mut order: Vec<usize> = (0..chosen.len()).collect();
+    order.sort_by(|&a, &b| chosen[b].waste.total_cmp(&chosen[a].waste));
+    let mut spared = BTreeSet::new();
+    for index in order {
+        let mut without = within.clone();
+        take_back(&mut without, chosen[index], rack);
+        if let Some(found) = find(&without, spec, count) {
+            *within = without;
+            *places = found;
+            spared.insert(index);
+        }
+    }
+    let mut index = 0;
+    chosen.retain(|_| {
+        let is_needed = !spared.contains(&index);
+        index += 1;
+        is_needed
+    });
+}
+
+fn free(slots: &mut [Slot], victim: &Victim, rack: Option<&RackName>) {
+    for (worker, need) in &victim.frees {
+        for slot in slots.iter_mut().filter(|slot| slot.worker == *worker) {
+            if rack.is_none_or(|rack| slot.rack == *rack) {
+                slot.free = slot.free.plus(*need);
+            }
+        }
+    }
+}
+
+fn take_back(slots: &mut [Slot], victim: &Victim, rack: Option<&RackName>) {
+    for (worker, need) in &victim.frees {
+        for slot in slots.iter_mut().filter(|slot| slot.worker == *worker) {
+            if rack.is_none_or(|rack| slot.rack == *rack) {
+                slot.free = slot.free.minus(*need);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ragwortwick-area/src/schedule.rs
@@ -0,0 +1,399 @@
+//! One pass of placement: who is next, and where it goes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortwick_core::{CustomerName, DurationMs, JobId, PoolName, TimeMs, WorkerName};
+
+use crate::coordinator::{Coordinator, Now};
+use crate::job::{JobRecord, Resources, StepSpec};
+use crate::job_state::{JobState, TaskState};
+use crate::packing::{Reach, Slot, pack_gang, pack_single};
+use crate::worker::HeldPhase;
+
+/// Below this share of accelerators in use, work also goes where it runs slower.
+///
+/// What is idle serves nobody, and slow work is better than none while room for others is left.
+const SPARE_SHARE_PERCENT: u64 = 50;
+
+/// How long before its bound a guaranteed job takes any place, also one where it runs slower.
+const RECLAIM_ANYWHERE_MS: DurationMs = DurationMs(1_000);
+
+/// `Candidate` is one step of one occurrence with tasks to place.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) job_id: JobId,
+    pub(crate) occurrence: u32,
+    pub(crate) step: u32,
+    pub(crate) pool: PoolName,
+    pub(crate) customer: CustomerName,
+    pub(crate) priority: u32,
+    pub(crate) due_at: TimeMs,
+    /// Whether the customer's guarantee covers it.
+    pub(crate) is_guaranteed: bool,
+    pub(crate) density: f64,
+    pub(crate) is_in_time: bool,
+}
+
+/// `Room` is what the workers of one pool have left during a pass.
+#[derive(Debug, Default)]
+pub(crate) struct Room {
+    pub(crate) slots: Vec<Slot>,
+    capacity: u64,
+    used: u64,
+}
+
+impl Room {
+    fn is_spare(&self) -> bool {
+        self.used * 100 < self.capacity * SPARE_SHARE_PERCENT
+    }
+
+    fn take(&mut self, index: usize, need: Resources) {
+        self.slots[index].free = self.slots[index].free.minus(need);
+        self.used += need.accelerators;
+    }
+}
+
+impl Coordinator {
+    /// Places what can be placed, the most pressing work first.
+    pub(crate) fn pass(&mut self, now: Now) {
+        if !self.may_order(now.steady) || !self.knows_workers(now.steady) {
+            return;
+        }
+        let mut candidates = self.candidates(now);
+        order(&mut candidates);
+        let pools: BTreeSet<PoolName> = candidates.iter().map(|c| c.pool.clone()).collect();
+        for pool in pools {
+            let mut room = self.room(now.steady, &pool);
+            let of_pool: Vec<&Candidate> = candidates.iter().filter(|c| c.pool == pool).collect();
+            let (urgent, others): (Vec<_>, Vec<_>) =
+                of_pool.into_iter().partition(|c| c.is_guaranteed);
+            let waiting: Vec<&Candidate> = urgent
+                .into_iter()
+                .filter(|candidate| !self.place_step(now.steady, candidate, &mut room))
+                .collect();
+            self.make_room(now.steady, &waiting, &mut room);
+            let mut failed: Vec<(StepSpec, usize)> = Vec::new();
+            for candidate in others {
+                self.place_other(now.steady, candidate, &mut room, &mut failed);
+            }
+        }
+    }
+
+    fn place_other(
+        &mut self,
+        now: TimeMs,
+        candidate: &Candidate,
+        room: &mut Room,
+        failed: &mut Vec<(StepSpec, usize)>,
+    ) {
+        let Some(shape) = self.shape_of(candidate) else {
+            return;
+        };
+        // What found no place a moment ago finds none now: the room only shrinks during a pass.
+        if shape.0.is_gang && failed.contains(&shape) {
+            return;
+        }
+        if !self.place_step(now, candidate, room) && shape.0.is_gang {
+            failed.push(shape);
+        }
+    }
+
+    fn shape_of(&self, candidate: &Candidate) -> Option<(StepSpec, usize)> {
+        let job = self.jobs.get(&candidate.job_id)?;
+        let mut spec = job.spec(candidate.step)?.clone();
+        spec.estimate_ms = DurationMs(0);
+        spec.after.clear();
+        let count = job.step(candidate.occurrence, candidate.step)?.waiting();
+        Some((spec, count))
+    }
+
+    /// All steps that could start now.
+    fn candidates(&mut self, now: Now) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        let mut next_due: Option<TimeMs> = None;
+        for job_id in &self.open_jobs {
+            let Some(job) = self.jobs.get(job_id) else {
+                continue;
+            };
+            let terms = self.terms_of(job);
+            for occurrence in 0..job.record.occurrences() {
+                let due_at = due_at(now, &job.record, job.accepted_at, occurrence);
+                if due_at > now.steady {
+                    next_due = Some(next_due.map_or(due_at, |at| at.min(due_at)));
+                    break;
+                }
+                let steps = &job.occurrences[occurrence as usize];
+                let mut standing = None;
+                for number in 0..u32::try_from(steps.len()).unwrap_or(u32::MAX) {
+                    let step = &steps[number as usize];
+                    let is_blocked = step.is_done() || step.gang_ending;
+                    if is_blocked || !job.is_step_open(occurrence, number) || step.waiting() == 0 {
+                        continue;
+                    }
+                    let standing = *standing.get_or_insert_with(|| {
+                        self.standing(now.steady, job, occurrence as usize, due_at)
+                    });
+                    found.push(Candidate {
+                        job_id: job_id.clone(),
+                        occurrence,
+                        step: number,
+                        pool: terms.pool.clone(),
+                        customer: job.record.customer.clone(),
+                        priority: terms.priority,
+                        due_at,
+                        is_guaranteed: false,
+                        density: standing.density,
+                        is_in_time: standing.is_in_time,
+                    });
+                }
+            }
+        }
+        self.next_due_at = next_due;
+        self.mark_guaranteed(&mut found);
+        found
+    }
+
+    /// Marks urgent steps as guaranteed, oldest first, while their customer's share covers them.
+    fn mark_guaranteed(&self, candidates: &mut [Candidate]) {
+        let mut used = self.guaranteed_use();
+        let mut order: Vec<usize> = (0..candidates.len())
+            .filter(|&index| candidates[index].priority == 0)
+            .collect();
+        order.sort_by_key(|&index| (candidates[index].due_at, candidates[index].job_id.clone()));
+        for index in order {
+            let candidate = &mut candidates[index];
+            let Some(customer) = self.desired.customers.get(&candidate.customer) else {
+                continue;
+            };
+            let Some(need) = self.waiting_accelerators(candidate) else {
+                continue;
+            };
+            let taken = used.entry(candidate.customer.clone()).or_insert(0);
+            if *taken + need <= customer.guaranteed_accelerators {
+                *taken += need;
+                candidate.is_guaranteed = true;
+            }
+        }
+    }
+
+    fn waiting_accelerators(&self, candidate: &Candidate) -> Option<u64> {
+        let job = self.jobs.get(&candidate.job_id)?;
+        let count = job.step(candidate.occurrence, candidate.step)?.waiting();
+        Some(job.spec(candidate.step)?.need.accelerators * count as u64)
+    }
+
+    /// Accelerators that urgent work of each customer uses now.
+    fn guaranteed_use(&self) -> BTreeMap<CustomerName, u64> {
+        let mut used = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, held) in &worker.held {
+                if held.priority != 0 || held.is_stopping() {
+                    continue;
+                }
+                if let Some(job) = self.jobs.get(&task.job_id) {
+                    *used.entry(job.record.customer.clone()).or_insert(0) += held.need.accelerators;
+                }
+            }
+        }
+        used
+    }
+
+    fn room(&self, now: TimeMs, pool: &PoolName) -> Room {
+        let mut room = Room::default();
+        for (name, worker) in &self.workers {
+            if worker.entry.pool != *pool || !worker.is_listed {
+                continue;
+            }
+            let free = worker.free();
+            room.capacity += worker.entry.capacity.accelerators;
+            room.used += worker.entry.capacity.accelerators - free.accelerators;
+            if worker.takes_work(now) {
+                room.slots.push(Slot {
+                    worker: name.clone(),
+                    rack: worker.entry.rack.clone(),
+                    labels: worker.entry.labels.clone(),
+                    free,
+                    doubt: worker.failures_in_row,
+                });
+            }
+        }
+        room
+    }
+
+    /// Places the tasks of a step that wait; tells whether none is left.
+    fn place_step(&mut self, now: TimeMs, candidate: &Candidate, room: &mut Room) -> bool {
+        let Some(job) = self.jobs.get(&candidate.job_id) else {
+            return true;
+        };
+        let Some(spec) = job.spec(candidate.step).cloned() else {
+            return true;
+        };
+        let reach = self.reach(now, candidate, room);
+        let already = taken_by_worker(job, candidate);
+        if spec.is_gang {
+            return self.place_gang(now, candidate, &spec, &already, reach, room);
+        }
+        self.place_singles(now, candidate, &spec, already, reach, room)
+    }
+
+    fn reach(&self, now: TimeMs, candidate: &Candidate, room: &Room) -> Reach {
+        let bound = candidate.due_at + self.limits.reclaim_ms - RECLAIM_ANYWHERE_MS;
+        let is_pressing = candidate.is_guaranteed && now >= bound;
+        if is_pressing || room.is_spare() {
+            Reach::Anywhere
+        } else {
+            Reach::Near
+        }
+    }
+
+    fn place_gang(
+        &mut self,
+        now: TimeMs,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        already: &BTreeMap<WorkerName, u32>,
+        reach: Reach,
+        room: &mut Room,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&candidate.job_id) else {
+            return true;
+        };
+        let Some(step) = job.step(candidate.occurrence, candidate.step) else {
+            return true;
+        };
+        let count = step.tasks.len();
+        let run = step.tasks.iter().map(|task| task.last_run).max();
+        let run = run.unwrap_or(0) + 1;
+        let Some(places) = pack_gang(&room.slots, spec, count, already, reach) else {
+            return false;
+        };
+        for (index, slot) in (0..).zip(places) {
+            self.put(now, candidate, index, slot, run, spec, room);
+        }
+        true
+    }
+
+    fn place_singles(
+        &mut self,
+        now: TimeMs,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        mut already: BTreeMap<WorkerName, u32>,
+        reach: Reach,
+        room: &mut Room,
+    ) -> bool {
+        let Some(step) = self
+            .jobs
+            .get(&candidate.job_id)
+            .and_then(|job| job.step(candidate.occurrence, candidate.step))
+        else {
+            return true;
+        };
+        let waiting: Vec<(u32, u32)> = (0..)
+            .zip(&step.tasks)
+            .filter(|(_, task)| task.state == TaskState::Waiting)
+            .map(|(index, task)| (index, task.last_run + 1))
+            .collect();
+        for (index, run) in waiting {
+            let Some(slot) = pack_single(&room.slots, spec, &already, reach) else {
+                return false;
+            };
+            *already.entry(room.slots[slot].worker.clone()).or_insert(0) += 1;
+            self.put(now, candidate, index, slot, run, spec, room);
+        }
+        true
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one placement is made of just these parts"
+    )]
+    fn put(
+        &mut self,
+        now: TimeMs,
+        candidate: &Candidate,
+        index: u32,
+        slot: usize,
+        run: u32,
+        spec: &StepSpec,
+        room: &mut Room,
+    ) {
+        let Some(job) = self.jobs.get(&candidate.job_id) else {
+            return;
+        };
+        let task = job.task_id(candidate.occurrence, candidate.step, index);
+        let worker = room.slots[slot].worker.clone();
+        room.take(slot, spec.reserved());
+        self.place(now, &worker, &task, run, candidate.priority);
+    }
+
+    /// Stops what a leaving worker has no time to finish, while its checkpoint can still be kept.
+    pub(crate) fn evacuate(&mut self, now: TimeMs) {
+        let mut leaving = Vec::new();
+        for worker in self.workers.values() {
+            let Some(leaves_at) = worker.leaves_at else {
+                continue;
+            };
+            let last_call = leaves_at - DurationMs(self.limits.stop_ms.0 + EVACUATION_MARGIN_MS.0);
+            if now < last_call {
+                continue;
+            }
+            for (task, held) in &worker.held {
+                if matches!(held.phase, HeldPhase::Running { .. }) {
+                    leaving.push(task.clone());
+                }
+            }
+        }
+        for task in leaving {
+            self.stop_group(now, &task);
+        }
+    }
+}
+
+/// Time for a stop to reach a leaving worker and its end to be listed, before the worker is gone.
+const EVACUATION_MARGIN_MS: DurationMs = DurationMs(500);
+
+fn due_at(now: Now, record: &JobRecord, accepted_at: TimeMs, occurrence: u32) -> TimeMs {
+    if record.schedule.is_none() {
+        return accepted_at;
+    }
+    let due_unix = record.due_unix_ms(occurrence);
+    if due_unix > now.unix {
+        now.steady + due_unix.since(now.unix)
+    } else {
+        now.steady - now.unix.since(due_unix)
+    }
+}
+
+/// Tasks of the same step that workers have already, for the bound on one worker.
+fn taken_by_worker(job: &JobState, candidate: &Candidate) -> BTreeMap<WorkerName, u32> {
+    let mut taken = BTreeMap::new();
+    let Some(step) = job.step(candidate.occurrence, candidate.step) else {
+        return taken;
+    };
+    for task in &step.tasks {
+        if let TaskState::Placed(worker) = &task.state {
+            *taken.entry(worker.clone()).or_insert(0) += 1;
+        }
+    }
+    taken
+}
+
+/// Guaranteed work first, oldest first; then by worth over the accelerator time still needed.
+fn order(candidates: &mut [Candidate]) {
+    candidates.sort_by(|a, b| {
+        b.is_guaranteed
+            .cmp(&a.is_guaranteed)
+            .then_with(|| {
+                if a.is_guaranteed {
+                    a.due_at.cmp(&b.due_at)
+                } else {
+                    b.density.total_cmp(&a.density)
+                }
+            })
+            .then_with(|| b.is_in_time.cmp(&a.is_in_time))
+            .then_with(|| a.job_id.cmp(&b.job_id))
+            .then_with(|| a.occurrence.cmp(&b.occurrence))
+            .then_with(|| a.step.cmp(&b.step))
+    });
+}
--- /dev/null
+++ b/ragwortwick-area/src/value.rs
@@ -0,0 +1,141 @@
+//! What work is worth at a moment, for the order in which it is placed.
+
+use ragwortwick_core::{DurationMs, TimeMs};
+
+use crate::coordinator::Coordinator;
+use crate::job::QueueTerms;
+use crate::job_state::{JobState, StepState, TaskState};
+
+/// Worth of a job by its queue's priority; urgent answers are worth most to their callers.
+const WORTH_BY_PRIORITY: [f64; 3] = [4.0, 3.0, 1.0];
+
+/// Share of the worth that is left past the objective.
+const LATE_SHARE: f64 = 0.4;
+
+/// Past this many times the objective a job is worth nothing more.
+const LATE_LIMIT: f64 = 3.0;
+
+/// Share of the worth of what has missed even that; it is still owed to its caller.
+const HOPELESS_SHARE: f64 = 0.01;
+
+/// `Standing` is how a job's open occurrence ranks among others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Standing {
+    /// Worth for each accelerator-second that is still to be spent.
+    pub(crate) density: f64,
+    /// Whether it can still make its objective.
+    pub(crate) is_in_time: bool,
+}
+
+impl Coordinator {
+    /// Ranks one occurrence of a job by worth over the accelerator time that it still needs.
+    pub(crate) fn standing(
+        &self,
+        now: TimeMs,
+        job: &JobState,
+        occurrence: usize,
+        due_at: TimeMs,
+    ) -> Standing {
+        let terms = self.terms_of(job);
+        let steps = &job.occurrences[occurrence];
+        let rest_ms = rest_of_chain_ms(job, steps);
+        let objective_ms = objective_ms(job, terms);
+        let ready_at = now + rest_ms;
+        let late_at = due_at + DurationMs(scaled(objective_ms, LATE_LIMIT));
+        let is_in_time = ready_at <= due_at + objective_ms;
+        let share = if is_in_time {
+            1.0
+        } else if ready_at <= late_at {
+            LATE_SHARE
+        } else {
+            HOPELESS_SHARE
+        };
+        let class = (terms.priority as usize).min(WORTH_BY_PRIORITY.len() - 1);
+        let spent = rest_of_work(job, steps).max(1.0);
+        let whole = whole_work(job).max(1.0);
+        // The worth grows with the whole job's work, at seven tenths of it.
+        let mean = self.mean_work(&job.record.queue).unwrap_or(whole);
+        let worth = WORTH_BY_PRIORITY[class] * (0.3 + 0.7 * whole / mean).min(4.0);
+        Standing {
+            density: worth * share / spent,
+            is_in_time,
+        }
+    }
+
+    fn mean_work(&self, queue: &ragwortwick_core::ClassName) -> Option<f64> {
+        let (sum, count) = self.work_seen.get(queue)?;
+        (*count > 0).then(|| sum / f64::from(*count))
+    }
+}
+
+/// Time from the due time to the objective.
+pub(crate) fn objective_ms(job: &JobState, terms: &QueueTerms) -> DurationMs {
+    let chain_ms = job.record.chain_ms();
+    DurationMs(scaled(chain_ms, terms.stretch) + terms.target_latency_ms.0)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "spans of hours in milliseconds are exact in a float, and factors are positive"
+)]
+fn scaled(span_ms: DurationMs, factor: f64) -> u64 {
+    (span_ms.0 as f64 * factor.max(0.0)) as u64
+}
+
+/// Estimated time of the longest chain of steps that are not done.
+fn rest_of_chain_ms(job: &JobState, steps: &[StepState]) -> DurationMs {
+    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+    for (spec, step) in job.record.steps.iter().zip(steps) {
+        let begin = spec
+            .after
+            .iter()
+            .filter_map(|&earlier| ends.get(earlier as usize))
+            .max()
+            .copied()
+            .unwrap_or(0);
+        let own = if step.is_done() {
+            0
+        } else {
+            spec.estimate_ms.0
+        };
+        ends.push(begin + own);
+    }
+    DurationMs(ends.into_iter().max().unwrap_or(0))
+}
+
+/// Accelerator-seconds that one occurrence still needs; tasks without accelerators count a little.
+fn rest_of_work(job: &JobState, steps: &[StepState]) -> f64 {
+    job.record
+        .steps
+        .iter()
+        .zip(steps)
+        .map(|(spec, step)| {
+            let open = step
+                .tasks
+                .iter()
+                .filter(|task| task.state != TaskState::Done)
+                .count();
+            task_work(spec) * f64::from(u32::try_from(open).unwrap_or(u32::MAX))
+        })
+        .sum()
+}
+
+/// Accelerator-seconds of one whole occurrence.
+pub(crate) fn whole_work(job: &JobState) -> f64 {
+    job.record
+        .steps
+        .iter()
+        .map(|spec| task_work(spec) * f64::from(spec.count))
+        .sum()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "amounts on one worker are far below what a float holds exactly"
+)]
+fn task_work(spec: &crate::job::StepSpec) -> f64 {
+    let accelerators = spec.need.accelerators as f64 + spec.need.cpu_millis as f64 / 8_000.0;
+    accelerators.max(0.05) * spec.estimate_ms.0.max(1) as f64 / 1_000.0
+}
--- /dev/null
+++ b/ragwortwick-area/src/worker.rs
@@ -0,0 +1,250 @@
+//! The ledger of one worker: what is or may be running there, and until when.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
+
+use crate::job::{Resources, TaskId};
+use crate::limits::Limits;
+use crate::messages::{OrderReply, WorkerEntry};
+
+/// Margin on the computed end of a worker's lease, for timers and scheduling delays.
+const LEASE_MARGIN_MS: DurationMs = DurationMs(400);
+
+/// Pause between looks at a worker whose ends can't be stored; it answers each at once with them.
+///
+/// During an outage of the store what else runs there still needs its lease renewed.
+const AWAIT_STORE_MS: DurationMs = DurationMs(1_000);
+
+/// A worker's clock may run 2 % slow; 3 % covers that with rounding.
+const CLOCK_DRIFT_PERCENT: u64 = 3;
+
+/// `HeldPhase` tells how sure it is that a run is on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeldPhase {
+    /// Its start waits until the store has the record of it.
+    Intended,
+    /// Its start was sent and not answered yet.
+    Ordered {
+        /// When the start was last sent.
+        sent_at: TimeMs,
+        /// Whether an answer is still awaited.
+        in_flight: bool,
+    },
+    /// An earlier coordinator recorded it; a look will tell.
+    Inherited,
+    /// The worker confirmed the start.
+    Running {
+        /// When the confirmation arrived.
+        since: TimeMs,
+    },
+    /// It has to stop.
+    Stopping {
+        /// When the stop was last sent; none before the first.
+        sent_at: Option<TimeMs>,
+        /// Whether an answer is still awaited.
+        in_flight: bool,
+        /// When the worker confirmed the stop.
+        confirmed_at: Option<TimeMs>,
+    },
+}
+
+/// `Held` is one run that takes room on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub(crate) run: u32,
+    pub(crate) need: Resources,
+    pub(crate) phase: HeldPhase,
+    /// Zero comes first; what has a higher number may be preempted.
+    pub(crate) priority: u32,
+    /// When the start was decided.
+    pub(crate) placed_at: TimeMs,
+    /// When the worker confirmed the start.
+    pub(crate) started_at: Option<TimeMs>,
+    /// Newest checkpoint seen.
+    pub(crate) checkpoint: Arc<str>,
+    /// Share of the work done, as last seen.
+    pub(crate) percent: u32,
+    /// When `percent` last rose.
+    pub(crate) percent_rose_at: TimeMs,
+    /// How often its start was sent.
+    pub(crate) tries: u32,
+}
+
+impl Held {
+    pub(crate) fn is_stopping(&self) -> bool {
+        matches!(self.phase, HeldPhase::Stopping { .. })
+    }
+}
+
+/// `LookState` tells whether a look is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LookState {
+    /// None is under way; the next is due then.
+    Idle { next_at: TimeMs },
+    /// One was sent then.
+    InFlight,
+}
+
+/// `Worker` is one life of a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) entry: WorkerEntry,
+    /// Whether the store lists it.
+    pub(crate) is_listed: bool,
+    /// When it must have left, for a draining worker that told its remaining time.
+    pub(crate) leaves_at: Option<TimeMs>,
+    pub(crate) held: BTreeMap<TaskId, Held>,
+    used: Resources,
+    /// The worker's clock, as last told, and when that was.
+    clock: Option<(u64, TimeMs)>,
+    /// No lease that was ever granted there lasts longer.
+    pub(crate) lease_bound: TimeMs,
+    pub(crate) look: LookState,
+    /// Whether the last look failed.
+    pub(crate) is_silent: bool,
+    /// Highest number of an end that was taken in.
+    pub(crate) taken_in: u64,
+    /// Highest number of an end whose effect is stored.
+    pub(crate) stored: u64,
+    /// Highest number that the worker was told to forget.
+    pub(crate) told: u64,
+    /// Failed runs of different jobs since the last run that ended well.
+    pub(crate) failures_in_row: u32,
+    /// No new work goes there before.
+    pub(crate) avoid_until: TimeMs,
+}
+
+impl Worker {
+    pub(crate) fn new(now: TimeMs, entry: WorkerEntry) -> Self {
+        let mut worker = Self {
+            entry: entry.clone(),
+            is_listed: true,
+            leaves_at: None,
+            held: BTreeMap::new(),
+            used: Resources::default(),
+            clock: None,
+            lease_bound: now,
+            look: LookState::Idle { next_at: now },
+            is_silent: false,
+            taken_in: 0,
+            stored: 0,
+            told: 0,
+            failures_in_row: 0,
+            avoid_until: TimeMs(0),
+        };
+        worker.refresh(now, entry);
+        worker
+    }
+
+    /// A worker of which only its name in a record is known.
+    pub(crate) fn unlisted(now: TimeMs, name: WorkerName) -> Self {
+        let entry = WorkerEntry {
+            name,
+            address: "".into(),
+            pool: "".into(),
+            zone: "".into(),
+            rack: "".into(),
+            labels: Vec::new(),
+            capacity: Resources::default(),
+            is_draining: false,
+            remaining_ms: None,
+            clock_ms: None,
+        };
+        let mut worker = Self::new(now, entry);
+        worker.is_listed = false;
+        worker
+    }
+
+    pub(crate) fn refresh(&mut self, now: TimeMs, entry: WorkerEntry) {
+        if self.clock.is_none()
+            && let Some(clock_ms) = entry.clock_ms
+        {
+            self.clock = Some((clock_ms, now));
+        }
+        self.leaves_at = entry
+            .remaining_ms
+            .filter(|_| entry.is_draining)
+            .map(|remaining_ms| now + remaining_ms);
+        self.is_listed = true;
+        self.entry = entry;
+    }
+
+    /// The clock told in an answer; an answer travels, so the true clock is this or later.
+    pub(crate) fn hear_clock(&mut self, now: TimeMs, clock_ms: u64) {
+        self.clock = Some((clock_ms, now));
+    }
+
+    /// The end of a lease from now on, on the worker's clock; an estimate that is never too late.
+    pub(crate) fn lease_until(&self, now: TimeMs, limits: &Limits) -> Option<u64> {
+        let (clock_ms, heard_at) = self.clock?;
+        Some(clock_ms + now.since(heard_at).0 + limits.lease_ms.0)
+    }
+
+    /// Notes that an order with a lease goes out: until the bound passes, runs may live on.
+    pub(crate) fn note_lease_sent(&mut self, now: TimeMs, limits: &Limits) {
+        self.lease_bound = self.lease_bound.max(now + longest_lease(limits));
+    }
+
+    pub(crate) fn hold(&mut self, task: TaskId, held: Held) {
+        self.used = self.used.plus(held.need);
+        self.held.insert(task, held);
+    }
+
+    pub(crate) fn release(&mut self, task: &TaskId) -> Option<Held> {
+        let held = self.held.remove(task)?;
+        self.used = self.used.minus(held.need);
+        Some(held)
+    }
+
+    pub(crate) fn free(&self) -> Resources {
+        self.entry.capacity.minus(self.used)
+    }
+
+    /// Whether new work may go there.
+    pub(crate) fn takes_work(&self, now: TimeMs) -> bool {
+        self.is_listed
+            && !self.entry.is_draining
+            && !self.is_silent
+            && self.clock.is_some()
+            && now >= self.avoid_until
+    }
+
+    /// Whether a look is wanted: something runs, or ends have to be forgotten.
+    pub(crate) fn wants_look(&self) -> bool {
+        let has_run = self
+            .held
+            .values()
+            .any(|held| !matches!(held.phase, HeldPhase::Intended));
+        has_run || self.stored > self.told
+    }
+
+    /// Ends that are taken in but not stored would be listed again at once; a look waits for them.
+    pub(crate) fn awaits_store(&self) -> bool {
+        self.taken_in > self.stored
+    }
+
+    /// When the next look is due: later while ends wait to be stored, but in time for the lease.
+    pub(crate) fn look_due_at(&self, next_at: TimeMs) -> TimeMs {
+        if self.awaits_store() {
+            next_at + AWAIT_STORE_MS
+        } else {
+            next_at
+        }
+    }
+
+    pub(crate) fn is_forgettable(&self) -> bool {
+        !self.is_listed && self.held.is_empty()
+    }
+}
+
+/// The longest time that a lease sent now can last on our clock.
+pub(crate) fn longest_lease(limits: &Limits) -> DurationMs {
+    DurationMs(limits.lease_ms.0 * (100 + CLOCK_DRIFT_PERCENT) / 100 + LEASE_MARGIN_MS.0)
+}
+
+/// Whether an answer to an order proves that this life of the worker is over.
+pub(crate) fn is_wrong_life(reply: OrderReply) -> bool {
+    matches!(reply, OrderReply::WrongLife)
+}
--- a/ragwortwick-core/src/ids.rs
+++ b/ragwortwick-core/src/ids.rs
@@ -75,6 +75,14 @@
     /// `HostName` names an entry host or a backend server.
     HostName
 }
+name_type! {
+    /// `PoolName` names a pool of workers that run the same service.
+    PoolName
+}
+name_type! {
+    /// `LabelName` names a property of a worker that a step may ask for.
+    LabelName
+}
 name_type! {
     /// `JobId` identifies an accepted job for ever.
     JobId
--- a/ragwortwick-core/src/lib.rs
+++ b/ragwortwick-core/src/lib.rs
@@ -10,7 +10,8 @@
 pub use chart::{Chart, Step, Word};
 pub use error::{Error, Result};
 pub use ids::{
-    ClassName, CustomerName, GangId, HostName, JobId, RackName, RequestId, WorkerName, ZoneName,
+    ClassName, CustomerName, GangId, HostName, JobId, LabelName, PoolName, RackName, RequestId,
+    WorkerName, ZoneName,
 };
 pub use log_line::LogValue;
 pub use ragwortwick_macros::common;
--- /dev/null
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -0,0 +1,110 @@
+//! Keeps the desired state in force: read at start, then watched; a version never goes back.
+
+use std::sync::Arc;
+
+use ragwortwick_adapter::{
+    Change, DESIRED_KEY, DESIRED_PREFIX, Item, StoreClient, StoreFailure, decode_desired,
+};
+use ragwortwick_area::DesiredState;
+use ragwortwick_core::{DurationMs, Revision, log_event};
+use tokio::sync::watch;
+
+use super::store_health::StoreHealth;
+
+/// Longest wait of one watch: an accepted version has to be in force two seconds later, also if a
+/// connection went silent meanwhile.
+const WATCH_WAIT_MS: DurationMs = DurationMs(1_000);
+
+/// Pause after a failed call.
+const FAILED_PAUSE_MS: DurationMs = DurationMs(150);
+
+/// `DesiredFeed` runs the watch.
+#[derive(Debug)]
+pub(super) struct DesiredFeed {
+    pub(super) store: StoreClient,
+    pub(super) health: StoreHealth,
+    pub(super) desired: watch::Sender<Option<Arc<DesiredState>>>,
+}
+
+impl DesiredFeed {
+    /// Runs until the process ends.
+    pub(super) async fn run(self) {
+        let mut position: Option<Revision> = None;
+        loop {
+            let result = match position {
+                None => self.read().await,
+                Some(after) => self.watch(after).await,
+            };
+            match result {
+                Ok(next) => position = Some(next),
+                Err(StoreFailure::HistoryGone) => position = None,
+                Err(error) => {
+                    log_event!(Debug, "desired_state_call_failed", cause = error);
+                    tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
+                }
+            }
+        }
+    }
+
+    async fn read(&self) -> Result<Revision, StoreFailure> {
+        let page = self.store.page(DESIRED_PREFIX, None).await;
+        self.health.note(&page);
+        let page = page?;
+        for item in &page.items {
+            self.take(item);
+        }
+        Ok(page.as_of)
+    }
+
+    async fn watch(&self, after: Revision) -> Result<Revision, StoreFailure> {
+        let reply = self
+            .store
+            .watch(DESIRED_PREFIX, after, WATCH_WAIT_MS)
+            .await;
+        self.health.note(&reply);
+        let reply = reply?;
+        for change in &reply.changes {
+            if let Change::Written(item) = change {
+                self.take(item);
+            }
+        }
+        Ok(reply.as_of)
+    }
+
+    fn take(&self, item: &Item) {
+        if item.key != DESIRED_KEY {
+            return;
+        }
+        match decode_desired(&item.value) {
+            Ok(state) => self.put_in_force(state, item.revision),
+            Err(error) => {
+                log_event!(
+                    Error,
+                    "desired_state_unreadable",
+                    revision = item.revision,
+                    cause = error
+                );
+            }
+        }
+    }
+
+    fn put_in_force(&self, state: DesiredState, revision: Revision) {
+        let version = state.version;
+        let is_new = self.desired.send_if_modified(|known| {
+            // Pages and watches may overlap; an older version must never come back.
+            let is_new = known.as_ref().is_none_or(|known| known.version < version);
+            if is_new {
+                *known = Some(Arc::new(state));
+            }
+            is_new
+        });
+        if is_new {
+            log_event!(
+                Info,
+                "desired_state_in_force",
+                version = version,
+                revision = revision
+            );
+        }
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -0,0 +1,263 @@
+//! Callers' side: jobs handed in, asked for and cancelled.
+
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use gotham::handler::SimpleHandlerResult;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{single_middleware, single_pipeline};
+use gotham::prelude::{DefineSingleRoute, DrawRoutes, FromState, IntoResponse, StateData};
+use gotham::router::Router;
+use gotham::router::builder::build_router;
+use gotham::state::State;
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header};
+use ragwortwick_adapter::{
+    DEADLINE_HEADER, api_key, decode_job, encode_pending, encode_phase,
+};
+use ragwortwick_area::{DesiredState, JobRecord, Queue};
+use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, TimeMs, log_event};
+use ragwortwick_http::{Refusal, json_response, read_bytes};
+use tokio::sync::watch;
+
+use super::accept::{JobWriter, WriteOutcome};
+use crate::{Clock, unix_now};
+
+/// Time a caller waits if it doesn't say.
+const DEFAULT_DEADLINE_MS: DurationMs = DurationMs(3_000);
+
+/// Time kept for the way back to the caller.
+const ANSWER_MARGIN_MS: DurationMs = DurationMs(250);
+
+/// Largest body if the desired state names no bound.
+const DEFAULT_BODY_BYTES: usize = 256 << 10;
+
+/// Whole seconds after which a refused caller may come back: outages of the store last seconds.
+const RETRY_AFTER_S: u64 = 1;
+
+/// Digits of a job's id.
+const JOB_ID_DIGITS: usize = 16;
+
+/// `Front` is what the callers' side needs; clones share everything.
+#[derive(Clone, Debug)]
+pub(super) struct Front {
+    pub(super) clock: Clock,
+    pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    pub(super) writer: JobWriter,
+    pub(super) stopping: watch::Receiver<bool>,
+}
+
+/// The handler's view of `Front`. A panic ends the process, so no half-changed state is ever seen.
+#[derive(Clone, Debug, StateData)]
+struct SharedFront(Arc<AssertUnwindSafe<Front>>);
+
+/// Routes every path to one handler: which queue a call is for stands in the desired state.
+pub(super) fn router(front: Front) -> Router {
+    let shared = SharedFront(Arc::new(AssertUnwindSafe(front)));
+    let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(shared)));
+    build_router(chain, pipelines, |route| {
+        let methods = vec![Method::GET, Method::POST, Method::DELETE];
+        route
+            .request(methods.clone(), "/")
+            .to_async_borrowing(handle);
+        route.request(methods, "/*").to_async_borrowing(handle);
+    })
+}
+
+async fn handle(state: &mut State) -> SimpleHandlerResult {
+    let front = Arc::clone(&SharedFront::borrow_from(state).0);
+    let mut response = answer(&front, state).await;
+    if *front.stopping.borrow() {
+        // A caller that keeps its connection would send its next request into the closing of it.
+        let value = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, value);
+    }
+    Ok(response)
+}
+
+/// `Call` is a call whose queue and customer are known.
+struct Call {
+    queue_name: ClassName,
+    queue: Queue,
+    customer: CustomerName,
+    /// What follows the queue's prefix in the path.
+    rest: String,
+    until: TimeMs,
+    max_body_bytes: usize,
+}
+
+async fn answer(front: &Front, state: &mut State) -> Response<Body> {
+    let call = match identify(front, state) {
+        Ok(call) => call,
+        Err(refusal) => return refusal.into_response(state),
+    };
+    let method = Method::borrow_from(state).clone();
+    if call.rest.is_empty() && method == Method::GET {
+        let pending = front.writer.replica.pending(&call.queue_name);
+        return json_bytes(state, encode_pending(pending));
+    }
+    let Some(job_id) = parse_job_id(&call.rest) else {
+        let expected = format!("expected {JOB_ID_DIGITS} hexadecimal digits");
+        return Refusal::new(StatusCode::BAD_REQUEST, "job_id", expected).into_response(state);
+    };
+    match method {
+        Method::POST => submit(front, state, call, job_id).await,
+        Method::DELETE => cancel(front, state, &call, &job_id).await,
+        _ => show(front, state, &job_id).await,
+    }
+}
+
+fn identify(front: &Front, state: &State) -> Result<Call, Refusal> {
+    let arrived_at = front.clock.now();
+    let headers = HeaderMap::borrow_from(state);
+    let uri = Uri::borrow_from(state);
+    let Some(desired) = front.desired.borrow().clone() else {
+        return Err(Refusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "desired_state",
+            "this host has not read the desired state yet",
+        ));
+    };
+    let host = headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let Some((queue_name, queue)) = desired.route(host, uri.path()) else {
+        return Err(Refusal::new(
+            StatusCode::NOT_FOUND,
+            "path",
+            "no queue has this host and prefix",
+        ));
+    };
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(api_key);
+    let customer = key.and_then(|key| desired.customer_of_key(key));
+    let customer = match customer {
+        Some(customer) => customer.clone(),
+        None if queue.is_public => CustomerName::new(""),
+        None => {
+            return Err(Refusal::new(
+                StatusCode::UNAUTHORIZED,
+                "authorization",
+                "no customer holds this key",
+            ));
+        }
+    };
+    let deadline_ms = headers
+        .get(DEADLINE_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse().ok())
+        .map_or(DEFAULT_DEADLINE_MS, DurationMs);
+    Ok(Call {
+        queue_name: queue_name.clone(),
+        queue: queue.clone(),
+        customer,
+        rest: uri.path()[queue.path_prefix.len()..].to_owned(),
+        until: arrived_at + deadline_ms - ANSWER_MARGIN_MS,
+        max_body_bytes: desired.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
+    })
+}
+
+fn parse_job_id(text: &str) -> Option<JobId> {
+    let is_id = text.len() == JOB_ID_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    is_id.then(|| JobId::new(text))
+}
+
+async fn submit(front: &Front, state: &mut State, call: Call, job_id: JobId) -> Response<Body> {
+    let bytes = match read_bytes(state, call.max_body_bytes).await {
+        Ok(bytes) => bytes,
+        Err(refusal) => return refusal.into_response(state),
+    };
+    let body = match decode_job(&bytes) {
+        Ok(body) => body,
+        Err(error) => {
+            let text = error.to_string();
+            log_event!(
+                Info,
+                "job_rejected",
+                job_id = job_id,
+                customer = call.customer,
+                cause = text
+            );
+            return Refusal::new(StatusCode::BAD_REQUEST, "body", text).into_response(state);
+        }
+    };
+    let record = JobRecord {
+        job_id: job_id.clone(),
+        queue: call.queue_name.clone(),
+        terms: call.queue.terms.clone(),
+        customer: call.customer.clone(),
+        payload: body.payload,
+        steps: body.steps,
+        schedule: body.schedule,
+        accepted_unix_ms: unix_now(),
+    };
+    if let Err(error) = record.check() {
+        let text = error.to_string();
+        log_event!(
+            Info,
+            "job_rejected",
+            job_id = job_id,
+            customer = call.customer,
+            cause = text
+        );
+        return Refusal::new(StatusCode::BAD_REQUEST, error.field(), text).into_response(state);
+    }
+    let outcome = front.writer.accept(record, call.until).await;
+    log_event!(
+        Info,
+        "job_handed_in",
+        job_id = job_id,
+        queue = call.queue_name,
+        customer = call.customer,
+        outcome = format!("{outcome:?}")
+    );
+    respond(state, &outcome)
+}
+
+async fn cancel(front: &Front, state: &mut State, call: &Call, job_id: &JobId) -> Response<Body> {
+    let outcome = front.writer.cancel(job_id, call.until).await;
+    log_event!(
+        Info,
+        "job_cancel",
+        job_id = job_id,
+        customer = call.customer,
+        outcome = format!("{outcome:?}")
+    );
+    respond(state, &outcome)
+}
+
+async fn show(front: &Front, state: &mut State, job_id: &JobId) -> Response<Body> {
+    match front.writer.find(job_id).await {
+        Ok(Some(view)) => json_bytes(state, encode_phase(view.shown_phase())),
+        Ok(None) => respond(state, &WriteOutcome::NoSuchJob),
+        Err(error) => respond(state, &WriteOutcome::NotStored(error.to_string())),
+    }
+}
+
+fn respond(state: &State, outcome: &WriteOutcome) -> Response<Body> {
+    match outcome {
+        WriteOutcome::Stored => json_response(state, StatusCode::OK, &serde_json::json!({})),
+        WriteOutcome::NoSuchJob => {
+            Refusal::new(StatusCode::GONE, "job_id", "no such job").into_response(state)
+        }
+        WriteOutcome::NotStored(cause) => {
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "store", cause.as_str());
+            let mut response = refusal.into_response(state);
+            let value = HeaderValue::from(RETRY_AFTER_S);
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+            response
+        }
+        WriteOutcome::Unknown(cause) => {
+            Refusal::new(StatusCode::GATEWAY_TIMEOUT, "store", cause.as_str()).into_response(state)
+        }
+    }
+}
+
+fn json_bytes(state: &State, bytes: Vec<u8>) -> Response<Body> {
+    create_response(state, StatusCode::OK, mime::APPLICATION_JSON, bytes)
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -0,0 +1,179 @@
+//! The running entry host of an area: starts every duty and stops them in order.
+
+use std::sync::Arc;
+
+use displaydoc::Display;
+use ragwortwick_adapter::StoreClient;
+use ragwortwick_area::DesiredState;
+use ragwortwick_core::{DurationMs, log_event};
+use ragwortwick_http::{Server, ServerOptions};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+use super::accept::JobWriter;
+use super::desired_feed::DesiredFeed;
+use super::election;
+use super::front::{self, Front};
+use super::ready::{self, Readiness};
+use super::replica::Replica;
+use super::replica_feed::{CoordinatorKey, ReplicaFeed};
+use super::settings::{AreaSettings, ms};
+use super::store_health::StoreHealth;
+use super::term::TermParts;
+use crate::Clock;
+
+/// How long a stopping host goes on taking connections: the balancer asks once a second and sends
+/// none after two answers that say no.
+const STOP_NOTICE_MS: DurationMs = DurationMs(3_000);
+
+/// Part of the grace that is left for closing connections and ending the process.
+const STOP_RESERVE_MS: DurationMs = DurationMs(700);
+
+/// `AreaHostError` says why the process could not start.
+#[derive(Debug, Display)]
+pub enum AreaHostError {
+    /// cannot listen on {address}: {cause}
+    Listen {
+        /// The address asked for.
+        address: String,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+}
+
+impl std::error::Error for AreaHostError {}
+
+/// `AreaHost` is a running entry host.
+#[derive(Debug)]
+pub struct AreaHost {
+    settings: AreaSettings,
+    server: Server,
+    ready_server: Server,
+    stopping: watch::Sender<bool>,
+    feeds: JoinSet<()>,
+    election: JoinSet<()>,
+}
+
+impl AreaHost {
+    /// `spawn` starts all duties and returns once the host can be called.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub async fn spawn(settings: AreaSettings) -> Result<Self, AreaHostError> {
+        let clock = Clock::open();
+        let store = StoreClient::open(&settings.store_address);
+        let health = StoreHealth::open(clock);
+        let replica = Replica::default();
+        let (stopping, stopping_feed) = watch::channel(false);
+        let (desired_sender, desired) = watch::channel::<Option<Arc<DesiredState>>>(None);
+        let (key_sender, coordinator_key) = watch::channel(CoordinatorKey::Unread);
+        let (attach, attach_feed) = mpsc::channel(1);
+
+        let mut feeds = JoinSet::new();
+        let desired_feed = DesiredFeed {
+            store: store.clone(),
+            health: health.clone(),
+            desired: desired_sender,
+        };
+        feeds.spawn(desired_feed.run());
+        let replica_feed = ReplicaFeed {
+            store: store.clone(),
+            health: health.clone(),
+            replica: replica.clone(),
+            coordinator_key: key_sender,
+            attach: attach_feed,
+        };
+        feeds.spawn(replica_feed.run());
+
+        let mut election = JoinSet::new();
+        let parts = TermParts {
+            store: store.clone(),
+            health: health.clone(),
+            clock,
+            limits: settings.limits(),
+            desired: desired.clone(),
+            attach,
+            coordinator_key,
+            stopping: stopping_feed.clone(),
+        };
+        election.spawn(election::run(parts, settings.host.clone()));
+
+        let front = Front {
+            clock,
+            desired: desired.clone(),
+            writer: JobWriter {
+                store,
+                health: health.clone(),
+                replica: replica.clone(),
+                clock,
+            },
+            stopping: stopping_feed.clone(),
+        };
+        let readiness = Readiness {
+            desired,
+            replica,
+            health,
+            stopping: stopping_feed,
+        };
+        let ready_server = bind(&settings.ready_listen, ready::router(readiness)).await?;
+        let server = bind(&settings.listen, front::router(front)).await?;
+        log_event!(
+            Info,
+            "listening",
+            host = settings.host,
+            zone = settings.zone,
+            address = server.address(),
+            ready_address = ready_server.address()
+        );
+        Ok(Self {
+            settings,
+            server,
+            ready_server,
+            stopping,
+            feeds,
+            election,
+        })
+    }
+
+    /// `address` is where callers reach this host.
+    #[must_use]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address()
+    }
+
+    /// `ready_address` is where the balancer asks.
+    #[must_use]
+    pub fn ready_address(&self) -> std::net::SocketAddr {
+        self.ready_server.address()
+    }
+
+    /// `close` is the planned stop: the key goes to a successor at once, callers are served on until
+    /// the balancer has looked away, and every request that was begun gets its answer.
+    pub async fn close(mut self) {
+        log_event!(Info, "stopping", host = self.settings.host);
+        self.stopping.send_replace(true);
+        while self.election.join_next().await.is_some() {}
+        tokio::time::sleep(STOP_NOTICE_MS.into()).await;
+        let left_ms = ms(self.settings.stop_grace_s)
+            .0
+            .saturating_sub(STOP_NOTICE_MS.0 + STOP_RESERVE_MS.0);
+        let closing = tokio::time::timeout(DurationMs(left_ms).into(), self.server.close()).await;
+        self.feeds.shutdown().await;
+        log_event!(
+            Info,
+            "stopped",
+            host = self.settings.host,
+            is_complete = closing.is_ok()
+        );
+    }
+}
+
+async fn bind(address: &str, router: gotham::router::Router) -> Result<Server, AreaHostError> {
+    Server::bind(address, router, ServerOptions::default())
+        .await
+        .map_err(|cause| AreaHostError::Listen {
+            address: address.to_owned(),
+            cause,
+        })
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/job_store.rs
@@ -0,0 +1,130 @@
+//! The coordinator's writes: fenced by its own key, repeated until their outcome is certain.
+
+use std::collections::HashMap;
+
+use ragwortwick_adapter::{Expectation, Item, StoreClient, StoreFailure, Txn, TxnReply, WriteItem};
+use ragwortwick_area::StoredProgress;
+use ragwortwick_core::{DurationMs, JobId, Revision, log_event};
+
+use super::keys::{COORDINATOR, JobKey};
+use super::store_health::StoreHealth;
+
+/// Pause before a write without a certain outcome is sent again.
+const RETRY_MS: DurationMs = DurationMs(100);
+
+/// `Deposed` says that another coordinator holds the key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Deposed;
+
+/// `JobStore` writes the progress of jobs in one term.
+#[derive(Debug)]
+pub(super) struct JobStore {
+    pub(super) store: StoreClient,
+    pub(super) health: StoreHealth,
+    /// Revision of the coordinator's key: it changes as soon as anybody else holds it.
+    pub(super) term: Revision,
+    /// Revision of each job's progress.
+    pub(super) revisions: HashMap<JobId, Revision>,
+}
+
+impl JobStore {
+    /// Stores a batch; returns only once it is certain that it is stored.
+    ///
+    /// The same transaction is sent again after an unknown outcome. If the first one took effect, its
+    /// conditions no longer hold, and the store shows our own values.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the term is over.
+    pub(super) async fn store(&mut self, records: &[StoredProgress]) -> Result<(), Deposed> {
+        let txn = self.txn(records);
+        loop {
+            let reply = self.store.change(&txn).await;
+            self.health.note(&reply);
+            match reply {
+                Ok(TxnReply::Done(revision)) => {
+                    for record in records {
+                        self.revisions.insert(record.job_id.clone(), revision);
+                    }
+                    return Ok(());
+                }
+                Ok(TxnReply::Conflict(items)) => return self.compare(&txn, &items, records),
+                Err(StoreFailure::LeaseGone) => return Err(Deposed),
+                Err(error) => {
+                    log_event!(Debug, "progress_write_retried", cause = error);
+                    tokio::time::sleep(RETRY_MS.into()).await;
+                }
+            }
+        }
+    }
+
+    fn txn(&self, records: &[StoredProgress]) -> Txn {
+        let mut txn = Txn {
+            expect: vec![Expectation {
+                key: COORDINATOR.to_owned(),
+                revision: self.term,
+            }],
+            ..Txn::default()
+        };
+        for record in records {
+            let key = JobKey::Progress.of(&record.job_id);
+            let value = match serde_json::to_vec(&record.progress) {
+                Ok(value) => value,
+                Err(error) => unreachable!("progress has only plain fields: {error}"),
+            };
+            let revision = self.revisions.get(&record.job_id).copied();
+            txn.expect.push(Expectation {
+                key: key.clone(),
+                revision: revision.unwrap_or_default(),
+            });
+            txn.writes.push(WriteItem {
+                key,
+                value,
+                lease: None,
+            });
+        }
+        txn
+    }
+
+    fn compare(
+        &mut self,
+        txn: &Txn,
+        items: &[Item],
+        records: &[StoredProgress],
+    ) -> Result<(), Deposed> {
+        let find = |key: &str| items.iter().find(|item| item.key == key);
+        let is_ours = find(COORDINATOR).is_some_and(|item| item.revision == self.term);
+        if !is_ours {
+            return Err(Deposed);
+        }
+        for (record, write) in records.iter().zip(&txn.writes) {
+            let Some(item) = find(&write.key).filter(|item| item.value == write.value) else {
+                // Only this term writes these keys, so a third value means that the term is lost.
+                log_event!(Error, "progress_conflict", key = write.key);
+                return Err(Deposed);
+            };
+            self.revisions
+                .insert(record.job_id.clone(), item.revision);
+        }
+        Ok(())
+    }
+
+    /// Removes all keys of a job that ended long ago; a failure is tried again by a later term.
+    pub(super) async fn forget(&mut self, job_id: &JobId) {
+        let parts = [JobKey::Record, JobKey::Progress, JobKey::Cancel];
+        let txn = Txn {
+            expect: vec![Expectation {
+                key: COORDINATOR.to_owned(),
+                revision: self.term,
+            }],
+            writes: Vec::new(),
+            removes: parts.iter().map(|part| part.of(job_id)).collect(),
+        };
+        let reply = self.store.change(&txn).await;
+        self.health.note(&reply);
+        if let Err(error) = reply {
+            log_event!(Warn, "job_not_forgotten", job_id = job_id, cause = error);
+        }
+        self.revisions.remove(job_id);
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -0,0 +1,21 @@
+//! An entry host of an area: callers' jobs, their records in the store, and the coordinator's duty.
+
+mod accept;
+mod coordination;
+mod desired_feed;
+mod election;
+mod front;
+mod host;
+mod job_store;
+mod keys;
+mod orders;
+mod ready;
+mod replica;
+mod replica_feed;
+mod settings;
+mod store_health;
+mod term;
+mod worker_feed;
+
+pub use host::{AreaHost, AreaHostError};
+pub use settings::AreaSettings;
--- /dev/null
+++ b/ragwortwick-daemon/src/area/ready.rs
@@ -0,0 +1,59 @@
+//! The balancer's question whether this host takes new connections.
+
+use std::sync::Arc;
+
+use gotham::handler::SimpleHandlerResult;
+use gotham::helpers::http::response::create_response;
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{single_middleware, single_pipeline};
+use gotham::prelude::{DefineSingleRoute, DrawRoutes, FromState, StateData};
+use gotham::router::Router;
+use gotham::router::builder::build_router;
+use gotham::state::State;
+use http::StatusCode;
+use ragwortwick_area::DesiredState;
+use tokio::sync::watch;
+
+use super::replica::Replica;
+use super::store_health::StoreHealth;
+
+/// `Readiness` is what the answer depends on; clones share it.
+#[derive(Clone, Debug, StateData)]
+pub(super) struct Readiness {
+    pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    pub(super) replica: Replica,
+    pub(super) health: StoreHealth,
+    pub(super) stopping: watch::Receiver<bool>,
+}
+
+impl Readiness {
+    /// A host that can't reach the store accepts nothing; callers are better sent to another one.
+    fn why_not(&self) -> Option<&'static str> {
+        if *self.stopping.borrow() {
+            Some("stopping")
+        } else if self.desired.borrow().is_none() {
+            Some("no desired state")
+        } else if !self.replica.is_loaded() {
+            Some("jobs not read")
+        } else if !self.health.is_near() {
+            Some("store out of reach")
+        } else {
+            None
+        }
+    }
+}
+
+pub(super) fn router(readiness: Readiness) -> Router {
+    let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(readiness)));
+    build_router(chain, pipelines, |route| {
+        route.get("/*").to_async_borrowing(ready);
+    })
+}
+
+async fn ready(state: &mut State) -> SimpleHandlerResult {
+    let (status, text) = match Readiness::borrow_from(state).why_not() {
+        None => (StatusCode::OK, "ready\n"),
+        Some(why) => (StatusCode::SERVICE_UNAVAILABLE, why),
+    };
+    Ok(create_response(state, status, mime::TEXT_PLAIN, text))
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -0,0 +1,196 @@
+//! This host's copy of all jobs, from which it answers callers.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use ragwortwick_adapter::{Change, Item};
+use ragwortwick_area::{JobPhase, JobRecord, KnownJob, Progress};
+use ragwortwick_core::{ClassName, JobId, Revision, log_event};
+
+use super::keys::JobKey;
+
+/// `JobView` is one job as this host knows it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct JobView {
+    pub(super) record: Option<Arc<JobRecord>>,
+    record_revision: Revision,
+    pub(super) phase: JobPhase,
+    progress: Option<Progress>,
+    pub(super) progress_revision: Revision,
+    pub(super) is_cancelled: bool,
+}
+
+impl JobView {
+    /// What callers are told.
+    pub(super) fn shown_phase(&self) -> JobPhase {
+        if self.is_cancelled && !self.phase.is_final() {
+            JobPhase::Cancelled
+        } else {
+            self.phase
+        }
+    }
+}
+
+/// `JobNews` is a change that the coordinator has to learn.
+#[derive(Clone, Debug)]
+pub(super) enum JobNews {
+    /// A job was accepted.
+    Accepted(Arc<JobRecord>),
+    /// A job was cancelled.
+    Cancelled(JobId),
+}
+
+/// `Replica` is the shared copy; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Replica(Arc<Mutex<Jobs>>);
+
+#[derive(Debug, Default)]
+struct Jobs {
+    views: HashMap<JobId, JobView>,
+    is_loaded: bool,
+}
+
+impl Replica {
+    fn lock(&self) -> MutexGuard<'_, Jobs> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn is_loaded(&self) -> bool {
+        self.lock().is_loaded
+    }
+
+    pub(super) fn view(&self, job_id: &JobId) -> Option<JobView> {
+        let jobs = self.lock();
+        jobs.views
+            .get(job_id)
+            .filter(|view| view.record.is_some())
+            .cloned()
+    }
+
+    /// Counts the accepted jobs of a queue of which nothing has started.
+    pub(super) fn pending(&self, queue: &ClassName) -> u64 {
+        let jobs = self.lock();
+        let waiting = jobs.views.values().filter(|view| {
+            view.shown_phase() == JobPhase::Queued
+                && view
+                    .record
+                    .as_ref()
+                    .is_some_and(|record| record.queue == *queue)
+        });
+        waiting.count() as u64
+    }
+
+    /// Takes the whole content of the prefix; what is not in it no longer exists.
+    pub(super) fn load(&self, items: &[Item], as_of: Revision) -> Vec<JobNews> {
+        let mut news = Vec::new();
+        let mut jobs = self.lock();
+        // What was written after the listing began is newer than the listing.
+        jobs.views.retain(|_, view| view.record_revision > as_of);
+        for item in items {
+            news.extend(jobs.write(item));
+        }
+        jobs.is_loaded = true;
+        news
+    }
+
+    /// Takes one change; gives what the coordinator has to learn of it.
+    pub(super) fn apply(&self, change: &Change) -> Option<JobNews> {
+        let mut jobs = self.lock();
+        match change {
+            Change::Written(item) => jobs.write(item),
+            Change::Removed { key, .. } => {
+                if let Some((job_id, JobKey::Record)) = JobKey::parse(key) {
+                    jobs.views.remove(&job_id);
+                }
+                None
+            }
+        }
+    }
+
+    /// Notes a job that this host has just stored, ahead of the watch.
+    pub(super) fn note_accepted(&self, record: &Arc<JobRecord>, revision: Revision) {
+        let mut jobs = self.lock();
+        let view = jobs.views.entry(record.job_id.clone()).or_default();
+        if view.record.is_none() {
+            view.record = Some(Arc::clone(record));
+            view.record_revision = revision;
+        }
+    }
+
+    /// Notes a cancel that this host has just stored, ahead of the watch.
+    pub(super) fn note_cancelled(&self, job_id: &JobId) {
+        let mut jobs = self.lock();
+        jobs.views.entry(job_id.clone()).or_default().is_cancelled = true;
+    }
+
+    /// All jobs, for a new term of the coordinator.
+    pub(super) fn known_jobs(&self) -> Vec<(KnownJob, Revision)> {
+        let jobs = self.lock();
+        jobs.views
+            .values()
+            .filter_map(|view| {
+                let known = KnownJob {
+                    record: Arc::clone(view.record.as_ref()?),
+                    progress: view.progress.clone(),
+                    is_cancelled: view.is_cancelled,
+                };
+                Some((known, view.progress_revision))
+            })
+            .collect()
+    }
+}
+
+impl Jobs {
+    fn write(&mut self, item: &Item) -> Option<JobNews> {
+        let (job_id, part) = JobKey::parse(&item.key)?;
+        let view = self.views.entry(job_id.clone()).or_default();
+        match part {
+            JobKey::Record => {
+                if item.revision < view.record_revision {
+                    return None;
+                }
+                if let Some(record) = &view.record
+                    && item.revision == view.record_revision
+                {
+                    // This host stored or read it ahead of the watch; a coordinator here has not
+                    // been told yet.
+                    return Some(JobNews::Accepted(Arc::clone(record)));
+                }
+                let record = read::<JobRecord>(item)?;
+                let record = Arc::new(record);
+                view.record = Some(Arc::clone(&record));
+                view.record_revision = item.revision;
+                Some(JobNews::Accepted(record))
+            }
+            JobKey::Progress => {
+                if item.revision > view.progress_revision {
+                    let progress = read::<Progress>(item)?;
+                    view.phase = progress.phase;
+                    view.progress = Some(progress);
+                    view.progress_revision = item.revision;
+                }
+                None
+            }
+            JobKey::Cancel => {
+                view.is_cancelled = true;
+                Some(JobNews::Cancelled(job_id))
+            }
+        }
+    }
+}
+
+fn read<T: for<'de> serde::Deserialize<'de>>(item: &Item) -> Option<T> {
+    match serde_json::from_slice(&item.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log_event!(
+                Error,
+                "record_unreadable",
+                key = item.key,
+                revision = item.revision,
+                cause = error
+            );
+            None
+        }
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -0,0 +1,207 @@
+//! Keeps the replica up to date with one watch, and tells the coordinator what changes.
+
+use std::sync::Arc;
+
+use ragwortwick_adapter::{Change, Item, StoreClient, StoreFailure};
+use ragwortwick_area::{Event, KnownJob};
+use ragwortwick_core::{DurationMs, Revision, log_event};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::coordination::EventSender;
+use super::keys::{COORDINATOR, ROOT};
+use super::replica::{JobNews, Replica};
+use super::store_health::StoreHealth;
+
+/// Longest wait of one watch. A connection that went silent is noticed after this and a margin.
+const WATCH_WAIT_MS: DurationMs = DurationMs(1_500);
+
+/// Pause between watches of a host that does not coordinate: what callers see is so much later.
+///
+/// Each watch is charged to all hosts' budget of calls; four a second on nine hosts stay below it.
+const FOLLOWER_PAUSE_MS: DurationMs = DurationMs(200);
+
+/// Pause between watches of the coordinator, so that a burst of jobs comes in few answers.
+const COORDINATOR_PAUSE_MS: DurationMs = DurationMs(15);
+
+/// Pause after a failed call.
+const FAILED_PAUSE_MS: DurationMs = DurationMs(150);
+
+/// `CoordinatorKey` is what the store says of the coordinator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CoordinatorKey {
+    /// Nothing is known yet.
+    Unread,
+    /// Nobody coordinates.
+    Free,
+    /// Somebody does, since that revision.
+    Held(Revision),
+}
+
+/// `Attach` asks for all jobs as they are now, and for every change from then on.
+#[derive(Debug)]
+pub(super) struct Attach {
+    pub(super) events: EventSender,
+    pub(super) reply: oneshot::Sender<Vec<(KnownJob, Revision)>>,
+}
+
+/// `ReplicaFeed` runs the watch.
+#[derive(Debug)]
+pub(super) struct ReplicaFeed {
+    pub(super) store: StoreClient,
+    pub(super) health: StoreHealth,
+    pub(super) replica: Replica,
+    pub(super) coordinator_key: watch::Sender<CoordinatorKey>,
+    pub(super) attach: mpsc::Receiver<Attach>,
+}
+
+impl ReplicaFeed {
+    /// Runs until the process ends.
+    pub(super) async fn run(mut self) {
+        let mut listener: Option<EventSender> = None;
+        let mut position: Option<Revision> = None;
+        loop {
+            let Some(after) = position else {
+                match self.load().await {
+                    Ok((as_of, news)) => {
+                        position = Some(as_of);
+                        tell(&mut listener, news).await;
+                    }
+                    Err(error) => {
+                        log_event!(Debug, "jobs_load_failed", cause = error);
+                        tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
+                    }
+                }
+                continue;
+            };
+            tokio::select! {
+                request = self.attach.recv() => {
+                    let Some(request) = request else { return };
+                    position = self.attach_listener(request, &mut listener).await;
+                }
+                result = self.store.watch(ROOT, after, WATCH_WAIT_MS) => {
+                    self.health.note(&result);
+                    position = self.take(after, result, &mut listener).await;
+                }
+            }
+        }
+    }
+
+    async fn attach_listener(
+        &mut self,
+        request: Attach,
+        listener: &mut Option<EventSender>,
+    ) -> Option<Revision> {
+        // The term was won after every earlier acceptance, so what is read now holds all of them.
+        match self.load().await {
+            Ok((as_of, _)) => {
+                let jobs = self.replica.known_jobs();
+                if request.reply.send(jobs).is_ok() {
+                    *listener = Some(request.events);
+                }
+                Some(as_of)
+            }
+            Err(error) => {
+                // The dropped reply tells the term that it can't begin.
+                log_event!(Warn, "term_load_failed", cause = error);
+                None
+            }
+        }
+    }
+
+    async fn take(
+        &self,
+        after: Revision,
+        result: Result<ragwortwick_adapter::WatchReply, StoreFailure>,
+        listener: &mut Option<EventSender>,
+    ) -> Option<Revision> {
+        match result {
+            Ok(reply) => {
+                let mut news = Vec::new();
+                let has_changes = !reply.changes.is_empty();
+                for change in &reply.changes {
+                    self.see_coordinator(change);
+                    news.extend(self.replica.apply(change));
+                }
+                tell(listener, news).await;
+                if has_changes {
+                    let pause_ms = if listener.is_some() {
+                        COORDINATOR_PAUSE_MS
+                    } else {
+                        FOLLOWER_PAUSE_MS
+                    };
+                    tokio::time::sleep(pause_ms.into()).await;
+                }
+                Some(reply.as_of)
+            }
+            Err(StoreFailure::HistoryGone) => {
+                log_event!(Info, "jobs_history_gone", after = after);
+                None
+            }
+            Err(_) => {
+                tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
+                Some(after)
+            }
+        }
+    }
+
+    fn see_coordinator(&self, change: &Change) {
+        let seen = match change {
+            Change::Written(item) if item.key == COORDINATOR => CoordinatorKey::Held(item.revision),
+            Change::Removed { key, .. } if key == COORDINATOR => CoordinatorKey::Free,
+            _ => return,
+        };
+        self.coordinator_key.send_replace(seen);
+    }
+
+    async fn load(&self) -> Result<(Revision, Vec<JobNews>), StoreFailure> {
+        let (items, as_of) = read_all(&self.store, &self.health, ROOT).await?;
+        let coordinator = items.iter().find(|item| item.key == COORDINATOR);
+        let seen = coordinator.map_or(CoordinatorKey::Free, |item| {
+            CoordinatorKey::Held(item.revision)
+        });
+        let news = self.replica.load(&items, as_of);
+        self.coordinator_key.send_replace(seen);
+        Ok((as_of, news))
+    }
+}
+
+/// Reads all pages of a prefix. The revision is that of the first page: what changes while the
+/// others are read is then told by a watch from there, instead of being lost.
+pub(super) async fn read_all(
+    store: &StoreClient,
+    health: &StoreHealth,
+    prefix: &str,
+) -> Result<(Vec<Item>, Revision), StoreFailure> {
+    let first = store.page(prefix, None).await;
+    health.note(&first);
+    let first = first?;
+    let as_of = first.as_of;
+    let mut items = first.items;
+    let mut has_more = first.has_more;
+    while has_more {
+        let Some(after) = items.last().map(|item| item.key.clone()) else {
+            break;
+        };
+        let page = store.page(prefix, Some(&after)).await;
+        health.note(&page);
+        let page = page?;
+        has_more = page.has_more && !page.items.is_empty();
+        items.extend(page.items);
+    }
+    Ok((items, as_of))
+}
+
+async fn tell(listener: &mut Option<EventSender>, news: Vec<JobNews>) {
+    let Some(events) = listener else { return };
+    for item in news {
+        let event = match item {
+            JobNews::Accepted(record) => Event::JobAccepted(Arc::clone(&record)),
+            JobNews::Cancelled(job_id) => Event::JobCancelled(job_id),
+        };
+        if !events.send(event).await {
+            // The term is over.
+            *listener = None;
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/store_health.rs
@@ -0,0 +1,64 @@
+//! Whether the store can be reached from this host, as seen from all its calls.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use ragwortwick_adapter::StoreFailure;
+use ragwortwick_core::{DurationMs, TimeMs, log_event};
+
+use crate::Clock;
+
+/// Without an answer for so long the store counts as away; a watch answers or ends within it.
+const AWAY_AFTER_MS: DurationMs = DurationMs(2_600);
+
+/// `StoreHealth` remembers the last answer; clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct StoreHealth {
+    clock: Clock,
+    last_answer_ms: Arc<AtomicU64>,
+    /// Whether the newest call failed.
+    is_failing: Arc<AtomicBool>,
+}
+
+impl StoreHealth {
+    pub(super) fn open(clock: Clock) -> Self {
+        Self {
+            clock,
+            last_answer_ms: Arc::default(),
+            is_failing: Arc::default(),
+        }
+    }
+
+    /// Notes how a call went.
+    pub(super) fn note<T>(&self, result: &Result<T, StoreFailure>) {
+        let is_answer = matches!(
+            result,
+            Ok(_) | Err(StoreFailure::HistoryGone | StoreFailure::LeaseGone)
+        );
+        let was_failing = self.is_failing.swap(!is_answer, Ordering::Relaxed);
+        if is_answer {
+            self.last_answer_ms
+                .store(self.clock.now().0, Ordering::Relaxed);
+        }
+        if was_failing == is_answer {
+            let cause = result.as_ref().err().map(ToString::to_string);
+            log_event!(
+                Info,
+                "store_reachable",
+                is_reachable = is_answer,
+                cause = cause.unwrap_or_default()
+            );
+        }
+    }
+
+    /// Whether the store answered lately.
+    pub(super) fn is_near(&self) -> bool {
+        let last = TimeMs(self.last_answer_ms.load(Ordering::Relaxed));
+        self.clock.now().since(last) <= AWAY_AFTER_MS
+    }
+
+    /// Whether the newest call failed.
+    pub(super) fn is_failing(&self) -> bool {
+        self.is_failing.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -0,0 +1,333 @@
+//! One term of coordination: from winning the key to losing or giving it up.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use ragwortwick_adapter::{StoreClient, StoreFailure, WorkerClient};
+use ragwortwick_area::{Action, Coordinator, DesiredState, Event, Limits, Now, StoredProgress};
+use ragwortwick_core::{DurationMs, Epoch, JobId, Revision, TimeMs, log_event};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+
+use super::coordination::{CoordinatorMachine, EventSender};
+use super::job_store::JobStore;
+use super::orders::OrderSender;
+use super::replica_feed::{Attach, CoordinatorKey};
+use super::store_health::StoreHealth;
+use super::worker_feed::{WorkerFeed, read_workers};
+use crate::{Clock, Duty, unix_now};
+
+/// Events that may wait for the coordinator: several passes' worth at the planned size.
+const RING_LENGTH: usize = 16_384;
+
+/// Pause between two renewals; several must fail in a row before the lease runs out.
+const RENEW_MS: DurationMs = DurationMs(400);
+
+/// Longest wait for one renewal.
+const RENEW_TIMEOUT_MS: DurationMs = DurationMs(600);
+
+/// How much earlier than the store the holder counts its lease as over.
+const TENURE_MARGIN_MS: DurationMs = DurationMs(200);
+
+/// `TermParts` is what a term works with.
+#[derive(Clone, Debug)]
+pub(super) struct TermParts {
+    pub(super) store: StoreClient,
+    pub(super) health: StoreHealth,
+    pub(super) clock: Clock,
+    pub(super) limits: Limits,
+    pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    pub(super) attach: mpsc::Sender<Attach>,
+    pub(super) coordinator_key: watch::Receiver<CoordinatorKey>,
+    pub(super) stopping: watch::Receiver<bool>,
+}
+
+/// `Won` is the key that a term holds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Won {
+    pub(super) lease: u64,
+    pub(super) ttl_ms: DurationMs,
+    pub(super) revision: Revision,
+    /// When the lease was last known to be granted or renewed.
+    pub(super) granted_at: TimeMs,
+}
+
+impl Won {
+    fn tenure_until(&self, renewed_at: TimeMs) -> TimeMs {
+        renewed_at + self.ttl_ms - TENURE_MARGIN_MS
+    }
+}
+
+/// Coordinates until the key is lost or the host stops.
+pub(super) async fn serve(parts: &TermParts, won: Won) {
+    let term = Epoch(won.revision.0);
+    log_event!(Info, "term_begins", term = term);
+    let why = match run(parts, won, term).await {
+        Ok(why) => why,
+        Err(error) => error.to_string(),
+    };
+    // Whoever is next need not wait for the lease to run out.
+    let ended = parts.store.end_lease(won.lease).await;
+    log_event!(
+        Info,
+        "term_ends",
+        term = term,
+        cause = why,
+        is_key_released = ended.is_ok()
+    );
+}
+
+async fn run(parts: &TermParts, won: Won, term: Epoch) -> Result<String, StoreFailure> {
+    let Some(desired) = parts.desired.borrow().clone() else {
+        return Ok("no desired state yet".to_owned());
+    };
+    // The coordinator starts empty, and learns everything by events once it is attached.
+    let (entries, workers_as_of) = read_workers(&parts.store, &parts.health).await?;
+    let known = entries.iter().map(|entry| entry.name.clone()).collect();
+    let (actions, mut action_feed) = mpsc::unbounded_channel();
+    let (ring_tx, ring_rx) = oneshot::channel();
+    let (jobs_tx, jobs_rx) = oneshot::channel();
+    let (start_tx, start_rx) = std::sync::mpsc::channel();
+    let machine = LateMachine {
+        start: start_rx,
+        machine: None,
+    };
+    let duty = Duty::spawn("coordinator", RING_LENGTH, parts.clock, machine)
+        .map_err(|error| StoreFailure::Refused(error.to_string()))?;
+    let events = EventSender(duty.ring());
+    let _ = ring_tx.send(events.clone());
+    drop(ring_rx);
+    let attach = Attach {
+        events: events.clone(),
+        reply: jobs_tx,
+    };
+    if parts.attach.send(attach).await.is_err() {
+        duty.close();
+        return Ok("the feed of jobs has ended".to_owned());
+    }
+    let Ok(jobs) = jobs_rx.await else {
+        duty.close();
+        return Ok("the jobs can't be read".to_owned());
+    };
+    let now = Now {
+        steady: parts.clock.now(),
+        unix: unix_now(),
+    };
+    let revisions: HashMap<JobId, Revision> = jobs
+        .iter()
+        .map(|(job, revision)| (job.record.job_id.clone(), *revision))
+        .collect();
+    log_event!(
+        Info,
+        "term_loaded",
+        term = term,
+        jobs = jobs.len(),
+        workers = entries.len(),
+        desired_version = desired.version
+    );
+    let coordinator = Coordinator::take_over(
+        now,
+        parts.limits.clone(),
+        desired,
+        jobs.into_iter().map(|(job, _)| job).collect(),
+        entries,
+    );
+    let _ = start_tx.send(CoordinatorMachine {
+        coordinator,
+        actions,
+        last: now,
+    });
+    events
+        .send(Event::Tenure {
+            until: won.tenure_until(won.granted_at),
+        })
+        .await;
+
+    let mut tasks = JoinSet::new();
+    let feed = WorkerFeed {
+        store: parts.store.clone(),
+        health: parts.health.clone(),
+        events: events.clone(),
+        known,
+    };
+    tasks.spawn(feed.run(Some(workers_as_of)));
+    tasks.spawn(follow_desired(parts.desired.clone(), events.clone()));
+    let (batches, batch_feed) = mpsc::unbounded_channel();
+    let (end, mut ended) = mpsc::channel::<&'static str>(4);
+    let job_store = JobStore {
+        store: parts.store.clone(),
+        health: parts.health.clone(),
+        term: won.revision,
+        revisions,
+    };
+    tasks.spawn(write_batches(
+        job_store,
+        batch_feed,
+        events.clone(),
+        end.clone(),
+    ));
+    tasks.spawn(renew(parts.clone(), won, events.clone(), end.clone()));
+    let sender = OrderSender {
+        workers: WorkerClient::open(),
+        term,
+        clock: parts.clock,
+        events,
+    };
+    let mut orders = JoinSet::new();
+    let mut key = parts.coordinator_key.clone();
+    let mut stopping = parts.stopping.clone();
+    let why = loop {
+        tokio::select! {
+            actions = action_feed.recv() => {
+                let Some(actions) = actions else { break "the coordinator has ended" };
+                for action in actions {
+                    match action {
+                        Action::Store { batch, records } => {
+                            let _ = batches.send(Write::Batch { batch, records });
+                        }
+                        Action::Forget(job_id) => {
+                            let _ = batches.send(Write::Forget(job_id));
+                        }
+                        Action::Resign => {
+                            let _ = end.try_send("a worker knows a later term");
+                        }
+                        order => {
+                            orders.spawn(sender.clone().carry_out(order));
+                        }
+                    }
+                }
+            }
+            _ = orders.join_next(), if !orders.is_empty() => {}
+            why = ended.recv() => break why.unwrap_or("its tasks have ended"),
+            _ = key.changed() => {
+                let seen = *key.borrow_and_update();
+                if let CoordinatorKey::Held(revision) = seen && revision > won.revision {
+                    break "another host holds the key";
+                }
+            }
+            _ = stopping.changed() => break "the host stops",
+        }
+    };
+    tasks.shutdown().await;
+    orders.shutdown().await;
+    drop(action_feed);
+    duty.close();
+    Ok(why.to_owned())
+}
+
+/// `LateMachine` waits for its coordinator, so that events that come early are kept in the ring.
+struct LateMachine {
+    start: std::sync::mpsc::Receiver<CoordinatorMachine>,
+    machine: Option<CoordinatorMachine>,
+}
+
+impl LateMachine {
+    fn machine(&mut self) -> Option<&mut CoordinatorMachine> {
+        if self.machine.is_none() {
+            self.machine = self.start.recv().ok();
+        }
+        self.machine.as_mut()
+    }
+}
+
+impl crate::Machine for LateMachine {
+    type Event = Event;
+
+    fn on_event(&mut self, now: TimeMs, event: Event) {
+        if let Some(machine) = self.machine() {
+            machine.on_event(now, event);
+        }
+    }
+
+    fn on_wakeup(&mut self, now: TimeMs) {
+        if let Some(machine) = self.machine() {
+            machine.on_wakeup(now);
+        }
+    }
+
+    fn next_wakeup(&self) -> Option<TimeMs> {
+        self.machine.as_ref().and_then(crate::Machine::next_wakeup)
+    }
+}
+
+/// `Write` is a change that the store has to take.
+enum Write {
+    /// Records of jobs.
+    Batch {
+        batch: u64,
+        records: Vec<StoredProgress>,
+    },
+    /// A job that ended long ago.
+    Forget(JobId),
+}
+
+async fn write_batches(
+    mut job_store: JobStore,
+    mut batches: mpsc::UnboundedReceiver<Write>,
+    events: EventSender,
+    end: mpsc::Sender<&'static str>,
+) {
+    while let Some(write) = batches.recv().await {
+        match write {
+            Write::Batch { batch, records } => {
+                if job_store.store(&records).await.is_err() {
+                    let _ = end.send("the key is lost").await;
+                    return;
+                }
+                for record in &records {
+                    if record.progress.phase.is_final() {
+                        log_event!(
+                            Info,
+                            "job_over",
+                            job_id = record.job_id,
+                            phase = format!("{:?}", record.progress.phase)
+                        );
+                    }
+                }
+                events.send(Event::Stored { batch }).await;
+            }
+            Write::Forget(job_id) => job_store.forget(&job_id).await,
+        }
+    }
+}
+
+async fn follow_desired(
+    mut desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    events: EventSender,
+) {
+    loop {
+        let state = desired.borrow_and_update().clone();
+        if let Some(state) = state
+            && !events.send(Event::Desired(state)).await
+        {
+            return;
+        }
+        if desired.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Renews the lease. While the store is away the term goes on without orders; the lease may have
+/// been paused, and is then simply renewed.
+async fn renew(parts: TermParts, won: Won, events: EventSender, end: mpsc::Sender<&'static str>) {
+    loop {
+        tokio::time::sleep(RENEW_MS.into()).await;
+        let sent_at = parts.clock.now();
+        let result = parts.store.keep_lease(won.lease, RENEW_TIMEOUT_MS).await;
+        parts.health.note(&result);
+        match result {
+            Ok(()) => {
+                let until = won.tenure_until(sent_at);
+                if !events.send(Event::Tenure { until }).await {
+                    return;
+                }
+            }
+            Err(StoreFailure::LeaseGone) => {
+                let _ = end.send("the lease has run out").await;
+                return;
+            }
+            Err(error) => log_event!(Info, "renewal_failed", cause = error),
+        }
+    }
+}
--- /dev/null
+++ b/ragwortwick-daemon/src/area/worker_feed.rs
@@ -0,0 +1,146 @@
+//! Tells the coordinator which workers there are, by a paced watch of their entries.
+
+use std::collections::BTreeSet;
+
+use ragwortwick_adapter::{
+    Change, Item, StoreClient, StoreFailure, WORKERS_PREFIX, decode_worker, worker_key,
+};
+use ragwortwick_area::{Event, WorkerEntry};
+use ragwortwick_core::{DurationMs, Revision, WorkerName, log_event};
+
+use super::coordination::EventSender;
+use super::replica_feed::read_all;
+use super::store_health::StoreHealth;
+
+/// Pause between two watches. Every worker's heartbeat changes its entry, so a watch sent at once is
+/// answered at once; a leaving worker is still seen well before it must get no more work.
+const PAUSE_MS: DurationMs = DurationMs(400);
+
+/// A watch that brings nothing for so long is suspect, since some worker writes all the time: the
+/// store may have dropped its history without telling, and the list is read again.
+const WATCH_WAIT_MS: DurationMs = DurationMs(600);
+
+/// Pause after a failed call.
+const FAILED_PAUSE_MS: DurationMs = DurationMs(150);
+
+/// `WorkerFeed` follows the workers' entries for one term.
+#[derive(Debug)]
+pub(super) struct WorkerFeed {
+    pub(super) store: StoreClient,
+    pub(super) health: StoreHealth,
+    pub(super) events: EventSender,
+    /// Workers that the coordinator was told of.
+    pub(super) known: BTreeSet<WorkerName>,
+}
+
+/// Reads all entries as they are now.
+pub(super) async fn read_workers(
+    store: &StoreClient,
+    health: &StoreHealth,
+) -> Result<(Vec<WorkerEntry>, Revision), StoreFailure> {
+    let (items, as_of) = read_all(store, health, WORKERS_PREFIX).await?;
+    Ok((items.iter().filter_map(entry).collect(), as_of))
+}
+
+fn entry(item: &Item) -> Option<WorkerEntry> {
+    let name = worker_key(&item.key)?;
+    match decode_worker(&name, &item.value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log_event!(
+                Warn,
+                "worker_entry_unreadable",
+                worker = name,
+                revision = item.revision,
+                cause = error
+            );
+            None
+        }
+    }
+}
+
+impl WorkerFeed {
+    /// Runs until the term ends.
+    pub(super) async fn run(mut self, mut position: Option<Revision>) {
+        loop {
+            let result = match position {
+                None => self.read().await,
+                Some(after) => self.watch(after).await,
+            };
+            match result {
+                Ok(next) => {
+                    position = next;
+                    if !self.events.send(Event::WorkersFresh).await {
+                        return;
+                    }
+                    tokio::time::sleep(PAUSE_MS.into()).await;
+                }
+                Err(StoreFailure::HistoryGone) => position = None,
+                Err(_) => tokio::time::sleep(FAILED_PAUSE_MS.into()).await,
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Revision>, StoreFailure> {
+        let (entries, as_of) = read_workers(&self.store, &self.health).await?;
+        let present: BTreeSet<WorkerName> =
+            entries.iter().map(|entry| entry.name.clone()).collect();
+        let gone: Vec<WorkerName> = self.known.difference(&present).cloned().collect();
+        for name in gone {
+            self.gone(name).await;
+        }
+        for entry in entries {
+            self.seen(entry).await;
+        }
+        Ok(Some(as_of))
+    }
+
+    async fn watch(&mut self, after: Revision) -> Result<Option<Revision>, StoreFailure> {
+        let reply = self
+            .store
+            .watch(WORKERS_PREFIX, after, WATCH_WAIT_MS)
+            .await;
+        self.health.note(&reply);
+        let reply = reply?;
+        if reply.changes.is_empty() && !self.known.is_empty() {
+            return self.read().await;
+        }
+        for change in &reply.changes {
+            match change {
+                Change::Written(item) => match entry(item) {
+                    Some(entry) => self.seen(entry).await,
+                    None => self.gone_key(&item.key).await,
+                },
+                Change::Removed { key, .. } => self.gone_key(key).await,
+            }
+        }
+        Ok(Some(reply.as_of))
+    }
+
+    async fn seen(&mut self, entry: WorkerEntry) {
+        if self.known.insert(entry.name.clone()) {
+            log_event!(
+                Info,
+                "worker_seen",
+                worker = entry.name,
+                pool = entry.pool,
+                rack = entry.rack,
+                is_draining = entry.is_draining
+            );
+        }
+        self.events.send(Event::WorkerSeen(entry)).await;
+    }
+
+    async fn gone_key(&mut self, key: &str) {
+        if let Some(name) = worker_key(key) {
+            self.gone(name).await;
+        }
+    }
+
+    async fn gone(&mut self, name: WorkerName) {
+        if self.known.remove(&name) {
+            log_event!(Info, "worker_gone", worker = name);
+            self.events.send(Event::WorkerGone(name)).await;
+        }
+    }
+}
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry host process: takes requests and jobs, keeps the table in force and places gangs.
 
 mod app;
+mod area;
 mod clock;
 mod config;
 mod daemon;
@@ -20,7 +21,8 @@
 mod zone;
 
 pub use app::App;
-pub use clock::Clock;
+pub use area::{AreaHost, AreaHostError, AreaSettings};
+pub use clock::{Clock, unix_now};
 pub use config::ConfigHandle;
 pub use daemon::{Daemon, DaemonError};
 pub use duty::{Duty, Machine, Ring, RingFull};
--- a/ragwortwick-daemon/src/main.rs
+++ b/ragwortwick-daemon/src/main.rs
@@ -2,15 +2,17 @@
 
 use std::process::ExitCode;
 
-use ragwortwick_daemon::{Daemon, Settings, open_log};
+use ragwortwick_core::log_event;
+use ragwortwick_daemon::{AreaHost, AreaSettings, Daemon, Settings, open_log};
 use tokio::signal::unix::{SignalKind, signal};
 
 const HELP: &str = "\
 ragwortwickd: entry host of ragwortwick
 
-usage: ragwortwickd --settings FILE [--check-settings]
+usage: ragwortwickd [--area] --settings FILE [--check-settings]
        ragwortwickd --help | --version
 
+  --area             entry host of an area on the users' platform
   --settings FILE    JSON settings, see docs/CONFIGURATION.md
   --check-settings   check the file and end
 
@@ -36,6 +38,7 @@
         println!("ragwortwickd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    let is_area = arguments.contains("--area");
     let is_check = arguments.contains("--check-settings");
     let path = match arguments.value_from_str::<_, String>("--settings") {
         Ok(path) => path,
@@ -44,6 +47,9 @@
     if let Some(extra) = arguments.finish().first() {
         return usage(&format!("unexpected argument {}", extra.display()));
     }
+    if is_area {
+        return start_area(&path, is_check);
+    }
     let settings = match read_settings(&path) {
         Ok(settings) => settings,
         Err(problems) => return usage(&problems),
@@ -55,6 +61,65 @@
     run(settings)
 }
 
+fn start_area(path: &str, is_check: bool) -> ExitCode {
+    let settings = std::fs::read_to_string(path)
+        .map_err(|error| error.to_string())
+        .and_then(|text| AreaSettings::parse(&text));
+    match settings {
+        Ok(_) if is_check => {
+            println!("settings=valid path={path}");
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => run_area(settings),
+        Err(problem) => usage(&format!("{path}: {problem}")),
+    }
+}
+
+/// One thread for input and output: the hosts have a quarter of a core, and every switch between
+/// threads is paid for. The coordinator has a thread of its own beside it.
+fn run_area(settings: AreaSettings) -> ExitCode {
+    if let Err(error) = open_log(log::LevelFilter::Info) {
+        eprintln!("cannot open the log: {error}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        let signals = (
+            signal(SignalKind::terminate()),
+            signal(SignalKind::hangup()),
+        );
+        let (Ok(mut terminate), Ok(mut hangup)) = signals else {
+            eprintln!("cannot listen for signals");
+            return ExitCode::FAILURE;
+        };
+        let host = match AreaHost::spawn(settings).await {
+            Ok(host) => host,
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::FAILURE;
+            }
+        };
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                // What can change without a restart comes through the store, not through the file.
+                _ = hangup.recv() => log_event!(Info, "reload", is_changed = false),
+            }
+        }
+        host.close().await;
+        ExitCode::SUCCESS
+    })
+}
+
 fn usage(problem: &str) -> ExitCode {
     eprintln!("{problem}\ntry ragwortwickd --help");
     ExitCode::from(EXIT_USAGE)
--- a/ragwortwick-http/src/client.rs
+++ b/ragwortwick-http/src/client.rs
@@ -140,10 +140,31 @@
         body: Option<Bytes>,
         timeout_ms: DurationMs,
     ) -> Result<HttpReply, HttpError> {
-        let request = Request::builder()
+        self.send_with(method, address, path, &[], body, timeout_ms)
+            .await
+    }
+
+    /// `send_with` is `send` with further header fields.
+    ///
+    /// # Errors
+    ///
+    /// As `send`.
+    pub async fn send_with(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Option<Bytes>,
+        timeout_ms: DurationMs,
+    ) -> Result<HttpReply, HttpError> {
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
             .header(header::CONTENT_TYPE, mime::APPLICATION_JSON.as_ref());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
         self.exchange(address, request, body.unwrap_or_default(), timeout_ms)
             .await
     }
--- a/ragwortwick-http/src/lib.rs
+++ b/ragwortwick-http/src/lib.rs
@@ -6,5 +6,5 @@
 mod stall;
 
 pub use client::{Fetched, HttpClient, HttpClientOptions, HttpError, HttpReply};
-pub use reply::{Refusal, json_response, read_json};
+pub use reply::{Refusal, json_response, read_bytes, read_json};
 pub use server::{Server, ServerOptions};
--- a/ragwortwick-http/src/reply.rs
+++ b/ragwortwick-http/src/reply.rs
@@ -70,6 +70,16 @@
     state: &mut State,
     max_bytes: usize,
 ) -> Result<T, Refusal> {
+    let bytes = read_bytes(state, max_bytes).await?;
+    parse(&bytes)
+}
+
+/// `read_bytes` reads the request's body, at most `max_bytes`.
+///
+/// # Errors
+///
+/// Fails with 413 for an oversized body, 408 for one that does not end in time, and 400 for one that breaks off.
+pub async fn read_bytes(state: &mut State, max_bytes: usize) -> Result<Bytes, Refusal> {
     let limit_ms = BodyTimeout::try_borrow_from(state).map_or(BODY_TIMEOUT_MS, |limit| limit.0);
     let body = Body::take_from(state);
     let body = Limited::new(body, max_bytes).collect();
@@ -78,21 +88,18 @@
         let text = format!("expected whole within {limit_ms} ms");
         return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body", text));
     };
-    let bytes = match body {
-        Ok(collected) => collected.to_bytes(),
+    match body {
+        Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
             let text = format!("expected at most {max_bytes} bytes");
-            return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body", text));
+            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body", text))
         }
-        Err(error) => {
-            return Err(Refusal::new(
-                StatusCode::BAD_REQUEST,
-                "body",
-                error.to_string(),
-            ));
-        }
-    };
-    parse(&bytes)
+        Err(error) => Err(Refusal::new(
+            StatusCode::BAD_REQUEST,
+            "body",
+            error.to_string(),
+        )),
+    }
 }
 
 fn parse<T: DeserializeOwned>(bytes: &Bytes) -> Result<T, Refusal> {
