Keep a gang's failing run across a takeover, and batches within the store's limit

Cause: a transaction takes 32 entries, conditions and writes together, so batches of 30 records were refused (400) for good and nothing was started any more; a gang whose first failed member was taken in before a takeover lost that failure, and was started once more than its attempts allow. Ruled out: a lost lease (the term went on), a lost end (it was taken note of). Change: 15 records a batch; the record says that a gang's run is failing; a term begins without waiting for the feed's pause.

--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -124,6 +124,7 @@
         for gang in &stored.gangs {
             if let Some(step) = self.step_mut(gang.occurrence, gang.step) {
                 step.gang_failures = gang.failures;
+                step.gang_failed = gang.is_failing;
             }
         }
         let mut inherited = Vec::new();
@@ -289,11 +290,13 @@
         };
         for (occurrence, steps) in (0..).zip(&self.occurrences) {
             for (number, step) in (0..).zip(steps) {
-                if step.gang_failures > 0 && !self.phase.is_final() {
+                let has_failed = step.gang_failures > 0 || step.gang_failed;
+                if has_failed && !self.phase.is_final() {
                     progress.gangs.push(GangProgress {
                         occurrence,
                         step: number,
                         failures: step.gang_failures,
+                        is_failing: step.gang_failed,
                     });
                 }
                 for (index, task) in (0..).zip(&step.tasks) {
--- a/ragwortwick-area/src/progress.rs
+++ b/ragwortwick-area/src/progress.rs
@@ -85,6 +85,9 @@
     pub step: u32,
     /// Runs that failed.
     pub failures: u32,
+    /// Whether a member of the run that is ending has failed; the run counts once all have ended.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_failing: bool,
 }
 
 #[expect(
--- a/ragwortwick-area/src/records.rs
+++ b/ragwortwick-area/src/records.rs
@@ -9,8 +9,9 @@
 use crate::messages::{Action, StoredProgress};
 use crate::worker::HeldPhase;
 
-/// Most records in a batch; the store takes 32 entries, and one is for the coordinator's own key.
-pub const MAX_BATCH_RECORDS: usize = 30;
+/// Most records in a batch. The store takes 32 entries, each record is two of them, a condition and a
+/// write, and one more is the condition on the coordinator's own key.
+pub const MAX_BATCH_RECORDS: usize = 15;
 
 /// Time by which the record of a job that ended outlives the time in which it can be asked for.
 const FORGET_MARGIN_MS: DurationMs = DurationMs(180_000);
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -82,9 +82,8 @@
             health: health.clone(),
             replica: replica.clone(),
             coordinator_key: key_sender,
-            attach: attach_feed,
         };
-        feeds.spawn(replica_feed.run());
+        feeds.spawn(replica_feed.run(attach_feed));
 
         let mut election = JoinSet::new();
         let parts = TermParts {
--- a/ragwortwick-daemon/src/area/job_store.rs
+++ b/ragwortwick-daemon/src/area/job_store.rs
@@ -51,7 +51,12 @@
                 Ok(TxnReply::Conflict(items)) => return self.compare(&txn, &items, records),
                 Err(StoreFailure::LeaseGone) => return Err(Deposed),
                 Err(error) => {
-                    log_event!(Debug, "progress_write_retried", cause = error);
+                    log_event!(
+                        Warn,
+                        "progress_write_retried",
+                        records = records.len(),
+                        cause = error
+                    );
                     tokio::time::sleep(RETRY_MS.into()).await;
                 }
             }
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ragwortwick_adapter::{Change, Item, StoreClient, StoreFailure};
+use ragwortwick_adapter::{Change, Item, StoreClient, StoreFailure, WatchReply};
 use ragwortwick_area::{Event, KnownJob};
 use ragwortwick_core::{DurationMs, Revision, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -51,43 +51,90 @@
     pub(super) health: StoreHealth,
     pub(super) replica: Replica,
     pub(super) coordinator_key: watch::Sender<CoordinatorKey>,
-    pub(super) attach: mpsc::Receiver<Attach>,
+}
+
+/// `Step` is what one round of the feed brings.
+enum Step {
+    /// A term asks for everything, or none ever will again.
+    Attach(Option<Attach>),
+    /// The whole prefix was read.
+    Loaded(Revision, Vec<JobNews>),
+    /// A watch was answered.
+    Changed(WatchReply),
+    /// A call failed.
+    Failed(StoreFailure),
 }
 
 impl ReplicaFeed {
-    /// Runs until the process ends.
-    pub(super) async fn run(mut self) {
+    /// Runs until nobody can ask to be attached any more.
+    pub(super) async fn run(self, mut attach: mpsc::Receiver<Attach>) {
         let mut listener: Option<EventSender> = None;
         let mut position: Option<Revision> = None;
+        let mut pause_ms = DurationMs(0);
         loop {
-            let Some(after) = position else {
-                match self.load().await {
-                    Ok((as_of, news)) => {
-                        position = Some(as_of);
-                        tell(&mut listener, news).await;
-                    }
-                    Err(error) => {
-                        log_event!(Debug, "jobs_load_failed", cause = error);
-                        tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
-                    }
-                }
-                continue;
+            // A new term waits neither for a watch nor for the pause between two.
+            let step = tokio::select! {
+                request = attach.recv() => Step::Attach(request),
+                result = self.next(position, pause_ms) => result,
             };
-            tokio::select! {
-                request = self.attach.recv() => {
-                    let Some(request) = request else { return };
+            pause_ms = DurationMs(0);
+            match step {
+                Step::Attach(None) => return,
+                Step::Attach(Some(request)) => {
                     position = self.attach_listener(request, &mut listener).await;
                 }
-                result = self.store.watch(ROOT, after, WATCH_WAIT_MS) => {
-                    self.health.note(&result);
-                    position = self.take(after, result, &mut listener).await;
+                Step::Loaded(as_of, news) => {
+                    position = Some(as_of);
+                    tell(&mut listener, news).await;
+                }
+                Step::Changed(reply) => {
+                    let news = self.take(&reply);
+                    tell(&mut listener, news).await;
+                    pause_ms = match (reply.changes.is_empty(), &listener) {
+                        (true, _) => DurationMs(0),
+                        (false, Some(_)) => COORDINATOR_PAUSE_MS,
+                        (false, None) => FOLLOWER_PAUSE_MS,
+                    };
+                    position = Some(reply.as_of);
+                }
+                Step::Failed(StoreFailure::HistoryGone) => {
+                    log_event!(Info, "jobs_history_gone");
+                    position = None;
                 }
+                Step::Failed(_) => pause_ms = FAILED_PAUSE_MS,
             }
         }
     }
 
+    async fn next(&self, position: Option<Revision>, pause_ms: DurationMs) -> Step {
+        if pause_ms > DurationMs(0) {
+            tokio::time::sleep(pause_ms.into()).await;
+        }
+        let Some(after) = position else {
+            return match self.load().await {
+                Ok((as_of, news)) => Step::Loaded(as_of, news),
+                Err(error) => Step::Failed(error),
+            };
+        };
+        let result = self.store.watch(ROOT, after, WATCH_WAIT_MS).await;
+        self.health.note(&result);
+        match result {
+            Ok(reply) => Step::Changed(reply),
+            Err(error) => Step::Failed(error),
+        }
+    }
+
+    fn take(&self, reply: &WatchReply) -> Vec<JobNews> {
+        let mut news = Vec::new();
+        for change in &reply.changes {
+            self.see_coordinator(change);
+            news.extend(self.replica.apply(change));
+        }
+        news
+    }
+
     async fn attach_listener(
-        &mut self,
+        &self,
         request: Attach,
         listener: &mut Option<EventSender>,
     ) -> Option<Revision> {
@@ -108,42 +155,6 @@
         }
     }
 
-    async fn take(
-        &self,
-        after: Revision,
-        result: Result<ragwortwick_adapter::WatchReply, StoreFailure>,
-        listener: &mut Option<EventSender>,
-    ) -> Option<Revision> {
-        match result {
-            Ok(reply) => {
-                let mut news = Vec::new();
-                let has_changes = !reply.changes.is_empty();
-                for change in &reply.changes {
-                    self.see_coordinator(change);
-                    news.extend(self.replica.apply(change));
-                }
-                tell(listener, news).await;
-                if has_changes {
-                    let pause_ms = if listener.is_some() {
-                        COORDINATOR_PAUSE_MS
-                    } else {
-                        FOLLOWER_PAUSE_MS
-                    };
-                    tokio::time::sleep(pause_ms.into()).await;
-                }
-                Some(reply.as_of)
-            }
-            Err(StoreFailure::HistoryGone) => {
-                log_event!(Info, "jobs_history_gone", after = after);
-                None
-            }
-            Err(_) => {
-                tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
-                Some(after)
-            }
-        }
-    }
-
     fn see_coordinator(&self, change: &Change) {
         let seen = match change {
             Change::Written(item) if item.key == COORDINATOR => CoordinatorKey::Held(item.revision),
--- a/ragwortwick-daemon/src/area/store_health.rs
+++ b/ragwortwick-daemon/src/area/store_health.rs
@@ -56,9 +56,4 @@
         let last = TimeMs(self.last_answer_ms.load(Ordering::Relaxed));
         self.clock.now().since(last) <= AWAY_AFTER_MS
     }
-
-    /// Whether the newest call failed.
-    pub(super) fn is_failing(&self) -> bool {
-        self.is_failing.load(Ordering::Relaxed)
-    }
 }
