Add an emulator of store, workers and network around the coordinator

Change: ragwortwick-emulator, virtual time, twelve kinds of trouble, checks of never twice, capacity, order, attempts, draining, cancels, foreign checkpoints, nothing lost.

--- /dev/null
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -0,0 +1,73 @@
+//! Plays seeds of the emulator and prints what they show.
+
+use std::process::ExitCode;
+
+use ragwortwick_core::TimeMs;
+use ragwortwick_emulator::{Options, World, draw_faults};
+
+const HELP: &str = "\
+emulate: plays an area in virtual time
+
+usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N]
+
+  --seed N      first seed (1)
+  --seeds N     how many seeds (100)
+  --faults N    troubles in each (3)
+  --workers N   workers of eight accelerators (24)
+
+exit codes: 0 every promise held, 1 one was broken, 2 wrong arguments
+";
+
+fn main() -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let mut number = |name, default| -> Result<u64, pico_args::Error> {
+        Ok(arguments.opt_value_from_str(name)?.unwrap_or(default))
+    };
+    let parsed = (|| {
+        Ok::<_, pico_args::Error>([
+            number("--seed", 1)?,
+            number("--seeds", 100)?,
+            number("--faults", 3)?,
+            number("--workers", 24)?,
+        ])
+    })();
+    let [first, seeds, faults, workers] = match parsed {
+        Ok(numbers) => numbers,
+        Err(error) => {
+            eprintln!("{error}\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
+    let mut broken = 0;
+    let (mut starts, mut stopped, mut jobs) = (0, 0, 0);
+    for seed in first..first + seeds {
+        let options = Options {
+            seed,
+            workers: u32::try_from(workers).unwrap_or(24),
+            ..Options::default()
+        };
+        let count = usize::try_from(faults).unwrap_or(3);
+        let faults = draw_faults(seed, count, TimeMs(20_000));
+        let report = World::new(options, faults.clone()).run();
+        starts += report.starts;
+        stopped += report.stopped;
+        jobs += report.jobs;
+        if !report.findings.is_empty() {
+            broken += 1;
+            println!("seed={seed} faults={faults:?}");
+            for finding in report.findings.iter().take(5) {
+                println!("  {finding}");
+            }
+        }
+    }
+    println!("seeds={seeds} broken={broken} jobs={jobs} starts={starts} stopped={stopped}");
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/ragwortwick-emulator/src/faults.rs
@@ -0,0 +1,74 @@
+//! What goes wrong in a run, drawn by seed.
+
+use ragwortwick_core::{DurationMs, TimeMs};
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+
+/// `FaultKind` is one kind of trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// The coordinator's process is killed.
+    CoordinatorKilled,
+    /// The coordinator stands still, and wakes believing that no time has passed.
+    CoordinatorFrozen,
+    /// The coordinator loses the store, but not the workers.
+    CoordinatorCutFromStore,
+    /// The coordinator loses a third of the workers, both ways.
+    CoordinatorCutFromWorkers,
+    /// Answers of workers don't come back to the coordinator.
+    AnswersCut,
+    /// The store is away, and its leases run out meanwhile.
+    StoreAway,
+    /// Writes take effect, but every second answer is lost.
+    StoreAnswersLost,
+    /// Some workers crash and come back with another name.
+    WorkersCrash,
+    /// A part of the orders gets no answer and is carried out seconds later.
+    OrdersLate,
+    /// Some workers announce that they leave, and leave.
+    WorkersLeave,
+    /// Some workers become several times slower.
+    WorkersSlow,
+    /// Some workers fail everything that they start.
+    WorkersFailing,
+}
+
+/// All kinds, for drawing.
+const KINDS: [FaultKind; 12] = [
+    FaultKind::CoordinatorKilled,
+    FaultKind::CoordinatorFrozen,
+    FaultKind::CoordinatorCutFromStore,
+    FaultKind::CoordinatorCutFromWorkers,
+    FaultKind::AnswersCut,
+    FaultKind::StoreAway,
+    FaultKind::StoreAnswersLost,
+    FaultKind::WorkersCrash,
+    FaultKind::OrdersLate,
+    FaultKind::WorkersLeave,
+    FaultKind::WorkersSlow,
+    FaultKind::WorkersFailing,
+];
+
+/// `Fault` is one trouble with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// What happens.
+    pub kind: FaultKind,
+    /// When it begins.
+    pub at: TimeMs,
+    /// How long it lasts.
+    pub for_ms: DurationMs,
+}
+
+/// `draw_faults` draws troubles that may overlap.
+#[must_use]
+pub fn draw_faults(seed: u64, count: usize, until: TimeMs) -> Vec<Fault> {
+    let mut rng = Pcg64Mcg::new(u128::from(seed) << 8 | 0x5f);
+    (0..count)
+        .map(|_| Fault {
+            kind: KINDS[rng.random_range(0..KINDS.len())],
+            at: TimeMs(rng.random_range(500..until.0.max(501))),
+            for_ms: DurationMs(rng.random_range(300..7_000)),
+        })
+        .collect()
+}
--- /dev/null
+++ b/ragwortwick-emulator/src/lib.rs
@@ -0,0 +1,16 @@
+//! A model of the systems around the area coordinator, in virtual time and by seed.
+//!
+//! It holds a store, workers under leases, a network that loses and delays, and hosts that
+//! coordinate in turn. After each event it checks what must always hold, from what workers see.
+
+mod arrivals;
+mod check;
+mod faults;
+mod host;
+mod store;
+mod worker;
+mod world;
+
+pub use arrivals::{Arrivals, Load};
+pub use faults::{Fault, FaultKind, draw_faults};
+pub use world::{Options, Report, World};
--- /dev/null
+++ b/ragwortwick-emulator/src/store.rs
@@ -0,0 +1,67 @@
+//! The store: jobs, their progress, and the coordinator's key under a lease.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ragwortwick_area::{JobRecord, KnownJob, Progress};
+use ragwortwick_core::{DurationMs, JobId, TimeMs};
+
+/// Time to live of the coordinator's lease.
+pub(crate) const LEASE_TTL_MS: DurationMs = DurationMs(2_000);
+
+/// `Store` keeps what lasts.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    pub(crate) jobs: BTreeMap<JobId, StoredJob>,
+    pub(crate) revision: u64,
+    /// Who coordinates: the term, and until when its lease lasts.
+    pub(crate) coordinator: Option<(u64, TimeMs)>,
+    pub(crate) is_away: bool,
+    pub(crate) loses_answers: bool,
+}
+
+/// `StoredJob` is one job's keys.
+#[derive(Clone, Debug)]
+pub(crate) struct StoredJob {
+    pub(crate) record: Arc<JobRecord>,
+    pub(crate) progress: Option<Progress>,
+    pub(crate) cancelled_at: Option<TimeMs>,
+}
+
+impl Store {
+    /// The key's holder, unless its lease has run out.
+    pub(crate) fn holder(&self, now: TimeMs) -> Option<u64> {
+        self.coordinator
+            .filter(|(_, until)| now < *until)
+            .map(|(term, _)| term)
+    }
+
+    pub(crate) fn take_key(&mut self, now: TimeMs) -> Option<u64> {
+        if self.is_away || self.holder(now).is_some() {
+            return None;
+        }
+        self.revision += 1;
+        self.coordinator = Some((self.revision, now + LEASE_TTL_MS));
+        Some(self.revision)
+    }
+
+    /// Renews the lease; tells whether the term still holds it.
+    pub(crate) fn renew(&mut self, now: TimeMs, term: u64) -> bool {
+        if self.holder(now) != Some(term) {
+            return false;
+        }
+        self.coordinator = Some((term, now + LEASE_TTL_MS));
+        true
+    }
+
+    pub(crate) fn known_jobs(&self) -> Vec<KnownJob> {
+        self.jobs
+            .values()
+            .map(|job| KnownJob {
+                record: Arc::clone(&job.record),
+                progress: job.progress.clone(),
+                is_cancelled: job.cancelled_at.is_some(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/ragwortwick-emulator/src/worker.rs
@@ -0,0 +1,242 @@
+//! A worker: runs tasks under a lease, by the platform's published rules.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ragwortwick_area::{
+    EndKind, EndedTask, Look, OrderReply, RefusalCause, Resources, RunningTask, TaskId, WorkerEntry,
+};
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
+
+/// `Run` is one run in progress.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) run: u32,
+    pub(crate) need: Resources,
+    pub(crate) started_at: TimeMs,
+    /// When its work is done; none while a gang waits for members.
+    pub(crate) ends_at: Option<TimeMs>,
+    pub(crate) will_fail: bool,
+    pub(crate) saves: bool,
+}
+
+/// `EmuWorker` is one worker with its present life.
+#[derive(Clone, Debug)]
+pub(crate) struct EmuWorker {
+    pub(crate) name: WorkerName,
+    pub(crate) life: u32,
+    pub(crate) rack: String,
+    pub(crate) label: &'static str,
+    pub(crate) capacity: Resources,
+    /// The worker's clock is the world's plus this, and a little slow.
+    clock_offset_ms: u64,
+    pub(crate) is_up: bool,
+    pub(crate) draining_since: Option<TimeMs>,
+    pub(crate) leaves_at: Option<TimeMs>,
+    pub(crate) slowness: u64,
+    pub(crate) is_failing: bool,
+    pub(crate) token: u64,
+    /// When the lease of everything ends, on the worker's clock.
+    lease_until: u64,
+    pub(crate) running: BTreeMap<TaskId, Run>,
+    /// Highest run that ended or was stopped, by task.
+    over: BTreeMap<TaskId, u32>,
+    pub(crate) ended: Vec<EndedTask>,
+    next_end: u64,
+    pub(crate) waiting_look: Option<WaitingLook>,
+}
+
+/// `WaitingLook` is a look that waits for an end.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingLook {
+    pub(crate) host: usize,
+    pub(crate) term: u64,
+    pub(crate) sent_at: TimeMs,
+    pub(crate) until: TimeMs,
+}
+
+impl EmuWorker {
+    pub(crate) fn new(number: u64, rack: u32, label: &'static str, capacity: Resources) -> Self {
+        Self {
+            name: WorkerName::new(format!("w{number}-0")),
+            life: 0,
+            rack: format!("r{rack}"),
+            label,
+            capacity,
+            clock_offset_ms: 100_000 * (number + 1),
+            is_up: true,
+            draining_since: None,
+            leaves_at: None,
+            slowness: 1,
+            is_failing: false,
+            token: 0,
+            lease_until: 0,
+            running: BTreeMap::new(),
+            over: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            waiting_look: None,
+        }
+    }
+
+    /// The clock runs one per cent slow.
+    pub(crate) fn clock(&self, now: TimeMs) -> u64 {
+        self.clock_offset_ms + now.0 * 99 / 100
+    }
+
+    pub(crate) fn entry(&self, now: TimeMs) -> WorkerEntry {
+        WorkerEntry {
+            name: self.name.clone(),
+            address: self.name.as_str().into(),
+            pool: crate::arrivals::POOL.into(),
+            zone: "z".into(),
+            rack: self.rack.as_str().into(),
+            labels: vec![self.label.into(), self.rack.as_str().into()],
+            capacity: self.capacity,
+            is_draining: self.draining_since.is_some(),
+            remaining_ms: self.leaves_at.map(|at| at.since(now)),
+            clock_ms: Some(self.clock(now)),
+        }
+    }
+
+    /// A crash: another life begins, which knows nothing.
+    pub(crate) fn restart(&mut self) {
+        let number = self.name.as_str().split('-').next().unwrap_or("w").to_owned();
+        self.life += 1;
+        self.name = WorkerName::new(format!("{number}-{}", self.life));
+        self.token = 0;
+        self.lease_until = 0;
+        self.running.clear();
+        self.over.clear();
+        self.ended.clear();
+        self.next_end = 1;
+        self.waiting_look = None;
+    }
+
+    fn grant(&mut self, now: TimeMs, until: u64, lease_ms: DurationMs) {
+        let most = self.clock(now) + lease_ms.0;
+        self.lease_until = self.lease_until.max(until.min(most));
+    }
+
+    /// Whether the lease has run out with something running.
+    pub(crate) fn is_lease_over(&self, now: TimeMs) -> bool {
+        !self.running.is_empty() && self.clock(now) >= self.lease_until
+    }
+
+    /// Checks an order to start; `Ok(true)` begins a new run.
+    pub(crate) fn admit(
+        &mut self,
+        now: TimeMs,
+        token: u64,
+        task: &TaskId,
+        run: u32,
+        until: u64,
+        lease_ms: DurationMs,
+    ) -> Result<bool, RefusalCause> {
+        if token < self.token {
+            return Err(RefusalCause::Fenced);
+        }
+        self.token = token;
+        if until <= self.clock(now) {
+            return Err(RefusalCause::LeaseOver);
+        }
+        self.grant(now, until, lease_ms);
+        if self.running.get(task).is_some_and(|held| held.run == run) {
+            return Ok(false);
+        }
+        if self.over.get(task).is_some_and(|&over| run <= over) {
+            return Err(RefusalCause::StaleRun);
+        }
+        Ok(true)
+    }
+
+    /// Ends a run and lists it.
+    pub(crate) fn end(&mut self, now: TimeMs, task: &TaskId, kind: EndKind) -> Option<Run> {
+        let run = self.running.remove(task)?;
+        let over = self.over.entry(task.clone()).or_insert(0);
+        *over = (*over).max(run.run);
+        self.ended.push(EndedTask {
+            number: self.next_end,
+            task: task.clone(),
+            run: run.run,
+            kind,
+            checkpoint: checkpoint(task, &run, now),
+        });
+        self.next_end += 1;
+        Some(run)
+    }
+
+    /// An order to stop; a run that is not there yet is refused from then on.
+    pub(crate) fn stop(&mut self, now: TimeMs, token: u64, task: &TaskId, run: u32) -> OrderReply {
+        if token < self.token {
+            return OrderReply::Refused(RefusalCause::Fenced);
+        }
+        self.token = token;
+        let over = self.over.entry(task.clone()).or_insert(0);
+        *over = (*over).max(run);
+        OrderReply::Accepted {
+            clock_ms: self.clock(now),
+        }
+    }
+
+    /// A look: renews, forgets known ends, and tells.
+    pub(crate) fn look(
+        &mut self,
+        now: TimeMs,
+        token: u64,
+        until: Option<u64>,
+        noted: u64,
+        lease_ms: DurationMs,
+    ) -> Result<Vec<EndedTask>, RefusalCause> {
+        if token < self.token {
+            return Err(RefusalCause::Fenced);
+        }
+        self.token = token;
+        if let Some(until) = until {
+            self.grant(now, until, lease_ms);
+        }
+        let (forgotten, kept) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|end| end.number <= noted);
+        self.ended = kept;
+        Ok(forgotten)
+    }
+
+    pub(crate) fn told(&self, now: TimeMs) -> Look {
+        Look {
+            clock_ms: self.clock(now),
+            running: self
+                .running
+                .iter()
+                .map(|(task, run)| RunningTask {
+                    task: task.clone(),
+                    run: run.run,
+                    checkpoint: checkpoint(task, run, now),
+                    percent: percent(run, now),
+                })
+                .collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    pub(crate) fn used(&self) -> Resources {
+        self.running
+            .values()
+            .fold(Resources::default(), |sum, run| sum.plus(run.need))
+    }
+}
+
+/// A checkpoint names its step, so that a foreign one is noticed.
+fn checkpoint(task: &TaskId, run: &Run, now: TimeMs) -> Arc<str> {
+    let saved = now.since(run.started_at).0 / 500;
+    if !run.saves || saved == 0 {
+        return "".into();
+    }
+    format!("{}.{}.{}", task.job_id, task.occurrence, task.step).into()
+}
+
+fn percent(run: &Run, now: TimeMs) -> u32 {
+    let Some(ends_at) = run.ends_at else { return 0 };
+    let whole = ends_at.since(run.started_at).0.max(1);
+    u32::try_from(now.since(run.started_at).0 * 100 / whole).unwrap_or(100)
+}
