--- a/ragwortwick-area/src/check.rs
+++ b/ragwortwick-area/src/check.rs
@@ -52,7 +52,10 @@
                 let field = format!("steps[{number}].count");
                 return Err(problem(field, "expected at least one task"));
             }
-            let later = step.after.iter().find(|&&earlier| earlier as usize >= number);
+            let later = step
+                .after
+                .iter()
+                .find(|&&earlier| earlier as usize >= number);
             if let Some(later) = later {
                 let field = format!("steps[{number}].after");
                 let text = format!("step {later} is not an earlier step");
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -214,7 +214,7 @@
     #[must_use]
     pub fn next_wakeup(&self, now: Now) -> Option<TimeMs> {
         let is_busy = self.records.is_waiting()
-            || self.workers.values().any(|worker| worker.wants_look())
+            || self.workers.values().any(Worker::wants_look)
             || !self.open_jobs.is_empty();
         let tick = is_busy.then(|| now.steady + TICK_MS);
         let pass = self
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -194,8 +194,7 @@
         self.schedule
             .as_ref()
             .map_or(self.accepted_unix_ms, |schedule| {
-                schedule.first_unix_ms
-                    + DurationMs(schedule.interval_ms.0 * u64::from(occurrence))
+                schedule.first_unix_ms + DurationMs(schedule.interval_ms.0 * u64::from(occurrence))
             })
     }
 
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -158,10 +158,7 @@
         held.percent = row.percent;
         held.percent_rose_at = now;
     }
-    if matches!(
-        held.phase,
-        HeldPhase::Inherited | HeldPhase::Ordered { .. }
-    ) {
+    if matches!(held.phase, HeldPhase::Inherited | HeldPhase::Ordered { .. }) {
         held.phase = HeldPhase::Running { since: now };
         held.started_at.get_or_insert(now);
     }
--- /dev/null
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -0,0 +1,249 @@
+//! A coordinator with workers that tests answer for by hand.
+#![allow(dead_code, reason = "each test file uses its part of the rig")]
+
+use std::sync::Arc;
+
+use ragwortwick_area::{
+    Action, Coordinator, Customer, DesiredState, EndKind, EndedTask, Event, JobRecord, KnownJob,
+    Limits, Look, Now, OrderReply, Progress, Queue, QueueTerms, Resources, RunningTask, StepSpec,
+    TaskId, WorkerEntry,
+};
+use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, PoolName, TimeMs, WorkerName};
+
+pub const ATTEMPTS: u32 = 3;
+
+/// A coordinator at a time that the test moves.
+pub struct Rig {
+    pub coordinator: Coordinator,
+    pub now: TimeMs,
+    pub actions: Vec<Action>,
+}
+
+pub fn at(ms: u64) -> Now {
+    Now {
+        steady: TimeMs(ms),
+        unix: TimeMs(ms),
+    }
+}
+
+pub fn worker(name: &str, rack: &str) -> WorkerEntry {
+    WorkerEntry {
+        name: WorkerName::new(name),
+        address: name.into(),
+        pool: PoolName::new("booking"),
+        zone: "z".into(),
+        rack: rack.into(),
+        labels: vec!["a".into(), rack.into()],
+        capacity: Resources {
+            cpu_millis: 32_000,
+            memory_mb: 64_000,
+            accelerators: 8,
+        },
+        is_draining: false,
+        remaining_ms: None,
+        clock_ms: Some(100_000),
+    }
+}
+
+pub fn terms(priority: u32) -> QueueTerms {
+    QueueTerms {
+        pool: PoolName::new("booking"),
+        priority,
+        attempts: ATTEMPTS,
+        stretch: 2.0,
+        target_latency_ms: DurationMs(1_000),
+    }
+}
+
+pub fn desired() -> Arc<DesiredState> {
+    let queue = |name: &str, priority| {
+        let queue = Queue {
+            host: "jobs.example".into(),
+            path_prefix: format!("/{name}/").into(),
+            terms: terms(priority),
+            is_public: false,
+        };
+        (ClassName::new(name), queue)
+    };
+    let customer = Customer {
+        api_keys: vec!["key".into()],
+        guaranteed_accelerators: 16,
+    };
+    Arc::new(DesiredState {
+        version: 1,
+        queues: [queue("urgent", 0), queue("middle", 1), queue("patient", 2)].into(),
+        customers: [(CustomerName::new("c"), customer)].into(),
+        max_body_bytes: None,
+    })
+}
+
+pub fn step(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec {
+        count,
+        need: Resources {
+            cpu_millis: 1_000,
+            memory_mb: 1_000,
+            accelerators,
+        },
+        estimate_ms: DurationMs(2_000),
+        ..StepSpec::default()
+    }
+}
+
+pub fn gang(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec {
+        is_gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+pub fn job(id: &str, queue: &str, steps: Vec<StepSpec>) -> Arc<JobRecord> {
+    let priority = match queue {
+        "urgent" => 0,
+        "middle" => 1,
+        _ => 2,
+    };
+    Arc::new(JobRecord {
+        job_id: JobId::new(id),
+        queue: ClassName::new(queue),
+        terms: terms(priority),
+        customer: CustomerName::new("c"),
+        payload: "payload".into(),
+        steps,
+        schedule: None,
+        accepted_unix_ms: TimeMs(1_000),
+    })
+}
+
+impl Rig {
+    pub fn new(workers: &[WorkerEntry]) -> Self {
+        Self::take_over(1_000, Vec::new(), workers)
+    }
+
+    pub fn take_over(ms: u64, jobs: Vec<KnownJob>, workers: &[WorkerEntry]) -> Self {
+        let coordinator =
+            Coordinator::take_over(at(ms), Limits::default(), desired(), jobs, workers.to_vec());
+        let mut rig = Self {
+            coordinator,
+            now: TimeMs(ms),
+            actions: Vec::new(),
+        };
+        let until = TimeMs(ms + 1_000_000);
+        rig.tell(Event::Tenure { until });
+        rig
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        let actions = self.coordinator.on_event(at(self.now.0), event);
+        self.actions.extend(actions);
+    }
+
+    /// Lets time pass in small steps, the workers' list staying fresh.
+    pub fn pass(&mut self, span_ms: u64) {
+        let end = self.now.0 + span_ms;
+        while self.now.0 < end {
+            self.now = TimeMs((self.now.0 + 10).min(end));
+            self.tell(Event::WorkersFresh);
+            let actions = self.coordinator.on_wakeup(at(self.now.0));
+            self.actions.extend(actions);
+        }
+    }
+
+    /// Takes the batches that wait and confirms them; gives their records.
+    pub fn store(&mut self) -> Vec<(JobId, Progress)> {
+        let mut stored = Vec::new();
+        loop {
+            let batches: Vec<(u64, Vec<(JobId, Progress)>)> = self
+                .actions
+                .extract_if(.., |action| matches!(action, Action::Store { .. }))
+                .filter_map(|action| match action {
+                    Action::Store { batch, records } => {
+                        let records = records
+                            .into_iter()
+                            .map(|record| (record.job_id, record.progress));
+                        Some((batch, records.collect()))
+                    }
+                    _ => None,
+                })
+                .collect();
+            if batches.is_empty() {
+                return stored;
+            }
+            for (batch, records) in batches {
+                stored.extend(records);
+                self.tell(Event::Stored { batch });
+            }
+        }
+    }
+
+    /// Takes the starts that were sent.
+    pub fn starts(&mut self) -> Vec<(WorkerName, TaskId, u32)> {
+        self.actions
+            .extract_if(.., |action| matches!(action, Action::Start { .. }))
+            .filter_map(|action| match action {
+                Action::Start {
+                    worker, task, run, ..
+                } => Some((worker, task, run)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Takes the stops that were sent.
+    pub fn stops(&mut self) -> Vec<(WorkerName, TaskId, u32)> {
+        self.actions
+            .extract_if(.., |action| matches!(action, Action::Stop { .. }))
+            .filter_map(|action| match action {
+                Action::Stop {
+                    worker, task, run, ..
+                } => Some((worker, task, run)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    pub fn reply(&mut self, start: &(WorkerName, TaskId, u32), reply: OrderReply) {
+        self.tell(Event::StartReplied {
+            worker: start.0.clone(),
+            task: start.1.clone(),
+            run: start.2,
+            reply,
+        });
+    }
+
+    pub fn accept(&mut self, start: &(WorkerName, TaskId, u32)) {
+        let clock_ms = 100_000 + self.now.0;
+        self.reply(start, OrderReply::Accepted { clock_ms });
+    }
+
+    pub fn look(&mut self, worker: &str, running: Vec<RunningTask>, ended: Vec<EndedTask>) {
+        self.tell(Event::Looked {
+            worker: WorkerName::new(worker),
+            sent_at: self.now,
+            look: Look {
+                clock_ms: 100_000 + self.now.0,
+                running,
+                ended,
+            },
+        });
+    }
+}
+
+pub fn running(start: &(WorkerName, TaskId, u32)) -> RunningTask {
+    RunningTask {
+        task: start.1.clone(),
+        run: start.2,
+        checkpoint: "".into(),
+        percent: 10,
+    }
+}
+
+pub fn ended(number: u64, start: &(WorkerName, TaskId, u32), kind: EndKind) -> EndedTask {
+    EndedTask {
+        number,
+        task: start.1.clone(),
+        run: start.2,
+        kind,
+        checkpoint: "".into(),
+    }
+}
--- a/ragwortwick-daemon/src/area/desired_feed.rs
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -57,10 +57,7 @@
     }
 
     async fn watch(&self, after: Revision) -> Result<Revision, StoreFailure> {
-        let reply = self
-            .store
-            .watch(DESIRED_PREFIX, after, WATCH_WAIT_MS)
-            .await;
+        let reply = self.store.watch(DESIRED_PREFIX, after, WATCH_WAIT_MS).await;
         self.health.note(&reply);
         let reply = reply?;
         for change in &reply.changes {
--- a/ragwortwick-daemon/src/area/front.rs
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -13,9 +13,7 @@
 use gotham::router::builder::build_router;
 use gotham::state::State;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header};
-use ragwortwick_adapter::{
-    DEADLINE_HEADER, api_key, decode_job, encode_pending, encode_phase,
-};
+use ragwortwick_adapter::{DEADLINE_HEADER, api_key, decode_job, encode_pending, encode_phase};
 use ragwortwick_area::{DesiredState, JobRecord, Queue};
 use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, TimeMs, log_event};
 use ragwortwick_http::{Refusal, json_response, read_bytes};
--- a/ragwortwick-daemon/src/area/job_store.rs
+++ b/ragwortwick-daemon/src/area/job_store.rs
@@ -108,8 +108,7 @@
                 log_event!(Error, "progress_conflict", key = write.key);
                 return Err(Deposed);
             };
-            self.revisions
-                .insert(record.job_id.clone(), item.revision);
+            self.revisions.insert(record.job_id.clone(), item.revision);
         }
         Ok(())
     }
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -19,3 +19,6 @@
 
 pub use host::{AreaHost, AreaHostError};
 pub use settings::AreaSettings;
+
+#[cfg(test)]
+mod tests;
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -1,8 +1,8 @@
 //! Carries out the coordinator's orders to workers and reports how they went.
 
-use ragwortwick_adapter::{LookReply, StartOrder, WorkerClient};
-use ragwortwick_area::{Action, Event, OrderReply};
-use ragwortwick_core::{Epoch, log_event};
+use ragwortwick_adapter::{LookOrder, LookReply, StartOrder, WorkerClient};
+use ragwortwick_area::{Action, Event, OrderReply, TaskId};
+use ragwortwick_core::{Epoch, WorkerName, log_event};
 
 use super::coordination::EventSender;
 use crate::Clock;
@@ -36,54 +36,14 @@
                     checkpoint,
                     lease_until_ms,
                 };
-                let reply = self
-                    .workers
-                    .start(&worker, &address, self.term, &order)
-                    .await;
-                if !matches!(reply, OrderReply::Accepted { .. }) {
-                    log_event!(
-                        Info,
-                        "start_not_accepted",
-                        task = order.task,
-                        run = run,
-                        worker = worker,
-                        term = self.term,
-                        reply = format!("{reply:?}")
-                    );
-                }
-                Event::StartReplied {
-                    worker,
-                    task: order.task,
-                    run,
-                    reply,
-                }
+                self.start(worker, &address, order).await
             }
             Action::Stop {
                 worker,
                 address,
                 task,
                 run,
-            } => {
-                let reply = self
-                    .workers
-                    .stop(&worker, &address, self.term, &task, run)
-                    .await;
-                log_event!(
-                    Info,
-                    "run_stopped",
-                    task = task,
-                    run = run,
-                    worker = worker,
-                    term = self.term,
-                    reply = format!("{reply:?}")
-                );
-                Event::StopReplied {
-                    worker,
-                    task,
-                    run,
-                    reply,
-                }
-            }
+            } => self.stop(worker, &address, task, run).await,
             Action::Look {
                 worker,
                 address,
@@ -91,37 +51,85 @@
                 noted,
                 wait_ms,
             } => {
-                let sent_at = self.clock.now();
-                let reply = self
-                    .workers
-                    .look(&worker, &address, self.term, lease_until_ms, noted, wait_ms)
-                    .await;
-                match reply {
-                    LookReply::Seen(look) => Event::Looked {
-                        worker,
-                        sent_at,
-                        look,
-                    },
-                    LookReply::WrongLife | LookReply::Fenced | LookReply::Failed(_) => {
-                        let is_fenced = matches!(reply, LookReply::Fenced);
-                        let is_wrong_life = matches!(reply, LookReply::WrongLife);
-                        log_event!(
-                            Info,
-                            "look_failed",
-                            worker = worker,
-                            term = self.term,
-                            reply = format!("{reply:?}")
-                        );
-                        Event::LookFailed {
-                            worker,
-                            is_wrong_life,
-                            is_fenced,
-                        }
-                    }
-                }
+                let order = LookOrder {
+                    lease_until_ms,
+                    noted,
+                    wait_ms,
+                };
+                self.look(worker, &address, &order).await
             }
             Action::Store { .. } | Action::Resign | Action::Forget(_) => return,
         };
         self.events.send(event).await;
     }
+
+    async fn start(&self, worker: WorkerName, address: &str, order: StartOrder) -> Event {
+        let reply = self
+            .workers
+            .start(&worker, address, self.term, &order)
+            .await;
+        if !matches!(reply, OrderReply::Accepted { .. }) {
+            log_event!(
+                Info,
+                "start_not_accepted",
+                task = order.task,
+                run = order.run,
+                worker = worker,
+                term = self.term,
+                reply = format!("{reply:?}")
+            );
+        }
+        Event::StartReplied {
+            worker,
+            task: order.task,
+            run: order.run,
+            reply,
+        }
+    }
+
+    async fn stop(&self, worker: WorkerName, address: &str, task: TaskId, run: u32) -> Event {
+        let reply = self
+            .workers
+            .stop(&worker, address, self.term, &task, run)
+            .await;
+        log_event!(
+            Info,
+            "run_stopped",
+            task = task,
+            run = run,
+            worker = worker,
+            term = self.term,
+            reply = format!("{reply:?}")
+        );
+        Event::StopReplied {
+            worker,
+            task,
+            run,
+            reply,
+        }
+    }
+
+    async fn look(&self, worker: WorkerName, address: &str, order: &LookOrder) -> Event {
+        let sent_at = self.clock.now();
+        let reply = self.workers.look(&worker, address, self.term, order).await;
+        if let LookReply::Seen(look) = reply {
+            return Event::Looked {
+                worker,
+                sent_at,
+                look,
+            };
+        }
+        log_event!(
+            Info,
+            "look_failed",
+            worker = worker,
+            term = self.term,
+            reply = format!("{reply:?}")
+        );
+        Event::LookFailed {
+            worker,
+            is_wrong_life: matches!(reply, LookReply::WrongLife),
+            is_fenced: matches!(reply, LookReply::Fenced),
+        }
+    }
 }
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -1,10 +1,11 @@
 //! One term of coordination: from winning the key to losing or giving it up.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use ragwortwick_adapter::{StoreClient, StoreFailure, WorkerClient};
-use ragwortwick_area::{Action, Coordinator, DesiredState, Event, Limits, Now, StoredProgress};
+use ragwortwick_area::{
+    Action, Coordinator, DesiredState, Event, KnownJob, Limits, Now, StoredProgress,
+};
 use ragwortwick_core::{DurationMs, Epoch, JobId, Revision, TimeMs, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -63,7 +64,7 @@
     let term = Epoch(won.revision.0);
     log_event!(Info, "term_begins", term = term);
     let why = match run(parts, won, term).await {
-        Ok(why) => why,
+        Ok(why) => why.to_owned(),
         Err(error) => error.to_string(),
     };
     // Whoever is next need not wait for the lease to run out.
@@ -77,46 +78,25 @@
     );
 }
 
-async fn run(parts: &TermParts, won: Won, term: Epoch) -> Result<String, StoreFailure> {
+async fn run(parts: &TermParts, won: Won, term: Epoch) -> Result<&'static str, StoreFailure> {
     let Some(desired) = parts.desired.borrow().clone() else {
-        return Ok("no desired state yet".to_owned());
+        return Ok("no desired state yet");
     };
-    // The coordinator starts empty, and learns everything by events once it is attached.
     let (entries, workers_as_of) = read_workers(&parts.store, &parts.health).await?;
-    let known = entries.iter().map(|entry| entry.name.clone()).collect();
-    let (actions, mut action_feed) = mpsc::unbounded_channel();
-    let (ring_tx, ring_rx) = oneshot::channel();
-    let (jobs_tx, jobs_rx) = oneshot::channel();
-    let (start_tx, start_rx) = std::sync::mpsc::channel();
+    let known_workers = entries.iter().map(|entry| entry.name.clone()).collect();
+    let (start, started) = std::sync::mpsc::channel();
     let machine = LateMachine {
-        start: start_rx,
+        start: started,
         machine: None,
     };
     let duty = Duty::spawn("coordinator", RING_LENGTH, parts.clock, machine)
         .map_err(|error| StoreFailure::Refused(error.to_string()))?;
     let events = EventSender(duty.ring());
-    let _ = ring_tx.send(events.clone());
-    drop(ring_rx);
-    let attach = Attach {
-        events: events.clone(),
-        reply: jobs_tx,
-    };
-    if parts.attach.send(attach).await.is_err() {
+    let Some(jobs) = attach(parts, &events).await else {
+        drop(start);
         duty.close();
-        return Ok("the feed of jobs has ended".to_owned());
-    }
-    let Ok(jobs) = jobs_rx.await else {
-        duty.close();
-        return Ok("the jobs can't be read".to_owned());
-    };
-    let now = Now {
-        steady: parts.clock.now(),
-        unix: unix_now(),
+        return Ok("the jobs can't be read");
     };
-    let revisions: HashMap<JobId, Revision> = jobs
-        .iter()
-        .map(|(job, revision)| (job.record.job_id.clone(), *revision))
-        .collect();
     log_event!(
         Info,
         "term_loaded",
@@ -125,6 +105,14 @@
         workers = entries.len(),
         desired_version = desired.version
     );
+    let now = Now {
+        steady: parts.clock.now(),
+        unix: unix_now(),
+    };
+    let revisions = jobs
+        .iter()
+        .map(|(job, revision)| (job.record.job_id.clone(), *revision))
+        .collect();
     let coordinator = Coordinator::take_over(
         now,
         parts.limits.clone(),
@@ -132,69 +120,80 @@
         jobs.into_iter().map(|(job, _)| job).collect(),
         entries,
     );
-    let _ = start_tx.send(CoordinatorMachine {
+    let (actions, action_feed) = mpsc::unbounded_channel();
+    // The duty's thread waits for this; it can only have gone if the process is ending.
+    let _ = start.send(CoordinatorMachine {
         coordinator,
         actions,
         last: now,
     });
-    events
-        .send(Event::Tenure {
-            until: won.tenure_until(won.granted_at),
-        })
-        .await;
+    let until = won.tenure_until(won.granted_at);
+    events.send(Event::Tenure { until }).await;
 
-    let mut tasks = JoinSet::new();
     let feed = WorkerFeed {
         store: parts.store.clone(),
         health: parts.health.clone(),
         events: events.clone(),
-        known,
+        known: known_workers,
     };
-    tasks.spawn(feed.run(Some(workers_as_of)));
-    tasks.spawn(follow_desired(parts.desired.clone(), events.clone()));
-    let (batches, batch_feed) = mpsc::unbounded_channel();
-    let (end, mut ended) = mpsc::channel::<&'static str>(4);
     let job_store = JobStore {
         store: parts.store.clone(),
         health: parts.health.clone(),
         term: won.revision,
         revisions,
     };
-    tasks.spawn(write_batches(
-        job_store,
-        batch_feed,
-        events.clone(),
-        end.clone(),
-    ));
-    tasks.spawn(renew(parts.clone(), won, events.clone(), end.clone()));
+    let (writes, write_feed) = mpsc::unbounded_channel();
+    let (end, ended) = mpsc::channel(4);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(feed.run(Some(workers_as_of)));
+    tasks.spawn(follow_desired(parts.desired.clone(), events.clone()));
+    let writing = write_batches(job_store, write_feed, events.clone(), end.clone());
+    tasks.spawn(writing);
+    tasks.spawn(renew(parts.clone(), won, events.clone(), end));
     let sender = OrderSender {
         workers: WorkerClient::open(),
         term,
         clock: parts.clock,
         events,
     };
+    let why = hand_out(parts, won, action_feed, &writes, &sender, ended).await;
+    tasks.shutdown().await;
+    duty.close();
+    Ok(why)
+}
+
+/// Reads all jobs as they are now, and has every change from then on sent to the coordinator.
+async fn attach(parts: &TermParts, events: &EventSender) -> Option<Vec<(KnownJob, Revision)>> {
+    let (reply, jobs) = oneshot::channel();
+    let request = Attach {
+        events: events.clone(),
+        reply,
+    };
+    parts.attach.send(request).await.ok()?;
+    jobs.await.ok()
+}
+
+/// Carries out the coordinator's actions until the term ends; tells why it did.
+async fn hand_out(
+    parts: &TermParts,
+    won: Won,
+    mut actions: mpsc::UnboundedReceiver<Vec<Action>>,
+    writes: &mpsc::UnboundedSender<Write>,
+    sender: &OrderSender,
+    mut ended: mpsc::Receiver<&'static str>,
+) -> &'static str {
     let mut orders = JoinSet::new();
     let mut key = parts.coordinator_key.clone();
     let mut stopping = parts.stopping.clone();
+    if *stopping.borrow_and_update() {
+        return "the host stops";
+    }
     let why = loop {
         tokio::select! {
-            actions = action_feed.recv() => {
-                let Some(actions) = actions else { break "the coordinator has ended" };
-                for action in actions {
-                    match action {
-                        Action::Store { batch, records } => {
-                            let _ = batches.send(Write::Batch { batch, records });
-                        }
-                        Action::Forget(job_id) => {
-                            let _ = batches.send(Write::Forget(job_id));
-                        }
-                        Action::Resign => {
-                            let _ = end.try_send("a worker knows a later term");
-                        }
-                        order => {
-                            orders.spawn(sender.clone().carry_out(order));
-                        }
-                    }
+            batch = actions.recv() => {
+                let Some(batch) = batch else { break "the coordinator has ended" };
+                if !carry_out(batch, writes, sender, &mut orders) {
+                    break "a worker knows a later term";
                 }
             }
             _ = orders.join_next(), if !orders.is_empty() => {}
@@ -208,11 +207,31 @@
             _ = stopping.changed() => break "the host stops",
         }
     };
-    tasks.shutdown().await;
     orders.shutdown().await;
-    drop(action_feed);
-    duty.close();
-    Ok(why.to_owned())
+    why
+}
+
+/// Sends actions on their way; tells whether the term goes on.
+fn carry_out(
+    batch: Vec<Action>,
+    writes: &mpsc::UnboundedSender<Write>,
+    sender: &OrderSender,
+    orders: &mut JoinSet<()>,
+) -> bool {
+    for action in batch {
+        let write = match action {
+            Action::Store { batch, records } => Write::Batch { batch, records },
+            Action::Forget(job_id) => Write::Forget(job_id),
+            Action::Resign => return false,
+            order => {
+                orders.spawn(sender.clone().carry_out(order));
+                continue;
+            }
+        };
+        // The writer ends first only if the key is lost, which ends the term as well.
+        let _ = writes.send(write);
+    }
+    true
 }
 
 /// `LateMachine` waits for its coordinator, so that events that come early are kept in the ring.
--- /dev/null
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -0,0 +1,72 @@
+//! Tests of the parts that no other process sees.
+
+use std::sync::Arc;
+
+use ragwortwick_adapter::{Change, Item};
+use ragwortwick_area::{JobRecord, QueueTerms, StepSpec};
+use ragwortwick_core::{DurationMs, JobId, Revision, TimeMs};
+
+use super::AreaSettings;
+use super::keys::JobKey;
+use super::replica::{JobNews, Replica};
+
+fn record(id: &str) -> Arc<JobRecord> {
+    Arc::new(JobRecord {
+        job_id: JobId::new(id),
+        queue: "q".into(),
+        terms: QueueTerms {
+            pool: "p".into(),
+            priority: 0,
+            attempts: 1,
+            stretch: 1.0,
+            target_latency_ms: DurationMs(100),
+        },
+        customer: "c".into(),
+        payload: "".into(),
+        steps: vec![StepSpec::default()],
+        schedule: None,
+        accepted_unix_ms: TimeMs(1),
+    })
+}
+
+fn written(record: &JobRecord, revision: u64) -> Change {
+    Change::Written(Item {
+        key: JobKey::Record.of(&record.job_id),
+        value: serde_json::to_vec(record).expect("a record is written"),
+        revision: Revision(revision),
+    })
+}
+
+/// A host stores a job and knows it before its own watch shows it. If the coordinator runs on the
+/// same host, the watch must still tell it of the job: otherwise the caller's job never starts.
+#[test]
+fn verify_job_stored_here_is_still_news_for_the_coordinator() {
+    let replica = Replica::default();
+    let record = record("00000000000000aa");
+    replica.note_accepted(&record, Revision(5));
+    let news = replica.apply(&written(&record, 5));
+    assert!(matches!(news, Some(JobNews::Accepted(_))));
+}
+
+/// A watch that repeats an older revision brings nothing.
+#[test]
+fn verify_older_revision_is_no_news() {
+    let replica = Replica::default();
+    let record = record("00000000000000ab");
+    replica.note_accepted(&record, Revision(5));
+    assert!(replica.apply(&written(&record, 4)).is_none());
+}
+
+/// The platform adds settings from time to time; a process that ended at one would never start.
+#[test]
+fn verify_unknown_settings_are_left_alone() {
+    let text = r#"{"host":"h","zone":"z","listen":"127.0.0.1:0","ready_listen":"127.0.0.1:0",
+        "store_address":"127.0.0.1:1","stop_grace_s":6,"worker_lease_ms":10000,"worker_stop_ms":200,
+        "gang_wait_ms":3000,"reclaim_ms":2700,"remote_penalty":3,"checkpoint_s":0.5,"restore_ms":100,
+        "retention_s":120,"something_new":{"a":1}}"#;
+    let settings = AreaSettings::parse(text).expect("valid settings");
+    assert_eq!(settings.limits().checkpoint_ms, DurationMs(500));
+    let broken = text.replace("\"retention_s\":120", "\"retention_s\":\"soon\"");
+    let problem = AreaSettings::parse(&broken).expect_err("a wrong type");
+    assert!(problem.contains("retention_s"), "{problem}");
+}
--- a/ragwortwick-daemon/src/area/worker_feed.rs
+++ b/ragwortwick-daemon/src/area/worker_feed.rs
@@ -96,10 +96,7 @@
     }
 
     async fn watch(&mut self, after: Revision) -> Result<Option<Revision>, StoreFailure> {
-        let reply = self
-            .store
-            .watch(WORKERS_PREFIX, after, WATCH_WAIT_MS)
-            .await;
+        let reply = self.store.watch(WORKERS_PREFIX, after, WATCH_WAIT_MS).await;
         self.health.note(&reply);
         let reply = reply?;
         if reply.changes.is_empty() && !self.known.is_empty() {
--- a/ragwortwick-emulator/src/arrivals.rs
+++ b/ragwortwick-emulator/src/arrivals.rs
@@ -172,8 +172,11 @@
             is_gang,
             wants_same_rack: is_gang && rng.random_bool(shape.same_rack),
             required_label: label.then(|| "a".into()),
-            data_rack: (!is_gang && rng.random_bool(0.1))
-                .then(|| format!("r{}", rng.random_range(0..racks.max(1))).as_str().into()),
+            data_rack: (!is_gang && rng.random_bool(0.1)).then(|| {
+                format!("r{}", rng.random_range(0..racks.max(1)))
+                    .as_str()
+                    .into()
+            }),
             max_per_worker: rng.random_bool(shape.spread).then_some(2),
             saves_checkpoints: rng.random_bool(shape.saves),
             ..StepSpec::default()
--- a/ragwortwick-emulator/src/check.rs
+++ b/ragwortwick-emulator/src/check.rs
@@ -28,6 +28,10 @@
 
 /// `StartSeen` is a run that a worker begins.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is one independent observation"
+)]
 pub(crate) struct StartSeen<'a> {
     pub(crate) now: TimeMs,
     pub(crate) worker: &'a WorkerName,
@@ -50,7 +54,7 @@
 }
 
 impl Truth {
-    fn find(&mut self, now: TimeMs, text: String) {
+    fn find(&mut self, now: TimeMs, text: &str) {
         self.findings.push(format!("at {now} ms: {text}"));
     }
 
@@ -76,7 +80,10 @@
         if !seen.is_due {
             problems.push("started before its time".to_owned());
         }
-        if seen.max_per_worker.is_some_and(|most| seen.same_step_here > most) {
+        if seen
+            .max_per_worker
+            .is_some_and(|most| seen.same_step_here > most)
+        {
             problems.push("too many of its step on the worker".to_owned());
         }
         let first = TaskId {
@@ -92,9 +99,8 @@
             problems.push("has a payload or checkpoint of another task".to_owned());
         }
         if !seen.is_late {
-            let is_past = |since: Option<TimeMs>, bound| {
-                since.is_some_and(|at| seen.now.since(at) > bound)
-            };
+            let is_past =
+                |since: Option<TimeMs>, bound| since.is_some_and(|at| seen.now.since(at) > bound);
             if is_past(seen.draining_since, DRAIN_MS) {
                 problems.push("started on a worker that leaves".to_owned());
             }
@@ -103,7 +109,8 @@
             }
         }
         for problem in problems {
-            self.find(seen.now, format!("{task} run {run} on {worker}: {problem}"));
+            let text = format!("{task} run {run} on {worker}: {problem}");
+            self.find(seen.now, &text);
         }
     }
 
@@ -139,13 +146,22 @@
         }
     }
 
-    pub(crate) fn shown(&mut self, now: TimeMs, job_id: &JobId, phase: JobPhase, is_all_done: bool) {
+    pub(crate) fn shown(
+        &mut self,
+        now: TimeMs,
+        job_id: &JobId,
+        phase: JobPhase,
+        is_all_done: bool,
+    ) {
         if phase == JobPhase::Completed && !is_all_done {
-            self.find(now, format!("{job_id} is shown as completed and is not"));
+            self.find(now, &format!("{job_id} is shown as completed and is not"));
         }
     }
 
     pub(crate) fn left_open(&mut self, now: TimeMs, job_id: &JobId, phase: JobPhase) {
-        self.find(now, format!("{job_id} is left {phase:?} with everything calm"));
+        self.find(
+            now,
+            &format!("{job_id} is left {phase:?} with everything calm"),
+        );
     }
 }
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -8,9 +8,9 @@
 };
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
-/// `Run` is one run in progress.
+/// `Attempt` is one run in progress.
 #[derive(Clone, Debug)]
-pub(crate) struct Run {
+pub(crate) struct Attempt {
     pub(crate) run: u32,
     pub(crate) need: Resources,
     pub(crate) started_at: TimeMs,
@@ -38,7 +38,7 @@
     pub(crate) token: u64,
     /// When the lease of everything ends, on the worker's clock.
     lease_until: u64,
-    pub(crate) running: BTreeMap<TaskId, Run>,
+    pub(crate) running: BTreeMap<TaskId, Attempt>,
     /// Highest run that ended or was stopped, by task.
     over: BTreeMap<TaskId, u32>,
     pub(crate) ended: Vec<EndedTask>,
@@ -101,7 +101,13 @@
 
     /// A crash: another life begins, which knows nothing.
     pub(crate) fn restart(&mut self) {
-        let number = self.name.as_str().split('-').next().unwrap_or("w").to_owned();
+        let number = self
+            .name
+            .as_str()
+            .split('-')
+            .next()
+            .unwrap_or("w")
+            .to_owned();
         self.life += 1;
         self.name = WorkerName::new(format!("{number}-{}", self.life));
         self.token = 0;
@@ -151,7 +157,7 @@
     }
 
     /// Ends a run and lists it.
-    pub(crate) fn end(&mut self, now: TimeMs, task: &TaskId, kind: EndKind) -> Option<Run> {
+    pub(crate) fn end(&mut self, now: TimeMs, task: &TaskId, kind: EndKind) -> Option<Attempt> {
         let run = self.running.remove(task)?;
         let over = self.over.entry(task.clone()).or_insert(0);
         *over = (*over).max(run.run);
@@ -227,7 +233,7 @@
 }
 
 /// A checkpoint names its step, so that a foreign one is noticed.
-fn checkpoint(task: &TaskId, run: &Run, now: TimeMs) -> Arc<str> {
+fn checkpoint(task: &TaskId, run: &Attempt, now: TimeMs) -> Arc<str> {
     let saved = now.since(run.started_at).0 / 500;
     if !run.saves || saved == 0 {
         return "".into();
@@ -235,7 +241,7 @@
     format!("{}.{}.{}", task.job_id, task.occurrence, task.step).into()
 }
 
-fn percent(run: &Run, now: TimeMs) -> u32 {
+fn percent(run: &Attempt, now: TimeMs) -> u32 {
     let Some(ends_at) = run.ends_at else { return 0 };
     let whole = ends_at.since(run.started_at).0.max(1);
     u32::try_from(now.since(run.started_at).0 * 100 / whole).unwrap_or(100)
--- a/ragwortwick-emulator/src/world.rs
+++ b/ragwortwick-emulator/src/world.rs
@@ -17,7 +17,7 @@
 use crate::faults::{Fault, FaultKind};
 use crate::host::{Host, Term};
 use crate::store::{LEASE_TTL_MS, Store, StoredJob};
-use crate::worker::{EmuWorker, Run, WaitingLook};
+use crate::worker::{Attempt, EmuWorker, WaitingLook};
 
 /// How often leases, gangs, elections and feeds are looked after.
 const TICK_MS: DurationMs = DurationMs(20);
@@ -161,7 +161,12 @@
                     memory_mb: 65_536,
                     accelerators: 8,
                 };
-                EmuWorker::new(u64::from(number), number / options.rack.max(1), label, capacity)
+                EmuWorker::new(
+                    u64::from(number),
+                    number / options.rack.max(1),
+                    label,
+                    capacity,
+                )
             })
             .collect();
         let by_job = arrivals
@@ -277,7 +282,10 @@
                 continue;
             };
             let latency_ms = done_at.since(job.record.accepted_unix_ms).0;
-            latencies_ms.entry(queue.clone()).or_default().push(latency_ms);
+            latencies_ms
+                .entry(queue.clone())
+                .or_default()
+                .push(latency_ms);
             if latency_ms <= self.objective_ms(job_id) {
                 *in_time.entry(queue).or_insert(0) += 1;
             }
@@ -850,7 +858,7 @@
         let failing = arrival.failing;
         let will_fail = self.workers[index].is_failing || self.rng.random_bool(failing);
         let is_gang = spec.is_gang;
-        let held = Run {
+        let held = Attempt {
             run,
             need: spec.need,
             started_at: self.now,
@@ -972,7 +980,11 @@
             .iter()
             .map(|(_, at)| self.workers[*at].rack.as_str())
             .collect();
-        let far = if spec.wants_same_rack && racks.len() > 1 { 3 } else { 1 };
+        let far = if spec.wants_same_rack && racks.len() > 1 {
+            3
+        } else {
+            1
+        };
         let work_ms = arrival.work_ms[task.step as usize].0 * slowest.unwrap_or(1) * far;
         for (position, (id, at)) in members.iter().enumerate() {
             if let Some(held) = self.workers[*at].running.get_mut(id) {
@@ -1017,7 +1029,11 @@
         self.truth.ended(task, kind);
         if kind != EndKind::Done {
             let spent_ms = self.now.since(run.started_at).0;
-            let lost_ms = if run.saves { spent_ms.min(500) } else { spent_ms };
+            let lost_ms = if run.saves {
+                spent_ms.min(500)
+            } else {
+                spent_ms
+            };
             self.wasted_core_ms += lost_ms * run.need.core_equivalents();
         }
         let key = (task.job_id.clone(), task.occurrence, task.step, run.run);
@@ -1095,7 +1111,10 @@
         if !self.workers[index].is_up {
             return;
         }
-        if self.workers[index].leaves_at.is_some_and(|at| self.now >= at) {
+        if self.workers[index]
+            .leaves_at
+            .is_some_and(|at| self.now >= at)
+        {
             self.workers[index].is_up = false;
             self.crash(index);
             return;
@@ -1174,10 +1193,10 @@
             })
             .unwrap_or(0);
         let third: Vec<usize> = (0..self.workers.len())
-            .filter(|number| (number + index) % 3 == 0)
+            .filter(|number| (number + index).is_multiple_of(3))
             .collect();
         let few: Vec<usize> = (0..self.workers.len())
-            .filter(|number| (number + index) % 8 == 0)
+            .filter(|number| (number + index).is_multiple_of(8))
             .collect();
         match fault.kind {
             FaultKind::CoordinatorKilled if is_on => {
--- /dev/null
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -0,0 +1,112 @@
+//! Fixed seeds of the emulator: what must hold, under troubles that overlap.
+
+use ragwortwick_area::Limits;
+use ragwortwick_core::{DurationMs, TimeMs};
+use ragwortwick_emulator::{Fault, FaultKind, Load, Options, Report, World, draw_faults};
+
+fn play(seed: u64, faults: Vec<Fault>) -> Report {
+    let options = Options {
+        seed,
+        ..Options::default()
+    };
+    World::new(options, faults).run()
+}
+
+fn assert_held(seed: u64, faults: &[Fault], report: &Report) {
+    assert!(
+        report.findings.is_empty(),
+        "seed {seed}, faults {faults:?}: {:?}",
+        report.findings
+    );
+}
+
+/// Every job that is not cancelled comes to its end, and no more is started than has to be.
+#[test]
+fn verify_calm_runs_complete_everything() {
+    for seed in 1..=4 {
+        let report = play(seed, Vec::new());
+        assert_held(seed, &[], &report);
+        assert!(report.completed > 0);
+    }
+}
+
+/// Callers see every accepted job end once, whatever three troubles overlap: kills, freezes, cuts,
+/// lost answers, an absent store, workers that crash, leave, fail or carry orders out late.
+#[test]
+fn verify_promises_hold_under_three_troubles() {
+    for seed in 100..124 {
+        let faults = draw_faults(seed, 3, TimeMs(20_000));
+        let report = play(seed, faults.clone());
+        assert_held(seed, &faults, &report);
+    }
+}
+
+/// As above with six troubles, among them the same one twice.
+#[test]
+fn verify_promises_hold_under_six_troubles() {
+    for seed in 200..208 {
+        let faults = draw_faults(seed, 6, TimeMs(20_000));
+        let report = play(seed, faults.clone());
+        assert_held(seed, &faults, &report);
+    }
+}
+
+/// The coordinator freezes right where it acts, another takes over, the first wakes and goes on for
+/// a moment: workers refuse its older term, so no caller's booking is made twice.
+#[test]
+fn verify_woken_coordinator_starts_nothing_twice() {
+    for seed in 300..306 {
+        let freeze = |at| Fault {
+            kind: FaultKind::CoordinatorFrozen,
+            at: TimeMs(at),
+            for_ms: DurationMs(5_000),
+        };
+        let late = Fault {
+            kind: FaultKind::OrdersLate,
+            at: TimeMs(1_000),
+            for_ms: DurationMs(18_000),
+        };
+        let faults = vec![freeze(4_000), freeze(12_000), late];
+        let report = play(seed, faults.clone());
+        assert_held(seed, &faults, &report);
+    }
+}
+
+/// The store is away for longer than its leases last; running work keeps its leases through it, and
+/// nothing that runs is lost by the outage.
+#[test]
+fn verify_outage_of_the_store_kills_no_work() {
+    let outage = Fault {
+        kind: FaultKind::StoreAway,
+        at: TimeMs(8_000),
+        for_ms: DurationMs(5_000),
+    };
+    for seed in 400..404 {
+        let report = play(seed, vec![outage]);
+        assert_held(seed, &[outage], &report);
+        assert_eq!(report.lapsed, 0, "seed {seed}: runs lost their lease");
+    }
+}
+
+/// Short leases, as one of the installations has: cuts outlast them, and work starts anew elsewhere
+/// only when the lease is over.
+#[test]
+fn verify_promises_hold_with_short_leases() {
+    for seed in 500..506 {
+        let faults = draw_faults(seed, 4, TimeMs(20_000));
+        let options = Options {
+            seed,
+            limits: Limits {
+                lease_ms: DurationMs(6_000),
+                ..Limits::default()
+            },
+            load: Load {
+                per_s: [1.9, 0.7, 1.0],
+                ..Load::default()
+            },
+            ..Options::default()
+        };
+        let report = World::new(options, faults.clone()).run();
+        assert_held(seed, &faults, &report);
+    }
+}
