Let urgent answers that can be in time displace cheap work, and take borrowed shares back

Ruled out: refusals (none before the store's outage), slow starts (59 ms at the median). Change: in-time urgent work may stop runs of lower priority if that throws away 500 core-seconds at most; guaranteed work may also stop urgent runs beyond their customer's share, youngest first.

--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -2,12 +2,19 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ragwortwick_core::{JobId, RackName, TimeMs, WorkerName};
+use ragwortwick_core::{CustomerName, JobId, RackName, TimeMs, WorkerName};
 
 use crate::coordinator::Coordinator;
 use crate::job::{Resources, StepSpec, TaskId};
 use crate::packing::{Reach, Slot, pack_gang, pack_single};
 use crate::schedule::{Candidate, Room};
+use crate::worker::Held;
+
+/// Most core-seconds thrown away for an urgent job that no guarantee covers.
+///
+/// An urgent answer in time is worth about 3 more than a late one; a core-second thrown away costs
+/// 0.002 and the room to do it again, in the users' prices. Above this the trade loses.
+const MOST_WASTE_UNGUARANTEED: f64 = 500.0;
 
 /// `Group` is what has to stop together: one task, or all members of a gang.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,6 +47,7 @@
         // What is stopping already is as good as free.
         let mut future = self.with_stopping_freed(&room.slots);
         let mut victims = self.victims(now);
+        victims.extend(self.borrowers(now));
         for candidate in waiting {
             let Some(spec) = self
                 .jobs
@@ -59,7 +67,7 @@
             };
             let places = match find(&future, &spec, count) {
                 Some(places) => places,
-                None => match cheapest(&future, &spec, count, &victims) {
+                None => match self.plan_for(candidate, &future, &spec, count, &victims) {
                     Some(plan) => {
                         for group in &plan.stopped {
                             self.stop_victim(now, group);
@@ -83,6 +91,56 @@
         }
     }
 
+    fn plan_for(
+        &self,
+        candidate: &Candidate,
+        future: &[Slot],
+        spec: &StepSpec,
+        count: usize,
+        victims: &[Victim],
+    ) -> Option<Plan> {
+        if candidate.is_guaranteed {
+            return cheapest(future, spec, count, victims);
+        }
+        let lower: Vec<Victim> = victims
+            .iter()
+            .filter(|victim| victim.priority > candidate.priority)
+            .cloned()
+            .collect();
+        cheapest(future, spec, count, &lower).filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
+    }
+
+    /// Urgent runs beyond their customer's share, youngest first: they go back to whoever is owed.
+    fn borrowers(&self, now: TimeMs) -> Vec<Victim> {
+        let mut by_customer: BTreeMap<CustomerName, Vec<(TimeMs, Victim)>> = BTreeMap::new();
+        for (placed_at, victim) in self.groups(now, |held| held.priority == 0) {
+            let customer = self.jobs.get(&victim.group.job_id);
+            if let Some(customer) = customer.map(|job| job.record.customer.clone()) {
+                by_customer
+                    .entry(customer)
+                    .or_default()
+                    .push((placed_at, victim));
+            }
+        }
+        let mut borrowers = Vec::new();
+        for (customer, mut groups) in by_customer {
+            let share = self
+                .desired
+                .customers
+                .get(&customer)
+                .map_or(0, |known| known.guaranteed_accelerators);
+            let mut used: u64 = groups.iter().map(|(_, victim)| victim.accelerators).sum();
+            groups.sort_by_key(|(placed_at, _)| std::cmp::Reverse(*placed_at));
+            for (_, victim) in groups {
+                if used >= share + victim.accelerators {
+                    used -= victim.accelerators;
+                    borrowers.push(victim);
+                }
+            }
+        }
+        borrowers
+    }
+
     fn with_stopping_freed(&self, slots: &[Slot]) -> Vec<Slot> {
         let mut future = slots.to_vec();
         for slot in &mut future {
@@ -96,11 +154,27 @@
         future
     }
 
+    /// Runs of lower priority, the cheapest to stop first.
     fn victims(&self, now: TimeMs) -> Vec<Victim> {
-        let mut victims: BTreeMap<Group, Victim> = BTreeMap::new();
+        let mut victims: Vec<Victim> = self
+            .groups(now, |held| held.priority > 0)
+            .into_iter()
+            .map(|(_, victim)| victim)
+            .collect();
+        victims.sort_by(|a, b| {
+            b.priority
+                .cmp(&a.priority)
+                .then_with(|| per_accelerator(a).total_cmp(&per_accelerator(b)))
+        });
+        victims
+    }
+
+    /// What has to stop together, with when it was placed, of the runs that match.
+    fn groups(&self, now: TimeMs, matches: impl Fn(&Held) -> bool) -> Vec<(TimeMs, Victim)> {
+        let mut groups: BTreeMap<Group, (TimeMs, Victim)> = BTreeMap::new();
         for (name, worker) in &self.workers {
             for (task, held) in &worker.held {
-                if held.priority == 0 || held.is_stopping() {
+                if held.is_stopping() || !matches(held) {
                     continue;
                 }
                 let Some(spec) = self
@@ -116,25 +190,22 @@
                     lost_ms = lost_ms.min(self.limits.checkpoint_ms.0) + self.limits.restore_ms.0;
                 }
                 let group = group_of(task, spec);
-                let victim = victims.entry(group.clone()).or_insert_with(|| Victim {
-                    group,
-                    priority: held.priority,
-                    waste: 0.0,
-                    frees: Vec::new(),
-                    accelerators: 0,
+                let (_, victim) = groups.entry(group.clone()).or_insert_with(|| {
+                    let victim = Victim {
+                        group,
+                        priority: held.priority,
+                        waste: 0.0,
+                        frees: Vec::new(),
+                        accelerators: 0,
+                    };
+                    (held.placed_at, victim)
                 });
                 victim.waste += waste(spec.need, lost_ms);
                 victim.frees.push((name.clone(), held.need));
                 victim.accelerators += held.need.accelerators;
             }
         }
-        let mut victims: Vec<Victim> = victims.into_values().collect();
-        victims.sort_by(|a, b| {
-            b.priority
-                .cmp(&a.priority)
-                .then_with(|| per_accelerator(a).total_cmp(&per_accelerator(b)))
-        });
-        victims
+        groups.into_values().collect()
     }
 
     fn stop_victim(&mut self, now: TimeMs, group: &Group) {
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -34,6 +34,13 @@
     pub(crate) is_in_time: bool,
 }
 
+impl Candidate {
+    /// Whether others may be stopped for it: a promise, or an urgent answer that can still be in time.
+    pub(crate) fn may_displace(&self) -> bool {
+        self.is_guaranteed || (self.priority == 0 && self.is_in_time)
+    }
+}
+
 /// `Room` is what the workers of one pool have left during a pass.
 #[derive(Debug, Default)]
 pub(crate) struct Room {
@@ -66,7 +73,7 @@
             let mut room = self.room(now.steady, &pool);
             let of_pool: Vec<&Candidate> = candidates.iter().filter(|c| c.pool == pool).collect();
             let (urgent, others): (Vec<_>, Vec<_>) =
-                of_pool.into_iter().partition(|c| c.is_guaranteed);
+                of_pool.into_iter().partition(|c| c.may_displace());
             let waiting: Vec<&Candidate> = urgent
                 .into_iter()
                 .filter(|candidate| !self.place_step(now.steady, candidate, &mut room))
