Plan displacement within a rack and few in a pass; strong hosts coordinate first

Cause: at 350 workers the coordinator was short of processor time: each guaranteed job that waited planned over the whole pool for each of 30 racks, at every pass, on a host of as little as 0.12 cores; jobs were started seconds late, cancelled ones still started. Ruled out: the store (4 ms), the links (far below 10 Mbit/s). Change: a rack's plan looks at that rack's slots alone, packing is tried once the room can be enough, six plans a pass; what found no place is not tried again in a pass; a host below half a core leaves the free key to stronger ones for up to 0.5 s.

--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -16,6 +16,9 @@
 /// 0.002 and the room to do it again, in the users' prices. Above this the trade loses.
 const MOST_WASTE_UNGUARANTEED: f64 = 500.0;
 
+/// Plans made in one pass; the next pass, milliseconds later, goes on from there.
+const MOST_PLANS: usize = 6;
+
 /// `Group` is what has to stop together: one task, or all members of a gang.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Group {
@@ -46,6 +49,7 @@
         }
         // What is stopping already is as good as free.
         let mut future = self.with_stopping_freed(&room.slots);
+        let mut plans_left = MOST_PLANS;
         let mut victims = self.victims(now);
         victims.extend(self.borrowers(now));
         for candidate in waiting {
@@ -65,29 +69,35 @@
             else {
                 continue;
             };
-            let places = match find(&future, &spec, count) {
-                Some(places) => places,
-                None => match self.plan_for(candidate, &future, &spec, count, &victims) {
-                    Some(plan) => {
-                        for group in &plan.stopped {
-                            self.stop_victim(now, group);
-                        }
-                        victims.retain(|victim| !plan.stopped.contains(&victim.group));
-                        future = plan.slots;
-                        plan.places
-                    }
-                    None => continue,
-                },
+            if let Some(places) = find(&future, &spec, count) {
+                let names: Vec<WorkerName> = places
+                    .into_iter()
+                    .map(|index| future[index].worker.clone())
+                    .collect();
+                reserve(&mut future, room, &names, spec.reserved());
+                continue;
+            }
+            // Each plan looks through whole racks; a pass on a small host has to stay short.
+            if plans_left == 0 {
+                continue;
+            }
+            plans_left -= 1;
+            let Some(plan) = self.plan_for(candidate, &future, &spec, count, &victims) else {
+                continue;
             };
-            for index in places {
-                let need = spec.reserved();
-                let worker = future[index].worker.clone();
-                future[index].free = future[index].free.minus(need);
-                // What is reserved must not go to work that comes later in this pass.
-                if let Some(slot) = room.slots.iter_mut().find(|slot| slot.worker == worker) {
-                    slot.free = slot.free.minus(need);
+            for victim in &plan.stopped {
+                self.stop_victim(now, &victim.group);
+                for (worker, need) in &victim.frees {
+                    if let Some(slot) = future.iter_mut().find(|slot| slot.worker == *worker) {
+                        slot.free = slot.free.plus(*need);
+                    }
                 }
             }
+            victims.retain(|victim| {
+                let is_stopped = |other: &Victim| other.group == victim.group;
+                !plan.stopped.iter().any(is_stopped)
+            });
+            reserve(&mut future, room, &plan.places, spec.reserved());
         }
     }
 
@@ -243,14 +253,25 @@
     }
 }
 
-/// `Plan` is a set of groups to stop and where the work then goes.
+/// Takes the places out of what later work may get, now and once the victims have stopped.
+fn reserve(future: &mut [Slot], room: &mut Room, places: &[WorkerName], need: Resources) {
+    for worker in places {
+        for slots in [&mut *future, &mut room.slots[..]] {
+            if let Some(slot) = slots.iter_mut().find(|slot| slot.worker == *worker) {
+                slot.free = slot.free.minus(need);
+            }
+        }
+    }
+}
+
+/// `Plan` is a set of victims to stop and where the work then goes.
 struct Plan {
-    stopped: Vec<Group>,
-    places: Vec<usize>,
-    slots: Vec<Slot>,
+    stopped: Vec<Victim>,
+    places: Vec<WorkerName>,
     waste: f64,
 }
 
+/// Finds a slot for each task, all or none.
 fn find(slots: &[Slot], spec: &StepSpec, count: usize) -> Option<Vec<usize>> {
     let none_taken = BTreeMap::new();
     if spec.is_gang {
@@ -272,14 +293,20 @@
 fn cheapest(slots: &[Slot], spec: &StepSpec, count: usize, victims: &[Victim]) -> Option<Plan> {
     let mut best: Option<Plan> = None;
     if spec.is_gang && spec.wants_same_rack {
-        let racks: BTreeSet<&RackName> = slots.iter().map(|slot| &slot.rack).collect();
-        for rack in racks {
-            let plan = plan(slots, spec, count, victims, Some(rack));
-            best = cheaper(best, plan);
+        let mut racks: BTreeMap<&RackName, Vec<Slot>> = BTreeMap::new();
+        for slot in slots {
+            racks.entry(&slot.rack).or_default().push(slot.clone());
+        }
+        for within in racks.into_values() {
+            best = cheaper(best, plan(within, spec, count, victims));
         }
     }
     // On several racks the work is slower; that is still better than breaking the guarantee.
-    best.or_else(|| plan(slots, spec, count, victims, None))
+    let relaxed = StepSpec {
+        wants_same_rack: false,
+        ..spec.clone()
+    };
+    best.or_else(|| plan(slots.to_vec(), &relaxed, count, victims))
 }
 
 fn cheaper(best: Option<Plan>, other: Option<Plan>) -> Option<Plan> {
@@ -290,77 +317,73 @@
     }
 }
 
-fn plan(
-    slots: &[Slot],
-    spec: &StepSpec,
-    count: usize,
-    victims: &[Victim],
-    rack: Option<&RackName>,
-) -> Option<Plan> {
-    let mut within = slots.to_vec();
-    if let Some(rack) = rack {
-        for slot in within.iter_mut().filter(|slot| slot.rack != *rack) {
-            slot.free = Resources::default();
-        }
-    }
-    let is_inside = |worker: &WorkerName| {
-        slots
-            .iter()
-            .any(|slot| slot.worker == *worker && rack.is_none_or(|rack| slot.rack == *rack))
-    };
-    let relaxed = if rack.is_none() {
-        StepSpec {
-            wants_same_rack: false,
-            ..spec.clone()
-        }
-    } else {
-        spec.clone()
-    };
+/// Plans within the given slots alone, so that a rack's plan costs what the rack has, not the pool.
+fn plan(mut slots: Vec<Slot>, spec: &StepSpec, count: usize, victims: &[Victim]) -> Option<Plan> {
+    let places_of: BTreeMap<WorkerName, usize> = slots
+        .iter()
+        .enumerate()
+        .map(|(index, slot)| (slot.worker.clone(), index))
+        .collect();
     let mut chosen: Vec<&Victim> = Vec::new();
-    let mut places = find(&within, &relaxed, count);
+    let mut places = find(&slots, spec, count);
+    let mut open_room = room_of(&slots, spec);
     for victim in victims {
         if places.is_some() {
             break;
         }
-        if !victim.frees.iter().any(|(worker, _)| is_inside(worker)) {
+        let is_inside = victim
+            .frees
+            .iter()
+            .any(|(worker, _)| places_of.contains_key(worker));
+        if !is_inside {
             continue;
         }
-        free(&mut within, victim, rack);
+        change(&mut slots, &places_of, victim, Resources::plus);
         chosen.push(victim);
-        places = find(&within, &relaxed, count);
+        // Packing is tried only once the room could be enough at all.
+        open_room = open_room.max(room_of(&slots, spec));
+        if open_room >= count as u64 {
+            places = find(&slots, spec, count);
+        }
     }
     let mut places = places?;
-    spare_needless(&mut within, &mut chosen, &mut places, &relaxed, count, rack);
-    let waste = chosen.iter().map(|victim| victim.waste).sum();
-    let mut after = slots.to_vec();
-    for victim in &chosen {
-        free(&mut after, victim, None);
-    }
+    spare_needless(&mut slots, &places_of, &mut chosen, &mut places, spec, count);
     Some(Plan {
-        stopped: chosen.iter().map(|victim| victim.group.clone()).collect(),
-        places,
-        slots: after,
-        waste,
+        waste: chosen.iter().map(|victim| victim.waste).sum(),
+        stopped: chosen.into_iter().cloned().collect(),
+        places: places
+            .into_iter()
+            .map(|index| slots[index].worker.clone())
+            .collect(),
     })
 }
 
+/// How many tasks the slots take together, whatever else binds.
+fn room_of(slots: &[Slot], spec: &StepSpec) -> u64 {
+    let need = spec.reserved();
+    slots
+        .iter()
+        .map(|slot| slot.free.fits(need).min(u64::from(u32::MAX)))
+        .sum()
+}
+
 /// Victims that were chosen early may turn out needless once later ones are: they go on.
 fn spare_needless(
-    within: &mut Vec<Slot>,
+    slots: &mut Vec<Slot>,
+    places_of: &BTreeMap<WorkerName, usize>,
     chosen: &mut Vec<&Victim>,
     places: &mut Vec<usize>,
     spec: &StepSpec,
     count: usize,
-    rack: Option<&RackName>,
 ) {
     let mut order: Vec<usize> = (0..chosen.len()).collect();
     order.sort_by(|&a, &b| chosen[b].waste.total_cmp(&chosen[a].waste));
     let mut spared = BTreeSet::new();
     for index in order {
-        let mut without = within.clone();
-        take_back(&mut without, chosen[index], rack);
+        let mut without = slots.clone();
+        change(&mut without, places_of, chosen[index], Resources::minus);
         if let Some(found) = find(&without, spec, count) {
-            *within = without;
+            *slots = without;
             *places = found;
             spared.insert(index);
         }
@@ -373,22 +396,16 @@
     });
 }
 
-fn free(slots: &mut [Slot], victim: &Victim, rack: Option<&RackName>) {
-    for (worker, need) in &victim.frees {
-        for slot in slots.iter_mut().filter(|slot| slot.worker == *worker) {
-            if rack.is_none_or(|rack| slot.rack == *rack) {
-                slot.free = slot.free.plus(*need);
-            }
-        }
-    }
-}
-
-fn take_back(slots: &mut [Slot], victim: &Victim, rack: Option<&RackName>) {
+/// Gives a victim's room to the slots, or takes it back.
+fn change(
+    slots: &mut [Slot],
+    places_of: &BTreeMap<WorkerName, usize>,
+    victim: &Victim,
+    apply: fn(Resources, Resources) -> Resources,
+) {
     for (worker, need) in &victim.frees {
-        for slot in slots.iter_mut().filter(|slot| slot.worker == *worker) {
-            if rack.is_none_or(|rack| slot.rack == *rack) {
-                slot.free = slot.free.minus(*need);
-            }
+        if let Some(&index) = places_of.get(worker) {
+            slots[index].free = apply(slots[index].free, *need);
         }
     }
 }
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -54,6 +54,10 @@
         self.used * 100 < self.capacity * SPARE_SHARE_PERCENT
     }
 
+    fn has_accelerators(&self) -> bool {
+        self.slots.iter().any(|slot| slot.free.accelerators > 0)
+    }
+
     fn take(&mut self, index: usize, need: Resources) {
         self.slots[index].free = self.slots[index].free.minus(need);
         self.used += need.accelerators;
@@ -96,11 +100,15 @@
         let Some(shape) = self.shape_of(candidate) else {
             return;
         };
+        if shape.0.need.accelerators > 0 && !room.has_accelerators() {
+            return;
+        }
         // What found no place a moment ago finds none now: the room only shrinks during a pass.
-        if shape.0.is_gang && failed.contains(&shape) {
+        let is_bound = shape.0.max_per_worker.is_some();
+        if !is_bound && failed.contains(&shape) {
             return;
         }
-        if !self.place_step(now, candidate, room) && shape.0.is_gang {
+        if !self.place_step(now, candidate, room) && !is_bound {
             failed.push(shape);
         }
     }
@@ -110,7 +118,13 @@
         let mut spec = job.spec(candidate.step)?.clone();
         spec.estimate_ms = DurationMs(0);
         spec.after.clear();
-        let count = job.step(candidate.occurrence, candidate.step)?.waiting();
+        // A single task that fits nowhere tells the same of its whole step.
+        let count = if spec.is_gang {
+            job.step(candidate.occurrence, candidate.step)?.waiting()
+        } else {
+            spec.count = 1;
+            1
+        };
         Some((spec, count))
     }
 
--- a/ragwortwick-daemon/src/area/election.rs
+++ b/ragwortwick-daemon/src/area/election.rs
@@ -14,11 +14,24 @@
 /// Longest random pause before a free key is tried, so that not all hosts try at once.
 const TRY_SPREAD_MS: u64 = 60;
 
+/// How much later a host tries for each time that its share of a core is below `FULL_SHARE`.
+///
+/// Coordinating 350 workers takes a tenth of a core or more; a host that has just that would be the
+/// bottleneck of the whole area, and costs it more than a fraction of a second without coordinator.
+const WAIT_PER_LACK_MS: f64 = 150.0;
+
+/// Share of a core from which on a host tries at once.
+const FULL_SHARE: f64 = 0.5;
+
+/// Longest that a weak host holds back.
+const MOST_WAIT_MS: f64 = 500.0;
+
 /// Pause after a try that failed.
 const FAILED_PAUSE_MS: DurationMs = DurationMs(200);
 
 /// Tries to coordinate until the host stops.
-pub(super) async fn run(parts: TermParts, host: HostName) {
+pub(super) async fn run(parts: TermParts, host: HostName, cpu_share: f64) {
+    let held_back_ms = held_back_ms(cpu_share);
     let mut key = parts.coordinator_key.clone();
     let mut desired = parts.desired.clone();
     let mut stopping = parts.stopping.clone();
@@ -37,7 +50,7 @@
             continue;
         }
         let spread_ms = rand::rng().random_range(0..=TRY_SPREAD_MS);
-        tokio::time::sleep(DurationMs(spread_ms).into()).await;
+        tokio::time::sleep(DurationMs(held_back_ms + spread_ms).into()).await;
         if *key.borrow() != CoordinatorKey::Free {
             continue;
         }
@@ -56,6 +69,17 @@
     }
 }
 
+/// A weak host leaves the key to a stronger one, which will have taken it by then.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the span is between zero and half a second"
+)]
+fn held_back_ms(cpu_share: f64) -> u64 {
+    let lack = (FULL_SHARE / cpu_share.max(0.01) - 1.0).max(0.0);
+    (lack * WAIT_PER_LACK_MS).min(MOST_WAIT_MS) as u64
+}
+
 /// Takes the key if it is free; the revision of that change is the term.
 async fn take(parts: &TermParts, host: &HostName) -> Result<Option<Won>, StoreFailure> {
     let granted_at = parts.clock.now();
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -96,7 +96,11 @@
             coordinator_key,
             stopping: stopping_feed.clone(),
         };
-        election.spawn(election::run(parts, settings.host.clone()));
+        election.spawn(election::run(
+            parts,
+            settings.host.clone(),
+            settings.cpu_share,
+        ));
 
         let front = Front {
             clock,
--- a/ragwortwick-daemon/src/area/settings.rs
+++ b/ragwortwick-daemon/src/area/settings.rs
@@ -19,6 +19,9 @@
     pub ready_listen: String,
     /// ip:port of the platform's store.
     pub store_address: String,
+    /// Share of a core that this host has.
+    #[serde(default = "whole_core")]
+    pub cpu_share: f64,
     /// How long a planned stop may take before the process is killed, in seconds.
     pub stop_grace_s: f64,
     /// Longest lease that a worker grants to what runs there.
@@ -66,6 +69,10 @@
     }
 }
 
+fn whole_core() -> f64 {
+    1.0
+}
+
 /// Whole milliseconds of a span in seconds.
 #[expect(
     clippy::cast_possible_truncation,
