Make a pass of placement cheap at 350 workers

Ruled out: the calls themselves (9,258 of them in 10 s took 2.1 s before bursts); the wire. Change: victims are listed once a pass and only if needed, room is counted as it changes, racks lie together, a shape that fits nowhere is not tried again, chores run every 40 ms, and the pause after a pass grows with its size. Work of which only so much may be away is never displaced. The coordinator logs its load.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -29,6 +29,15 @@
 /// Pause between two passes of placement, so that a burst of events costs one pass.
 const PASS_INTERVAL_MS: DurationMs = DurationMs(8);
 
+/// Steps times workers for which a pass takes about a millisecond on half a core.
+const PASS_WEIGHT_PER_MS: u64 = 3_000;
+
+/// Longest further pause between two passes; urgent work has to start within a second or two.
+const MOST_PASS_PAUSE_MS: u64 = 60;
+
+/// How often leases that ran out, orders without an answer and old jobs are looked for.
+const CHORES_MS: DurationMs = DurationMs(40);
+
 /// Longest sleep while work is under way.
 const TICK_MS: DurationMs = DurationMs(100);
 
@@ -67,6 +76,11 @@
     workers_fresh_at: Option<TimeMs>,
     pub(crate) wants_pass: bool,
     last_pass_at: TimeMs,
+    /// Steps times workers of the last pass, which is about what it cost.
+    pub(crate) pass_weight: usize,
+    /// Whether an order may be due before the next regular look for due ones.
+    pub(crate) wants_orders: bool,
+    next_chores_at: TimeMs,
     pub(crate) next_due_at: Option<TimeMs>,
     /// Accelerator-seconds and number of the jobs that each queue has brought.
     pub(crate) work_seen: BTreeMap<ClassName, (f64, u32)>,
@@ -96,6 +110,9 @@
             workers_fresh_at: Some(now.steady),
             wants_pass: true,
             last_pass_at: TimeMs(0),
+            pass_weight: 0,
+            wants_orders: true,
+            next_chores_at: TimeMs(0),
             next_due_at: None,
             work_seen: BTreeMap::new(),
         };
@@ -219,7 +236,7 @@
         let tick = is_busy.then(|| now.steady + TICK_MS);
         let pass = self
             .wants_pass
-            .then(|| self.last_pass_at + PASS_INTERVAL_MS);
+            .then(|| self.last_pass_at + self.pass_interval_ms());
         let due = self.next_due_at;
         let look = self
             .workers
@@ -234,9 +251,14 @@
     }
 
     fn act(&mut self, now: Now) -> Vec<Action> {
-        self.expire(now.steady);
+        let has_chores = now.steady >= self.next_chores_at;
+        if has_chores {
+            self.next_chores_at = now.steady + CHORES_MS;
+            self.expire(now.steady);
+            self.forget_old(now.steady);
+        }
         let is_due = self.next_due_at.is_some_and(|at| at <= now.steady);
-        let is_spaced = now.steady.since(self.last_pass_at) >= PASS_INTERVAL_MS;
+        let is_spaced = now.steady.since(self.last_pass_at) >= self.pass_interval_ms();
         if (self.wants_pass || is_due) && is_spaced {
             self.wants_pass = false;
             self.last_pass_at = now.steady;
@@ -244,12 +266,31 @@
             self.pass(now);
         }
         self.flush(now.steady);
-        self.send_orders(now.steady);
+        if has_chores || std::mem::take(&mut self.wants_orders) {
+            self.send_orders(now.steady);
+        }
         self.send_looks(now.steady);
-        self.forget_old(now.steady);
         std::mem::take(&mut self.actions)
     }
 
+    /// A long pass leaves more time to the answers that wait meanwhile.
+    fn pass_interval_ms(&self) -> DurationMs {
+        let more_ms = self.pass_weight as u64 / PASS_WEIGHT_PER_MS;
+        DurationMs(PASS_INTERVAL_MS.0 + more_ms.min(MOST_PASS_PAUSE_MS))
+    }
+
+    /// `open_jobs` counts the jobs that have not come to their end.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.open_jobs.len()
+    }
+
+    /// `workers` counts the workers that it knows of.
+    #[must_use]
+    pub fn workers(&self) -> usize {
+        self.workers.len()
+    }
+
     /// `phase` tells how far a job is, if it is known.
     #[must_use]
     pub fn phase(&self, job_id: &JobId) -> Option<JobPhase> {
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -114,6 +114,18 @@
 }
 
 impl StepSpec {
+    /// `shape` is what decides where a task fits, without what differs between alike jobs.
+    #[must_use]
+    pub(crate) fn shape(&self) -> Self {
+        Self {
+            estimate_ms: DurationMs(0),
+            after: Vec::new(),
+            count: 0,
+            saves_checkpoints: false,
+            ..self.clone()
+        }
+    }
+
     /// `reserved` is what one task takes from a worker's capacity.
     #[must_use]
     pub fn reserved(&self) -> Resources {
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -263,27 +263,47 @@
         }
     }
 
-    /// Tells all runs that match to stop.
+    /// Tells all runs that match to stop, on every worker.
     pub(crate) fn stop_where(&mut self, now: TimeMs, matches: impl Fn(&TaskId) -> bool) {
+        let names: Vec<WorkerName> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.held.keys().any(&matches))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            self.stop_on(now, &name, &matches);
+        }
+    }
+
+    /// Tells the runs on one worker that match to stop.
+    pub(crate) fn stop_on(
+        &mut self,
+        now: TimeMs,
+        name: &WorkerName,
+        matches: impl Fn(&TaskId) -> bool,
+    ) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        self.wants_orders = true;
         let mut never_sent = Vec::new();
-        for (name, worker) in &mut self.workers {
-            for (task, held) in &mut worker.held {
-                if held.is_stopping() || !matches(task) {
-                    continue;
-                }
-                if held.phase == HeldPhase::Intended {
-                    never_sent.push((name.clone(), task.clone(), held.run));
-                    continue;
-                }
-                held.phase = HeldPhase::Stopping {
-                    sent_at: None,
-                    in_flight: false,
-                    confirmed_at: None,
-                };
+        for (task, held) in &mut worker.held {
+            if held.is_stopping() || !matches(task) {
+                continue;
+            }
+            if held.phase == HeldPhase::Intended {
+                never_sent.push((task.clone(), held.run));
+                continue;
             }
+            held.phase = HeldPhase::Stopping {
+                sent_at: None,
+                in_flight: false,
+                confirmed_at: None,
+            };
         }
-        for (worker, task, run) in never_sent {
-            self.resolve(now, &worker, &task, run, Outcome::Void);
+        for (task, run) in never_sent {
+            self.resolve(now, name, &task, run, Outcome::Void);
         }
     }
 
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -70,12 +70,12 @@
     count: usize,
     already: &BTreeMap<WorkerName, u32>,
 ) -> Option<Vec<usize>> {
-    let mut racks: BTreeMap<&RackName, Vec<usize>> = BTreeMap::new();
-    for (index, slot) in slots.iter().enumerate() {
-        racks.entry(&slot.rack).or_default().push(index);
-    }
     let mut best: Option<(bool, u32, u64, Vec<usize>)> = None;
-    for (rack, members) in racks {
+    let mut first = 0;
+    for within in slots.chunk_by(|a, b| a.rack == b.rack) {
+        let members: Vec<usize> = (first..first + within.len()).collect();
+        first += within.len();
+        let rack = &within[0].rack;
         let Some(places) = fill(slots, &members, spec, count, already) else {
             continue;
         };
@@ -104,6 +104,13 @@
     count: usize,
     already: &BTreeMap<WorkerName, u32>,
 ) -> Option<Vec<usize>> {
+    let whole: u64 = members
+        .iter()
+        .map(|&index| room(&slots[index], spec, already))
+        .sum();
+    if whole < count as u64 {
+        return None;
+    }
     let mut ranked: Vec<(bool, u32, u64, usize, u64)> = members
         .iter()
         .map(|&index| {
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -50,8 +50,8 @@
         // What is stopping already is as good as free.
         let mut future = self.with_stopping_freed(&room.slots);
         let mut plans_left = MOST_PLANS;
-        let mut victims = self.victims(now);
-        victims.extend(self.borrowers(now));
+        let mut victims: Option<Vec<Victim>> = None;
+        let mut unplaced: Vec<(StepSpec, usize)> = Vec::new();
         for candidate in waiting {
             let Some(spec) = self
                 .jobs
@@ -69,7 +69,9 @@
             else {
                 continue;
             };
-            if let Some(places) = find(&future, &spec, count) {
+            let shape = (spec.shape(), count);
+            let is_hopeless = unplaced.contains(&shape);
+            if !is_hopeless && let Some(places) = find(&future, &spec, count) {
                 let names: Vec<WorkerName> = places
                     .into_iter()
                     .map(|index| future[index].worker.clone())
@@ -77,16 +79,21 @@
                 reserve(&mut future, room, &names, spec.reserved());
                 continue;
             }
+            if !is_hopeless {
+                unplaced.push(shape);
+            }
             // Each plan looks through whole racks; a pass on a small host has to stay short.
             if plans_left == 0 {
                 continue;
             }
             plans_left -= 1;
-            let Some(plan) = self.plan_for(candidate, &future, &spec, count, &victims) else {
+            // Listing all that runs costs more than anything else in a pass.
+            let victims = victims.get_or_insert_with(|| self.displaceable(now));
+            let Some(plan) = plan_for(candidate, &future, &spec, count, victims) else {
                 continue;
             };
             for victim in &plan.stopped {
-                self.stop_victim(now, &victim.group);
+                self.stop_victim(now, victim);
                 for (worker, need) in &victim.frees {
                     if let Some(slot) = future.iter_mut().find(|slot| slot.worker == *worker) {
                         slot.free = slot.free.plus(*need);
@@ -97,27 +104,17 @@
                 let is_stopped = |other: &Victim| other.group == victim.group;
                 !plan.stopped.iter().any(is_stopped)
             });
+            // What stops frees more than this job needs, so others may find room after all.
+            unplaced.clear();
             reserve(&mut future, room, &plan.places, spec.reserved());
         }
     }
 
-    fn plan_for(
-        &self,
-        candidate: &Candidate,
-        future: &[Slot],
-        spec: &StepSpec,
-        count: usize,
-        victims: &[Victim],
-    ) -> Option<Plan> {
-        if candidate.is_guaranteed {
-            return cheapest(future, spec, count, victims);
-        }
-        let lower: Vec<Victim> = victims
-            .iter()
-            .filter(|victim| victim.priority > candidate.priority)
-            .cloned()
-            .collect();
-        cheapest(future, spec, count, &lower).filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
+    /// All that may be stopped for guaranteed work: lower priorities first, then borrowed shares.
+    fn displaceable(&self, now: TimeMs) -> Vec<Victim> {
+        let mut victims = self.victims(now);
+        victims.extend(self.borrowers(now));
+        victims
     }
 
     /// Urgent runs beyond their customer's share, youngest first: they go back to whoever is owed.
@@ -194,6 +191,10 @@
                 else {
                     continue;
                 };
+                // Its callers bear only so many tasks away at once; it is not stopped for others.
+                if spec.may_miss.is_some() {
+                    continue;
+                }
                 let since = held.started_at.unwrap_or(held.placed_at);
                 let mut lost_ms = now.since(since).0;
                 if spec.saves_checkpoints {
@@ -218,13 +219,17 @@
         groups.into_values().collect()
     }
 
-    fn stop_victim(&mut self, now: TimeMs, group: &Group) {
-        self.stop_where(now, |task| {
-            task.job_id == group.job_id
-                && task.occurrence == group.occurrence
-                && task.step == group.step
-                && group.index.is_none_or(|index| index == task.index)
-        });
+    fn stop_victim(&mut self, now: TimeMs, victim: &Victim) {
+        let group = &victim.group;
+        let on: BTreeSet<&WorkerName> = victim.frees.iter().map(|(worker, _)| worker).collect();
+        for worker in on {
+            self.stop_on(now, worker, |task| {
+                task.job_id == group.job_id
+                    && task.occurrence == group.occurrence
+                    && task.step == group.step
+                    && group.index.is_none_or(|index| index == task.index)
+            });
+        }
     }
 }
 
@@ -253,10 +258,29 @@
     }
 }
 
+/// A plan that is worth it: any for a promise, a cheap one for what only can be in time.
+fn plan_for(
+    candidate: &Candidate,
+    future: &[Slot],
+    spec: &StepSpec,
+    count: usize,
+    victims: &[Victim],
+) -> Option<Plan> {
+    if candidate.is_guaranteed {
+        return cheapest(future, spec, count, victims);
+    }
+    let lower: Vec<Victim> = victims
+        .iter()
+        .filter(|victim| victim.priority > candidate.priority)
+        .cloned()
+        .collect();
+    cheapest(future, spec, count, &lower).filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
+}
+
 /// Takes the places out of what later work may get, now and once the victims have stopped.
 fn reserve(future: &mut [Slot], room: &mut Room, places: &[WorkerName], need: Resources) {
     for worker in places {
-        for slots in [&mut *future, &mut room.slots[..]] {
+        for slots in [&mut *future, &mut *room.slots] {
             if let Some(slot) = slots.iter_mut().find(|slot| slot.worker == *worker) {
                 slot.free = slot.free.minus(need);
             }
@@ -326,7 +350,7 @@
         .collect();
     let mut chosen: Vec<&Victim> = Vec::new();
     let mut places = find(&slots, spec, count);
-    let mut open_room = room_of(&slots, spec);
+    let mut open_room: u64 = slots.iter().map(|slot| fits(slot, spec)).sum();
     for victim in victims {
         if places.is_some() {
             break;
@@ -338,16 +362,28 @@
         if !is_inside {
             continue;
         }
-        change(&mut slots, &places_of, victim, Resources::plus);
+        for (worker, need) in &victim.frees {
+            if let Some(&index) = places_of.get(worker) {
+                open_room -= fits(&slots[index], spec);
+                slots[index].free = slots[index].free.plus(*need);
+                open_room += fits(&slots[index], spec);
+            }
+        }
         chosen.push(victim);
         // Packing is tried only once the room could be enough at all.
-        open_room = open_room.max(room_of(&slots, spec));
         if open_room >= count as u64 {
             places = find(&slots, spec, count);
         }
     }
     let mut places = places?;
-    spare_needless(&mut slots, &places_of, &mut chosen, &mut places, spec, count);
+    spare_needless(
+        &mut slots,
+        &places_of,
+        &mut chosen,
+        &mut places,
+        spec,
+        count,
+    );
     Some(Plan {
         waste: chosen.iter().map(|victim| victim.waste).sum(),
         stopped: chosen.into_iter().cloned().collect(),
@@ -358,13 +394,9 @@
     })
 }
 
-/// How many tasks the slots take together, whatever else binds.
-fn room_of(slots: &[Slot], spec: &StepSpec) -> u64 {
-    let need = spec.reserved();
-    slots
-        .iter()
-        .map(|slot| slot.free.fits(need).min(u64::from(u32::MAX)))
-        .sum()
+/// How many tasks a slot takes, whatever else binds.
+fn fits(slot: &Slot, spec: &StepSpec) -> u64 {
+    slot.free.fits(spec.reserved()).min(u64::from(u32::MAX))
 }
 
 /// Victims that were chosen early may turn out needless once later ones are: they go on.
@@ -381,7 +413,11 @@
     let mut spared = BTreeSet::new();
     for index in order {
         let mut without = slots.clone();
-        change(&mut without, places_of, chosen[index], Resources::minus);
+        for (worker, need) in &chosen[index].frees {
+            if let Some(&place) = places_of.get(worker) {
+                without[place].free = without[place].free.minus(*need);
+            }
+        }
         if let Some(found) = find(&without, spec, count) {
             *slots = without;
             *places = found;
@@ -395,17 +431,3 @@
         is_needed
     });
 }
-
-/// Gives a victim's room to the slots, or takes it back.
-fn change(
-    slots: &mut [Slot],
-    places_of: &BTreeMap<WorkerName, usize>,
-    victim: &Victim,
-    apply: fn(Resources, Resources) -> Resources,
-) {
-    for (worker, need) in &victim.frees {
-        if let Some(&index) = places_of.get(worker) {
-            slots[index].free = apply(slots[index].free, *need);
-        }
-    }
-}
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -71,6 +71,7 @@
             return;
         }
         let mut candidates = self.candidates(now);
+        self.pass_weight = candidates.len() * self.workers.len();
         order(&mut candidates);
         let pools: BTreeSet<PoolName> = candidates.iter().map(|c| c.pool.clone()).collect();
         for pool in pools {
@@ -115,17 +116,14 @@
 
     fn shape_of(&self, candidate: &Candidate) -> Option<(StepSpec, usize)> {
         let job = self.jobs.get(&candidate.job_id)?;
-        let mut spec = job.spec(candidate.step)?.clone();
-        spec.estimate_ms = DurationMs(0);
-        spec.after.clear();
+        let spec = job.spec(candidate.step)?;
         // A single task that fits nowhere tells the same of its whole step.
         let count = if spec.is_gang {
             job.step(candidate.occurrence, candidate.step)?.waiting()
         } else {
-            spec.count = 1;
             1
         };
-        Some((spec, count))
+        Some((spec.shape(), count))
     }
 
     /// All steps that could start now.
@@ -238,6 +236,8 @@
                 });
             }
         }
+        // Racks lie together, so that packing finds them without a map.
+        room.slots.sort_by(|a, b| a.rack.cmp(&b.rack));
         room
     }
 
--- a/ragwortwick-daemon/src/area/coordination.rs
+++ b/ragwortwick-daemon/src/area/coordination.rs
@@ -1,9 +1,9 @@
 //! The coordinator's duty: a thread that drives the state machine and hands its actions out.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ragwortwick_area::{Action, Coordinator, Event, Now};
-use ragwortwick_core::TimeMs;
+use ragwortwick_core::{DurationMs, TimeMs, log_event};
 use tokio::sync::mpsc;
 
 use crate::{Machine, Ring, RingFull, unix_now};
@@ -37,6 +37,45 @@
     pub(super) actions: mpsc::UnboundedSender<Vec<Action>>,
     /// The time of the last call, which the next wakeup counts from.
     pub(super) last: Now,
+    pub(super) load: Load,
+}
+
+/// How often the coordinator's load is logged while it has work.
+const LOAD_LOG_MS: DurationMs = DurationMs(10_000);
+
+/// `Load` is what the coordinator did since its last log line.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Load {
+    since: TimeMs,
+    calls: u64,
+    busy_us: u64,
+    longest_us: u64,
+}
+
+impl Load {
+    fn add(&mut self, now: TimeMs, begun: Instant, coordinator: &Coordinator) {
+        let span_us = u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.calls += 1;
+        self.busy_us += span_us;
+        self.longest_us = self.longest_us.max(span_us);
+        if now.since(self.since) < LOAD_LOG_MS {
+            return;
+        }
+        log_event!(
+            Info,
+            "coordinator_load",
+            span_ms = now.since(self.since),
+            calls = self.calls,
+            busy_ms = self.busy_us / 1_000,
+            longest_ms = self.longest_us / 1_000,
+            open_jobs = coordinator.open_jobs(),
+            workers = coordinator.workers()
+        );
+        *self = Self {
+            since: now,
+            ..Self::default()
+        };
+    }
 }
 
 impl CoordinatorMachine {
@@ -60,15 +99,19 @@
     type Event = Event;
 
     fn on_event(&mut self, now: TimeMs, event: Event) {
+        let begun = Instant::now();
         let now = self.at(now);
         let actions = self.coordinator.on_event(now, event);
         self.hand_out(actions);
+        self.load.add(now.steady, begun, &self.coordinator);
     }
 
     fn on_wakeup(&mut self, now: TimeMs) {
+        let begun = Instant::now();
         let now = self.at(now);
         let actions = self.coordinator.on_wakeup(now);
         self.hand_out(actions);
+        self.load.add(now.steady, begun, &self.coordinator);
     }
 
     fn next_wakeup(&self) -> Option<TimeMs> {
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
-use super::coordination::{CoordinatorMachine, EventSender};
+use super::coordination::{CoordinatorMachine, EventSender, Load};
 use super::job_store::JobStore;
 use super::orders::OrderSender;
 use super::replica_feed::{Attach, CoordinatorKey};
@@ -126,6 +126,7 @@
         coordinator,
         actions,
         last: now,
+        load: Load::default(),
     });
     let until = won.tenure_until(won.granted_at);
     events.send(Event::Tenure { until }).await;
--- a/ragwortwick-emulator/examples/emulate.rs
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -3,17 +3,18 @@
 use std::process::ExitCode;
 
 use ragwortwick_core::TimeMs;
-use ragwortwick_emulator::{Options, World, draw_faults};
+use ragwortwick_emulator::{Load, Options, World, draw_faults};
 
 const HELP: &str = "\
 emulate: plays an area in virtual time
 
-usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N]
+usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N] [--load PERCENT]
 
   --seed N      first seed (1)
   --seeds N     how many seeds (100)
   --faults N    troubles in each (3)
   --workers N   workers of eight accelerators (24)
+  --load N      per cent of the usual arrivals (100)
 
 exit codes: 0 every promise held, 1 one was broken, 2 wrong arguments
 ";
@@ -33,9 +34,10 @@
             number("--seeds", 100)?,
             number("--faults", 3)?,
             number("--workers", 24)?,
+            number("--load", 100)?,
         ])
     })();
-    let [first, seeds, faults, workers] = match parsed {
+    let [first, seeds, faults, workers, percent] = match parsed {
         Ok(numbers) => numbers,
         Err(error) => {
             eprintln!("{error}\n{HELP}");
@@ -45,8 +47,14 @@
     let mut broken = 0;
     let (mut starts, mut stopped, mut jobs) = (0, 0, 0);
     for seed in first..first + seeds {
+        let share = f64::from(u32::try_from(percent).unwrap_or(100)) / 100.0;
+        let usual = Load::default();
         let options = Options {
             seed,
+            load: Load {
+                per_s: usual.per_s.map(|per_s| per_s * share),
+                ..usual
+            },
             workers: u32::try_from(workers).unwrap_or(24),
             ..Options::default()
         };
