--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -7,7 +7,7 @@
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::job_state::{Outcome, Settled};
-use crate::messages::EndKind;
+use crate::messages::{Action, EndKind, OverWhy, RunOver};
 use crate::worker::{HeldPhase, LookState};
 
 /// Failed runs in a row, of any jobs, after which a worker is suspected.
@@ -38,6 +38,19 @@
         let Some(held) = worker.release(task) else {
             return;
         };
+        let why = match outcome {
+            Outcome::Done => OverWhy::Done,
+            Outcome::Failed => OverWhy::Failed,
+            Outcome::Void if held.is_stopping() => OverWhy::Stopped,
+            Outcome::Void if worker.is_silent => OverWhy::WorkerSilent,
+            Outcome::Void => OverWhy::NotThere,
+        };
+        self.actions.push(Action::Report(RunOver {
+            worker: worker_name.clone(),
+            task: task.clone(),
+            run,
+            why,
+        }));
         match outcome {
             Outcome::Done => worker.failures_in_row = 0,
             Outcome::Failed => {
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -27,8 +27,8 @@
 pub use job::{JobRecord, QueueTerms, Resources, Schedule, StepSpec, TaskId};
 pub use limits::Limits;
 pub use messages::{
-    Action, EndKind, EndedTask, Event, Look, OrderReply, RefusalCause, RunningTask, StoredProgress,
-    WorkerEntry,
+    Action, EndKind, EndedTask, Event, Look, OrderReply, OverWhy, RefusalCause, RunOver,
+    RunningTask, StoredProgress, WorkerEntry,
 };
 pub use progress::{GangProgress, JobPhase, Progress, TaskProgress};
 pub use records::MAX_BATCH_RECORDS;
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -200,6 +200,34 @@
     pub progress: Progress,
 }
 
+/// `RunOver` tells that a run is over, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunOver {
+    /// The worker.
+    pub worker: WorkerName,
+    /// The task.
+    pub task: TaskId,
+    /// Its run.
+    pub run: u32,
+    /// How it is over.
+    pub why: OverWhy,
+}
+
+/// `OverWhy` is how a run came to be over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OverWhy {
+    /// It did its work.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was told to stop, for other work, its gang, a cancel, or its leaving worker.
+    Stopped,
+    /// Its worker no longer answers, and every lease there has run out.
+    WorkerSilent,
+    /// It never began, or its worker no longer has it.
+    NotThere,
+}
+
 /// `Action` is what the coordinator asks for.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -251,6 +279,8 @@
         /// How long the worker may wait for an end before it answers.
         wait_ms: DurationMs,
     },
+    /// Log that a run is over.
+    Report(RunOver),
     /// A worker knows a coordinator of a later term: stop coordinating.
     Resign,
     /// Forget the records of a job that ended long ago.
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -8,6 +8,7 @@
 mod host;
 mod job_store;
 mod keys;
+mod log_budget;
 mod orders;
 mod ready;
 mod replica;
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -5,6 +5,7 @@
 use ragwortwick_core::{Epoch, WorkerName, log_event};
 
 use super::coordination::EventSender;
+use super::log_budget::LogBudget;
 use crate::Clock;
 
 /// `OrderSender` sends orders in the name of one term; clones share its connections.
@@ -14,6 +15,8 @@
     pub(super) term: Epoch,
     pub(super) clock: Clock,
     pub(super) events: EventSender,
+    pub(super) start_lines: LogBudget,
+    pub(super) stop_lines: LogBudget,
 }
 
 impl OrderSender {
@@ -58,7 +61,7 @@
                 };
                 self.look(worker, &address, &order).await
             }
-            Action::Store { .. } | Action::Resign | Action::Forget(_) => return,
+            Action::Store { .. } | Action::Resign | Action::Forget(_) | Action::Report(_) => return,
         };
         self.events.send(event).await;
     }
@@ -68,7 +71,19 @@
             .workers
             .start(&worker, address, self.term, &order)
             .await;
-        if !matches!(reply, OrderReply::Accepted { .. }) {
+        if matches!(reply, OrderReply::Accepted { .. }) {
+            if self.start_lines.admit(self.clock.now()) {
+                log_event!(
+                    Info,
+                    "run_started",
+                    task = order.task,
+                    run = order.run,
+                    worker = worker,
+                    term = self.term,
+                    has_checkpoint = !order.checkpoint.is_empty()
+                );
+            }
+        } else {
             log_event!(
                 Info,
                 "start_not_accepted",
@@ -92,15 +107,17 @@
             .workers
             .stop(&worker, address, self.term, &task, run)
             .await;
-        log_event!(
-            Info,
-            "run_stopped",
-            task = task,
-            run = run,
-            worker = worker,
-            term = self.term,
-            reply = format!("{reply:?}")
-        );
+        if self.stop_lines.admit(self.clock.now()) {
+            log_event!(
+                Info,
+                "run_stopped",
+                task = task,
+                run = run,
+                worker = worker,
+                term = self.term,
+                reply = format!("{reply:?}")
+            );
+        }
         Event::StopReplied {
             worker,
             task,
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -12,6 +12,7 @@
 
 use super::coordination::{CoordinatorMachine, EventSender, Load};
 use super::job_store::JobStore;
+use super::log_budget::LogBudget;
 use super::orders::OrderSender;
 use super::replica_feed::{Attach, CoordinatorKey};
 use super::store_health::StoreHealth;
@@ -156,6 +157,8 @@
         term,
         clock: parts.clock,
         events,
+        start_lines: LogBudget::new("run_started"),
+        stop_lines: LogBudget::new("run_stopped"),
     };
     let why = hand_out(parts, won, action_feed, &writes, &sender, ended).await;
     tasks.shutdown().await;
@@ -184,6 +187,7 @@
     mut ended: mpsc::Receiver<&'static str>,
 ) -> &'static str {
     let mut orders = JoinSet::new();
+    let over_lines = LogBudget::new("run_over");
     let mut key = parts.coordinator_key.clone();
     let mut stopping = parts.stopping.clone();
     if *stopping.borrow_and_update() {
@@ -193,7 +197,7 @@
         tokio::select! {
             batch = actions.recv() => {
                 let Some(batch) = batch else { break "the coordinator has ended" };
-                if !carry_out(batch, writes, sender, &mut orders) {
+                if !carry_out(batch, writes, sender, &mut orders, &over_lines) {
                     break "a worker knows a later term";
                 }
             }
@@ -218,12 +222,27 @@
     writes: &mpsc::UnboundedSender<Write>,
     sender: &OrderSender,
     orders: &mut JoinSet<()>,
+    over_lines: &LogBudget,
 ) -> bool {
     for action in batch {
         let write = match action {
             Action::Store { batch, records } => Write::Batch { batch, records },
             Action::Forget(job_id) => Write::Forget(job_id),
             Action::Resign => return false,
+            Action::Report(over) => {
+                if over_lines.admit(sender.clock.now()) {
+                    log_event!(
+                        Info,
+                        "run_over",
+                        task = over.task,
+                        run = over.run,
+                        worker = over.worker,
+                        term = sender.term,
+                        cause = format!("{:?}", over.why)
+                    );
+                }
+                continue;
+            }
             order => {
                 orders.spawn(sender.clone().carry_out(order));
                 continue;
--- a/ragwortwick-daemon/src/lib.rs
+++ b/ragwortwick-daemon/src/lib.rs
@@ -28,7 +28,7 @@
 pub use duty::{Duty, Machine, Ring, RingFull};
 pub use feeds::{Feeds, Lifecycle};
 pub use jobs::{JobError, JobsHandle};
-pub use logging::open_log;
+pub use logging::{finish_log, open_log};
 pub use metrics::{MetricDescription, MetricRegistry, Metrics, StateMetrics};
 pub use peers::{LocalLoad, PEER_PROTOCOL, PeerClient, PeerError};
 pub use requests::{ClaimStore, IdsRefused, RequestLoad, Requests, RequestsHandle, StoreClaims};
