--- /dev/null
+++ b/ragwortwick-soak/src/lib.rs
@@ -0,0 +1,9 @@
+//! A fault soak: real entry hosts as separate processes, troubles from outside, promises checked.
+//!
+//! It sees what callers and workers see: answers of the hosts, and the runs that workers begin.
+
+mod callers;
+mod play;
+mod trouble;
+
+pub use play::{Found, Plan, play};
--- /dev/null
+++ b/ragwortwick-soak/src/trouble.rs
@@ -0,0 +1,110 @@
+//! Troubles that are brought about from outside the processes, in overlapping series.
+
+use std::time::Duration;
+
+use ragwortwick_standin::{AreaFleet, StoreTrouble};
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+
+/// `Trouble` is one thing that goes wrong; most are undone by a later step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// A host is killed and an empty one takes its place.
+    Kill(usize),
+    /// A host stands still until it is woken.
+    Freeze(usize),
+    /// A host that stands still goes on.
+    Wake(usize),
+    /// A host is told that its settings file changed.
+    HangUp(usize),
+    /// A host is stopped as planned, and an empty one takes its place.
+    Stop(usize),
+    /// The store misbehaves.
+    Store(StoreTrouble),
+    /// The store drops its history.
+    Forget,
+    /// A worker takes calls without an answer, or answers again.
+    Worker(usize, bool),
+}
+
+/// `Step` is a trouble after a pause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Step {
+    pub(crate) pause: Duration,
+    pub(crate) trouble: Trouble,
+}
+
+/// Draws a series; what has to be undone is undone at its end.
+pub(crate) fn draw(rng: &mut Pcg64Mcg, steps: usize, hosts: usize, workers: usize) -> Vec<Step> {
+    let mut series = Vec::new();
+    for _ in 0..steps {
+        let host = rng.random_range(0..hosts);
+        let trouble = match rng.random_range(0..10) {
+            0 => Trouble::Kill(host),
+            1 | 2 => Trouble::Freeze(host),
+            3 => Trouble::Wake(host),
+            4 => Trouble::HangUp(host),
+            5 => Trouble::Stop(host),
+            6 => Trouble::Store(StoreTrouble::Silent),
+            7 => Trouble::Store([StoreTrouble::Busy, StoreTrouble::LosesAnswers][host % 2]),
+            8 => Trouble::Forget,
+            _ => Trouble::Worker(rng.random_range(0..workers), rng.random_bool(0.6)),
+        };
+        series.push(Step {
+            pause: Duration::from_millis(rng.random_range(50..1_800)),
+            trouble,
+        });
+        // An outage that never ended would leave nothing to see.
+        let undo = match trouble {
+            Trouble::Store(_) => Some(Trouble::Store(StoreTrouble::None)),
+            Trouble::Freeze(host) => Some(Trouble::Wake(host)),
+            _ => None,
+        };
+        series.extend(undo.map(|trouble| Step {
+            pause: Duration::from_millis(rng.random_range(200..3_500)),
+            trouble,
+        }));
+    }
+    series.extend((0..hosts).map(|host| Step {
+        pause: Duration::ZERO,
+        trouble: Trouble::Wake(host),
+    }));
+    series.extend((0..workers).map(|worker| Step {
+        pause: Duration::ZERO,
+        trouble: Trouble::Worker(worker, false),
+    }));
+    series
+}
+
+/// Brings a trouble about.
+pub(crate) async fn bring(fleet: &mut AreaFleet, trouble: Trouble) {
+    match trouble {
+        // A host that has just ended takes no signal, and needs none.
+        Trouble::Freeze(host) => drop(fleet.hosts[host].freeze()),
+        Trouble::Wake(host) => drop(fleet.hosts[host].wake()),
+        Trouble::HangUp(host) => drop(fleet.hosts[host].hang_up()),
+        Trouble::Store(trouble) => fleet.store.set_trouble(trouble),
+        Trouble::Forget => fleet.store.forget_history(),
+        Trouble::Worker(worker, is_silent) => fleet.workers.set_silent(worker, is_silent),
+        Trouble::Kill(host) => {
+            drop(fleet.hosts[host].kill());
+            replace(fleet, host).await;
+        }
+        Trouble::Stop(host) => {
+            drop(fleet.hosts[host].wake());
+            drop(fleet.hosts[host].terminate());
+            replace(fleet, host).await;
+        }
+    }
+}
+
+async fn replace(fleet: &mut AreaFleet, host: usize) {
+    if let Ok(new) = fleet.spawn_host().await {
+        let old = std::mem::replace(&mut fleet.hosts[host], new);
+        // A host that was told to stop ends by itself; it is waited for beside the series.
+        tokio::spawn(async move {
+            let mut old = old;
+            drop(old.wait().await);
+        });
+    }
+}
