--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -16,8 +16,21 @@
 /// How long a suspected worker gets no new work.
 const SUSPECT_MS: DurationMs = DurationMs(6_000);
 
-/// Pause before the next look at a worker whose ends have to be stored first.
-const AFTER_ENDS_MS: DurationMs = DurationMs(5);
+/// Pause before the next look at a worker that had nothing to tell.
+const AFTER_LOOK_MS: DurationMs = DurationMs(5);
+
+/// Workers for each further millisecond of pause after ends.
+const WORKERS_PER_PAUSE_MS: usize = 4;
+
+/// Longest pause after ends: a freed accelerator stands idle for half of it on average.
+const MOST_AFTER_ENDS_MS: u64 = 100;
+
+/// Pause before the next look at a worker that listed ends. Each end is answered at once, so many
+/// small tasks on many workers would cost a look each; a pause takes several ends in one.
+fn after_ends_ms(workers: usize) -> DurationMs {
+    let more_ms = (workers / WORKERS_PER_PAUSE_MS) as u64;
+    DurationMs((AFTER_LOOK_MS.0 + more_ms).min(MOST_AFTER_ENDS_MS))
+}
 
 impl Coordinator {
     /// A run is over for good: its room is free, and its job goes on from there.
@@ -159,13 +172,19 @@
         sent_at: TimeMs,
         look: crate::messages::Look,
     ) {
+        let after_ends_ms = after_ends_ms(self.workers.len());
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
         worker.hear_clock(now, look.clock_ms);
         worker.is_silent = false;
+        let pause_ms = if look.ended.is_empty() {
+            AFTER_LOOK_MS
+        } else {
+            after_ends_ms
+        };
         worker.look = LookState::Idle {
-            next_at: now + AFTER_ENDS_MS,
+            next_at: now + pause_ms,
         };
         let mut highest = worker.taken_in;
         let new_ends: Vec<_> = look
--- a/ragwortwick-daemon/src/area/accept.rs
+++ b/ragwortwick-daemon/src/area/accept.rs
@@ -14,7 +14,7 @@
 /// Pause before a write without a certain outcome is sent again.
 const RETRY_MS: DurationMs = DurationMs(60);
 
-/// `Accepted` is how a write for a caller went.
+/// `WriteOutcome` is how a write for a caller went.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum WriteOutcome {
     /// It is stored.
@@ -27,6 +27,18 @@
     NoSuchJob,
 }
 
+impl WriteOutcome {
+    /// `name` is the outcome as a label of a metric.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Stored => "stored",
+            Self::NotStored(_) => "not_stored",
+            Self::Unknown(_) => "unknown",
+            Self::NoSuchJob => "no_such_job",
+        }
+    }
+}
+
 /// `JobWriter` stores what callers ask for; clones share everything.
 #[derive(Clone, Debug)]
 pub(super) struct JobWriter {
--- a/ragwortwick-daemon/src/area/front.rs
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use super::accept::{JobWriter, WriteOutcome};
+use super::metrics::AreaMetrics;
 use crate::{Clock, unix_now};
 
 /// Time a caller waits if it doesn't say.
@@ -44,6 +45,7 @@
     pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
     pub(super) writer: JobWriter,
     pub(super) stopping: watch::Receiver<bool>,
+    pub(super) metrics: AreaMetrics,
 }
 
 /// The handler's view of `Front`. A panic ends the process, so no half-changed state is ever seen.
@@ -205,7 +207,17 @@
         );
         return Refusal::new(StatusCode::BAD_REQUEST, error.field(), text).into_response(state);
     }
+    let begun_at = front.clock.now();
     let outcome = front.writer.accept(record, call.until).await;
+    let customer = call.customer.as_str();
+    let counted = front
+        .metrics
+        .answers
+        .with_label_values(&[customer, outcome.name()]);
+    counted.inc();
+    let taken = std::time::Duration::from(front.clock.now().since(begun_at));
+    let timed = front.metrics.accept_seconds.with_label_values(&[customer]);
+    timed.observe(taken.as_secs_f64());
     log_event!(
         Info,
         "job_handed_in",
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -14,6 +14,7 @@
 use super::desired_feed::DesiredFeed;
 use super::election;
 use super::front::{self, Front};
+use super::metrics::{self, AreaMetrics};
 use super::ready::{self, Readiness};
 use super::replica::Replica;
 use super::replica_feed::{CoordinatorKey, ReplicaFeed};
@@ -39,6 +40,8 @@
         /// What the system said.
         cause: std::io::Error,
     },
+    /// cannot register the metrics: {0}
+    Metrics(prometheus::Error),
 }
 
 impl std::error::Error for AreaHostError {}
@@ -49,6 +52,8 @@
     settings: AreaSettings,
     server: Server,
     ready_server: Server,
+    /// Serves for as long as the handle lives.
+    _metrics_server: Option<Server>,
     stopping: watch::Sender<bool>,
     feeds: JoinSet<()>,
     election: JoinSet<()>,
@@ -65,6 +70,7 @@
         let store = StoreClient::open(&settings.store_address);
         let health = StoreHealth::open(clock);
         let replica = Replica::default();
+        let metrics = AreaMetrics::open(store.counts()).map_err(AreaHostError::Metrics)?;
         let (stopping, stopping_feed) = watch::channel(false);
         let (desired_sender, desired) = watch::channel::<Option<Arc<DesiredState>>>(None);
         let (key_sender, coordinator_key) = watch::channel(CoordinatorKey::Unread);
@@ -95,6 +101,8 @@
             attach,
             coordinator_key,
             stopping: stopping_feed.clone(),
+            replica: replica.clone(),
+            metrics: metrics.clone(),
         };
         election.spawn(election::run(
             parts,
@@ -112,6 +120,7 @@
                 clock,
             },
             stopping: stopping_feed.clone(),
+            metrics: metrics.clone(),
         };
         let readiness = Readiness {
             desired,
@@ -120,6 +129,10 @@
             stopping: stopping_feed,
         };
         let ready_server = bind(&settings.ready_listen, ready::router(readiness)).await?;
+        let metrics_server = match &settings.metrics_listen {
+            Some(address) => Some(bind(address, metrics::router(metrics)).await?),
+            None => None,
+        };
         let server = bind(&settings.listen, front::router(front)).await?;
         log_event!(
             Info,
@@ -127,12 +140,16 @@
             host = settings.host,
             zone = settings.zone,
             address = server.address(),
-            ready_address = ready_server.address()
+            ready_address = ready_server.address(),
+            metrics_address = metrics_server
+                .as_ref()
+                .map_or_else(String::new, |server| server.address().to_string())
         );
         Ok(Self {
             settings,
             server,
             ready_server,
+            _metrics_server: metrics_server,
             stopping,
             feeds,
             election,
--- /dev/null
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -0,0 +1,146 @@
+//! Counters and histograms of an area's entry host, as text for the metrics address.
+
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use gotham::handler::SimpleHandlerResult;
+use gotham::helpers::http::response::create_response;
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{single_middleware, single_pipeline};
+use gotham::prelude::{DefineSingleRoute, DrawRoutes, FromState, StateData};
+use gotham::router::Router;
+use gotham::router::builder::build_router;
+use gotham::state::State;
+use http::StatusCode;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+use ragwortwick_adapter::StoreCall;
+
+/// Bounds of the time that taking a job in may take: a round trip to the store up to the deadline.
+const ACCEPT_BUCKETS_S: [f64; 8] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.5, 1.0, 3.0];
+
+/// Bounds of a job's time from acceptance to its end: seconds to hours.
+const END_BUCKETS_S: [f64; 10] = [
+    1.0, 2.5, 5.0, 10.0, 20.0, 60.0, 300.0, 1_800.0, 7_200.0, 28_800.0,
+];
+
+/// `AreaMetrics` is what one host counts; clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct AreaMetrics {
+    registry: Registry,
+    /// Jobs handed in, by customer and outcome.
+    pub(super) answers: IntCounterVec,
+    /// Time to take a job in, by customer.
+    pub(super) accept_seconds: HistogramVec,
+    /// Time from acceptance to the end, by customer and phase; counted by the coordinator.
+    pub(super) end_seconds: HistogramVec,
+    /// Runs that are over, by cause; counted by the coordinator.
+    pub(super) runs_over: IntCounterVec,
+    /// Whether this host coordinates.
+    pub(super) is_coordinator: IntGauge,
+    store_calls: IntGaugeVec,
+    counts: Arc<StoreCall>,
+}
+
+impl AreaMetrics {
+    /// `open` registers everything.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have one name.
+    pub(super) fn open(counts: Arc<StoreCall>) -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let histogram = |name: &str, help: &str, labels: &[&str], buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let histogram = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let answers = counter(
+            "ragwortwick_area_jobs_total",
+            "Jobs handed in at this host",
+            &["customer", "outcome"],
+        )?;
+        let runs_over = counter(
+            "ragwortwick_area_runs_over_total",
+            "Runs that are over, by this host as coordinator",
+            &["cause"],
+        )?;
+        let accept_seconds = histogram(
+            "ragwortwick_area_accept_seconds",
+            "Time to take a job in",
+            &["customer"],
+            &ACCEPT_BUCKETS_S,
+        )?;
+        let end_seconds = histogram(
+            "ragwortwick_area_job_end_seconds",
+            "Time from a job's acceptance to its end, by this host as coordinator",
+            &["customer", "phase"],
+            &END_BUCKETS_S,
+        )?;
+        let is_coordinator = IntGauge::new(
+            "ragwortwick_area_is_coordinator",
+            "Whether this host coordinates",
+        )?;
+        registry.register(Box::new(is_coordinator.clone()))?;
+        let options = Opts::new("ragwortwick_area_store_calls", "Calls to the store");
+        let store_calls = IntGaugeVec::new(options, &["kind"])?;
+        registry.register(Box::new(store_calls.clone()))?;
+        Ok(Self {
+            registry,
+            answers,
+            accept_seconds,
+            end_seconds,
+            runs_over,
+            is_coordinator,
+            store_calls,
+            counts,
+        })
+    }
+
+    fn render(&self) -> prometheus::Result<Vec<u8>> {
+        let kinds = [
+            ("read", &self.counts.reads),
+            ("watch", &self.counts.watches),
+            ("write", &self.counts.writes),
+            ("renewal", &self.counts.renewals),
+        ];
+        for (kind, count) in kinds {
+            let count = i64::try_from(count.load(Ordering::Relaxed)).unwrap_or(i64::MAX);
+            self.store_calls.with_label_values(&[kind]).set(count);
+        }
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+/// The handler's view of the metrics. A panic ends the process, so no half-changed state is seen.
+#[derive(Clone, Debug, StateData)]
+struct SharedMetrics(Arc<AssertUnwindSafe<AreaMetrics>>);
+
+pub(super) fn router(metrics: AreaMetrics) -> Router {
+    let shared = SharedMetrics(Arc::new(AssertUnwindSafe(metrics)));
+    let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(shared)));
+    build_router(chain, pipelines, |route| {
+        route.get("/metrics").to_async_borrowing(show);
+    })
+}
+
+async fn show(state: &mut State) -> SimpleHandlerResult {
+    let text = SharedMetrics::borrow_from(state).0.render()?;
+    Ok(create_response(
+        state,
+        StatusCode::OK,
+        mime::TEXT_PLAIN,
+        text,
+    ))
+}
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -9,6 +9,7 @@
 mod job_store;
 mod keys;
 mod log_budget;
+mod metrics;
 mod orders;
 mod ready;
 mod replica;
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -1,13 +1,39 @@
 //! Carries out the coordinator's orders to workers and reports how they went.
 
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
 use ragwortwick_adapter::{LookOrder, LookReply, StartOrder, WorkerClient};
 use ragwortwick_area::{Action, Event, OrderReply, TaskId};
-use ragwortwick_core::{Epoch, WorkerName, log_event};
+use ragwortwick_core::{DurationMs, Epoch, WorkerName, log_event};
+
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::timeout;
 
 use super::coordination::EventSender;
 use super::log_budget::LogBudget;
 use crate::Clock;
 
+/// Longest wait of an order for those before it.
+///
+/// Orders to a worker that hangs would else be sent seconds after they were decided, to one that is
+/// leaving by then or for a job that was cancelled meanwhile. What waited in vain is decided anew.
+const LANE_WAIT_MS: DurationMs = DurationMs(300);
+
+/// `Lanes` lets one order after the other go to a worker.
+///
+/// A worker that gets eight tasks at once would else be sent eight orders over eight connections, of
+/// which all but two are closed again.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Lanes(Arc<Mutex<HashMap<WorkerName, Arc<AsyncMutex<()>>>>>);
+
+impl Lanes {
+    fn lane(&self, worker: &WorkerName) -> Arc<AsyncMutex<()>> {
+        let mut lanes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(lanes.entry(worker.clone()).or_default())
+    }
+}
+
 /// `OrderSender` sends orders in the name of one term; clones share its connections.
 #[derive(Clone, Debug)]
 pub(super) struct OrderSender {
@@ -15,6 +41,7 @@
     pub(super) term: Epoch,
     pub(super) clock: Clock,
     pub(super) events: EventSender,
+    pub(super) lanes: Lanes,
     pub(super) start_lines: LogBudget,
     pub(super) stop_lines: LogBudget,
 }
@@ -67,10 +94,15 @@
     }
 
     async fn start(&self, worker: WorkerName, address: &str, order: StartOrder) -> Event {
-        let reply = self
-            .workers
-            .start(&worker, address, self.term, &order)
-            .await;
+        let lane = self.lanes.lane(&worker);
+        let reply = match timeout(LANE_WAIT_MS.into(), lane.lock()).await {
+            Ok(_turn) => {
+                self.workers
+                    .start(&worker, address, self.term, &order)
+                    .await
+            }
+            Err(_) => OrderReply::Unknown,
+        };
         if matches!(reply, OrderReply::Accepted { .. }) {
             if self.start_lines.admit(self.clock.now()) {
                 log_event!(
@@ -103,10 +135,15 @@
     }
 
     async fn stop(&self, worker: WorkerName, address: &str, task: TaskId, run: u32) -> Event {
-        let reply = self
-            .workers
-            .stop(&worker, address, self.term, &task, run)
-            .await;
+        let lane = self.lanes.lane(&worker);
+        let reply = match timeout(LANE_WAIT_MS.into(), lane.lock()).await {
+            Ok(_turn) => {
+                self.workers
+                    .stop(&worker, address, self.term, &task, run)
+                    .await
+            }
+            Err(_) => OrderReply::Unknown,
+        };
         if self.stop_lines.admit(self.clock.now()) {
             log_event!(
                 Info,
--- a/ragwortwick-daemon/src/area/settings.rs
+++ b/ragwortwick-daemon/src/area/settings.rs
@@ -17,6 +17,9 @@
     pub listen: String,
     /// ip:port of the balancer's question whether this host is ready.
     pub ready_listen: String,
+    /// ip:port of the metrics; without one they are not served.
+    #[serde(default)]
+    pub metrics_listen: Option<String>,
     /// ip:port of the platform's store.
     pub store_address: String,
     /// Share of a core that this host has.
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -1,6 +1,7 @@
 //! One term of coordination: from winning the key to losing or giving it up.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ragwortwick_adapter::{StoreClient, StoreFailure, WorkerClient};
 use ragwortwick_area::{
@@ -13,7 +14,9 @@
 use super::coordination::{CoordinatorMachine, EventSender, Load};
 use super::job_store::JobStore;
 use super::log_budget::LogBudget;
-use super::orders::OrderSender;
+use super::metrics::AreaMetrics;
+use super::orders::{Lanes, OrderSender};
+use super::replica::Replica;
 use super::replica_feed::{Attach, CoordinatorKey};
 use super::store_health::StoreHealth;
 use super::worker_feed::{WorkerFeed, read_workers};
@@ -42,6 +45,8 @@
     pub(super) attach: mpsc::Sender<Attach>,
     pub(super) coordinator_key: watch::Receiver<CoordinatorKey>,
     pub(super) stopping: watch::Receiver<bool>,
+    pub(super) replica: Replica,
+    pub(super) metrics: AreaMetrics,
 }
 
 /// `Won` is the key that a term holds.
@@ -64,7 +69,10 @@
 pub(super) async fn serve(parts: &TermParts, won: Won) {
     let term = Epoch(won.revision.0);
     log_event!(Info, "term_begins", term = term);
-    let why = match run(parts, won, term).await {
+    parts.metrics.is_coordinator.set(1);
+    let result = run(parts, won, term).await;
+    parts.metrics.is_coordinator.set(0);
+    let why = match result {
         Ok(why) => why.to_owned(),
         Err(error) => error.to_string(),
     };
@@ -149,7 +157,11 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(feed.run(Some(workers_as_of)));
     tasks.spawn(follow_desired(parts.desired.clone(), events.clone()));
-    let writing = write_batches(job_store, write_feed, events.clone(), end.clone());
+    let ends = EndedJobs {
+        replica: parts.replica.clone(),
+        metrics: parts.metrics.clone(),
+    };
+    let writing = write_batches(job_store, write_feed, events.clone(), end.clone(), ends);
     tasks.spawn(writing);
     tasks.spawn(renew(parts.clone(), won, events.clone(), end));
     let sender = OrderSender {
@@ -157,6 +169,7 @@
         term,
         clock: parts.clock,
         events,
+        lanes: Lanes::default(),
         start_lines: LogBudget::new("run_started"),
         stop_lines: LogBudget::new("run_stopped"),
     };
@@ -197,7 +210,7 @@
         tokio::select! {
             batch = actions.recv() => {
                 let Some(batch) = batch else { break "the coordinator has ended" };
-                if !carry_out(batch, writes, sender, &mut orders, &over_lines) {
+                if !carry_out(batch, writes, sender, &mut orders, &over_lines, &parts.metrics) {
                     break "a worker knows a later term";
                 }
             }
@@ -223,6 +236,7 @@
     sender: &OrderSender,
     orders: &mut JoinSet<()>,
     over_lines: &LogBudget,
+    metrics: &AreaMetrics,
 ) -> bool {
     for action in batch {
         let write = match action {
@@ -230,6 +244,8 @@
             Action::Forget(job_id) => Write::Forget(job_id),
             Action::Resign => return false,
             Action::Report(over) => {
+                let cause = format!("{:?}", over.why);
+                metrics.runs_over.with_label_values(&[cause.as_str()]).inc();
                 if over_lines.admit(sender.clock.now()) {
                     log_event!(
                         Info,
@@ -238,7 +254,7 @@
                         run = over.run,
                         worker = over.worker,
                         term = sender.term,
-                        cause = format!("{:?}", over.why)
+                        cause = cause
                     );
                 }
                 continue;
@@ -300,11 +316,40 @@
     Forget(JobId),
 }
 
+/// `EndedJobs` tells of jobs that came to their end, once that is stored.
+struct EndedJobs {
+    replica: Replica,
+    metrics: AreaMetrics,
+}
+
+impl EndedJobs {
+    fn tell(&self, stored: &StoredProgress) {
+        let phase = stored.progress.phase;
+        if !phase.is_final() {
+            return;
+        }
+        let view = self.replica.view(&stored.job_id);
+        // A record is stored again while runs of an ended job still stop; that is no second end.
+        if view.as_ref().is_some_and(|view| view.phase.is_final()) {
+            return;
+        }
+        let phase = format!("{phase:?}");
+        log_event!(Info, "job_over", job_id = stored.job_id, phase = phase);
+        if let Some(record) = view.and_then(|view| view.record) {
+            let taken = Duration::from(unix_now().since(record.accepted_unix_ms));
+            let labels = [record.customer.as_str(), phase.as_str()];
+            let timed = self.metrics.end_seconds.with_label_values(&labels);
+            timed.observe(taken.as_secs_f64());
+        }
+    }
+}
+
 async fn write_batches(
     mut job_store: JobStore,
     mut batches: mpsc::UnboundedReceiver<Write>,
     events: EventSender,
     end: mpsc::Sender<&'static str>,
+    ends: EndedJobs,
 ) {
     while let Some(write) = batches.recv().await {
         match write {
@@ -314,14 +359,7 @@
                     return;
                 }
                 for record in &records {
-                    if record.progress.phase.is_final() {
-                        log_event!(
-                            Info,
-                            "job_over",
-                            job_id = record.job_id,
-                            phase = format!("{:?}", record.progress.phase)
-                        );
-                    }
+                    ends.tell(record);
                 }
                 events.send(Event::Stored { batch }).await;
             }
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 
 use http::{Method, StatusCode};
+use ragwortwick_core::DurationMs;
+use ragwortwick_http::{HttpClient, HttpClientOptions};
 use ragwortwick_standin::{AreaFleet, StoreTrouble, area_job, desired, wait_until};
 use serde_json::json;
 
@@ -244,6 +246,40 @@
     fleet.close();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_metrics_and_readiness_are_served() {
+    let fleet = open(1, 4).await;
+    let status = fleet.submit(0, ID, area_job(1, 50, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    wait_for_state(&fleet, 0, ID, "completed").await;
+    let http = HttpClient::new(&HttpClientOptions::default());
+    let get = async |address: &str, path: &str| {
+        let reply = http.send(Method::GET, address, path, None, DurationMs(3_000));
+        let reply = reply.await.expect("an answer");
+        (
+            reply.status,
+            String::from_utf8_lossy(&reply.body).into_owned(),
+        )
+    };
+    let metrics = fleet.hosts[0].metrics_address().await.expect("an address");
+    wait_until("the job's end is counted", async || {
+        let (_, text) = get(&metrics, "/metrics").await;
+        text.contains(
+            "ragwortwick_area_job_end_seconds_count{customer=\"c\",phase=\"Completed\"} 1",
+        ) && text.contains("ragwortwick_area_jobs_total{customer=\"c\",outcome=\"stored\"} 1")
+            && text.contains("ragwortwick_area_is_coordinator 1")
+    })
+    .await;
+    let ready = fleet.hosts[0].ready_address().await.expect("an address");
+    assert_eq!(get(&ready, "/readiness").await.0, StatusCode::OK);
+    fleet.store.set_trouble(StoreTrouble::Busy);
+    wait_until("a host without the store is not ready", async || {
+        get(&ready, "/readiness").await.0 == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    fleet.close();
+}
+
 /// A version that removes the queue is in force soon, and never goes back to an older one.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_newer_desired_state_stays_in_force() {
--- a/ragwortwick-standin/src/fleet/child.rs
+++ b/ragwortwick-standin/src/fleet/child.rs
@@ -111,6 +111,16 @@
         field(&line, "ready_address").ok_or(FleetError::Ended("ready_address".to_owned()))
     }
 
+    /// `metrics_address` is where an area's host shows its metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails for a process that is no area's host.
+    pub async fn metrics_address(&self) -> Result<String, FleetError> {
+        let line = self.wait_for_event("listening").await?;
+        field(&line, "metrics_address").ok_or(FleetError::Ended("metrics_address".to_owned()))
+    }
+
     /// `host` is its name.
     #[must_use]
     pub fn host(&self) -> &HostName {
@@ -279,6 +289,7 @@
         "zone": options.zone,
         "listen": "127.0.0.1:0",
         "ready_listen": "127.0.0.1:0",
+        "metrics_listen": "127.0.0.1:0",
         "store_address": options.store_address,
         "stop_grace_s": 6,
         "worker_lease_ms": 4_000,
