Split large files of the area, the adapter and the emulator; capacity of an area

Cause: eight files had 330 to 1,300 lines and several jobs each; the page of capacity said nothing of the platform. Change: displacement, candidates, settling, the term's writes, the store's wire types and the emulator's parts have files of their own; docs/CAPACITY.md has measured figures of an area and what breaks at the planned size. Conclusion: no change of behaviour.

--- /dev/null
+++ b/ragwortwick-area/src/candidates.rs
@@ -0,0 +1,155 @@
+//! What could start now, whose guarantee covers it, and in which order it is tried.
+
+use std::collections::BTreeMap;
+
+use ragwortwick_core::{CustomerName, JobId, PoolName, TimeMs};
+
+use crate::coordinator::{Coordinator, Now};
+use crate::job::JobRecord;
+
+/// `Candidate` is one step of one occurrence with tasks to place.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) job_id: JobId,
+    pub(crate) occurrence: u32,
+    pub(crate) step: u32,
+    pub(crate) pool: PoolName,
+    pub(crate) customer: CustomerName,
+    pub(crate) priority: u32,
+    pub(crate) due_at: TimeMs,
+    /// Whether the customer's guarantee covers it.
+    pub(crate) is_guaranteed: bool,
+    pub(crate) density: f64,
+    pub(crate) is_in_time: bool,
+}
+
+impl Candidate {
+    /// Whether others may be stopped for it: a promise, or an urgent answer that can still be in time.
+    pub(crate) fn may_displace(&self) -> bool {
+        self.is_guaranteed || (self.priority == 0 && self.is_in_time)
+    }
+}
+
+impl Coordinator {
+    /// All steps that could start now.
+    pub(crate) fn candidates(&mut self, now: Now) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        let mut next_due: Option<TimeMs> = None;
+        for job_id in &self.open_jobs {
+            let Some(job) = self.jobs.get(job_id) else {
+                continue;
+            };
+            let terms = self.terms_of(job);
+            for occurrence in 0..job.record.occurrences() {
+                let due_at = due_at(now, &job.record, job.accepted_at, occurrence);
+                if due_at > now.steady {
+                    next_due = Some(next_due.map_or(due_at, |at| at.min(due_at)));
+                    break;
+                }
+                let steps = &job.occurrences[occurrence as usize];
+                let mut standing = None;
+                for number in 0..u32::try_from(steps.len()).unwrap_or(u32::MAX) {
+                    let step = &steps[number as usize];
+                    let is_blocked = step.is_done() || step.gang_ending;
+                    if is_blocked || !job.is_step_open(occurrence, number) || step.waiting() == 0 {
+                        continue;
+                    }
+                    let standing = *standing.get_or_insert_with(|| {
+                        self.standing(now.steady, job, occurrence as usize, due_at)
+                    });
+                    found.push(Candidate {
+                        job_id: job_id.clone(),
+                        occurrence,
+                        step: number,
+                        pool: terms.pool.clone(),
+                        customer: job.record.customer.clone(),
+                        priority: terms.priority,
+                        due_at,
+                        is_guaranteed: false,
+                        density: standing.density,
+                        is_in_time: standing.is_in_time,
+                    });
+                }
+            }
+        }
+        self.next_due_at = next_due;
+        self.mark_guaranteed(&mut found);
+        found
+    }
+
+    /// Marks urgent steps as guaranteed, oldest first, while their customer's share covers them.
+    fn mark_guaranteed(&self, candidates: &mut [Candidate]) {
+        let mut used = self.guaranteed_use();
+        let mut order: Vec<usize> = (0..candidates.len())
+            .filter(|&index| candidates[index].priority == 0)
+            .collect();
+        order.sort_by_key(|&index| (candidates[index].due_at, candidates[index].job_id.clone()));
+        for index in order {
+            let candidate = &mut candidates[index];
+            let Some(customer) = self.desired.customers.get(&candidate.customer) else {
+                continue;
+            };
+            let Some(need) = self.waiting_accelerators(candidate) else {
+                continue;
+            };
+            let taken = used.entry(candidate.customer.clone()).or_insert(0);
+            if *taken + need <= customer.guaranteed_accelerators {
+                *taken += need;
+                candidate.is_guaranteed = true;
+            }
+        }
+    }
+
+    fn waiting_accelerators(&self, candidate: &Candidate) -> Option<u64> {
+        let job = self.jobs.get(&candidate.job_id)?;
+        let count = job.step(candidate.occurrence, candidate.step)?.waiting();
+        Some(job.spec(candidate.step)?.need.accelerators * count as u64)
+    }
+
+    /// Accelerators that urgent work of each customer uses now.
+    fn guaranteed_use(&self) -> BTreeMap<CustomerName, u64> {
+        let mut used = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, held) in &worker.held {
+                if held.priority != 0 || held.is_stopping() {
+                    continue;
+                }
+                if let Some(job) = self.jobs.get(&task.job_id) {
+                    *used.entry(job.record.customer.clone()).or_insert(0) += held.need.accelerators;
+                }
+            }
+        }
+        used
+    }
+}
+
+fn due_at(now: Now, record: &JobRecord, accepted_at: TimeMs, occurrence: u32) -> TimeMs {
+    if record.schedule.is_none() {
+        return accepted_at;
+    }
+    let due_unix = record.due_unix_ms(occurrence);
+    if due_unix > now.unix {
+        now.steady + due_unix.since(now.unix)
+    } else {
+        now.steady - now.unix.since(due_unix)
+    }
+}
+
+/// Guaranteed work first, oldest first; then by worth over the accelerator time still needed.
+pub(crate) fn order(candidates: &mut [Candidate]) {
+    candidates.sort_by(|a, b| {
+        b.is_guaranteed
+            .cmp(&a.is_guaranteed)
+            .then_with(|| {
+                if a.is_guaranteed {
+                    a.due_at.cmp(&b.due_at)
+                } else {
+                    b.density.total_cmp(&a.density)
+                }
+            })
+            .then_with(|| b.is_in_time.cmp(&a.is_in_time))
+            .then_with(|| a.job_id.cmp(&b.job_id))
+            .then_with(|| a.occurrence.cmp(&b.occurrence))
+            .then_with(|| a.step.cmp(&b.step))
+    });
+}
--- /dev/null
+++ b/ragwortwick-area/src/displacement.rs
@@ -0,0 +1,158 @@
+//! Which runs have to stop for a job: the set that throws away the least work.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortwick_core::{RackName, WorkerName};
+
+use crate::job::StepSpec;
+use crate::packing::{Reach, Slot, pack_gang, pack_single};
+use crate::preempt::Victim;
+
+/// `Plan` is a set of victims to stop and where the work then goes.
+pub(crate) struct Plan {
+    pub(crate) stopped: Vec<Victim>,
+    pub(crate) places: Vec<WorkerName>,
+    pub(crate) waste: f64,
+}
+
+/// Finds a slot for each task, all or none.
+pub(crate) fn find(slots: &[Slot], spec: &StepSpec, count: usize) -> Option<Vec<usize>> {
+    let none_taken = BTreeMap::new();
+    if spec.is_gang {
+        return pack_gang(slots, spec, count, &none_taken, Reach::Near);
+    }
+    let mut slots = slots.to_vec();
+    let mut taken: BTreeMap<WorkerName, u32> = BTreeMap::new();
+    let mut places = Vec::with_capacity(count);
+    for _ in 0..count {
+        let index = pack_single(&slots, spec, &taken, Reach::Anywhere)?;
+        *taken.entry(slots[index].worker.clone()).or_insert(0) += 1;
+        slots[index].free = slots[index].free.minus(spec.reserved());
+        places.push(index);
+    }
+    Some(places)
+}
+
+/// The plan that throws away the least work, over all racks for work that wants one.
+pub(crate) fn cheapest(
+    slots: &[Slot],
+    spec: &StepSpec,
+    count: usize,
+    victims: &[Victim],
+) -> Option<Plan> {
+    let mut best: Option<Plan> = None;
+    if spec.is_gang && spec.wants_same_rack {
+        let mut racks: BTreeMap<&RackName, Vec<Slot>> = BTreeMap::new();
+        for slot in slots {
+            racks.entry(&slot.rack).or_default().push(slot.clone());
+        }
+        for within in racks.into_values() {
+            best = cheaper(best, plan(within, spec, count, victims));
+        }
+    }
+    // On several racks the work is slower; that is still better than breaking the guarantee.
+    let relaxed = StepSpec {
+        wants_same_rack: false,
+        ..spec.clone()
+    };
+    best.or_else(|| plan(slots.to_vec(), &relaxed, count, victims))
+}
+
+fn cheaper(best: Option<Plan>, other: Option<Plan>) -> Option<Plan> {
+    match (best, other) {
+        (Some(best), Some(other)) if other.waste < best.waste => Some(other),
+        (None, other) => other,
+        (best, _) => best,
+    }
+}
+
+/// Plans within the given slots alone, so that a rack's plan costs what the rack has, not the pool.
+fn plan(mut slots: Vec<Slot>, spec: &StepSpec, count: usize, victims: &[Victim]) -> Option<Plan> {
+    let places_of: BTreeMap<WorkerName, usize> = slots
+        .iter()
+        .enumerate()
+        .map(|(index, slot)| (slot.worker.clone(), index))
+        .collect();
+    let mut chosen: Vec<&Victim> = Vec::new();
+    let mut places = find(&slots, spec, count);
+    let mut open_room: u64 = slots.iter().map(|slot| fits(slot, spec)).sum();
+    for victim in victims {
+        if places.is_some() {
+            break;
+        }
+        let is_inside = victim
+            .frees
+            .iter()
+            .any(|(worker, _)| places_of.contains_key(worker));
+        if !is_inside {
+            continue;
+        }
+        for (worker, need) in &victim.frees {
+            if let Some(&index) = places_of.get(worker) {
+                open_room -= fits(&slots[index], spec);
+                slots[index].free = slots[index].free.plus(*need);
+                open_room += fits(&slots[index], spec);
+            }
+        }
+        chosen.push(victim);
+        // Packing is tried only once the room could be enough at all.
+        if open_room >= count as u64 {
+            places = find(&slots, spec, count);
+        }
+    }
+    let mut places = places?;
+    spare_needless(
+        &mut slots,
+        &places_of,
+        &mut chosen,
+        &mut places,
+        spec,
+        count,
+    );
+    Some(Plan {
+        waste: chosen.iter().map(|victim| victim.waste).sum(),
+        stopped: chosen.into_iter().cloned().collect(),
+        places: places
+            .into_iter()
+            .map(|index| slots[index].worker.clone())
+            .collect(),
+    })
+}
+
+/// How many tasks a slot takes, whatever else binds.
+fn fits(slot: &Slot, spec: &StepSpec) -> u64 {
+    slot.free.fits(spec.reserved()).min(u64::from(u32::MAX))
+}
+
+/// Victims that were chosen early may turn out needless once later ones are: they go on.
+fn spare_needless(
+    slots: &mut Vec<Slot>,
+    places_of: &BTreeMap<WorkerName, usize>,
+    chosen: &mut Vec<&Victim>,
+    places: &mut Vec<usize>,
+    spec: &StepSpec,
+    count: usize,
+) {
+    let mut order: Vec<usize> = (0..chosen.len()).collect();
+    order.sort_by(|&a, &b| chosen[b].waste.total_cmp(&chosen[a].waste));
+    let mut spared = BTreeSet::new();
+    for index in order {
+        let mut without = slots.clone();
+        for (worker, need) in &chosen[index].frees {
+            if let Some(&place) = places_of.get(worker) {
+                without[place].free = without[place].free.minus(*need);
+            }
+        }
+        if let Some(found) = find(&without, spec, count) {
+            *slots = without;
+            *places = found;
+            spared.insert(index);
+        }
+    }
+    let mut index = 0;
+    chosen.retain(|_| {
+        let is_needed = !spared.contains(&index);
+        index += 1;
+        is_needed
+    });
+}
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -6,8 +6,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
-use crate::job_state::{Outcome, Settled};
 use crate::messages::{Action, EndKind, OverWhy, RunOver};
+use crate::settle::{Outcome, Settled};
 use crate::worker::{HeldPhase, LookState};
 
 /// Failed runs in a row, of any jobs, after which a worker is suspected.
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -6,6 +6,7 @@
 
 use crate::job::{JobRecord, StepSpec, TaskId};
 use crate::progress::{GangProgress, JobPhase, Progress, TaskProgress};
+use crate::settle::{Outcome, Settled, settle_member, settle_single};
 
 /// `TaskState` is where one task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,28 +72,6 @@
     }
 }
 
-/// `Outcome` is how a run is over for good.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Outcome {
-    /// It did its work.
-    Done,
-    /// It failed.
-    Failed,
-    /// It ended without a verdict on the task: stopped, lapsed, lost or never begun.
-    Void,
-}
-
-/// `Settled` tells what a run's outcome means for the rest of the job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Settled {
-    /// Nothing else has to be done.
-    Nothing,
-    /// The other members of the gang have to stop.
-    StopGang,
-    /// The job has come to its end; runs that are left have to stop.
-    JobOver,
-}
-
 /// `JobState` is one accepted job.
 #[derive(Clone, Debug)]
 pub(crate) struct JobState {
@@ -326,81 +305,3 @@
         progress
     }
 }
-
-fn settle_single(step: &mut StepState, index: usize, outcome: Outcome, attempts: u32) -> Settled {
-    let task = &mut step.tasks[index];
-    match outcome {
-        Outcome::Done => {
-            task.state = TaskState::Done;
-            step.done += 1;
-            Settled::Nothing
-        }
-        Outcome::Failed => {
-            task.state = TaskState::Waiting;
-            task.failures += 1;
-            if task.failures >= attempts {
-                Settled::JobOver
-            } else {
-                Settled::Nothing
-            }
-        }
-        Outcome::Void => {
-            task.state = TaskState::Waiting;
-            Settled::Nothing
-        }
-    }
-}
-
-/// A gang ends as one: one member done is all done, and anything else ends the run for all.
-fn settle_member(
-    step: &mut StepState,
-    index: usize,
-    outcome: Outcome,
-    checkpoint: &Arc<str>,
-    attempts: u32,
-) -> Settled {
-    if step.is_done() {
-        return Settled::Nothing;
-    }
-    if !checkpoint.is_empty() {
-        // The checkpoint of any member is good for all, and all have to resume from the same one.
-        for task in &mut step.tasks {
-            task.checkpoint = Arc::clone(checkpoint);
-        }
-    }
-    step.tasks[index].state = TaskState::Left;
-    match outcome {
-        Outcome::Done => {
-            // Members whose end is not listed yet keep their room on their workers until it is.
-            for task in &mut step.tasks {
-                task.state = TaskState::Done;
-            }
-            step.done = step.tasks.len();
-            step.placed = 0;
-            step.gang_ending = false;
-            return Settled::Nothing;
-        }
-        Outcome::Failed => step.gang_failed = true,
-        Outcome::Void => {}
-    }
-    let is_first = !step.gang_ending;
-    step.gang_ending = true;
-    if step.placed > 0 {
-        return if is_first {
-            Settled::StopGang
-        } else {
-            Settled::Nothing
-        };
-    }
-    step.gang_ending = false;
-    let has_failed = std::mem::take(&mut step.gang_failed);
-    step.gang_failures += u32::from(has_failed);
-    for task in &mut step.tasks {
-        task.state = TaskState::Waiting;
-    }
-    if has_failed && step.gang_failures >= attempts {
-        Settled::JobOver
-    } else {
-        Settled::Nothing
-    }
-}
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -3,9 +3,11 @@
 //! The coordinator learns by events and asks for actions; the present time is an argument. What it
 //! promises and why each safeguard is enough stands in docs/design/0050-platform.md.
 
+mod candidates;
 mod check;
 mod coordinator;
 mod desired;
+mod displacement;
 mod ends;
 mod job;
 mod job_state;
@@ -18,6 +20,7 @@
 mod progress;
 mod records;
 mod schedule;
+mod settle;
 mod value;
 mod worker;
 
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -7,8 +7,8 @@
 
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_TENURE_MS};
 use crate::job::TaskId;
-use crate::job_state::Outcome;
 use crate::messages::{Action, RunningTask};
+use crate::settle::Outcome;
 use crate::worker::{Held, HeldPhase, LookState};
 
 /// How long a worker may wait for an end before it answers a look.
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -6,8 +6,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
-use crate::job_state::Outcome;
 use crate::messages::{Action, OrderReply, RefusalCause};
+use crate::settle::Outcome;
 use crate::worker::{Held, HeldPhase, LookState, is_wrong_life};
 
 /// Pause before an order without an answer is sent again.
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -17,6 +17,7 @@
 mod settings;
 mod store_health;
 mod term;
+mod term_writes;
 mod worker_feed;
 
 pub use host::{AreaHost, AreaHostError};
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -1,13 +1,10 @@
 //! One term of coordination: from winning the key to losing or giving it up.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use ragwortwick_adapter::{StoreClient, StoreFailure, WorkerClient};
-use ragwortwick_area::{
-    Action, Coordinator, DesiredState, Event, KnownJob, Limits, Now, StoredProgress,
-};
-use ragwortwick_core::{DurationMs, Epoch, JobId, Revision, TimeMs, log_event};
+use ragwortwick_area::{Action, Coordinator, DesiredState, Event, KnownJob, Limits, Now};
+use ragwortwick_core::{DurationMs, Epoch, Revision, TimeMs, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
@@ -19,6 +16,7 @@
 use super::replica::Replica;
 use super::replica_feed::{Attach, CoordinatorKey};
 use super::store_health::StoreHealth;
+use super::term_writes::{EndedJobs, Write, write_batches};
 use super::worker_feed::{WorkerFeed, read_workers};
 use crate::{Clock, Duty, unix_now};
 
@@ -305,69 +303,6 @@
     }
 }
 
-/// `Write` is a change that the store has to take.
-enum Write {
-    /// Records of jobs.
-    Batch {
-        batch: u64,
-        records: Vec<StoredProgress>,
-    },
-    /// A job that ended long ago.
-    Forget(JobId),
-}
-
-/// `EndedJobs` tells of jobs that came to their end, once that is stored.
-struct EndedJobs {
-    replica: Replica,
-    metrics: AreaMetrics,
-}
-
-impl EndedJobs {
-    fn tell(&self, stored: &StoredProgress) {
-        let phase = stored.progress.phase;
-        if !phase.is_final() {
-            return;
-        }
-        let view = self.replica.view(&stored.job_id);
-        // A record is stored again while runs of an ended job still stop; that is no second end.
-        if view.as_ref().is_some_and(|view| view.phase.is_final()) {
-            return;
-        }
-        let phase = format!("{phase:?}");
-        log_event!(Info, "job_over", job_id = stored.job_id, phase = phase);
-        if let Some(record) = view.and_then(|view| view.record) {
-            let taken = Duration::from(unix_now().since(record.accepted_unix_ms));
-            let labels = [record.customer.as_str(), phase.as_str()];
-            let timed = self.metrics.end_seconds.with_label_values(&labels);
-            timed.observe(taken.as_secs_f64());
-        }
-    }
-}
-
-async fn write_batches(
-    mut job_store: JobStore,
-    mut batches: mpsc::UnboundedReceiver<Write>,
-    events: EventSender,
-    end: mpsc::Sender<&'static str>,
-    ends: EndedJobs,
-) {
-    while let Some(write) = batches.recv().await {
-        match write {
-            Write::Batch { batch, records } => {
-                if job_store.store(&records).await.is_err() {
-                    let _ = end.send("the key is lost").await;
-                    return;
-                }
-                for record in &records {
-                    ends.tell(record);
-                }
-                events.send(Event::Stored { batch }).await;
-            }
-            Write::Forget(job_id) => job_store.forget(&job_id).await,
-        }
-    }
-}
-
 async fn follow_desired(
     mut desired: watch::Receiver<Option<Arc<DesiredState>>>,
     events: EventSender,
--- /dev/null
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -0,0 +1,160 @@
+//! Coordinators in the world: what they hear, and what they ask of the store.
+
+use ragwortwick_area::{Action, Event, JobPhase, Progress, StoredProgress, TaskId};
+use ragwortwick_core::{DurationMs, JobId};
+use rand::Rng;
+
+use crate::world::{Happening, World};
+
+impl World {
+    pub(crate) fn hear(&mut self, host: usize, term: u64, event: Event) {
+        if let Some(until) = self.hosts[host].frozen_until
+            && self.now < until
+        {
+            // What arrives at a frozen process is read when it wakes.
+            self.at(until, Happening::Hear { host, term, event });
+            return;
+        }
+        let now = self.clock();
+        let Some(state) = &mut self.hosts[host].term else {
+            return;
+        };
+        if state.number != term {
+            return;
+        }
+        let actions = state.coordinator.on_event(now, event);
+        self.act(host, term, actions);
+    }
+
+    pub(crate) fn wake(&mut self, host: usize, term: u64) {
+        if let Some(until) = self.hosts[host].frozen_until
+            && self.now < until
+        {
+            self.hosts[host].wakes_at = Some(until);
+            self.at(until, Happening::Wakeup(host, term));
+            return;
+        }
+        if self.hosts[host].wakes_at != Some(self.now) {
+            return;
+        }
+        self.hosts[host].wakes_at = None;
+        let now = self.clock();
+        let Some(state) = &mut self.hosts[host].term else {
+            return;
+        };
+        if state.number != term {
+            return;
+        }
+        let actions = state.coordinator.on_wakeup(now);
+        self.act(host, term, actions);
+    }
+
+    pub(crate) fn act(&mut self, host: usize, term: u64, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Store { batch, records } => {
+                    let commit = Happening::Commit {
+                        host,
+                        term,
+                        batch,
+                        records,
+                    };
+                    self.after(5, commit);
+                }
+                Action::Report(_) => {}
+                Action::Resign => self.hosts[host].term = None,
+                Action::Forget(job_id) => {
+                    self.store.jobs.remove(&job_id);
+                }
+                order => self.send(host, term, order),
+            }
+        }
+        let now = self.clock();
+        let Some(state) = &self.hosts[host].term else {
+            return;
+        };
+        let Some(at) = state.coordinator.next_wakeup(now) else {
+            return;
+        };
+        let at = at.max(self.now + DurationMs(1));
+        let planned = self.hosts[host].wakes_at;
+        // One planned wakeup is enough; others would multiply with every event.
+        if planned.is_none_or(|planned| at < planned || planned <= self.now) {
+            self.hosts[host].wakes_at = Some(at);
+            self.at(at, Happening::Wakeup(host, term));
+        }
+    }
+
+    pub(crate) fn commit(
+        &mut self,
+        host: usize,
+        term: u64,
+        batch: u64,
+        records: Vec<StoredProgress>,
+    ) {
+        let is_term = self.hosts[host]
+            .term
+            .as_ref()
+            .is_some_and(|state| state.number == term);
+        if !is_term {
+            return;
+        }
+        if self.store.is_away || !self.hosts[host].reaches_store() {
+            let commit = Happening::Commit {
+                host,
+                term,
+                batch,
+                records,
+            };
+            self.after(100, commit);
+            return;
+        }
+        if self.store.holder(self.now) != Some(term) {
+            self.hosts[host].term = None;
+            return;
+        }
+        for record in &records {
+            self.keep(&record.job_id, &record.progress);
+        }
+        let is_lost = self.store.loses_answers && self.rng.random_bool(0.5);
+        let delay_ms = if is_lost { 120 } else { 2 };
+        let event = Event::Stored { batch };
+        self.after(delay_ms, Happening::Hear { host, term, event });
+    }
+
+    pub(crate) fn keep(&mut self, job_id: &JobId, progress: &Progress) {
+        let is_all_done = self.is_all_done(job_id);
+        let Some(job) = self.store.jobs.get_mut(job_id) else {
+            return;
+        };
+        let before = job.progress.as_ref().map(|known| known.phase);
+        job.progress = Some(progress.clone());
+        if before == Some(progress.phase) {
+            return;
+        }
+        self.truth
+            .shown(self.now, job_id, progress.phase, is_all_done);
+        if progress.phase == JobPhase::Completed {
+            self.completed_at.insert(job_id.clone(), self.now);
+        }
+    }
+
+    pub(crate) fn is_all_done(&self, job_id: &JobId) -> bool {
+        let record = &self.arrivals[self.by_job[job_id]].record;
+        (0..record.occurrences()).all(|occurrence| {
+            (0..).zip(&record.steps).all(|(step, spec)| {
+                let task = |index| TaskId {
+                    job_id: job_id.clone(),
+                    occurrence,
+                    step,
+                    index,
+                };
+                if spec.is_gang {
+                    (0..spec.count).any(|index| self.truth.done.contains(&task(index)))
+                } else {
+                    (0..spec.count).all(|index| self.truth.done.contains(&task(index)))
+                }
+            })
+        })
+    }
+}
--- a/ragwortwick-emulator/src/lib.rs
+++ b/ragwortwick-emulator/src/lib.rs
@@ -4,10 +4,17 @@
 //! coordinate in turn. After each event it checks what must always hold, from what workers see.
 
 mod arrivals;
+mod callers;
 mod check;
+mod coordination;
 mod faults;
 mod host;
+mod network;
+mod pool;
+mod runs;
 mod store;
+mod time;
+mod troubles;
 mod worker;
 mod world;
 
--- /dev/null
+++ b/ragwortwick-emulator/src/network.rs
@@ -0,0 +1,118 @@
+//! The network of the world: orders and answers that are delayed, lost or cut.
+
+use ragwortwick_area::{Action, Event, OrderReply};
+use ragwortwick_core::WorkerName;
+use rand::Rng;
+
+use crate::world::{Happening, World};
+
+impl World {
+    pub(crate) fn send(&mut self, host: usize, term: u64, action: Action) {
+        let is_order = !matches!(action, Action::Look { .. });
+        let is_late = self.orders_late && is_order && self.rng.random_bool(0.15);
+        let worker = match &action {
+            Action::Start { worker, .. }
+            | Action::Stop { worker, .. }
+            | Action::Look { worker, .. } => worker.clone(),
+            _ => return,
+        };
+        if !self.hosts[host].reaches(&worker) {
+            self.reply_unknown(host, term, &action);
+            return;
+        }
+        if is_late {
+            self.reply_unknown(host, term, &action);
+        }
+        let delay_ms = if is_late {
+            self.rng.random_range(2_000..12_000)
+        } else {
+            self.rng.random_range(1..4)
+        };
+        let deliver = Happening::Deliver {
+            host,
+            term,
+            action,
+            is_late,
+            wants_reply: !is_late,
+        };
+        self.after(delay_ms, deliver);
+    }
+
+    pub(crate) fn reply_unknown(&mut self, host: usize, term: u64, action: &Action) {
+        let (event, delay_ms) = match action {
+            Action::Start {
+                worker, task, run, ..
+            } => {
+                let event = Event::StartReplied {
+                    worker: worker.clone(),
+                    task: task.clone(),
+                    run: *run,
+                    reply: OrderReply::Unknown,
+                };
+                (event, 600)
+            }
+            Action::Stop {
+                worker, task, run, ..
+            } => {
+                let event = Event::StopReplied {
+                    worker: worker.clone(),
+                    task: task.clone(),
+                    run: *run,
+                    reply: OrderReply::Unknown,
+                };
+                (event, 600)
+            }
+            Action::Look {
+                worker, wait_ms, ..
+            } => {
+                let event = Event::LookFailed {
+                    worker: worker.clone(),
+                    is_wrong_life: false,
+                    is_fenced: false,
+                };
+                (event, 700 + wait_ms.0)
+            }
+            _ => return,
+        };
+        self.after(delay_ms, Happening::Hear { host, term, event });
+    }
+
+    /// Sends an answer back, unless answers are cut.
+    pub(crate) fn reply(&mut self, host: usize, term: u64, worker: &WorkerName, event: Event) {
+        let is_lost = self.hosts[host].loses_answers || !self.hosts[host].reaches(worker);
+        let (event, delay_ms) = if is_lost {
+            (unanswered(event), 600)
+        } else {
+            (event, 1)
+        };
+        self.after(delay_ms, Happening::Hear { host, term, event });
+    }
+}
+
+/// What a coordinator hears in place of an answer that is lost.
+fn unanswered(event: Event) -> Event {
+    match event {
+        Event::StartReplied {
+            worker, task, run, ..
+        } => Event::StartReplied {
+            worker,
+            task,
+            run,
+            reply: OrderReply::Unknown,
+        },
+        Event::StopReplied {
+            worker, task, run, ..
+        } => Event::StopReplied {
+            worker,
+            task,
+            run,
+            reply: OrderReply::Unknown,
+        },
+        Event::Looked { worker, .. } | Event::LookFailed { worker, .. } => Event::LookFailed {
+            worker,
+            is_wrong_life: false,
+            is_fenced: false,
+        },
+        event => event,
+    }
+}
--- /dev/null
+++ b/ragwortwick-emulator/src/pool.rs
@@ -0,0 +1,249 @@
+//! Workers in the world: orders that arrive, and the runs that they begin.
+
+use ragwortwick_area::{Action, EndKind, Event, OrderReply, TaskId};
+use ragwortwick_core::DurationMs;
+use rand::Rng;
+
+use crate::check::StartSeen;
+use crate::worker::{Attempt, EmuWorker};
+use crate::world::World;
+
+impl World {
+    pub(crate) fn deliver(
+        &mut self,
+        host: usize,
+        term: u64,
+        action: Action,
+        is_late: bool,
+        wants: bool,
+    ) {
+        let name = match &action {
+            Action::Start { worker, .. }
+            | Action::Stop { worker, .. }
+            | Action::Look { worker, .. } => worker.clone(),
+            _ => return,
+        };
+        let number = name.as_str().split('-').next().unwrap_or("");
+        let same = |worker: &EmuWorker| worker.name.as_str().split('-').next() == Some(number);
+        let Some(index) = self.workers.iter().position(same) else {
+            return;
+        };
+        if !self.workers[index].is_up {
+            if wants {
+                self.reply_unknown(host, term, &action);
+            }
+            return;
+        }
+        let is_wrong_life = self.workers[index].name != name;
+        let event = match action {
+            Action::Start {
+                worker,
+                task,
+                run,
+                payload,
+                checkpoint,
+                lease_until_ms,
+                ..
+            } => {
+                let reply = if is_wrong_life {
+                    OrderReply::WrongLife
+                } else {
+                    self.start(
+                        index,
+                        term,
+                        &task,
+                        run,
+                        &payload,
+                        &checkpoint,
+                        lease_until_ms,
+                        is_late,
+                    )
+                };
+                Event::StartReplied {
+                    worker,
+                    task,
+                    run,
+                    reply,
+                }
+            }
+            Action::Stop {
+                worker, task, run, ..
+            } => {
+                let reply = if is_wrong_life {
+                    OrderReply::WrongLife
+                } else {
+                    let reply = self.workers[index].stop(self.now, term, &task, run);
+                    let is_there = self.workers[index]
+                        .running
+                        .get(&task)
+                        .is_some_and(|held| held.run <= run);
+                    if matches!(reply, OrderReply::Accepted { .. }) && is_there {
+                        self.end(index, &task, EndKind::Stopped);
+                    }
+                    reply
+                };
+                Event::StopReplied {
+                    worker,
+                    task,
+                    run,
+                    reply,
+                }
+            }
+            Action::Look {
+                worker,
+                lease_until_ms,
+                noted,
+                wait_ms,
+                ..
+            } => {
+                if is_wrong_life {
+                    Event::LookFailed {
+                        worker,
+                        is_wrong_life: true,
+                        is_fenced: false,
+                    }
+                } else {
+                    self.look(host, term, index, lease_until_ms, noted, wait_ms);
+                    return;
+                }
+            }
+            _ => return,
+        };
+        if wants {
+            self.reply(host, term, &name, event);
+        }
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "an order to start is made of just these parts"
+    )]
+    pub(crate) fn start(
+        &mut self,
+        index: usize,
+        term: u64,
+        task: &TaskId,
+        run: u32,
+        payload: &str,
+        checkpoint: &str,
+        until: u64,
+        is_late: bool,
+    ) -> OrderReply {
+        let lease_ms = self.options.limits.lease_ms;
+        let admitted = self.workers[index].admit(self.now, term, task, run, until, lease_ms);
+        match admitted {
+            Ok(true) => {}
+            Ok(false) => {
+                return OrderReply::Accepted {
+                    clock_ms: self.workers[index].clock(self.now),
+                };
+            }
+            Err(cause) => return OrderReply::Refused(cause),
+        }
+        self.judge_start(index, task, run, payload, checkpoint, is_late);
+        let arrival = &self.arrivals[self.by_job[&task.job_id]];
+        let spec = &arrival.record.steps[task.step as usize];
+        let mut work_ms = arrival.work_ms[task.step as usize].0 * self.workers[index].slowness;
+        if spec
+            .data_rack
+            .as_ref()
+            .is_some_and(|rack| rack.as_str() != self.workers[index].rack)
+        {
+            work_ms *= 3;
+        }
+        let failing = arrival.failing;
+        let will_fail = self.workers[index].is_failing || self.rng.random_bool(failing);
+        let is_gang = spec.is_gang;
+        let held = Attempt {
+            run,
+            need: spec.need,
+            started_at: self.now,
+            ends_at: (!is_gang).then(|| self.now + DurationMs(work_ms)),
+            will_fail,
+            saves: spec.saves_checkpoints,
+        };
+        self.workers[index].running.insert(task.clone(), held);
+        if is_gang {
+            self.join_gang(index, task, run, will_fail);
+        }
+        OrderReply::Accepted {
+            clock_ms: self.workers[index].clock(self.now),
+        }
+    }
+
+    pub(crate) fn judge_start(
+        &mut self,
+        index: usize,
+        task: &TaskId,
+        run: u32,
+        payload: &str,
+        checkpoint: &str,
+        is_late: bool,
+    ) {
+        let arrival = &self.arrivals[self.by_job[&task.job_id]];
+        let record = &arrival.record;
+        let spec = &record.steps[task.step as usize];
+        let worker = &self.workers[index];
+        let others = self
+            .workers
+            .iter()
+            .filter(|other| other.is_up && other.running.contains_key(task))
+            .map(|other| other.name.clone())
+            .collect();
+        let used = worker.used().plus(spec.need);
+        let same_step_here = worker
+            .running
+            .keys()
+            .filter(|other| {
+                other.job_id == task.job_id
+                    && other.occurrence == task.occurrence
+                    && other.step == task.step
+            })
+            .count();
+        let is_step_open = spec.after.iter().all(|&earlier| {
+            let before = &record.steps[earlier as usize];
+            let is_done = |index| {
+                let id = TaskId {
+                    step: earlier,
+                    index,
+                    ..task.clone()
+                };
+                self.truth.done.contains(&id)
+            };
+            if before.is_gang {
+                (0..before.count).any(is_done)
+            } else {
+                (0..before.count).all(is_done)
+            }
+        });
+        let is_due = record.schedule.is_none()
+            || self.now + DurationMs(250) >= record.due_unix_ms(task.occurrence);
+        let expected = format!("{}.{}.{}", task.job_id, task.occurrence, task.step);
+        let stored = self.store.jobs.get(&task.job_id);
+        let seen = StartSeen {
+            now: self.now,
+            worker: &worker.name.clone(),
+            task,
+            run,
+            is_late,
+            others,
+            is_over_capacity: used.cpu_millis > worker.capacity.cpu_millis
+                || used.memory_mb > worker.capacity.memory_mb
+                || used.accelerators > worker.capacity.accelerators,
+            has_label: spec
+                .required_label
+                .as_ref()
+                .is_none_or(|label| label.as_str() == worker.label),
+            draining_since: worker.draining_since,
+            cancelled_at: stored.and_then(|job| job.cancelled_at),
+            is_step_open,
+            is_due,
+            same_step_here: u32::try_from(same_step_here).unwrap_or(u32::MAX) + 1,
+            max_per_worker: spec.max_per_worker,
+            attempts: record.terms.attempts,
+            is_payload_right: *record.payload == *payload,
+            is_checkpoint_right: checkpoint.is_empty() || checkpoint == expected,
+        };
+        self.truth.started(&seen);
+    }
+}
--- /dev/null
+++ b/ragwortwick-emulator/src/runs.rs
@@ -0,0 +1,240 @@
+//! Runs in the world: gangs that gather, work that ends, leases that run out, crashes.
+
+use std::collections::BTreeSet;
+
+use ragwortwick_area::{EndKind, Event, RefusalCause, TaskId};
+use ragwortwick_core::DurationMs;
+
+use crate::worker::WaitingLook;
+use crate::world::{GangKey, Happening, World};
+
+impl World {
+    pub(crate) fn join_gang(&mut self, index: usize, task: &TaskId, run: u32, will_fail: bool) {
+        let key = (task.job_id.clone(), task.occurrence, task.step, run);
+        let now = self.now;
+        let gang = self.gangs.entry(key.clone()).or_default();
+        if gang.members.is_empty() {
+            gang.first_at = now;
+        }
+        gang.members.insert(task.clone(), index);
+        gang.will_fail |= will_fail;
+        let arrival = &self.arrivals[self.by_job[&task.job_id]];
+        let spec = &arrival.record.steps[task.step as usize];
+        if gang.members.len() != spec.count as usize {
+            return;
+        }
+        gang.is_begun = true;
+        let members: Vec<(TaskId, usize)> = gang
+            .members
+            .iter()
+            .map(|(id, &at)| (id.clone(), at))
+            .collect();
+        let will_fail = gang.will_fail;
+        let slowest = members
+            .iter()
+            .map(|(_, at)| self.workers[*at].slowness)
+            .max();
+        let racks: BTreeSet<&str> = members
+            .iter()
+            .map(|(_, at)| self.workers[*at].rack.as_str())
+            .collect();
+        let far = if spec.wants_same_rack && racks.len() > 1 {
+            3
+        } else {
+            1
+        };
+        let work_ms = arrival.work_ms[task.step as usize].0 * slowest.unwrap_or(1) * far;
+        for (position, (id, at)) in members.iter().enumerate() {
+            if let Some(held) = self.workers[*at].running.get_mut(id) {
+                held.ends_at = Some(now + DurationMs(work_ms));
+                held.will_fail = will_fail && position == 0;
+            }
+        }
+    }
+
+    pub(crate) fn tick_gangs(&mut self) {
+        let wait_ms = self.options.limits.gang_wait_ms;
+        let alone: Vec<GangKey> = self
+            .gangs
+            .iter()
+            .filter(|(_, gang)| !gang.is_begun && self.now.since(gang.first_at) > wait_ms)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in alone {
+            if let Some(gang) = self.gangs.remove(&key) {
+                for (task, index) in gang.members {
+                    self.end_if(index, &task, key.3, EndKind::GangIncomplete);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn end_if(&mut self, index: usize, task: &TaskId, run: u32, kind: EndKind) {
+        let is_there = self.workers[index]
+            .running
+            .get(task)
+            .is_some_and(|held| held.run == run);
+        if is_there {
+            self.end(index, task, kind);
+        }
+    }
+
+    /// Ends a run on a worker, and with it what depends on it.
+    pub(crate) fn end(&mut self, index: usize, task: &TaskId, kind: EndKind) {
+        let Some(run) = self.workers[index].end(self.now, task, kind) else {
+            return;
+        };
+        self.truth.ended(task, kind);
+        if kind != EndKind::Done {
+            let spent_ms = self.now.since(run.started_at).0;
+            let lost_ms = if run.saves {
+                spent_ms.min(500)
+            } else {
+                spent_ms
+            };
+            self.wasted_core_ms += lost_ms * run.need.core_equivalents();
+        }
+        let key = (task.job_id.clone(), task.occurrence, task.step, run.run);
+        if kind != EndKind::GangIncomplete
+            && let Some(gang) = self.gangs.remove(&key)
+        {
+            let others = if kind == EndKind::Done {
+                EndKind::Done
+            } else {
+                EndKind::GangBroken
+            };
+            for (member, at) in gang.members {
+                if member != *task {
+                    self.end_if(at, &member, run.run, others);
+                }
+            }
+        }
+        self.answer_look(index);
+    }
+
+    pub(crate) fn answer_look(&mut self, index: usize) {
+        if let Some(waiting) = self.workers[index].waiting_look.take() {
+            let name = self.workers[index].name.clone();
+            let event = Event::Looked {
+                worker: name.clone(),
+                sent_at: waiting.sent_at,
+                look: self.workers[index].told(self.now),
+            };
+            self.reply(waiting.host, waiting.term, &name, event);
+        }
+    }
+
+    pub(crate) fn look(
+        &mut self,
+        host: usize,
+        term: u64,
+        index: usize,
+        until: Option<u64>,
+        noted: u64,
+        wait_ms: DurationMs,
+    ) {
+        let lease_ms = self.options.limits.lease_ms;
+        let name = self.workers[index].name.clone();
+        let forgotten = match self.workers[index].look(self.now, term, until, noted, lease_ms) {
+            Ok(forgotten) => forgotten,
+            Err(cause) => {
+                let event = Event::LookFailed {
+                    worker: name.clone(),
+                    is_wrong_life: false,
+                    is_fenced: cause == RefusalCause::Fenced,
+                };
+                self.reply(host, term, &name, event);
+                return;
+            }
+        };
+        for end in forgotten {
+            let arrival = &self.arrivals[self.by_job[&end.task.job_id]];
+            let is_gang = arrival.record.steps[end.task.step as usize].is_gang;
+            self.truth.noted(&end.task, end.run, end.kind, is_gang);
+        }
+        let waiting = WaitingLook {
+            host,
+            term,
+            sent_at: self.now - DurationMs(3),
+            until: self.now + wait_ms,
+        };
+        self.workers[index].waiting_look = Some(waiting);
+        let must_answer = wait_ms == DurationMs(0) || !self.workers[index].ended.is_empty();
+        if must_answer {
+            self.answer_look(index);
+        }
+    }
+
+    pub(crate) fn tick_worker(&mut self, index: usize) {
+        if !self.workers[index].is_up {
+            return;
+        }
+        if self.workers[index]
+            .leaves_at
+            .is_some_and(|at| self.now >= at)
+        {
+            self.workers[index].is_up = false;
+            self.crash(index);
+            return;
+        }
+        if self.workers[index].is_lease_over(self.now) {
+            let tasks: Vec<TaskId> = self.workers[index].running.keys().cloned().collect();
+            for task in tasks {
+                self.end(index, &task, EndKind::LeaseExpired);
+            }
+        }
+        let due: Vec<(TaskId, bool)> = self.workers[index]
+            .running
+            .iter()
+            .filter(|(_, run)| run.ends_at.is_some_and(|at| self.now >= at))
+            .map(|(task, run)| (task.clone(), run.will_fail))
+            .collect();
+        for (task, will_fail) in due {
+            let kind = if will_fail {
+                EndKind::Failed
+            } else {
+                EndKind::Done
+            };
+            if self.workers[index].running.contains_key(&task) {
+                self.end(index, &task, kind);
+            }
+        }
+        let is_waiting = self.workers[index].waiting_look.as_ref();
+        if is_waiting.is_some_and(|look| self.now >= look.until) {
+            self.answer_look(index);
+        }
+    }
+
+    /// Everything on the worker ends without a trace; gangs lose a member.
+    pub(crate) fn crash(&mut self, index: usize) {
+        let runs: Vec<(TaskId, u32)> = self.workers[index]
+            .running
+            .iter()
+            .map(|(task, run)| (task.clone(), run.run))
+            .collect();
+        if let Some(waiting) = self.workers[index].waiting_look.take() {
+            let event = Event::LookFailed {
+                worker: self.workers[index].name.clone(),
+                is_wrong_life: false,
+                is_fenced: false,
+            };
+            let hear = Happening::Hear {
+                host: waiting.host,
+                term: waiting.term,
+                event,
+            };
+            self.after(2_700, hear);
+        }
+        self.workers[index].restart();
+        for (task, run) in runs {
+            let key = (task.job_id.clone(), task.occurrence, task.step, run);
+            if let Some(gang) = self.gangs.remove(&key) {
+                for (member, at) in gang.members {
+                    if at != index {
+                        self.end_if(at, &member, run, EndKind::GangBroken);
+                    }
+                }
+            }
+        }
+    }
+}
