Read headers, open threads and take ends in through one piece of code each

Cause: on a last reading the same header was read three times over, two starts of the process were alike, and a listed end was taken apart into a type of its own. Change: text_of, open_runtime, end_listed takes the listed end. Conclusion: no change of behaviour.

--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -6,7 +6,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
-use crate::messages::{Action, EndKind, OverWhy, RunOver};
+use crate::messages::{Action, EndKind, EndedTask, Look, OverWhy, RunOver};
 use crate::settle::{Outcome, Settled};
 use crate::worker::{HeldPhase, LookState};
 
@@ -89,29 +89,21 @@
     }
 
     /// Takes in one end that a worker lists.
-    pub(crate) fn end_listed(
-        &mut self,
-        now: TimeMs,
-        worker_name: &WorkerName,
-        task: &TaskId,
-        run: u32,
-        kind: EndKind,
-        checkpoint: &Arc<str>,
-    ) {
+    fn end_listed(&mut self, now: TimeMs, worker_name: &WorkerName, end: &EndedTask) {
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        let Some(held) = worker.held.get_mut(task) else {
+        let Some(held) = worker.held.get_mut(&end.task) else {
             return;
         };
         // A run that never was confirmed here and ends means that its start arrived after all.
-        if held.run != run || held.phase == HeldPhase::Intended {
+        if held.run != end.run || held.phase == HeldPhase::Intended {
             return;
         }
-        if !checkpoint.is_empty() {
-            held.checkpoint = Arc::clone(checkpoint);
+        if !end.checkpoint.is_empty() {
+            held.checkpoint = Arc::clone(&end.checkpoint);
         }
-        let outcome = match kind {
+        let outcome = match end.kind {
             EndKind::Done => Outcome::Done,
             EndKind::Failed => Outcome::Failed,
             EndKind::Stopped
@@ -119,7 +111,7 @@
             | EndKind::GangBroken
             | EndKind::GangIncomplete => Outcome::Void,
         };
-        self.resolve(now, worker_name, task, run, outcome);
+        self.resolve(now, worker_name, &end.task, end.run, outcome);
     }
 
     /// A worker's address answers as another life: nothing of the earlier one runs any more.
@@ -170,7 +162,7 @@
         now: TimeMs,
         worker_name: &WorkerName,
         sent_at: TimeMs,
-        look: crate::messages::Look,
+        look: Look,
     ) {
         let after_ends_ms = after_ends_ms(self.workers.len());
         let Some(worker) = self.workers.get_mut(worker_name) else {
@@ -201,24 +193,8 @@
             self.records.note(worker_name, highest);
         }
         for end in new_ends {
-            let EndKindOf { kind, checkpoint } = EndKindOf::from(&end);
-            self.end_listed(now, worker_name, &end.task, end.run, kind, checkpoint);
+            self.end_listed(now, worker_name, &end);
         }
         self.see_running(now, worker_name, sent_at, &look.running);
     }
 }
-
-/// The parts of a listed end that decide its outcome.
-struct EndKindOf<'a> {
-    kind: EndKind,
-    checkpoint: &'a Arc<str>,
-}
-
-impl<'a> From<&'a crate::messages::EndedTask> for EndKindOf<'a> {
-    fn from(end: &'a crate::messages::EndedTask) -> Self {
-        Self {
-            kind: end.kind,
-            checkpoint: &end.checkpoint,
-        }
-    }
-}
--- a/ragwortwick-daemon/src/area/front.rs
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -12,6 +12,7 @@
 use gotham::router::Router;
 use gotham::router::builder::build_router;
 use gotham::state::State;
+use http::header::AsHeaderName;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header};
 use ragwortwick_adapter::{DEADLINE_HEADER, api_key, decode_job, encode_pending, encode_phase};
 use ragwortwick_area::{DesiredState, JobRecord, Queue};
@@ -119,10 +120,7 @@
             "this host has not read the desired state yet",
         ));
     };
-    let host = headers
-        .get(header::HOST)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default();
+    let host = text_of(headers, header::HOST).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let Some((queue_name, queue)) = desired.route(host, uri.path()) else {
         return Err(Refusal::new(
@@ -131,10 +129,7 @@
             "no queue has this host and prefix",
         ));
     };
-    let key = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(api_key);
+    let key = text_of(headers, header::AUTHORIZATION).and_then(api_key);
     let customer = key.and_then(|key| desired.customer_of_key(key));
     let customer = match customer {
         Some(customer) => customer.clone(),
@@ -147,9 +142,7 @@
             ));
         }
     };
-    let deadline_ms = headers
-        .get(DEADLINE_HEADER)
-        .and_then(|value| value.to_str().ok())
+    let deadline_ms = text_of(headers, DEADLINE_HEADER)
         .and_then(|text| text.trim().parse().ok())
         .map_or(DEFAULT_DEADLINE_MS, DurationMs);
     Ok(Call {
@@ -162,6 +155,10 @@
     })
 }
 
+fn text_of(headers: &HeaderMap, name: impl AsHeaderName) -> Option<&str> {
+    headers.get(name)?.to_str().ok()
+}
+
 fn parse_job_id(text: &str) -> Option<JobId> {
     let is_id = text.len() == JOB_ID_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     is_id.then(|| JobId::new(text))
--- a/ragwortwick-daemon/src/main.rs
+++ b/ragwortwick-daemon/src/main.rs
@@ -4,6 +4,7 @@
 
 use ragwortwick_core::log_event;
 use ragwortwick_daemon::{AreaHost, AreaSettings, Daemon, Settings, finish_log, open_log};
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 
 const HELP: &str = "\
@@ -78,19 +79,8 @@
 /// One thread for input and output: the hosts have a quarter of a core, and every switch between
 /// threads is paid for. The coordinator has a thread of its own beside it.
 fn run_area(settings: AreaSettings) -> ExitCode {
-    if let Err(error) = open_log(log::LevelFilter::Info) {
-        eprintln!("cannot open the log: {error}");
+    let Some(runtime) = open_runtime(Builder::new_current_thread()) else {
         return ExitCode::FAILURE;
-    }
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("cannot start threads: {error}");
-            return ExitCode::FAILURE;
-        }
     };
     runtime.block_on(async {
         let signals = (
@@ -121,6 +111,18 @@
     })
 }
 
+/// Opens the log and the threads; says on the standard error what could not be had.
+fn open_runtime(mut builder: Builder) -> Option<Runtime> {
+    if let Err(error) = open_log(log::LevelFilter::Info) {
+        eprintln!("cannot open the log: {error}");
+        return None;
+    }
+    let runtime = builder.enable_all().build();
+    runtime
+        .inspect_err(|error| eprintln!("cannot start threads: {error}"))
+        .ok()
+}
+
 fn usage(problem: &str) -> ExitCode {
     eprintln!("{problem}\ntry ragwortwickd --help");
     ExitCode::from(EXIT_USAGE)
@@ -138,19 +140,8 @@
 }
 
 fn run(settings: Settings) -> ExitCode {
-    if let Err(error) = open_log(log::LevelFilter::Info) {
-        eprintln!("cannot open the log: {error}");
+    let Some(runtime) = open_runtime(Builder::new_multi_thread()) else {
         return ExitCode::FAILURE;
-    }
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("cannot start threads: {error}");
-            return ExitCode::FAILURE;
-        }
     };
     runtime.block_on(async {
         let mut terminate = match signal(SignalKind::terminate()) {
