Keep cleared room for a wide gang before later urgent work is placed

Ruled out: the number of looks at workers (the job began at the same moment with a third fewer). Change: urgent work is placed, or has its room kept and others stopped, one by one in its order. Measured: the new test fails before and passes after.

--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -44,9 +44,12 @@
 }
 
 impl Coordinator {
-    /// Reserves places for guaranteed work that waits, and stops others where that is needed.
-    pub(crate) fn make_room(&mut self, now: TimeMs, waiting: &[&Candidate], room: &mut Room) {
-        if waiting.is_empty() {
+    /// Places urgent work in its order; for what finds no place, room is kept and others are stopped.
+    ///
+    /// Room is kept at once, before what comes later is placed: a wide gang that waits for its last
+    /// worker would else lose the others to every small job that comes in meanwhile.
+    pub(crate) fn place_urgent(&mut self, now: TimeMs, urgent: &[&Candidate], room: &mut Room) {
+        if urgent.is_empty() {
             return;
         }
         // What is stopping already is as good as free.
@@ -54,7 +57,16 @@
         let mut plans_left = MOST_PLANS;
         let mut victims: Option<Vec<Victim>> = None;
         let mut unplaced: Vec<(StepSpec, usize)> = Vec::new();
-        for candidate in waiting {
+        for candidate in urgent {
+            let is_placed = self.place_step(now, candidate, room);
+            for (worker, need) in room.taken.drain(..) {
+                if let Some(slot) = future.iter_mut().find(|slot| slot.worker == worker) {
+                    slot.free = slot.free.minus(need);
+                }
+            }
+            if is_placed {
+                continue;
+            }
             let Some(spec) = self
                 .jobs
                 .get(&candidate.job_id)
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Room {
     pub(crate) slots: Vec<Slot>,
+    /// Places taken since this was last emptied.
+    pub(crate) taken: Vec<(WorkerName, Resources)>,
     capacity: u64,
     used: u64,
 }
@@ -37,8 +39,10 @@
     }
 
     fn take(&mut self, index: usize, need: Resources) {
-        self.slots[index].free = self.slots[index].free.minus(need);
+        let slot = &mut self.slots[index];
+        slot.free = slot.free.minus(need);
         self.used += need.accelerators;
+        self.taken.push((slot.worker.clone(), need));
     }
 }
 
@@ -57,11 +61,7 @@
             let of_pool: Vec<&Candidate> = candidates.iter().filter(|c| c.pool == pool).collect();
             let (urgent, others): (Vec<_>, Vec<_>) =
                 of_pool.into_iter().partition(|c| c.may_displace());
-            let waiting: Vec<&Candidate> = urgent
-                .into_iter()
-                .filter(|candidate| !self.place_step(now.steady, candidate, &mut room))
-                .collect();
-            self.make_room(now.steady, &waiting, &mut room);
+            self.place_urgent(now.steady, &urgent, &mut room);
             let mut failed: Vec<(StepSpec, usize)> = Vec::new();
             for candidate in others {
                 self.place_other(now.steady, candidate, &mut room, &mut failed);
@@ -129,7 +129,12 @@
     }
 
     /// Places the tasks of a step that wait; tells whether none is left.
-    fn place_step(&mut self, now: TimeMs, candidate: &Candidate, room: &mut Room) -> bool {
+    pub(crate) fn place_step(
+        &mut self,
+        now: TimeMs,
+        candidate: &Candidate,
+        room: &mut Room,
+    ) -> bool {
         let Some(job) = self.jobs.get(&candidate.job_id) else {
             return true;
         };
--- a/ragwortwick-area/tests/guarantees.rs
+++ b/ragwortwick-area/tests/guarantees.rs
@@ -179,3 +179,47 @@
     rig.store();
     assert_eq!(rig.starts(), vec![]);
 }
+
+/// A wide urgent gang waits for the second of two workers that are being cleared for it when a small
+/// urgent job comes in. The worker that is free already stays kept for the gang: given to each small
+/// job that comes, the wide one's caller would wait for as long as small ones keep coming.
+#[test]
+fn verify_small_urgent_work_does_not_take_what_a_wide_gang_waits_for() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r1")];
+    let mut rig = Rig::new(&workers);
+    let patient = job("00000000000000e0", "patient", vec![step(24, 1)]);
+    rig.tell(Event::JobAccepted(patient));
+    let patient = start_all(&mut rig);
+    rig.pass(300);
+    let wide = urgent(&rig, "00000000000000e1", "c", vec![gang(2, 8)]);
+    rig.tell(Event::JobAccepted(wide));
+    rig.pass(20);
+    rig.store();
+    let stops = rig.stops();
+    assert_eq!(stops.len(), 16);
+    let first = stops[0].0.clone();
+    let clear = |rig: &mut Rig, name: &WorkerName| {
+        let ends = (1..)
+            .zip(patient.iter().filter(|start| start.0 == *name))
+            .map(|(number, start)| ended(number, start, EndKind::Stopped));
+        let ends = ends.collect();
+        rig.look(name.as_str(), vec![], ends);
+        rig.pass(30);
+        rig.store();
+    };
+    clear(&mut rig, &first);
+    let small = urgent(&rig, "00000000000000e2", "d", vec![gang(1, 8)]);
+    rig.tell(Event::JobAccepted(small));
+    rig.pass(30);
+    rig.store();
+    assert_eq!(rig.starts(), vec![], "the free worker is kept for the gang");
+    let second = stops
+        .iter()
+        .find(|stop| stop.0 != first)
+        .map(|stop| stop.0.clone());
+    clear(&mut rig, &second.expect("two workers are cleared"));
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 2);
+    let is_wide = |start: &(WorkerName, TaskId, u32)| start.1.job_id.as_str() == "00000000000000e1";
+    assert!(starts.iter().all(is_wide));
+}
