--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -163,8 +163,6 @@
                 placed_at: now.steady,
                 started_at: None,
                 checkpoint: Arc::clone(&state.checkpoint),
-                percent: 0,
-                percent_rose_at: now.steady,
                 tries: 1,
             };
             let bound = now.steady + RENEWAL_AFTER_TENURE_MS + longest_lease(&self.limits);
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -154,10 +154,6 @@
     if !row.checkpoint.is_empty() {
         held.checkpoint = Arc::clone(&row.checkpoint);
     }
-    if row.percent > held.percent {
-        held.percent = row.percent;
-        held.percent_rose_at = now;
-    }
     if matches!(held.phase, HeldPhase::Inherited | HeldPhase::Ordered { .. }) {
         held.phase = HeldPhase::Running { since: now };
         held.started_at.get_or_insert(now);
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -8,7 +8,7 @@
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
 use crate::settle::Outcome;
-use crate::worker::{Held, HeldPhase, LookState, is_wrong_life};
+use crate::worker::{Held, HeldPhase, LookState};
 
 /// Pause before an order without an answer is sent again.
 const RESEND_MS: DurationMs = DurationMs(150);
@@ -159,7 +159,7 @@
         run: u32,
         reply: OrderReply,
     ) {
-        if is_wrong_life(reply) {
+        if reply == OrderReply::WrongLife {
             self.life_over(now, worker_name);
             return;
         }
@@ -184,7 +184,6 @@
             OrderReply::Accepted { .. } => {
                 held.phase = HeldPhase::Running { since: now };
                 held.started_at = Some(now);
-                held.percent_rose_at = now;
                 if let LookState::Idle { next_at } = look {
                     worker.look = LookState::Idle {
                         next_at: next_at.min(now),
@@ -226,7 +225,7 @@
         run: u32,
         reply: OrderReply,
     ) {
-        if is_wrong_life(reply) {
+        if reply == OrderReply::WrongLife {
             self.life_over(now, worker_name);
             return;
         }
@@ -351,8 +350,6 @@
                 placed_at: now,
                 started_at: None,
                 checkpoint: "".into(),
-                percent: 0,
-                percent_rose_at: now,
                 tries: 0,
             };
             worker.hold(task.clone(), held);
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -60,27 +60,14 @@
         for candidate in urgent {
             let is_placed = self.place_step(now, candidate, room);
             for (worker, need) in room.taken.drain(..) {
-                if let Some(slot) = future.iter_mut().find(|slot| slot.worker == worker) {
+                if let Some(slot) = slot_of(&mut future, &worker) {
                     slot.free = slot.free.minus(need);
                 }
             }
             if is_placed {
                 continue;
             }
-            let Some(spec) = self
-                .jobs
-                .get(&candidate.job_id)
-                .and_then(|job| job.spec(candidate.step))
-                .cloned()
-            else {
-                continue;
-            };
-            let Some(count) = self
-                .jobs
-                .get(&candidate.job_id)
-                .and_then(|job| job.step(candidate.occurrence, candidate.step))
-                .map(crate::job_state::StepState::waiting)
-            else {
+            let Some((spec, count)) = self.waiting_tasks(candidate) else {
                 continue;
             };
             let shape = (spec.shape(), count);
@@ -109,7 +96,7 @@
             for victim in &plan.stopped {
                 self.stop_victim(now, victim);
                 for (worker, need) in &victim.frees {
-                    if let Some(slot) = future.iter_mut().find(|slot| slot.worker == *worker) {
+                    if let Some(slot) = slot_of(&mut future, worker) {
                         slot.free = slot.free.plus(*need);
                     }
                 }
@@ -124,6 +111,12 @@
         }
     }
 
+    fn waiting_tasks(&self, candidate: &Candidate) -> Option<(StepSpec, usize)> {
+        let job = self.jobs.get(&candidate.job_id)?;
+        let count = job.step(candidate.occurrence, candidate.step)?.waiting();
+        Some((job.spec(candidate.step)?.clone(), count))
+    }
+
     /// All that may be stopped for guaranteed work: lower priorities first, then borrowed shares.
     fn displaceable(&self, now: TimeMs) -> Vec<Victim> {
         let mut victims = self.victims(now);
@@ -291,11 +284,15 @@
     cheapest(future, spec, count, &lower).filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
 }
 
+fn slot_of<'a>(slots: &'a mut [Slot], worker: &WorkerName) -> Option<&'a mut Slot> {
+    slots.iter_mut().find(|slot| slot.worker == *worker)
+}
+
 /// Takes the places out of what later work may get, now and once the victims have stopped.
 fn reserve(future: &mut [Slot], room: &mut Room, places: &[WorkerName], need: Resources) {
     for worker in places {
         for slots in [&mut *future, &mut *room.slots] {
-            if let Some(slot) = slots.iter_mut().find(|slot| slot.worker == *worker) {
+            if let Some(slot) = slot_of(slots, worker) {
                 slot.free = slot.free.minus(need);
             }
         }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -7,7 +7,7 @@
 
 use crate::job::{Resources, TaskId};
 use crate::limits::Limits;
-use crate::messages::{OrderReply, WorkerEntry};
+use crate::messages::WorkerEntry;
 
 /// Margin on the computed end of a worker's lease, for timers and scheduling delays.
 const LEASE_MARGIN_MS: DurationMs = DurationMs(400);
@@ -64,10 +64,6 @@
     pub(crate) started_at: Option<TimeMs>,
     /// Newest checkpoint seen.
     pub(crate) checkpoint: Arc<str>,
-    /// Share of the work done, as last seen.
-    pub(crate) percent: u32,
-    /// When `percent` last rose.
-    pub(crate) percent_rose_at: TimeMs,
     /// How often its start was sent.
     pub(crate) tries: u32,
 }
@@ -243,8 +239,3 @@
 pub(crate) fn longest_lease(limits: &Limits) -> DurationMs {
     DurationMs(limits.lease_ms.0 * (100 + CLOCK_DRIFT_PERCENT) / 100 + LEASE_MARGIN_MS.0)
 }
-
-/// Whether an answer to an order proves that this life of the worker is over.
-pub(crate) fn is_wrong_life(reply: OrderReply) -> bool {
-    matches!(reply, OrderReply::WrongLife)
-}
