--- a/ragwortwick-daemon/src/area/accept.rs
+++ b/ragwortwick-daemon/src/area/accept.rs
@@ -104,9 +104,14 @@
 
     /// Sends a create until its outcome is certain or the caller's time is over.
     async fn settle(&self, txn: &Txn, until: TimeMs) -> Settled {
+        if self.health.is_away() {
+            // Nothing is sent, so the caller learns at once, and truly, that nothing was done.
+            return Settled::NotDone("the store is out of reach".to_owned());
+        }
         let mut doubt: Option<String> = None;
         loop {
-            let reply = self.store.change(txn).await;
+            let left_ms = until.since(self.clock.now()).max(RETRY_MS);
+            let reply = self.store.change_within(txn, left_ms).await;
             self.health.note(&reply);
             let error = match reply {
                 Ok(TxnReply::Done(revision)) => return Settled::Done(revision),
--- a/ragwortwick-daemon/src/area/desired_feed.rs
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -15,6 +15,9 @@
 /// connection went silent meanwhile.
 const WATCH_WAIT_MS: DurationMs = DurationMs(1_000);
 
+/// Wait of a watch while calls fail: it finds out soon when the store is back.
+const PROBE_WAIT_MS: DurationMs = DurationMs(50);
+
 /// Pause after a failed call.
 const FAILED_PAUSE_MS: DurationMs = DurationMs(150);
 
@@ -57,7 +60,12 @@
     }
 
     async fn watch(&self, after: Revision) -> Result<Revision, StoreFailure> {
-        let reply = self.store.watch(DESIRED_PREFIX, after, WATCH_WAIT_MS).await;
+        let wait_ms = if self.health.is_failing() {
+            PROBE_WAIT_MS
+        } else {
+            WATCH_WAIT_MS
+        };
+        let reply = self.store.watch(DESIRED_PREFIX, after, wait_ms).await;
         self.health.note(&reply);
         let reply = reply?;
         for change in &reply.changes {
--- a/ragwortwick-daemon/src/area/store_health.rs
+++ b/ragwortwick-daemon/src/area/store_health.rs
@@ -11,6 +11,11 @@
 /// Without an answer for so long the store counts as away; a watch answers or ends within it.
 const AWAY_AFTER_MS: DurationMs = DurationMs(2_600);
 
+/// Without an answer for so long, and with the newest call failed, nothing new is sent for callers.
+///
+/// A watch brings an answer every second, so this is more than one lost answer.
+const SILENT_AFTER_MS: DurationMs = DurationMs(1_300);
+
 /// `StoreHealth` remembers the last answer; clones share it.
 #[derive(Clone, Debug)]
 pub(super) struct StoreHealth {
@@ -56,4 +61,15 @@
         let last = TimeMs(self.last_answer_ms.load(Ordering::Relaxed));
         self.clock.now().since(last) <= AWAY_AFTER_MS
     }
+
+    /// Whether a call for a caller would be in vain.
+    pub(super) fn is_away(&self) -> bool {
+        let last = TimeMs(self.last_answer_ms.load(Ordering::Relaxed));
+        self.is_failing() && self.clock.now().since(last) > SILENT_AFTER_MS
+    }
+
+    /// Whether the newest call failed.
+    pub(super) fn is_failing(&self) -> bool {
+        self.is_failing.load(Ordering::Relaxed)
+    }
 }
--- /dev/null
+++ b/ragwortwick-daemon/tests/area.rs
@@ -0,0 +1,292 @@
+//! An area's entry hosts as separate processes, against stand-ins of the users' platform.
+
+use std::collections::BTreeSet;
+
+use http::{Method, StatusCode};
+use ragwortwick_standin::{AreaFleet, StoreTrouble, area_job, desired, wait_until};
+use serde_json::json;
+
+const ID: &str = "00000000000000aa";
+
+async fn open(hosts: usize, workers: usize) -> AreaFleet {
+    let fleet = AreaFleet::open(env!("CARGO_BIN_EXE_ragwortwickd"), hosts, workers).await;
+    let fleet = fleet.expect("the area starts");
+    wait_until("a host coordinates", async || fleet.coordinator().is_some()).await;
+    wait_until("the desired state is in force", async || {
+        let reply = fleet.call(Method::GET, 0, "/work/", None).await;
+        reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+    })
+    .await;
+    fleet
+}
+
+async fn wait_for_state(fleet: &AreaFleet, host: usize, id: &str, wanted: &str) {
+    wait_until(wanted, async || {
+        fleet.state(host, id).await.as_deref() == Some(wanted)
+    })
+    .await;
+}
+
+fn assert_nothing_twice(fleet: &AreaFleet) {
+    let starts = fleet.workers.starts();
+    let doubles: Vec<_> = starts.iter().filter(|start| start.is_double).collect();
+    assert!(
+        doubles.is_empty(),
+        "run twice at the same time: {doubles:?}"
+    );
+    let runs: BTreeSet<_> = starts
+        .iter()
+        .map(|start| (&start.task, start.run))
+        .collect();
+    assert_eq!(runs.len(), starts.len(), "a run was begun twice");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_jobs_and_gangs_complete_on_every_host() {
+    let fleet = open(3, 8).await;
+    for host in 0..3 {
+        let id = format!("{:016x}", 16 + host);
+        let status = fleet.submit(host, &id, area_job(6, 100, host == 1)).await;
+        assert_eq!(status.ok(), Some(StatusCode::OK));
+    }
+    for asked in 0..3 {
+        for host in 0..3 {
+            let id = format!("{:016x}", 16 + host);
+            wait_for_state(&fleet, asked, &id, "completed").await;
+        }
+    }
+    assert_eq!(fleet.workers.starts().len(), 18);
+    assert_nothing_twice(&fleet);
+    fleet.close();
+}
+
+/// The caller's gang runs when the coordinating process is killed. Another host takes over, finds
+/// the gang on its workers, and lets it go on: the caller sees it complete, and nothing ran twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_running_gang_survives_its_coordinator() {
+    let mut fleet = open(3, 8).await;
+    let status = fleet.submit(0, ID, area_job(4, 5_000, true)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    wait_until("the gang runs", async || fleet.workers.starts().len() == 4).await;
+    let leader = fleet.coordinator().expect("a host coordinates");
+    fleet.hosts[leader].kill().expect("the process is killed");
+    let asked = (leader + 1) % 3;
+    wait_for_state(&fleet, asked, ID, "completed").await;
+    assert_eq!(fleet.workers.starts().len(), 4, "nothing was started anew");
+    assert_nothing_twice(&fleet);
+    fleet.close();
+}
+
+/// All hosts die at once and empty ones come back: what was accepted is still done, once.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_accepted_jobs_survive_the_kill_of_every_host() {
+    let mut fleet = open(2, 4).await;
+    for number in 0..6 {
+        let id = format!("{:016x}", 32 + number);
+        let status = fleet.submit(0, &id, area_job(4, 700, false)).await;
+        assert_eq!(status.ok(), Some(StatusCode::OK));
+    }
+    for host in &mut fleet.hosts {
+        host.kill().expect("the process is killed");
+    }
+    for index in 0..2 {
+        let host = fleet.spawn_host().await.expect("a new host starts");
+        fleet.hosts[index] = host;
+    }
+    for number in 0..6 {
+        let id = format!("{:016x}", 32 + number);
+        wait_for_state(&fleet, 1, &id, "completed").await;
+    }
+    assert_nothing_twice(&fleet);
+    fleet.close();
+}
+
+/// The store takes calls and answers none. Callers learn within their time that the outcome is
+/// open, and once the host knows of the silence, at once that nothing was done, and when to come
+/// back; a handed-in job is never lost and a refused one never runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_callers_of_a_silent_store_are_told_when_to_come_back() {
+    let fleet = open(1, 2).await;
+    fleet.store.set_trouble(StoreTrouble::Silent);
+    wait_until("a refusal with a time to come back", async || {
+        let job = area_job(1, 50, false);
+        let path = "/work/00000000000000ab";
+        let reply = fleet.call(Method::POST, 0, path, Some(job)).await;
+        let reply = reply.expect("an answer within the caller's time");
+        assert_ne!(reply.status, StatusCode::OK);
+        reply.status == StatusCode::SERVICE_UNAVAILABLE && reply.headers.contains_key("retry-after")
+    })
+    .await;
+    let refused = "00000000000000ac";
+    let status = fleet.submit(0, refused, area_job(1, 50, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::SERVICE_UNAVAILABLE));
+    fleet.store.set_trouble(StoreTrouble::None);
+    wait_until("the host takes jobs again", async || {
+        let status = fleet.submit(0, ID, area_job(1, 50, false)).await;
+        status.ok() == Some(StatusCode::OK)
+    })
+    .await;
+    wait_for_state(&fleet, 0, ID, "completed").await;
+    let starts = fleet.workers.starts();
+    assert!(starts.iter().all(|start| !start.task.starts_with(refused)));
+    fleet.close();
+}
+
+/// Answers of the store are lost after the write took effect: the same id stays one job.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_lost_answers_of_the_store_double_nothing() {
+    let fleet = open(2, 4).await;
+    fleet.store.set_trouble(StoreTrouble::LosesAnswers);
+    for number in 0..4 {
+        let id = format!("{:016x}", 64 + number);
+        wait_until("the job is accepted", async || {
+            let status = fleet.submit(0, &id, area_job(2, 100, false)).await;
+            status.ok() == Some(StatusCode::OK)
+        })
+        .await;
+    }
+    for number in 0..4 {
+        let id = format!("{:016x}", 64 + number);
+        wait_for_state(&fleet, 1, &id, "completed").await;
+    }
+    fleet.store.set_trouble(StoreTrouble::None);
+    assert_eq!(fleet.workers.starts().len(), 8);
+    assert_nothing_twice(&fleet);
+    fleet.close();
+}
+
+/// The store drops its history: watches are refused, and all is read anew without a gap.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_forgotten_history_hides_no_job() {
+    let fleet = open(2, 4).await;
+    for number in 0..10 {
+        let id = format!("{:016x}", 96 + number);
+        let status = fleet.submit(number % 2, &id, area_job(1, 50, false)).await;
+        assert_eq!(status.ok(), Some(StatusCode::OK));
+        fleet.store.forget_history();
+    }
+    for number in 0..10 {
+        let id = format!("{:016x}", 96 + number);
+        wait_for_state(&fleet, 1, &id, "completed").await;
+    }
+    fleet.close();
+}
+
+/// A cancelled job is shown so on every host, and what runs of it stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_cancelled_job_stops() {
+    let fleet = open(2, 4).await;
+    let status = fleet.submit(0, ID, area_job(2, 60_000, true)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    wait_until("the gang runs", async || fleet.workers.starts().len() == 2).await;
+    let path = format!("/work/{ID}");
+    let reply = fleet.call(Method::DELETE, 1, &path, None).await;
+    assert!(reply.is_ok_and(|reply| reply.status == StatusCode::OK));
+    wait_for_state(&fleet, 0, ID, "cancelled").await;
+    // Its room is free again: a job that needs all of it runs.
+    let next = "00000000000000ad";
+    let status = fleet.submit(0, next, area_job(8, 50, true)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    wait_for_state(&fleet, 0, next, "completed").await;
+    fleet.close();
+}
+
+/// Bad calls get a clear answer and change nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_bad_calls_are_refused_clearly() {
+    let fleet = open(1, 2).await;
+    let good = area_job(1, 50, false);
+    let post = async |path: &str, body: serde_json::Value| {
+        let reply = fleet.call(Method::POST, 0, path, Some(body)).await;
+        let reply = reply.expect("an answer");
+        (
+            reply.status,
+            String::from_utf8_lossy(&reply.body).into_owned(),
+        )
+    };
+    let path = format!("/work/{ID}");
+    assert_eq!(
+        post("/other/x", good.clone()).await.0,
+        StatusCode::NOT_FOUND
+    );
+    assert_eq!(
+        post("/work/xyz", good.clone()).await.0,
+        StatusCode::BAD_REQUEST
+    );
+    let cases = [
+        (json!({"Spec": "", "Steps": [], "Nope": 1}), "Nope"),
+        (json!({"Spec": "", "Steps": []}), "steps"),
+        (json!({"Spec": "", "Steps": [{"Count": 0}]}), "count"),
+        (
+            json!({"Spec": "", "Steps": [{"Count": 1, "After": [0]}]}),
+            "after",
+        ),
+        (
+            json!({"Spec": "", "Steps": [{"Count": 1, "After": [1]}, {"Count": 1}]}),
+            "after",
+        ),
+    ];
+    for (body, named) in cases {
+        let (status, text) = post(&path, body).await;
+        assert_eq!(status, StatusCode::BAD_REQUEST, "{text}");
+        assert!(text.contains(named), "{text} names {named}");
+    }
+    let large = json!({"Spec": "x".repeat(5_000), "Steps": [{"Count": 1}]});
+    assert_eq!(post(&path, large).await.0, StatusCode::PAYLOAD_TOO_LARGE);
+    let stranger = fleet
+        .call_as("nobody", Method::GET, 0, &path, None)
+        .await
+        .expect("an answer");
+    assert_eq!(stranger.status, StatusCode::UNAUTHORIZED);
+    let unknown = fleet.call(Method::GET, 0, &path, None).await;
+    assert!(unknown.is_ok_and(|reply| reply.status == StatusCode::GONE));
+    assert_eq!(fleet.workers.starts(), vec![]);
+    fleet.close();
+}
+
+/// A version that removes the queue is in force soon, and never goes back to an older one.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_newer_desired_state_stays_in_force() {
+    let fleet = open(1, 2).await;
+    let mut newer = desired(5);
+    newer["Routes"] = json!([]);
+    fleet.store.put("op/config", newer.to_string());
+    let is_gone = async || {
+        let reply = fleet.call(Method::GET, 0, "/work/", None).await;
+        reply.is_ok_and(|reply| reply.status == StatusCode::NOT_FOUND)
+    };
+    wait_until("the queue is gone", is_gone).await;
+    fleet.store.put("op/config", desired(4).to_string());
+    fleet.store.put("op/config", "{broken");
+    fleet.hosts[0]
+        .wait_for_event("desired_state_unreadable")
+        .await
+        .expect("the unreadable state is reported");
+    assert!(is_gone().await, "an older version came back");
+    fleet.close();
+}
+
+/// A planned stop hands the key over, answers callers to the end, and ends by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_planned_stop_hands_over() {
+    let mut fleet = open(2, 4).await;
+    let leader = fleet.coordinator().expect("a host coordinates");
+    let other = 1 - leader;
+    fleet.hosts[leader].hang_up().expect("a signal is sent");
+    let reload = fleet.hosts[leader].wait_for_event("reload").await;
+    reload.expect("a changed settings file ends nothing");
+    fleet.hosts[leader].terminate().expect("a signal is sent");
+    let ready = fleet.hosts[leader].wait_for_event("stopping").await;
+    ready.expect("the host stops");
+    // Until the balancer looks away, the stopping host still takes jobs.
+    let status = fleet.submit(leader, ID, area_job(2, 100, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    wait_until("the other host coordinates", async || {
+        fleet.coordinator() == Some(other)
+    })
+    .await;
+    wait_for_state(&fleet, other, ID, "completed").await;
+    let ended = fleet.hosts[leader].wait().await.expect("the process ends");
+    assert!(ended.is_some_and(|status| status.success()));
+    fleet.close();
+}
--- /dev/null
+++ b/ragwortwick-standin/src/area/fleet.rs
@@ -0,0 +1,200 @@
+//! A whole area: store, workers and entry hosts as separate processes.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+use ragwortwick_core::{DurationMs, HostName, ZoneName};
+use ragwortwick_http::{HttpClient, HttpClientOptions, HttpError, HttpReply};
+use serde_json::{Map, Value, json};
+use tokio::task::JoinHandle;
+
+use super::{AreaStore, AreaWorkers};
+use crate::fleet::{Daemon, DaemonOptions, FleetError};
+
+/// How often workers write their entries.
+const BEAT_MS: DurationMs = DurationMs(200);
+
+/// Longest wait for an answer to a caller.
+const CALL_MS: DurationMs = DurationMs(5_000);
+
+/// Key that callers present.
+const KEY: &str = "key-1";
+
+/// `AreaFleet` is a running area.
+#[derive(Debug)]
+pub struct AreaFleet {
+    /// The store.
+    pub store: Arc<AreaStore>,
+    /// The workers.
+    pub workers: Arc<AreaWorkers>,
+    /// The entry hosts.
+    pub hosts: Vec<Daemon>,
+    directory: tempfile::TempDir,
+    binary: PathBuf,
+    http: HttpClient,
+    beats: JoinHandle<()>,
+    spawned: usize,
+}
+
+impl AreaFleet {
+    /// `open` starts an area with a desired state in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a port or process can't be had.
+    pub async fn open(binary: &str, hosts: usize, workers: usize) -> Result<Self, FleetError> {
+        let store = Arc::new(AreaStore::bind("127.0.0.1:0").await?);
+        let workers = Arc::new(AreaWorkers::spawn(workers, &store).await?);
+        store.put("op/config", desired(1).to_string());
+        let (beaten, beating) = (Arc::clone(&store), Arc::clone(&workers));
+        let beats = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(BEAT_MS.into()).await;
+                beating.beat(&beaten);
+            }
+        });
+        let mut fleet = Self {
+            store,
+            workers,
+            hosts: Vec::new(),
+            directory: tempfile::tempdir()?,
+            binary: Path::new(binary).to_path_buf(),
+            http: HttpClient::new(&HttpClientOptions::default()),
+            beats,
+            spawned: 0,
+        };
+        for _ in 0..hosts {
+            let host = fleet.spawn_host().await?;
+            fleet.hosts.push(host);
+        }
+        Ok(fleet)
+    }
+
+    /// `spawn_host` starts one more entry host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be had.
+    pub async fn spawn_host(&mut self) -> Result<Daemon, FleetError> {
+        self.spawned += 1;
+        let options = DaemonOptions {
+            host: HostName::new(format!("host-{}", self.spawned)),
+            zone: ZoneName::new("z"),
+            store_address: self.store.address().to_string(),
+            hosts_address: String::new(),
+            settings: Map::new(),
+        };
+        Daemon::spawn_area(&self.binary, self.directory.path(), options).await
+    }
+
+    /// `call` sends a caller's call to a host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        host: usize,
+        path: &str,
+        body: Option<Value>,
+    ) -> Result<HttpReply, HttpError> {
+        self.call_as(KEY, method, host, path, body).await
+    }
+
+    /// `call_as` is `call` with another key.
+    ///
+    /// # Errors
+    ///
+    /// As `call`.
+    pub async fn call_as(
+        &self,
+        key: &str,
+        method: Method,
+        host: usize,
+        path: &str,
+        body: Option<Value>,
+    ) -> Result<HttpReply, HttpError> {
+        let authorization = format!("Token {key}");
+        let headers = [
+            ("host", "jobs.example"),
+            ("authorization", authorization.as_str()),
+            ("x-deadline-ms", "3000"),
+        ];
+        let address = self.hosts[host].address();
+        let body = body.map(|body| body.to_string().into());
+        self.http
+            .send_with(method, address, path, &headers, body, CALL_MS)
+            .await
+    }
+
+    /// `submit` hands a job in; gives the status.
+    ///
+    /// # Errors
+    ///
+    /// As `call`.
+    pub async fn submit(&self, host: usize, id: &str, job: Value) -> Result<StatusCode, HttpError> {
+        let path = format!("/work/{id}");
+        let reply = self.call(Method::POST, host, &path, Some(job)).await?;
+        Ok(reply.status)
+    }
+
+    /// `state` asks for a job's state; none if it has none.
+    pub async fn state(&self, host: usize, id: &str) -> Option<String> {
+        let path = format!("/work/{id}");
+        let reply = self.call(Method::GET, host, &path, None).await.ok()?;
+        let body: Value = serde_json::from_slice(&reply.body).ok()?;
+        body["State"].as_str().map(str::to_owned)
+    }
+
+    /// `coordinator` finds the host that coordinates, by its own log.
+    #[must_use]
+    pub fn coordinator(&self) -> Option<usize> {
+        let count = |lines: &[String], event: &str| {
+            let word = format!("event={event}");
+            lines.iter().filter(|line| line.contains(&word)).count()
+        };
+        self.hosts.iter().position(|host| {
+            let lines = host.lines();
+            count(&lines, "term_begins ") > count(&lines, "term_ends ")
+        })
+    }
+
+    /// `close` ends everything.
+    pub fn close(mut self) {
+        for host in &mut self.hosts {
+            // A process that is gone needs no kill.
+            drop(host.kill());
+        }
+        self.beats.abort();
+    }
+}
+
+/// A desired state with one queue for the stand-in workers.
+#[must_use]
+pub fn desired(version: u64) -> Value {
+    json!({
+        "Version": version,
+        "Routes": [
+            {"Name": "work", "Host": "jobs.example", "Prefix": "/work/", "Type": "non_idempotent",
+             "TimeoutMs": 3000, "TargetLatencyMs": 1000, "Priority": 1, "Service": "booking",
+             "Attempts": 3, "Stretch": 3.0, "Public": false}
+        ],
+        "Services": [],
+        "Limits": {"MaxBodyBytes": 4096},
+        "Tenants": [{"Name": "c", "ApiKeys": [KEY], "Priority": 1, "Guaranteed": {"Gpu": 16}}]
+    })
+}
+
+/// A job of one step; its payload tells the stand-in workers what to do.
+#[must_use]
+pub fn area_job(count: u64, work_ms: u64, is_gang: bool) -> Value {
+    let gang = if is_gang { count } else { 1 };
+    let payload = json!({"work_ms": work_ms, "gang": gang}).to_string();
+    json!({
+        "Spec": payload,
+        "Steps": [{"Count": count, "Cpu": 1000, "MemMb": 1000, "Gpu": 4,
+                   "EstimateMs": work_ms, "Gang": is_gang}]
+    })
+}
--- /dev/null
+++ b/ragwortwick-standin/src/area/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the users' platform, by its published protocol: its store and its workers.
+
+mod fleet;
+mod store;
+mod store_routes;
+mod worker_routes;
+mod workers;
+
+pub use fleet::{AreaFleet, area_job, desired};
+pub use store::{AreaStore, KvItem, StoreTrouble};
+pub use workers::{AreaWorkers, StartSeen};
--- /dev/null
+++ b/ragwortwick-standin/src/area/store_routes.rs
@@ -0,0 +1,300 @@
+//! The store's calls.
+
+use std::collections::HashMap;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use gotham::handler::{IntoResponse, SimpleHandlerResult};
+use gotham::helpers::http::Body;
+use gotham::middleware::state::StateMiddleware;
+use gotham::pipeline::{single_middleware, single_pipeline};
+use gotham::prelude::{DefineSingleRoute, DrawRoutes, FromState};
+use gotham::router::Router;
+use gotham::router::builder::build_router;
+use gotham::state::State;
+use http::{Method, Response, StatusCode, Uri};
+use percent_encoding::percent_decode_str;
+use ragwortwick_core::DurationMs;
+use ragwortwick_http::{json_response, read_json};
+use serde_json::{Value, json};
+use tokio::time::timeout;
+
+use super::store::{Kv, KvItem, KvShared, StoreTrouble};
+use crate::now;
+
+/// Entries that a transaction may have.
+const MAX_ENTRIES: usize = 32;
+
+/// Items in a page.
+const PAGE: usize = 500;
+
+/// Largest body.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+pub(super) fn router(shared: KvShared) -> Router {
+    let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(shared)));
+    build_router(chain, pipelines, |route| {
+        route.get("/kv-key").to_async_borrowing(key);
+        route.get("/kv-range").to_async_borrowing(range);
+        route.get("/kv-watch").to_async_borrowing(watch);
+        route.post("/kv-txn").to_async_borrowing(txn);
+        route.post("/kv-lease").to_async_borrowing(lease);
+        route.post("/kv-keep/:id").to_async_borrowing(keep);
+        route
+            .request(vec![Method::DELETE], "/kv-lease-end/:id")
+            .to_async_borrowing(end_lease);
+    })
+}
+
+/// Gives the refusal of a store in trouble; a silent one never comes back from here.
+async fn pass(state: &mut State) -> Result<KvShared, Response<Body>> {
+    let shared = KvShared::borrow_from(state).clone();
+    let mut changed = shared.changed.subscribe();
+    loop {
+        match shared.with(|kv| kv.trouble) {
+            StoreTrouble::Silent => {
+                if changed.changed().await.is_err() {
+                    return Err(answer(state, StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+                }
+            }
+            StoreTrouble::Busy => {
+                return Err(answer(state, StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+            }
+            StoreTrouble::None | StoreTrouble::LosesAnswers => return Ok(shared),
+        }
+    }
+}
+
+fn answer(state: &State, status: StatusCode, body: &Value) -> Response<Body> {
+    json_response(state, status, body)
+}
+
+fn query(state: &State) -> HashMap<String, String> {
+    let uri = Uri::borrow_from(state);
+    uri.query()
+        .unwrap_or_default()
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| {
+            let value = percent_decode_str(value).decode_utf8_lossy().into_owned();
+            (name.to_owned(), value)
+        })
+        .collect()
+}
+
+fn shown(key: &str, item: &KvItem) -> Value {
+    json!({
+        "Key": key,
+        "Value": STANDARD.encode(&item.value),
+        "Revision": item.revision,
+        "Created": item.created,
+        "Lease": item.lease,
+    })
+}
+
+async fn key(state: &mut State) -> SimpleHandlerResult {
+    let shared = match pass(state).await {
+        Ok(shared) => shared,
+        Err(refusal) => return Ok(refusal),
+    };
+    let query = query(state);
+    let name = query.get("Key").cloned().unwrap_or_default();
+    let found = shared.with(|kv| kv.items.get(&name).map(|item| shown(&name, item)));
+    Ok(match found {
+        Some(item) => answer(state, StatusCode::OK, &item),
+        None => answer(state, StatusCode::NOT_FOUND, &json!({})),
+    })
+}
+
+async fn range(state: &mut State) -> SimpleHandlerResult {
+    let shared = match pass(state).await {
+        Ok(shared) => shared,
+        Err(refusal) => return Ok(refusal),
+    };
+    let query = query(state);
+    let prefix = query.get("Prefix").cloned().unwrap_or_default();
+    let after = query.get("After").cloned().unwrap_or_default();
+    let body = shared.with(|kv| {
+        let matching = kv
+            .items
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(&prefix))
+            .filter(|(key, _)| **key > after);
+        let items: Vec<Value> = matching
+            .clone()
+            .take(PAGE)
+            .map(|(key, item)| shown(key, item))
+            .collect();
+        let is_truncated = matching.count() > PAGE;
+        json!({"items": items, "Truncated": is_truncated, "AsOf": kv.revision})
+    });
+    Ok(answer(state, StatusCode::OK, &body))
+}
+
+async fn watch(state: &mut State) -> SimpleHandlerResult {
+    let shared = match pass(state).await {
+        Ok(shared) => shared,
+        Err(refusal) => return Ok(refusal),
+    };
+    let query = query(state);
+    let prefix = query.get("Prefix").cloned().unwrap_or_default();
+    let number = |name: &str| -> u64 {
+        let value = query.get(name).and_then(|text| text.parse().ok());
+        value.unwrap_or(0)
+    };
+    let after = number("After");
+    let ends_at = now() + DurationMs(number("WaitMs"));
+    let mut changed = shared.changed.subscribe();
+    loop {
+        changed.mark_unchanged();
+        if let Err(refusal) = pass(state).await {
+            return Ok(refusal);
+        }
+        let (is_gone, events, as_of) = shared.with(|kv| events_after(kv, &prefix, after));
+        if is_gone {
+            return Ok(answer(state, StatusCode::GONE, &json!({})));
+        }
+        let left_ms = ends_at.since(now());
+        if !events.is_empty() || left_ms == DurationMs(0) {
+            let body = json!({"events": events, "AsOf": as_of});
+            return Ok(answer(state, StatusCode::OK, &body));
+        }
+        // Either a change or the end of the wait: both lead to another look.
+        drop(timeout(left_ms.into(), changed.changed()).await);
+    }
+}
+
+fn events_after(kv: &Kv, prefix: &str, after: u64) -> (bool, Vec<Value>, u64) {
+    let events = kv
+        .history
+        .iter()
+        .filter(|event| event.revision > after && event.key.starts_with(prefix))
+        .map(|event| match &event.item {
+            Some(item) => shown(&event.key, item),
+            None => json!({"Key": event.key, "Revision": event.revision, "Deleted": true}),
+        })
+        .collect();
+    (after < kv.dropped, events, kv.revision)
+}
+
+async fn txn(state: &mut State) -> SimpleHandlerResult {
+    let shared = match pass(state).await {
+        Ok(shared) => shared,
+        Err(refusal) => return Ok(refusal),
+    };
+    let body = match read_json::<Value>(state, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(refusal) => return Ok(refusal.into_response(state)),
+    };
+    let (status, body, is_lost) = shared.with(|kv| {
+        let (status, body) = change(kv, &body);
+        kv.changes += 1;
+        let is_lost = kv.trouble == StoreTrouble::LosesAnswers && kv.changes % 2 == 0;
+        (status, body, is_lost)
+    });
+    if is_lost {
+        std::future::pending::<()>().await;
+    }
+    Ok(answer(state, status, &body))
+}
+
+fn rows<'a>(body: &'a Value, name: &str) -> Vec<&'a Value> {
+    body[name]
+        .as_array()
+        .map(|rows| rows.iter().collect())
+        .unwrap_or_default()
+}
+
+fn change(kv: &mut Kv, body: &Value) -> (StatusCode, Value) {
+    let (expect, puts, removes) = (
+        rows(body, "Expect"),
+        rows(body, "Puts"),
+        rows(body, "Remove"),
+    );
+    let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    if expect.len() + puts.len() + removes.len() > MAX_ENTRIES {
+        return (
+            StatusCode::BAD_REQUEST,
+            json!({"Error": "too many entries"}),
+        );
+    }
+    let holds = expect.iter().all(|row| {
+        let known = kv.items.get(&text(row, "Key"));
+        known.map_or(0, |item| item.revision) == row["Revision"].as_u64().unwrap_or(0)
+    });
+    if !holds {
+        let items: Vec<Value> = expect
+            .iter()
+            .filter_map(|row| {
+                let key = text(row, "Key");
+                kv.items.get(&key).map(|item| shown(&key, item))
+            })
+            .collect();
+        return (StatusCode::PRECONDITION_FAILED, json!({"items": items}));
+    }
+    let lease_of = |row: &Value| row["Lease"].as_u64().unwrap_or(0);
+    let has_leases = puts
+        .iter()
+        .map(|row| lease_of(row))
+        .all(|lease| lease == 0 || kv.has_lease(lease));
+    if !has_leases {
+        return (StatusCode::NOT_FOUND, json!({}));
+    }
+    // All entries of a transaction get its revision.
+    let revision = kv.revision + 1;
+    for row in puts {
+        kv.revision = revision - 1;
+        let value = STANDARD.decode(text(row, "Value")).unwrap_or_default();
+        kv.put(&text(row, "Key"), value, lease_of(row));
+    }
+    for row in removes {
+        kv.revision = revision - 1;
+        kv.remove(row.as_str().unwrap_or_default());
+    }
+    kv.revision = revision;
+    (StatusCode::OK, json!({"Revision": revision}))
+}
+
+async fn lease(state: &mut State) -> SimpleHandlerResult {
+    let shared = match pass(state).await {
+        Ok(shared) => shared,
+        Err(refusal) => return Ok(refusal),
+    };
+    let body = match read_json::<Value>(state, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(refusal) => return Ok(refusal.into_response(state)),
+    };
+    let ttl_ms = body["TtlMs"].as_u64().unwrap_or(1_000);
+    let lease = shared.with(|kv| kv.grant(now(), DurationMs(ttl_ms)));
+    let body = json!({"Lease": lease, "TtlMs": ttl_ms});
+    Ok(answer(state, StatusCode::OK, &body))
+}
+
+/// The number at the end of the path.
+fn lease_id(state: &State) -> u64 {
+    let path = Uri::borrow_from(state).path();
+    let last = path.rsplit('/').next();
+    last.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+async fn keep(state: &mut State) -> SimpleHandlerResult {
+    let shared = match pass(state).await {
+        Ok(shared) => shared,
+        Err(refusal) => return Ok(refusal),
+    };
+    let id = lease_id(state);
+    Ok(match shared.with(|kv| kv.keep(now(), id)) {
+        Some(ttl_ms) => answer(state, StatusCode::OK, &json!({"TtlMs": ttl_ms.0})),
+        None => answer(state, StatusCode::NOT_FOUND, &json!({})),
+    })
+}
+
+async fn end_lease(state: &mut State) -> SimpleHandlerResult {
+    let shared = match pass(state).await {
+        Ok(shared) => shared,
+        Err(refusal) => return Ok(refusal),
+    };
+    let id = lease_id(state);
+    shared.with(|kv| kv.end_lease(id));
+    Ok(answer(state, StatusCode::OK, &json!({})))
+}
--- /dev/null
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -0,0 +1,295 @@
+//! Workers that run tasks under leases; what a task does stands in its payload.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::panic::RefUnwindSafe;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use gotham::state::StateData;
+use ragwortwick_core::TimeMs;
+use ragwortwick_http::{Server, ServerOptions};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::store::AreaStore;
+use super::worker_routes;
+use crate::faults::lock;
+use crate::now;
+
+/// How often ends and lapsed leases are looked for.
+const CHECK: Duration = Duration::from_millis(10);
+
+/// Longest lease that a worker grants.
+pub(super) const LEASE_MS: u64 = 4_000;
+
+/// `Payload` tells a stand-in what a task does.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub(super) struct Payload {
+    /// How long it works.
+    pub(super) work_ms: u64,
+    /// Members that have to be there, for a gang.
+    pub(super) gang: usize,
+}
+
+impl Default for Payload {
+    fn default() -> Self {
+        Self {
+            work_ms: 100,
+            gang: 1,
+        }
+    }
+}
+
+/// `StartSeen` is a run that a worker began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartSeen {
+    /// The worker.
+    pub worker: String,
+    /// The task's name.
+    pub task: String,
+    /// The run.
+    pub run: u64,
+    /// Whether another worker was running the same task.
+    pub is_double: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RunningTask {
+    pub(super) run: u64,
+    pub(super) payload: Payload,
+    pub(super) started_at: TimeMs,
+    pub(super) ends_at: Option<TimeMs>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct WorkerState {
+    pub(super) token: u64,
+    pub(super) lease_until: u64,
+    pub(super) running: BTreeMap<String, RunningTask>,
+    pub(super) over: BTreeMap<String, u64>,
+    pub(super) ended: Vec<(u64, String, u64, &'static str)>,
+    last_end: u64,
+    pub(super) is_silent: bool,
+}
+
+impl WorkerState {
+    pub(super) fn end(&mut self, task: &str, how: &'static str) {
+        if let Some(run) = self.running.remove(task) {
+            self.last_end += 1;
+            self.ended
+                .push((self.last_end, task.to_owned(), run.run, how));
+            let over = self.over.entry(task.to_owned()).or_insert(0);
+            *over = (*over).max(run.run);
+        }
+    }
+
+    pub(super) fn told(&self) -> Value {
+        let running: Vec<Value> = self
+            .running
+            .iter()
+            .map(|(task, run)| {
+                let worked_ms = now().since(run.started_at).0;
+                let percent = (worked_ms * 100 / run.payload.work_ms.max(1)).min(99);
+                json!([task, run.run, "", percent])
+            })
+            .collect();
+        let ended: Vec<Value> = self
+            .ended
+            .iter()
+            .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+            .collect();
+        json!({"ClockMs": now().0, "Running": running, "Ended": ended})
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct PoolState {
+    pub(super) workers: BTreeMap<String, WorkerState>,
+    pub(super) starts: Vec<StartSeen>,
+}
+
+/// `PoolShared` is what the handlers of all workers reach.
+#[derive(Clone, Debug)]
+pub(super) struct PoolShared {
+    pool: Arc<Mutex<PoolState>>,
+    pub(super) changed: watch::Sender<u64>,
+}
+
+/// `OneWorker` is what the handlers of one worker reach.
+#[derive(Clone, Debug, StateData)]
+pub(super) struct OneWorker {
+    pub(super) name: String,
+    pub(super) pool: PoolShared,
+}
+
+// gotham asks for this mark; a panic of a stand-in fails its test anyway.
+impl RefUnwindSafe for OneWorker {}
+
+impl PoolShared {
+    pub(super) fn with<R>(&self, step: impl FnOnce(&mut PoolState) -> R) -> R {
+        let result = step(&mut lock(&self.pool));
+        self.changed.send_modify(|count| *count += 1);
+        result
+    }
+
+    fn check(&self) {
+        let now = now();
+        let mut pool = lock(&self.pool);
+        let is_changed = pool.advance(now);
+        drop(pool);
+        if is_changed {
+            self.changed.send_modify(|count| *count += 1);
+        }
+    }
+}
+
+impl PoolState {
+    /// Ends what is due; tells whether anything changed.
+    fn advance(&mut self, now: TimeMs) -> bool {
+        self.begin_gangs(now);
+        let mut is_changed = false;
+        for worker in self.workers.values_mut() {
+            let is_lapsed = worker.lease_until <= now.0;
+            let due: Vec<(String, &'static str)> = worker
+                .running
+                .iter()
+                .filter_map(|(task, run)| {
+                    let is_done = run.ends_at.is_some_and(|at| at <= now);
+                    match (is_done, is_lapsed) {
+                        (true, _) => Some((task.clone(), "done")),
+                        (false, true) => Some((task.clone(), "lapsed")),
+                        (false, false) => None,
+                    }
+                })
+                .collect();
+            is_changed |= !due.is_empty();
+            for (task, how) in due {
+                worker.end(&task, how);
+            }
+        }
+        is_changed
+    }
+
+    /// A gang works from the moment when all its members are there.
+    fn begin_gangs(&mut self, now: TimeMs) {
+        let mut present: BTreeMap<(String, u64), usize> = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, run) in &worker.running {
+                *present.entry((step_of(task), run.run)).or_insert(0) += 1;
+            }
+        }
+        for worker in self.workers.values_mut() {
+            for (task, run) in &mut worker.running {
+                let members = present.get(&(step_of(task), run.run));
+                let is_whole = members.is_some_and(|&members| members >= run.payload.gang);
+                if run.ends_at.is_none() && is_whole {
+                    let work_ms = ragwortwick_core::DurationMs(run.payload.work_ms);
+                    run.ends_at = Some(now + work_ms);
+                }
+            }
+        }
+    }
+}
+
+/// The name of a task's step: the name without its last part.
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.')
+        .map_or("", |(step, _)| step)
+        .to_owned()
+}
+
+/// `AreaWorkers` is a pool of running workers, each on an address of its own.
+#[derive(Debug)]
+pub struct AreaWorkers {
+    shared: PoolShared,
+    servers: Vec<(String, Server)>,
+    checks: JoinHandle<()>,
+}
+
+impl AreaWorkers {
+    /// `spawn` starts workers of eight accelerators, eight to a rack, and lists them in the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn spawn(count: usize, store: &AreaStore) -> io::Result<Self> {
+        let shared = PoolShared {
+            pool: Arc::default(),
+            changed: watch::Sender::new(0),
+        };
+        let mut servers = Vec::new();
+        for number in 0..count {
+            let name = format!("w-{number}");
+            let one = OneWorker {
+                name: name.clone(),
+                pool: shared.clone(),
+            };
+            let router = worker_routes::router(one);
+            let server = Server::bind("127.0.0.1:0", router, ServerOptions::default()).await?;
+            shared.with(|pool| {
+                pool.workers.insert(name.clone(), WorkerState::default());
+            });
+            servers.push((name, server));
+        }
+        let checked = shared.clone();
+        let checks = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(CHECK).await;
+                checked.check();
+            }
+        });
+        let workers = Self {
+            shared,
+            servers,
+            checks,
+        };
+        workers.beat(store);
+        Ok(workers)
+    }
+
+    /// `beat` writes every worker's entry, as their heartbeats do.
+    pub fn beat(&self, store: &AreaStore) {
+        for (number, (name, server)) in self.servers.iter().enumerate() {
+            let entry = json!({
+                "Service": "booking",
+                "Address": server.address().to_string(),
+                "Zone": "z",
+                "Version": "v1",
+                "Slots": 8,
+                "State": "ready",
+                "ColdRemainingMs": 0,
+                "Capacity": {"Cpu": 32_000, "MemMb": 65_536, "Gpu": 8},
+                "Labels": ["a", format!("r-{}", number / 8)],
+                "ClockMs": now().0,
+                "Sequence": now().0,
+            });
+            store.put(&format!("servers/{name}"), entry.to_string());
+        }
+    }
+
+    /// `starts` lists every run that was begun.
+    #[must_use]
+    pub fn starts(&self) -> Vec<StartSeen> {
+        self.shared.with(|pool| pool.starts.clone())
+    }
+
+    /// `set_silent` makes a worker take calls without an answer.
+    pub fn set_silent(&self, number: usize, is_silent: bool) {
+        let name = format!("w-{number}");
+        self.shared.with(|pool| {
+            if let Some(worker) = pool.workers.get_mut(&name) {
+                worker.is_silent = is_silent;
+            }
+        });
+    }
+
+    /// `close` ends all workers.
+    pub fn close(self) {
+        self.checks.abort();
+        drop(self.servers);
+    }
+}
--- a/ragwortwick-standin/src/fleet/child.rs
+++ b/ragwortwick-standin/src/fleet/child.rs
@@ -55,9 +55,29 @@
         options: DaemonOptions,
     ) -> Result<Self, FleetError> {
         let path = write_settings(directory, &options)?;
-        let mut child = Command::new(binary)
-            .arg("--settings")
-            .arg(&path)
+        let mut command = Command::new(binary);
+        command.arg("--settings").arg(&path);
+        Self::start(command, options).await
+    }
+
+    /// `spawn_area` starts the entry host of an area, by the name and store of the options.
+    ///
+    /// # Errors
+    ///
+    /// As `spawn`.
+    pub async fn spawn_area(
+        binary: &Path,
+        directory: &Path,
+        options: DaemonOptions,
+    ) -> Result<Self, FleetError> {
+        let path = write_area_settings(directory, &options)?;
+        let mut command = Command::new(binary);
+        command.arg("--area").arg("--settings").arg(&path);
+        Self::start(command, options).await
+    }
+
+    async fn start(mut command: Command, options: DaemonOptions) -> Result<Self, FleetError> {
+        let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()?;
@@ -81,6 +101,16 @@
         &self.address
     }
 
+    /// `ready_address` is where the balancer asks an area's host.
+    ///
+    /// # Errors
+    ///
+    /// Fails for a process that is no area's host.
+    pub async fn ready_address(&self) -> Result<String, FleetError> {
+        let line = self.wait_for_event("listening").await?;
+        field(&line, "ready_address").ok_or(FleetError::Ended("ready_address".to_owned()))
+    }
+
     /// `host` is its name.
     #[must_use]
     pub fn host(&self) -> &HostName {
@@ -166,6 +196,15 @@
         self.signal(Signal::CONT)
     }
 
+    /// `hang_up` says that the settings file has changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such process.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// `terminate` asks for a planned stop.
     ///
     /// # Errors
@@ -234,6 +273,31 @@
     Ok(path)
 }
 
+fn write_area_settings(directory: &Path, options: &DaemonOptions) -> io::Result<PathBuf> {
+    let mut settings = json!({
+        "host": options.host,
+        "zone": options.zone,
+        "listen": "127.0.0.1:0",
+        "ready_listen": "127.0.0.1:0",
+        "store_address": options.store_address,
+        "stop_grace_s": 6,
+        "worker_lease_ms": 4_000,
+        "worker_stop_ms": 200,
+        "gang_wait_ms": 3_000,
+        "reclaim_ms": 2_700,
+        "remote_penalty": 3,
+        "checkpoint_s": 0.5,
+        "restore_ms": 100,
+        "retention_s": 120,
+    });
+    if let Value::Object(fields) = &mut settings {
+        fields.extend(options.settings.clone());
+    }
+    let path = directory.join(format!("{}.json", options.host));
+    std::fs::write(&path, settings.to_string())?;
+    Ok(path)
+}
+
 fn follow_lines(child: &mut Child) -> watch::Receiver<Vec<String>> {
     let (sender, receiver) = watch::channel(Vec::new());
     if let Some(stdout) = child.stdout.take() {
--- a/ragwortwick-standin/src/lib.rs
+++ b/ragwortwick-standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the platform, workers and runners, with fault knobs; never shipped.
 
 mod admin;
+mod area;
 mod body;
 mod clock;
 mod faults;
@@ -12,6 +13,9 @@
 mod usage;
 mod workers;
 
+pub use area::{
+    AreaFleet, AreaStore, AreaWorkers, KvItem, StartSeen, StoreTrouble, area_job, desired,
+};
 pub use clock::now;
 pub use faults::{Faults, Gate};
 pub use fleet::{
