Tell the coordinator of jobs before their cancels when all is read anew

Cause: after the store forgot its history, the coordinator's host reads all keys in their order, where a job's cancel stands before its record. Ruled out: load. Change: news of a whole reading are sorted, acceptances first. The test failed before.

--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -80,7 +80,8 @@
         waiting.count() as u64
     }
 
-    /// Takes the whole content of the prefix; what is not in it no longer exists.
+    /// Takes the whole content of the prefix; what is not in it no longer exists. Of each job, the
+    /// news tell its acceptance before its cancel.
     pub(super) fn load(&self, items: &[Item], as_of: Revision) -> Vec<JobNews> {
         let mut news = Vec::new();
         let mut jobs = self.lock();
@@ -90,6 +91,9 @@
             news.extend(jobs.write(item));
         }
         jobs.is_loaded = true;
+        // Keys list a job's cancel before its record. The coordinator drops the cancel of a job that
+        // it doesn't know, and would run the job once the record comes: a stable sort puts cancels last.
+        news.sort_by_key(|item| matches!(item, JobNews::Cancelled(_)));
         news
     }
 
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -48,6 +48,32 @@
     assert!(matches!(news, Some(JobNews::Accepted(_))));
 }
 
+/// A caller hands a job in and cancels it, gets an answer for both, and sees the job run all the same.
+/// In between the store forgot its history, so the coordinator's host read everything anew. Keys
+/// come in their own order, the cancel before the record: the coordinator knew no such job yet,
+/// dropped the cancel, and then took the job in.
+#[test]
+fn verify_reading_anew_tells_of_a_job_before_its_cancel() {
+    let replica = Replica::default();
+    let record = record("00000000000000ac");
+    let cancel = Item {
+        key: JobKey::Cancel.of(&record.job_id),
+        value: Vec::new(),
+        revision: Revision(6),
+    };
+    let Change::Written(accepted) = written(&record, 5) else {
+        unreachable!("a record was written");
+    };
+    let mut items = vec![accepted, cancel];
+    items.sort_by(|a, b| a.key.cmp(&b.key));
+    let news = replica.load(&items, Revision(7));
+    let is_accepted: Vec<bool> = news
+        .iter()
+        .map(|item| matches!(item, JobNews::Accepted(_)))
+        .collect();
+    assert_eq!(is_accepted, [true, false], "{news:?}");
+}
+
 /// A watch that repeats an older revision brings nothing.
 #[test]
 fn verify_older_revision_is_no_news() {
