Count the pause between passes from the end of a pass, three times its length

Cause: the pause between two passes of placement was counted from a pass's beginning. On a full host of half a core at 350 workers a pass took up to 158 ms, longer than the pause (8 to 68 ms), so each event that had come meanwhile began a pass again: one event a pass while 1,200 a second came in. Ruled out: the number of looks; the cost of the decisions themselves (a twentieth of a whole core in the emulator at 10,000 starts a minute); the compiler's options. Change: the driver tells when a call was over; the next pass is due three times the pass's length after its end, at least 8 and at most 200 ms. The guess from steps times workers is gone. Test red before. Conclusion: the finding was a fault of pacing, not of the processor's size.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -29,11 +29,15 @@
 /// Pause between two passes of placement, so that a burst of events costs one pass.
 const PASS_INTERVAL_MS: DurationMs = DurationMs(8);
 
-/// Steps times workers for which a pass takes about a millisecond on half a core.
-const PASS_WEIGHT_PER_MS: u64 = 3_000;
+/// How many times as long as a pass took the next one is put off, counted from its end.
+///
+/// On a full host a pass of 8 ms takes 150. Counted from its beginning, the next one was due with the
+/// very next event: thousands of answers then waited for a pass each, and guaranteed work began 5 s
+/// late at 350 workers.
+const PAUSE_PER_PASS: u64 = 3;
 
-/// Longest further pause between two passes; urgent work has to start within a second or two.
-const MOST_PASS_PAUSE_MS: u64 = 60;
+/// Longest pause between two passes; urgent work has to start within a second or two.
+const MOST_PASS_PAUSE_MS: DurationMs = DurationMs(200);
 
 /// How often leases that ran out, orders without an answer and old jobs are looked for.
 const CHORES_MS: DurationMs = DurationMs(40);
@@ -75,9 +79,9 @@
     pub(crate) tenure_until: TimeMs,
     workers_fresh_at: Option<TimeMs>,
     pub(crate) wants_pass: bool,
-    last_pass_at: TimeMs,
-    /// Steps times workers of the last pass, which is about what it cost.
-    pub(crate) pass_weight: usize,
+    next_pass_at: TimeMs,
+    /// When the pass began whose end is not known yet.
+    pass_began: Option<TimeMs>,
     /// Whether an order may be due before the next regular look for due ones.
     pub(crate) wants_orders: bool,
     next_chores_at: TimeMs,
@@ -109,8 +113,8 @@
             tenure_until: now.steady,
             workers_fresh_at: Some(now.steady),
             wants_pass: true,
-            last_pass_at: TimeMs(0),
-            pass_weight: 0,
+            next_pass_at: TimeMs(0),
+            pass_began: None,
             wants_orders: true,
             next_chores_at: TimeMs(0),
             next_due_at: None,
@@ -232,9 +236,7 @@
             || self.workers.values().any(Worker::wants_look)
             || !self.open_jobs.is_empty();
         let tick = is_busy.then(|| now.steady + TICK_MS);
-        let pass = self
-            .wants_pass
-            .then(|| self.last_pass_at + self.pass_interval_ms());
+        let pass = self.wants_pass.then_some(self.next_pass_at);
         let due = self.next_due_at;
         let look = self
             .workers
@@ -256,10 +258,10 @@
             self.forget_old(now.steady);
         }
         let is_due = self.next_due_at.is_some_and(|at| at <= now.steady);
-        let is_spaced = now.steady.since(self.last_pass_at) >= self.pass_interval_ms();
-        if (self.wants_pass || is_due) && is_spaced {
+        if (self.wants_pass || is_due) && now.steady >= self.next_pass_at {
             self.wants_pass = false;
-            self.last_pass_at = now.steady;
+            self.pass_began = Some(now.steady);
+            self.next_pass_at = now.steady + PASS_INTERVAL_MS;
             self.evacuate(now.steady);
             self.pass(now);
         }
@@ -271,10 +273,14 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// A long pass leaves more time to the answers that wait meanwhile.
-    fn pass_interval_ms(&self) -> DurationMs {
-        let more_ms = self.pass_weight as u64 / PASS_WEIGHT_PER_MS;
-        DurationMs(PASS_INTERVAL_MS.0 + more_ms.min(MOST_PASS_PAUSE_MS))
+    /// `call_ended` tells when the last call was over, so that a long pass leaves time to the events
+    /// that came meanwhile.
+    pub fn call_ended(&mut self, now: TimeMs) {
+        if let Some(began) = self.pass_began.take() {
+            let pause_ms = DurationMs(now.since(began).0 * PAUSE_PER_PASS)
+                .clamp(PASS_INTERVAL_MS, MOST_PASS_PAUSE_MS);
+            self.next_pass_at = now + pause_ms;
+        }
     }
 
     /// `open_jobs` counts the jobs that have not come to their end.
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -53,7 +53,6 @@
             return;
         }
         let mut candidates = self.candidates(now);
-        self.pass_weight = candidates.len() * self.workers.len();
         order(&mut candidates);
         let pools: BTreeSet<PoolName> = candidates.iter().map(|c| c.pool.clone()).collect();
         for pool in pools {
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{Action, EndKind, Event, KnownJob, OrderReply, RefusalCause};
-use ragwortwick_core::{JobId, WorkerName};
+use ragwortwick_core::{JobId, TimeMs, WorkerName};
 use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
 
 /// A gang's member fails, its end is stored and forgotten by its worker, and the coordinator dies
@@ -262,3 +262,33 @@
     rig.pass(50);
     assert_eq!(noted(&rig), Some(7));
 }
+
+/// Callers see urgent work begin seconds late: on a full host a pass takes longer than the pause
+/// after it, and each answer of a worker that came meanwhile waits for a pass of its own. What a pass
+/// took is therefore left, three times over, to the events after it.
+#[test]
+fn verify_a_long_pass_leaves_time_to_what_came_meanwhile() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.pass(20);
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000d0",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    rig.pass(10);
+    assert_eq!(rig.store().len(), 1, "the first job is placed");
+    rig.now = TimeMs(rig.now.0 + 20);
+    rig.tell(Event::WorkersFresh);
+    rig.now = TimeMs(rig.now.0 + 50);
+    rig.coordinator.call_ended(rig.now);
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000d1",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    assert!(rig.store().is_empty(), "no pass with the next event");
+    rig.pass(140);
+    assert!(rig.store().is_empty(), "the pause is three times as long");
+    rig.pass(20);
+    assert_eq!(rig.store().len(), 1, "the second job is placed");
+}
--- a/ragwortwick-daemon/src/area/coordination.rs
+++ b/ragwortwick-daemon/src/area/coordination.rs
@@ -6,7 +6,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, log_event};
 use tokio::sync::mpsc;
 
-use crate::{Machine, Ring, RingFull, unix_now};
+use crate::{Clock, Machine, Ring, RingFull, unix_now};
 
 /// Pause before an event that found the ring full is offered again.
 const FULL_PAUSE: Duration = Duration::from_millis(2);
@@ -35,6 +35,7 @@
 pub(super) struct CoordinatorMachine {
     pub(super) coordinator: Coordinator,
     pub(super) actions: mpsc::UnboundedSender<Vec<Action>>,
+    pub(super) clock: Clock,
     /// The time of the last call, which the next wakeup counts from.
     pub(super) last: Now,
     pub(super) load: Load,
@@ -103,6 +104,7 @@
         let now = self.at(now);
         let actions = self.coordinator.on_event(now, event);
         self.hand_out(actions);
+        self.coordinator.call_ended(self.clock.now());
         self.load.add(now.steady, begun, &self.coordinator);
     }
 
@@ -111,6 +113,7 @@
         let now = self.at(now);
         let actions = self.coordinator.on_wakeup(now);
         self.hand_out(actions);
+        self.coordinator.call_ended(self.clock.now());
         self.load.add(now.steady, begun, &self.coordinator);
     }
 
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -132,6 +132,7 @@
     let _ = start.send(CoordinatorMachine {
         coordinator,
         actions,
+        clock: parts.clock,
         last: now,
         load: Load::default(),
     });
