Slow fillers down where the users of a serving task would feel them

Cause: fillers (steps that use what others leave) ran at full speed beside tasks that serve users; the figure in which a worker tells their tail latency was not read, and no pace was ever sent (HARM). A long-running step with data on a rack waited for room there while other room was left (LOST). Change: sharing.rs follows the tail latency with the fillers' pace; looks at shared workers come twice a second; the adapter reads the load and sends paces; long-running steps take any place. The stand-in workers tell a tail latency that fillers disturb.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -13,6 +13,7 @@
 use crate::messages::{Action, Event, WorkerEntry};
 use crate::progress::{JobPhase, Progress};
 use crate::records::Records;
+use crate::sharing::Role;
 use crate::value::whole_work;
 use crate::worker::{Held, HeldPhase, LookState, Worker, longest_lease};
 
@@ -171,6 +172,9 @@
                 started_at: None,
                 checkpoint: Arc::clone(&state.checkpoint),
                 tries: 1,
+                role: job.spec(task.step).map_or(Role::Ordinary, Role::of),
+                load: 0,
+                pace_told: None,
             };
             let bound = now.steady + RENEWAL_AFTER_TENURE_MS + longest_lease(&self.limits);
             let worker = self
@@ -221,6 +225,7 @@
                 is_wrong_life,
                 is_fenced,
             } => self.look_failed(now.steady, &worker, is_wrong_life, is_fenced),
+            Event::PaceFailed { worker, task, run } => self.pace_failed(&worker, &task, run),
             Event::Advised { step, asked, reply } => {
                 self.advice_came(now.steady, step, asked, reply);
             }
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -196,5 +196,6 @@
             self.end_listed(now, worker_name, &end);
         }
         self.see_running(now, worker_name, sent_at, &look.running);
+        self.share(now, worker_name);
     }
 }
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -22,6 +22,7 @@
 mod records;
 mod schedule;
 mod settle;
+mod sharing;
 mod value;
 mod worker;
 
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -16,6 +16,9 @@
 /// The platform takes at most 2,000 ms, and each look is charged, so it is as long as can be.
 const LOOK_WAIT_MS: DurationMs = DurationMs(2_000);
 
+/// The same where fillers may disturb users: what the worker tells covers the last half second.
+const SHARED_LOOK_WAIT_MS: DurationMs = DurationMs(500);
+
 /// Pause between looks at a worker that does not answer.
 const SILENT_LOOK_MS: DurationMs = DurationMs(250);
 
@@ -47,6 +50,8 @@
             let has_runs = !worker.held.is_empty();
             let wait_ms = if is_unsure || !has_runs {
                 DurationMs(0)
+            } else if worker.is_shared() {
+                SHARED_LOOK_WAIT_MS
             } else {
                 LOOK_WAIT_MS
             };
@@ -151,6 +156,7 @@
 
 /// A run is seen on its worker.
 fn confirm(now: TimeMs, held: &mut Held, row: &RunningTask) {
+    held.load = row.load;
     if !row.checkpoint.is_empty() {
         held.checkpoint = Arc::clone(&row.checkpoint);
     }
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -63,6 +63,9 @@
     pub checkpoint: Arc<str>,
     /// Share of its work that is done.
     pub percent: u32,
+    /// A rough figure of the last half second: the tail latency in milliseconds of a task that serves
+    /// users, thousandths of a core in use for any other.
+    pub load: u32,
 }
 
 /// `EndedTask` is one end that a worker lists until it is told that the end is known.
@@ -200,6 +203,15 @@
         /// Whether the worker knows a coordinator of a later term.
         is_fenced: bool,
     },
+    /// A worker did not confirm the pace of a run.
+    PaceFailed {
+        /// The worker.
+        worker: WorkerName,
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: u32,
+    },
     /// The advisor answered a question, or did not.
     Advised {
         /// The step that was asked about.
@@ -282,6 +294,19 @@
         /// The advisor's ticket, on queues that need one.
         ticket: Option<Arc<str>>,
     },
+    /// Let a run work at a share of its speed, and report `Event::PaceFailed` if that is not confirmed.
+    Pace {
+        /// The worker.
+        worker: WorkerName,
+        /// Its address.
+        address: Arc<str>,
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: u32,
+        /// From 0 to 100.
+        percent: u32,
+    },
     /// Ask the advisor which of the workers may run a step, and report `Event::Advised`.
     AskAdvice {
         /// The step.
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -8,6 +8,7 @@
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
 use crate::settle::Outcome;
+use crate::sharing::Role;
 use crate::worker::{Held, HeldPhase, LookState};
 
 /// Pause before an order without an answer is sent again.
@@ -195,6 +196,7 @@
                         next_at: next_at.min(now),
                     };
                 }
+                self.share(now, worker_name);
             }
             OrderReply::Unknown => {
                 held.phase = HeldPhase::Ordered {
@@ -345,9 +347,10 @@
         let Some(job) = self.jobs.get_mut(&task.job_id) else {
             return;
         };
-        let Some(need) = job.spec(task.step).map(crate::job::StepSpec::reserved) else {
+        let Some(spec) = job.spec(task.step) else {
             return;
         };
+        let (need, role) = (spec.reserved(), Role::of(spec));
         job.place(task, worker_name, run);
         self.records.mark(&task.job_id);
         if let Some(worker) = self.workers.get_mut(worker_name) {
@@ -360,6 +363,9 @@
                 started_at: None,
                 checkpoint: "".into(),
                 tries: 0,
+                role,
+                load: 0,
+                pace_told: Some(100),
             };
             worker.hold(task.clone(), held);
         }
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -146,7 +146,12 @@
         let Some(spec) = job.spec(candidate.step).cloned() else {
             return true;
         };
-        let reach = self.reach(now, candidate, room);
+        let reach = if spec.is_long_running {
+            // Its users wait for it to be there at all; how near its data is matters less.
+            Reach::Anywhere
+        } else {
+            self.reach(now, candidate, room)
+        };
         let bounds = Bounds {
             taken: taken_by_worker(job, candidate),
             allowed: self.ticketed(now, candidate),
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::job::{Resources, TaskId};
 use crate::limits::Limits;
 use crate::messages::WorkerEntry;
+use crate::sharing::Role;
 
 /// Margin on the computed end of a worker's lease, for timers and scheduling delays.
 const LEASE_MARGIN_MS: DurationMs = DurationMs(400);
@@ -66,6 +67,12 @@
     pub(crate) checkpoint: Arc<str>,
     /// How often its start was sent.
     pub(crate) tries: u32,
+    /// What it is to others on its worker.
+    pub(crate) role: Role,
+    /// The load that its worker told last.
+    pub(crate) load: u32,
+    /// The pace that its worker knows of; none if that is in doubt.
+    pub(crate) pace_told: Option<u32>,
 }
 
 impl Held {
@@ -110,6 +117,10 @@
     pub(crate) failures_in_row: u32,
     /// No new work goes there before.
     pub(crate) avoid_until: TimeMs,
+    /// Pace of the fillers here.
+    pub(crate) filler_percent: u32,
+    /// When that changed last; none while nothing serves here.
+    pub(crate) paced_at: Option<TimeMs>,
 }
 
 impl Worker {
@@ -129,6 +140,8 @@
             told: 0,
             failures_in_row: 0,
             avoid_until: TimeMs(0),
+            filler_percent: 100,
+            paced_at: None,
         };
         worker.refresh(now, entry);
         worker
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -240,6 +240,7 @@
         run: start.2,
         checkpoint: "".into(),
         percent: 10,
+        load: 0,
     }
 }
 
--- /dev/null
+++ b/ragwortwick-area/tests/sharing.rs
@@ -0,0 +1,151 @@
+//! Tasks that serve users, and fillers beside them on the same worker.
+
+mod rig;
+
+use std::collections::BTreeMap;
+
+use ragwortwick_area::{Action, Event, RunningTask, StepSpec, TaskId};
+use ragwortwick_core::{DurationMs, WorkerName};
+use rig::{Rig, job, running, step, worker};
+
+const TARGET_MS: u32 = 100;
+
+/// Within this time a tail latency over its target has to come down, by the users' rule.
+const HARM_MS: u64 = 4_000;
+
+type Start = (WorkerName, TaskId, u32);
+
+/// A worker with one task that serves and two fillers, all confirmed.
+fn shared_worker() -> (Rig, Start, Vec<Start>) {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let serving = StepSpec {
+        is_long_running: true,
+        tail_target_ms: Some(DurationMs(u64::from(TARGET_MS))),
+        may_miss: Some(0),
+        ..step(1, 1)
+    };
+    let filler = StepSpec {
+        is_filler: true,
+        ..step(2, 1)
+    };
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000e1",
+        "middle",
+        vec![serving],
+    )));
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000e2",
+        "patient",
+        vec![filler],
+    )));
+    rig.pass(30);
+    rig.store();
+    let (serving, fillers): (Vec<_>, Vec<_>) = rig
+        .starts()
+        .into_iter()
+        .partition(|start| start.1.job_id.as_str() == "00000000000000e1");
+    rig.accept(&serving[0]);
+    for start in &fillers {
+        rig.accept(start);
+    }
+    (rig, serving[0].clone(), fillers)
+}
+
+/// Takes the paces that were ordered.
+fn paces(rig: &mut Rig) -> Vec<(TaskId, u32)> {
+    rig.actions
+        .extract_if(.., |action| matches!(action, Action::Pace { .. }))
+        .filter_map(|action| match action {
+            Action::Pace { task, percent, .. } => Some((task, percent)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Users wait too long for a serving task because of fillers beside it. The fillers are slowed down
+/// until its tail latency is under the target, well within the time that users bear, and go on as
+/// fast as that allows. Later the disturbance doubles, and they are slowed down again.
+#[test]
+fn verify_fillers_are_slowed_down_before_users_feel_them() {
+    let (mut rig, serving, fillers) = shared_worker();
+    let mut pace: BTreeMap<TaskId, u32> = BTreeMap::new();
+    for start in &fillers {
+        pace.insert(start.1.clone(), 100);
+    }
+    let mut over_ms = 0;
+    let mut total = 0;
+    for round in 0..120 {
+        for (task, percent) in paces(&mut rig) {
+            pace.insert(task, percent);
+        }
+        let disturbance = if round < 60 { 1 } else { 2 };
+        let fill: u32 = pace.values().sum();
+        let tail_ms = 40 + fill * disturbance;
+        over_ms = if tail_ms > TARGET_MS {
+            over_ms + 500
+        } else {
+            0
+        };
+        assert!(
+            over_ms < HARM_MS,
+            "round {round}: over the target for {over_ms} ms"
+        );
+        total += fill;
+        let mut rows: Vec<RunningTask> = fillers.iter().map(running).collect();
+        rows.push(RunningTask {
+            load: tail_ms,
+            ..running(&serving)
+        });
+        rig.look("w1", rows, Vec::new());
+        rig.pass(500);
+    }
+    assert!(
+        total / 120 > 10,
+        "fillers still work, on average at {} per cent",
+        total / 120
+    );
+}
+
+/// Where nothing serves, fillers work at full speed and get no orders for it.
+#[test]
+fn verify_fillers_alone_are_not_slowed_down() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let filler = StepSpec {
+        is_filler: true,
+        ..step(2, 1)
+    };
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000e3",
+        "patient",
+        vec![filler],
+    )));
+    rig.pass(30);
+    rig.store();
+    let starts = rig.starts();
+    for start in &starts {
+        rig.accept(start);
+    }
+    rig.look("w1", starts.iter().map(running).collect(), Vec::new());
+    assert!(paces(&mut rig).is_empty());
+}
+
+/// A pace got no answer, so the filler may go on at full speed beside users. It is told again.
+#[test]
+fn verify_pace_without_an_answer_is_told_again() {
+    let (mut rig, serving, fillers) = shared_worker();
+    let first = paces(&mut rig);
+    assert_eq!(first.len(), 2, "fillers begin slowly beside what serves");
+    rig.tell(Event::PaceFailed {
+        worker: fillers[0].0.clone(),
+        task: fillers[0].1.clone(),
+        run: fillers[0].2,
+    });
+    let mut rows: Vec<RunningTask> = fillers.iter().map(running).collect();
+    rows.push(RunningTask {
+        load: 80,
+        ..running(&serving)
+    });
+    rig.look("w1", rows, Vec::new());
+    let again = paces(&mut rig);
+    assert_eq!(again, [(fillers[0].1.clone(), first[0].1)]);
+}
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use ragwortwick_adapter::{AdvisorClient, LookOrder, LookReply, StartOrder, WorkerClient};
+use ragwortwick_adapter::{
+    AdvisorClient, LookOrder, LookReply, PaceOrder, StartOrder, WorkerClient,
+};
 use ragwortwick_area::{Action, AdviceReply, Event, OrderReply, StepId, TaskId};
 use ragwortwick_core::{DurationMs, Epoch, WorkerName, log_event};
 
@@ -45,6 +47,7 @@
     pub(super) lanes: Lanes,
     pub(super) start_lines: LogBudget,
     pub(super) stop_lines: LogBudget,
+    pub(super) pace_lines: LogBudget,
 }
 
 impl OrderSender {
@@ -91,6 +94,23 @@
                 };
                 self.look(worker, &address, &order).await
             }
+            Action::Pace {
+                worker,
+                address,
+                task,
+                run,
+                percent,
+            } => {
+                let order = PaceOrder { task, run, percent };
+                if self.pace(&worker, &address, &order).await {
+                    return;
+                }
+                Event::PaceFailed {
+                    worker,
+                    task: order.task,
+                    run: order.run,
+                }
+            }
             Action::AskAdvice {
                 step,
                 workers,
@@ -142,6 +162,29 @@
         }
     }
 
+    /// Tells whether the worker confirmed the pace. Orders of a worker go one after the other, so that
+    /// an earlier pace does not arrive after a later one.
+    async fn pace(&self, worker: &WorkerName, address: &str, order: &PaceOrder) -> bool {
+        let lane = self.lanes.lane(worker);
+        let is_told = match timeout(LANE_WAIT_MS.into(), lane.lock()).await {
+            Ok(_turn) => self.workers.pace(worker, address, self.term, order).await,
+            Err(_) => false,
+        };
+        if self.pace_lines.admit(self.clock.now()) {
+            log_event!(
+                Info,
+                "run_paced",
+                task = order.task,
+                run = order.run,
+                worker = worker,
+                term = self.term,
+                percent = order.percent,
+                is_told = is_told
+            );
+        }
+        is_told
+    }
+
     async fn ask(&self, step: StepId, workers: Vec<WorkerName>, answer_ms: DurationMs) -> Event {
         let asked_at = self.clock.now();
         let reply = self.advisor.ask(&step, &workers, answer_ms).await;
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -174,6 +174,7 @@
         lanes: Lanes::default(),
         start_lines: LogBudget::new("run_started"),
         stop_lines: LogBudget::new("run_stopped"),
+        pace_lines: LogBudget::new("run_paced"),
     };
     let why = hand_out(parts, won, action_feed, &writes, &sender, ended).await;
     tasks.shutdown().await;
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -370,3 +370,34 @@
     assert_nothing_twice(&fleet);
     fleet.close();
 }
+
+/// Users of a long-running task wait too long because fillers work on the same worker. The fillers
+/// are slowed down until the tail latency is under its target, and the task itself is never touched.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_fillers_give_way_to_what_serves_users() {
+    const TARGET_MS: u64 = 60;
+    let fleet = open(2, 1).await;
+    let mut serving = area_job(1, 600_000, false);
+    serving["Spec"] = json!(json!({"work_ms": 600_000, "tail_ms": 20}).to_string());
+    serving["Steps"][0]["LongRunning"] = json!(true);
+    serving["Steps"][0]["TargetMs"] = json!(TARGET_MS);
+    let mut filler = area_job(1, 600_000, false);
+    filler["Spec"] = json!(json!({"work_ms": 600_000, "disturbs": true}).to_string());
+    filler["Steps"][0]["Fills"] = json!(true);
+    for (id, job) in [(ID, serving), ("00000000000000ab", filler)] {
+        let status = fleet.submit(0, id, job).await;
+        assert_eq!(status.ok(), Some(StatusCode::OK));
+    }
+    wait_until("both run", async || fleet.workers.starts().len() == 2).await;
+    wait_until("users wait no longer than they may", async || {
+        fleet
+            .workers
+            .tails_ms()
+            .iter()
+            .all(|&tail_ms| tail_ms < TARGET_MS)
+    })
+    .await;
+    assert_eq!(fleet.workers.tails_ms().len(), 1, "the task still serves");
+    assert_eq!(fleet.workers.starts().len(), 2, "nothing was stopped");
+    fleet.close();
+}
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -219,6 +219,7 @@
                     run: run.run,
                     checkpoint: checkpoint(task, run, now),
                     percent: percent(run, now),
+                    load: 0,
                 })
                 .collect(),
             ended: self.ended.clone(),
--- a/ragwortwick-standin/src/area/worker_routes.rs
+++ b/ragwortwick-standin/src/area/worker_routes.rs
@@ -25,6 +25,7 @@
     build_router(chain, pipelines, |route| {
         route.post("/run-start").to_async_borrowing(start);
         route.post("/run-stop").to_async_borrowing(stop);
+        route.post("/pace").to_async_borrowing(pace);
         route.post("/hold").to_async_borrowing(hold);
     })
 }
@@ -127,6 +128,7 @@
         payload,
         started_at: now(),
         ends_at: None,
+        pace_percent: 100,
     };
     worker.running.insert(task.clone(), held);
     pool.starts.push(StartSeen {
@@ -172,6 +174,25 @@
     })
 }
 
+async fn pace(state: &mut State) -> SimpleHandlerResult {
+    let (one, body) = match read(state).await {
+        Ok(call) => call,
+        Err(refusal) => return Ok(refusal),
+    };
+    let status = one.pool.with(|pool| {
+        if is_fenced(pool, &one.name, &body) {
+            return StatusCode::CONFLICT;
+        }
+        let task = body["Task"].as_str().unwrap_or_default();
+        let worker = pool.workers.get_mut(&one.name);
+        if let Some(run) = worker.and_then(|worker| worker.running.get_mut(task)) {
+            run.pace_percent = body["Percent"].as_u64().unwrap_or(100);
+        }
+        StatusCode::OK
+    });
+    Ok(json_response(state, status, &json!({"ClockMs": now().0})))
+}
+
 async fn hold(state: &mut State) -> SimpleHandlerResult {
     let (one, body) = match read(state).await {
         Ok(call) => call,
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -36,6 +36,10 @@
     pub(super) gang: usize,
     /// Whether a start needs the advisor's ticket.
     pub(super) needs_ticket: bool,
+    /// Tail latency of a task that serves users, with nothing beside it.
+    pub(super) tail_ms: u64,
+    /// Whether the task disturbs those that serve on its worker, by its pace in milliseconds.
+    pub(super) disturbs: bool,
 }
 
 impl Default for Payload {
@@ -44,6 +48,8 @@
             work_ms: 100,
             gang: 1,
             needs_ticket: false,
+            tail_ms: 0,
+            disturbs: false,
         }
     }
 }
@@ -67,6 +73,8 @@
     pub(super) payload: Payload,
     pub(super) started_at: TimeMs,
     pub(super) ends_at: Option<TimeMs>,
+    /// From 0 to 100.
+    pub(super) pace_percent: u64,
 }
 
 #[derive(Debug, Default)]
@@ -91,6 +99,12 @@
         }
     }
 
+    /// Tail latency of a task that serves here.
+    pub(super) fn tail_ms(&self, payload: &Payload) -> u64 {
+        let beside = self.running.values().filter(|run| run.payload.disturbs);
+        payload.tail_ms + beside.map(|run| run.pace_percent).sum::<u64>()
+    }
+
     pub(super) fn told(&self) -> Value {
         let running: Vec<Value> = self
             .running
@@ -98,7 +112,12 @@
             .map(|(task, run)| {
                 let worked_ms = now().since(run.started_at).0;
                 let percent = (worked_ms * 100 / run.payload.work_ms.max(1)).min(99);
-                json!([task, run.run, "", percent])
+                let load = if run.payload.tail_ms > 0 {
+                    self.tail_ms(&run.payload)
+                } else {
+                    0
+                };
+                json!([task, run.run, "", percent, load])
             })
             .collect();
         let ended: Vec<Value> = self
@@ -300,6 +319,21 @@
         self.shared.with(|pool| pool.without_ticket)
     }
 
+    /// `tails_ms` lists the tail latencies of all tasks that serve users.
+    #[must_use]
+    pub fn tails_ms(&self) -> Vec<u64> {
+        self.shared.with(|pool| {
+            let tails = pool.workers.values().flat_map(|worker| {
+                let serving = worker
+                    .running
+                    .values()
+                    .filter(|run| run.payload.tail_ms > 0);
+                serving.map(|run| worker.tail_ms(&run.payload))
+            });
+            tails.collect()
+        })
+    }
+
     /// `set_silent` makes a worker take calls without an answer.
     pub fn set_silent(&self, number: usize, is_silent: bool) {
         let name = format!("w-{number}");
