Tell the second operator of the conflict, also when a peer was faster than the store

Cause: an acceptance reads the store and then compares the answer with the number in force. If a peer's push of the first operator's table arrives while the answer travels, the answer is older than what is in force, and the host took that for a store that lags: StoreAway, come back in 5 s. Ruled out: a budget or timeout in real time; the reply's may_have_taken_effect=false with 5,000 ms has this one source. Change: the number in force is read before the store is asked. What is pushed later is found by the condition of the write, which ends in the conflict. Conclusion: traced and mended.

--- a/ragwortwick-daemon/src/config/accept.rs
+++ b/ragwortwick-daemon/src/config/accept.rs
@@ -42,13 +42,16 @@
     }
 
     async fn try_accept(&self, accept: &TableAccept) -> Result<TableAcceptReply, StoreError> {
+        // Read before the store is asked: a table that a peer tells of while the answer travels makes
+        // that answer old, but the store does not lag, and the operator has to see the conflict.
+        let in_force = self.number();
         let stored = self.stored().await?;
         if let Some(earlier) = self.find_repeat(&stored, accept).await? {
             self.offer(Arc::new(earlier.clone()));
             return Ok(TableAcceptReply::Accepted(earlier));
         }
         let stored_number = number_of(&stored);
-        if stored_number < self.number() {
+        if stored_number < in_force {
             // The store lags behind what this host has in force; a write against the old revision
             // could only fail, and the operator would be shown a difference to the past.
             let cause = "the store answered an older table than the one in force";
--- a/ragwortwick-daemon/tests/state_table.rs
+++ b/ragwortwick-daemon/tests/state_table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ragwortwick_border::{AcceptedTable, StoreCas, StoreGet, TableAccept, TableAcceptReply};
-use ragwortwick_core::Revision;
+use ragwortwick_core::{DurationMs, Revision};
 use ragwortwick_standin::{Faults, Fleet, FleetOptions, RelayMode, now, sample_table, wait_until};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ragwortwickd");
@@ -95,7 +95,7 @@
         .get(
             fleet.address(host),
             "/v1/table/history?limit=10",
-            ragwortwick_core::DurationMs(10_000),
+            DurationMs(10_000),
         )
         .await;
     history.expect("the history")
@@ -160,6 +160,32 @@
     fleet.close().await;
 }
 
+// The second operator's host reads the store, and while the answer travels it is told of the first
+// one's table. The answer is then older than what is in force there, though the store does not lag:
+// the operator has to hear of the conflict, not that the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_second_operator_sees_a_change_that_overtook_the_answer() {
+    let fleet = fleet(2).await;
+    let anna = edit(&fleet, 1, "anna", 2.0);
+    let bolat = edit(&fleet, 1, "bolat", 3.0);
+    fleet.store.set_faults(Faults {
+        only: vec!["get".to_owned()],
+        answer_delay_ms: DurationMs(900),
+        ..Faults::default()
+    });
+    let first = async {
+        wait_for_calls(&fleet, "get", 1).await;
+        fleet.store.set_faults(Faults::default());
+        accepted(accept(&fleet, 0, &anna).await)
+    };
+    let (winner, loser) = tokio::join!(first, accept(&fleet, 1, &bolat));
+    let TableAcceptReply::Conflict(conflict) = loser else {
+        panic!("expected a conflict, got {loser:?}");
+    };
+    assert_eq!(conflict.current, winner);
+    fleet.close().await;
+}
+
 // The second operator accepts minutes later, still from the table reviewed first. Nothing of it is
 // written: the conflict shows the first one's row, and the table in force stays the first one's.
 #[tokio::test(flavor = "multi_thread")]
