Send looks in rounds, and name victims and racks by number within a pass

Cause: every event went through all workers twice to find the next due look, and plans compared workers' names: costs that grow with events times workers. Change: looks go out in rounds at least 5 ms apart, with the next due time kept; a victim names the slots of the pass that it frees, racks are numbered in it, labels are shared.

--- a/ragwortwick-area/src/advice.rs
+++ b/ragwortwick-area/src/advice.rs
@@ -240,7 +240,7 @@
 ) -> Vec<WorkerName> {
     let fits = |slot: &Slot| slot.free.fits(spec.reserved()).min(u64::from(u32::MAX));
     let mut ranked = Vec::new();
-    for rack in slots.chunk_by(|a, b| a.rack == b.rack) {
+    for rack in slots.chunk_by(|a, b| a.rack_number == b.rack_number) {
         let in_rack: u64 = rack.iter().map(fits).sum();
         for slot in rack {
             let has_label = spec
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -15,7 +15,7 @@
 use crate::records::Records;
 use crate::sharing::Role;
 use crate::value::whole_work;
-use crate::worker::{Held, HeldPhase, LookState, Worker, longest_lease};
+use crate::worker::{Held, HeldPhase, Worker, longest_lease};
 
 /// How long a coordinator that lost the store goes on renewing what runs.
 ///
@@ -41,6 +41,10 @@
 /// Longest pause between two passes; urgent work has to start within a second or two.
 const MOST_PASS_PAUSE_MS: DurationMs = DurationMs(200);
 
+/// Pause between two rounds of looks. Each goes through all workers: with one for every event, looking
+/// for due looks took a fifth of the decisions' time at 350 workers.
+const LOOKS_INTERVAL_MS: DurationMs = DurationMs(5);
+
 /// How often leases that ran out, orders without an answer and old jobs are looked for.
 const CHORES_MS: DurationMs = DurationMs(40);
 
@@ -85,6 +89,12 @@
     next_pass_at: TimeMs,
     /// When the pass began whose end is not known yet.
     pass_began: Option<TimeMs>,
+    /// Whether something happened since looks were last sent, so that one may be due.
+    wants_looks: bool,
+    /// When looks were last sent.
+    looks_sent_at: TimeMs,
+    /// When the next look is due, if nothing happens before.
+    pub(crate) next_look_at: Option<TimeMs>,
     /// Whether an order may be due before the next regular look for due ones.
     pub(crate) wants_orders: bool,
     next_chores_at: TimeMs,
@@ -119,6 +129,9 @@
             wants_pass: true,
             next_pass_at: TimeMs(0),
             pass_began: None,
+            wants_looks: true,
+            looks_sent_at: TimeMs(0),
+            next_look_at: None,
             wants_orders: true,
             next_chores_at: TimeMs(0),
             next_due_at: None,
@@ -232,6 +245,7 @@
             Event::Tenure { until } => self.tenure_until = until,
         }
         self.wants_pass = true;
+        self.wants_looks = true;
         self.act(now)
     }
 
@@ -243,21 +257,16 @@
     /// `next_wakeup` tells when something becomes due without an event.
     #[must_use]
     pub fn next_wakeup(&self, now: Now) -> Option<TimeMs> {
-        let is_busy = self.records.is_waiting()
-            || self.workers.values().any(Worker::wants_look)
-            || !self.open_jobs.is_empty();
+        let is_busy =
+            self.records.is_waiting() || self.next_look_at.is_some() || !self.open_jobs.is_empty();
         let tick = is_busy.then(|| now.steady + TICK_MS);
         let pass = self.wants_pass.then_some(self.next_pass_at);
         let due = self.next_due_at;
-        let look = self
-            .workers
-            .values()
-            .filter(|worker| worker.wants_look())
-            .filter_map(|worker| match worker.look {
-                LookState::Idle { next_at } => Some(worker.look_due_at(next_at)),
-                LookState::InFlight => None,
-            })
-            .min();
+        let look = if self.wants_looks {
+            Some(self.looks_sent_at + LOOKS_INTERVAL_MS)
+        } else {
+            self.next_look_at
+        };
         [tick, pass, due, look].into_iter().flatten().min()
     }
 
@@ -265,6 +274,7 @@
         let has_chores = now.steady >= self.next_chores_at;
         if has_chores {
             self.next_chores_at = now.steady + CHORES_MS;
+            self.wants_looks = true;
             self.expire(now.steady);
             self.forget_old(now.steady);
             self.forget_advice();
@@ -281,7 +291,12 @@
         if has_chores || std::mem::take(&mut self.wants_orders) {
             self.send_orders(now.steady);
         }
-        self.send_looks(now.steady);
+        let is_look_due = self.wants_looks || self.next_look_at.is_some_and(|at| at <= now.steady);
+        if is_look_due && now.steady.since(self.looks_sent_at) >= LOOKS_INTERVAL_MS {
+            self.wants_looks = false;
+            self.looks_sent_at = now.steady;
+            self.send_looks(now.steady);
+        }
         std::mem::take(&mut self.actions)
     }
 
--- a/ragwortwick-area/src/displacement.rs
+++ b/ragwortwick-area/src/displacement.rs
@@ -1,17 +1,17 @@
 //! Which runs have to stop for a job: the set that throws away the least work.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
+use std::ops::Range;
 
-use ragwortwick_core::{RackName, WorkerName};
-
-use crate::job::StepSpec;
+use crate::job::{Resources, StepSpec};
 use crate::packing::{Bounds, Reach, Slot, pack_gang, pack_single};
 use crate::preempt::Victim;
 
 /// `Plan` is a set of victims to stop and where the work then goes.
 pub(crate) struct Plan {
     pub(crate) stopped: Vec<Victim>,
-    pub(crate) places: Vec<WorkerName>,
+    /// Slots of the pass.
+    pub(crate) places: Vec<usize>,
     pub(crate) waste: f64,
 }
 
@@ -47,12 +47,11 @@
 ) -> Option<Plan> {
     let mut best: Option<Plan> = None;
     if spec.is_gang && spec.wants_same_rack {
-        let mut racks: BTreeMap<&RackName, Vec<Slot>> = BTreeMap::new();
-        for slot in slots {
-            racks.entry(&slot.rack).or_default().push(slot.clone());
-        }
-        for within in racks.into_values() {
-            best = cheaper(best, plan(within, spec, count, bounds, victims));
+        let mut first = 0;
+        for rack in slots.chunk_by(|a, b| a.rack_number == b.rack_number) {
+            let within = first..first + rack.len();
+            first = within.end;
+            best = cheaper(best, plan(slots, within, spec, count, bounds, victims));
         }
     }
     // On several racks the work is slower; that is still better than breaking the guarantee.
@@ -60,7 +59,7 @@
         wants_same_rack: false,
         ..spec.clone()
     };
-    best.or_else(|| plan(slots.to_vec(), &relaxed, count, bounds, victims))
+    best.or_else(|| plan(slots, 0..slots.len(), &relaxed, count, bounds, victims))
 }
 
 fn cheaper(best: Option<Plan>, other: Option<Plan>) -> Option<Plan> {
@@ -71,19 +70,16 @@
     }
 }
 
-/// Plans within the given slots alone, so that a rack's plan costs what the rack has, not the pool.
+/// Plans within a range of the slots alone, so that a rack's plan costs what the rack has, not the pool.
 fn plan(
-    mut slots: Vec<Slot>,
+    pool: &[Slot],
+    within: Range<usize>,
     spec: &StepSpec,
     count: usize,
     bounds: &Bounds,
     victims: &[Victim],
 ) -> Option<Plan> {
-    let places_of: BTreeMap<WorkerName, usize> = slots
-        .iter()
-        .enumerate()
-        .map(|(index, slot)| (slot.worker.clone(), index))
-        .collect();
+    let mut slots = pool[within.clone()].to_vec();
     let mut chosen: Vec<&Victim> = Vec::new();
     let mut places = find(&slots, spec, count, bounds);
     let mut open_room: u64 = slots.iter().map(|slot| fits(slot, spec)).sum();
@@ -91,20 +87,14 @@
         if places.is_some() {
             break;
         }
-        let is_inside = victim
-            .frees
-            .iter()
-            .any(|(worker, _)| places_of.contains_key(worker));
-        if !is_inside {
+        if !victim.frees.iter().any(|(index, _)| within.contains(index)) {
             continue;
         }
-        for (worker, need) in &victim.frees {
-            if let Some(&index) = places_of.get(worker) {
-                open_room -= fits(&slots[index], spec);
-                slots[index].free = slots[index].free.plus(*need);
-                open_room += fits(&slots[index], spec);
-            }
-        }
+        for_each_freed(&mut slots, &within, victim, |slot, need| {
+            open_room -= fits(slot, spec);
+            slot.free = slot.free.plus(need);
+            open_room += fits(slot, spec);
+        });
         chosen.push(victim);
         // Packing is tried only once the room could be enough at all.
         if open_room >= count as u64 {
@@ -114,7 +104,7 @@
     let mut places = places?;
     spare_needless(
         &mut slots,
-        &places_of,
+        &within,
         &mut chosen,
         &mut places,
         spec,
@@ -126,11 +116,25 @@
         stopped: chosen.into_iter().cloned().collect(),
         places: places
             .into_iter()
-            .map(|index| slots[index].worker.clone())
+            .map(|index| within.start + index)
             .collect(),
     })
 }
 
+/// Calls back with each slot of the range on which a victim frees room, and how much.
+fn for_each_freed(
+    slots: &mut [Slot],
+    within: &Range<usize>,
+    victim: &Victim,
+    mut change: impl FnMut(&mut Slot, Resources),
+) {
+    for &(index, need) in &victim.frees {
+        if within.contains(&index) {
+            change(&mut slots[index - within.start], need);
+        }
+    }
+}
+
 /// How many tasks a slot takes, whatever else binds.
 fn fits(slot: &Slot, spec: &StepSpec) -> u64 {
     slot.free.fits(spec.reserved()).min(u64::from(u32::MAX))
@@ -139,7 +143,7 @@
 /// Victims that were chosen early may turn out needless once later ones are: they go on.
 fn spare_needless(
     slots: &mut Vec<Slot>,
-    places_of: &BTreeMap<WorkerName, usize>,
+    within: &Range<usize>,
     chosen: &mut Vec<&Victim>,
     places: &mut Vec<usize>,
     spec: &StepSpec,
@@ -151,11 +155,9 @@
     let mut spared = BTreeSet::new();
     for index in order {
         let mut without = slots.clone();
-        for (worker, need) in &chosen[index].frees {
-            if let Some(&place) = places_of.get(worker) {
-                without[place].free = without[place].free.minus(*need);
-            }
-        }
+        for_each_freed(&mut without, within, chosen[index], |slot, need| {
+            slot.free = slot.free.minus(need);
+        });
         if let Some(found) = find(&without, spec, count, bounds) {
             *slots = without;
             *places = found;
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -25,15 +25,21 @@
 impl Coordinator {
     /// Sends the looks that are due.
     pub(crate) fn send_looks(&mut self, now: TimeMs) {
+        self.next_look_at = None;
         if now >= self.tenure_until + RENEWAL_AFTER_TENURE_MS {
             return;
         }
+        let mut next_look_at: Option<TimeMs> = None;
         for (name, worker) in &mut self.workers {
             let LookState::Idle { next_at } = worker.look else {
                 continue;
             };
-            let is_due = worker.look_due_at(next_at) <= now && worker.wants_look();
-            if !is_due || worker.entry.address.is_empty() {
+            if worker.entry.address.is_empty() || !worker.wants_look() {
+                continue;
+            }
+            let due_at = worker.look_due_at(next_at);
+            if due_at > now {
+                next_look_at = Some(next_look_at.map_or(due_at, |at| at.min(due_at)));
                 continue;
             }
             let is_unsure = worker.is_silent
@@ -75,6 +81,7 @@
                 wait_ms,
             });
         }
+        self.next_look_at = next_look_at;
     }
 
     pub(crate) fn look_failed(
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -24,7 +24,7 @@
     /// Rack.
     pub rack: RackName,
     /// All its labels.
-    pub labels: Vec<LabelName>,
+    pub labels: Arc<[LabelName]>,
     /// What it has in total.
     pub capacity: Resources,
     /// Whether it is about to leave.
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -1,8 +1,9 @@
 //! Where tasks go: best fit, whole racks for gangs that want one, data near its rack.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
-use ragwortwick_core::{RackName, WorkerName};
+use ragwortwick_core::{LabelName, RackName, WorkerName};
 
 use crate::job::{Resources, StepSpec};
 
@@ -11,7 +12,9 @@
 pub(crate) struct Slot {
     pub(crate) worker: WorkerName,
     pub(crate) rack: RackName,
-    pub(crate) labels: Vec<ragwortwick_core::LabelName>,
+    /// Number of the rack in the pool: slots lie sorted by it, and numbers compare faster than names.
+    pub(crate) rack_number: u32,
+    pub(crate) labels: Arc<[LabelName]>,
     pub(crate) free: Resources,
     /// Evidence against the worker; slots with less of it are taken first.
     pub(crate) doubt: u32,
@@ -87,7 +90,7 @@
 fn best_rack(slots: &[Slot], spec: &StepSpec, count: usize, bounds: &Bounds) -> Option<Vec<usize>> {
     let mut best: Option<(bool, u32, u64, Vec<usize>)> = None;
     let mut first = 0;
-    for within in slots.chunk_by(|a, b| a.rack == b.rack) {
+    for within in slots.chunk_by(|a, b| a.rack_number == b.rack_number) {
         let members: Vec<usize> = (first..first + within.len()).collect();
         first += within.len();
         let rack = &within[0].rack;
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -1,6 +1,6 @@
 //! Room for guaranteed work: which runs of others have to stop for it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use ragwortwick_core::{CustomerName, JobId, TimeMs, WorkerName};
 
@@ -38,8 +38,10 @@
     priority: u32,
     /// Core-seconds of work that a stop throws away.
     pub(crate) waste: f64,
-    /// What it frees on each worker.
-    pub(crate) frees: Vec<(WorkerName, Resources)>,
+    /// Workers that it runs on.
+    on: BTreeSet<WorkerName>,
+    /// What it frees, by the slot of the pass.
+    pub(crate) frees: Vec<(usize, Resources)>,
     accelerators: u64,
 }
 
@@ -55,14 +57,13 @@
         // What is stopping already is as good as free.
         let mut future = self.with_stopping_freed(&room.slots);
         let mut plans_left = MOST_PLANS;
+        let slot_of = slots_by_worker(&room.slots);
         let mut victims: Option<Vec<Victim>> = None;
         let mut unplaced: Vec<(StepSpec, usize)> = Vec::new();
         for candidate in urgent {
             let is_placed = self.place_step(now, candidate, room);
-            for (worker, need) in room.taken.drain(..) {
-                if let Some(slot) = slot_of(&mut future, &worker) {
-                    slot.free = slot.free.minus(need);
-                }
+            for (index, need) in room.taken.drain(..) {
+                future[index].free = future[index].free.minus(need);
             }
             if is_placed {
                 continue;
@@ -79,11 +80,7 @@
             // What the advisor allows differs from step to step.
             let is_hopeless = bounds.allowed.is_none() && unplaced.contains(&shape);
             if !is_hopeless && let Some(places) = find(&future, &spec, count, &bounds) {
-                let names: Vec<WorkerName> = places
-                    .into_iter()
-                    .map(|index| future[index].worker.clone())
-                    .collect();
-                reserve(&mut future, room, &names, spec.reserved());
+                reserve(&mut future, room, &places, spec.reserved());
                 continue;
             }
             if !is_hopeless {
@@ -95,16 +92,14 @@
             }
             plans_left -= 1;
             // Listing all that runs costs more than anything else in a pass.
-            let victims = victims.get_or_insert_with(|| self.displaceable(now));
+            let victims = victims.get_or_insert_with(|| self.displaceable(now, &slot_of));
             let Some(plan) = plan_for(candidate, &future, &spec, count, &bounds, victims) else {
                 continue;
             };
             for victim in &plan.stopped {
                 self.stop_victim(now, victim);
-                for (worker, need) in &victim.frees {
-                    if let Some(slot) = slot_of(&mut future, worker) {
-                        slot.free = slot.free.plus(*need);
-                    }
+                for &(index, need) in &victim.frees {
+                    future[index].free = future[index].free.plus(need);
                 }
             }
             victims.retain(|victim| {
@@ -124,16 +119,16 @@
     }
 
     /// All that may be stopped for guaranteed work: lower priorities first, then borrowed shares.
-    fn displaceable(&self, now: TimeMs) -> Vec<Victim> {
-        let mut victims = self.victims(now);
-        victims.extend(self.borrowers(now));
+    fn displaceable(&self, now: TimeMs, slot_of: &SlotOf) -> Vec<Victim> {
+        let mut victims = self.victims(now, slot_of);
+        victims.extend(self.borrowers(now, slot_of));
         victims
     }
 
     /// Urgent runs beyond their customer's share, youngest first: they go back to whoever is owed.
-    fn borrowers(&self, now: TimeMs) -> Vec<Victim> {
+    fn borrowers(&self, now: TimeMs, slot_of: &SlotOf) -> Vec<Victim> {
         let mut by_customer: BTreeMap<CustomerName, Vec<(TimeMs, Victim)>> = BTreeMap::new();
-        for (placed_at, victim) in self.groups(now, |held| held.priority == 0) {
+        for (placed_at, victim) in self.groups(now, slot_of, |held| held.priority == 0) {
             let customer = self.jobs.get(&victim.group.job_id);
             if let Some(customer) = customer.map(|job| job.record.customer.clone()) {
                 by_customer
@@ -175,9 +170,9 @@
     }
 
     /// Runs of lower priority, the cheapest to stop first.
-    fn victims(&self, now: TimeMs) -> Vec<Victim> {
+    fn victims(&self, now: TimeMs, slot_of: &SlotOf) -> Vec<Victim> {
         let mut victims: Vec<Victim> = self
-            .groups(now, |held| held.priority > 0)
+            .groups(now, slot_of, |held| held.priority > 0)
             .into_iter()
             .map(|(_, victim)| victim)
             .collect();
@@ -190,7 +185,12 @@
     }
 
     /// What has to stop together, with when it was placed, of the runs that match.
-    fn groups(&self, now: TimeMs, matches: impl Fn(&Held) -> bool) -> Vec<(TimeMs, Victim)> {
+    fn groups(
+        &self,
+        now: TimeMs,
+        slot_of: &SlotOf,
+        matches: impl Fn(&Held) -> bool,
+    ) -> Vec<(TimeMs, Victim)> {
         let mut groups: BTreeMap<Group, (TimeMs, Victim)> = BTreeMap::new();
         for (name, worker) in &self.workers {
             for (task, held) in &worker.held {
@@ -219,13 +219,18 @@
                         group,
                         priority: held.priority,
                         waste: 0.0,
+                        on: BTreeSet::new(),
                         frees: Vec::new(),
                         accelerators: 0,
                     };
                     (held.placed_at, victim)
                 });
                 victim.waste += waste(spec.need, lost_ms);
-                victim.frees.push((name.clone(), held.need));
+                victim.on.insert(name.clone());
+                // Room on a worker that takes no work helps nobody.
+                if let Some(&index) = slot_of.get(name) {
+                    victim.frees.push((index, held.need));
+                }
                 victim.accelerators += held.need.accelerators;
             }
         }
@@ -234,8 +239,7 @@
 
     fn stop_victim(&mut self, now: TimeMs, victim: &Victim) {
         let group = &victim.group;
-        let on: BTreeSet<&WorkerName> = victim.frees.iter().map(|(worker, _)| worker).collect();
-        for worker in on {
+        for worker in &victim.on {
             self.stop_on(now, worker, |task| {
                 task.job_id == group.job_id
                     && task.occurrence == group.occurrence
@@ -292,17 +296,22 @@
         .filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
 }
 
-fn slot_of<'a>(slots: &'a mut [Slot], worker: &WorkerName) -> Option<&'a mut Slot> {
-    slots.iter_mut().find(|slot| slot.worker == *worker)
+/// Which slot of the pass is a worker's.
+type SlotOf = HashMap<WorkerName, usize>;
+
+fn slots_by_worker(slots: &[Slot]) -> SlotOf {
+    let names = slots.iter().map(|slot| slot.worker.clone());
+    names
+        .enumerate()
+        .map(|(index, name)| (name, index))
+        .collect()
 }
 
 /// Takes the places out of what later work may get, now and once the victims have stopped.
-fn reserve(future: &mut [Slot], room: &mut Room, places: &[WorkerName], need: Resources) {
-    for worker in places {
+fn reserve(future: &mut [Slot], room: &mut Room, places: &[usize], need: Resources) {
+    for &index in places {
         for slots in [&mut *future, &mut *room.slots] {
-            if let Some(slot) = slot_of(slots, worker) {
-                slot.free = slot.free.minus(need);
-            }
+            slots[index].free = slots[index].free.minus(need);
         }
     }
 }
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -1,6 +1,7 @@
 //! One pass of placement: who is next, and where it goes.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use ragwortwick_core::{DurationMs, PoolName, TimeMs, WorkerName};
 
@@ -24,7 +25,7 @@
 pub(crate) struct Room {
     pub(crate) slots: Vec<Slot>,
     /// Places taken since this was last emptied.
-    pub(crate) taken: Vec<(WorkerName, Resources)>,
+    pub(crate) taken: Vec<(usize, Resources)>,
     capacity: u64,
     used: u64,
 }
@@ -42,7 +43,7 @@
         let slot = &mut self.slots[index];
         slot.free = slot.free.minus(need);
         self.used += need.accelerators;
-        self.taken.push((slot.worker.clone(), need));
+        self.taken.push((index, need));
     }
 }
 
@@ -122,7 +123,8 @@
                 room.slots.push(Slot {
                     worker: name.clone(),
                     rack: worker.entry.rack.clone(),
-                    labels: worker.entry.labels.clone(),
+                    rack_number: 0,
+                    labels: Arc::clone(&worker.entry.labels),
                     free,
                     doubt: worker.failures_in_row,
                 });
@@ -130,6 +132,11 @@
         }
         // Racks lie together, so that packing finds them without a map.
         room.slots.sort_by(|a, b| a.rack.cmp(&b.rack));
+        for (number, rack) in (0..).zip(room.slots.chunk_by_mut(|a, b| a.rack == b.rack)) {
+            for slot in rack {
+                slot.rack_number = number;
+            }
+        }
         room
     }
 
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -155,7 +155,7 @@
             pool: "".into(),
             zone: "".into(),
             rack: "".into(),
-            labels: Vec::new(),
+            labels: Arc::default(),
             capacity: Resources::default(),
             is_draining: false,
             remaining_ms: None,
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -33,7 +33,7 @@
         pool: PoolName::new("booking"),
         zone: "z".into(),
         rack: rack.into(),
-        labels: vec!["a".into(), rack.into()],
+        labels: Arc::from(["a".into(), rack.into()]),
         capacity: Resources {
             cpu_millis: 32_000,
             memory_mb: 64_000,
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -91,7 +91,7 @@
             pool: crate::arrivals::POOL.into(),
             zone: "z".into(),
             rack: self.rack.as_str().into(),
-            labels: vec![self.label.into(), self.rack.as_str().into()],
+            labels: Arc::from([self.label.into(), self.rack.as_str().into()]),
             capacity: self.capacity,
             is_draining: self.draining_since.is_some(),
             remaining_ms: self.leaves_at.map(|at| at.since(now)),
