--- a/ragwortwick-soak/src/trouble.rs
+++ b/ragwortwick-soak/src/trouble.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ragwortwick_standin::{AreaFleet, StoreTrouble};
+use ragwortwick_standin::{AreaFleet, RelayMode, StoreTrouble, desired};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 
@@ -25,8 +25,25 @@
     Forget,
     /// A worker takes calls without an answer, or answers again.
     Worker(usize, bool),
+    /// A host's path to the store changes.
+    StorePath(usize, RelayMode),
+    /// The path to a worker changes.
+    WorkerPath(usize, RelayMode),
+    /// The operators put another version of the desired state in force.
+    Change(u64),
 }
 
+/// What happens to paths: cut, one way only, silent, slow, or reset.
+const PATH_TROUBLES: [RelayMode; 7] = [
+    RelayMode::Cut,
+    RelayMode::Blackhole,
+    RelayMode::SilenceOpen,
+    RelayMode::ResetOpen,
+    RelayMode::Slow,
+    RelayMode::DropCalls,
+    RelayMode::DropAnswers,
+];
+
 /// `Step` is a trouble after a pause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Step {
@@ -37,9 +54,11 @@
 /// Draws a series; what has to be undone is undone at its end.
 pub(crate) fn draw(rng: &mut Pcg64Mcg, steps: usize, hosts: usize, workers: usize) -> Vec<Step> {
     let mut series = Vec::new();
-    for _ in 0..steps {
+    for number in 0..steps {
         let host = rng.random_range(0..hosts);
-        let trouble = match rng.random_range(0..10) {
+        let worker = rng.random_range(0..workers);
+        let path = PATH_TROUBLES[rng.random_range(0..PATH_TROUBLES.len())];
+        let trouble = match rng.random_range(0..15) {
             0 => Trouble::Kill(host),
             1 | 2 => Trouble::Freeze(host),
             3 => Trouble::Wake(host),
@@ -48,7 +67,10 @@
             6 => Trouble::Store(StoreTrouble::Silent),
             7 => Trouble::Store([StoreTrouble::Busy, StoreTrouble::LosesAnswers][host % 2]),
             8 => Trouble::Forget,
-            _ => Trouble::Worker(rng.random_range(0..workers), rng.random_bool(0.6)),
+            9 => Trouble::Worker(worker, rng.random_bool(0.6)),
+            10 | 11 => Trouble::StorePath(host, path),
+            12 | 13 => Trouble::WorkerPath(worker, path),
+            _ => Trouble::Change(2 + number as u64),
         };
         series.push(Step {
             pause: Duration::from_millis(rng.random_range(50..1_800)),
@@ -58,6 +80,8 @@
         let undo = match trouble {
             Trouble::Store(_) => Some(Trouble::Store(StoreTrouble::None)),
             Trouble::Freeze(host) => Some(Trouble::Wake(host)),
+            Trouble::StorePath(host, _) => Some(Trouble::StorePath(host, RelayMode::Pass)),
+            Trouble::WorkerPath(worker, _) => Some(Trouble::WorkerPath(worker, RelayMode::Pass)),
             _ => None,
         };
         series.extend(undo.map(|trouble| Step {
@@ -85,6 +109,11 @@
         Trouble::HangUp(host) => drop(fleet.hosts[host].hang_up()),
         Trouble::Store(trouble) => fleet.store.set_trouble(trouble),
         Trouble::Forget => fleet.store.forget_history(),
+        Trouble::StorePath(host, mode) => fleet.set_store_path(host, mode),
+        Trouble::WorkerPath(worker, mode) => fleet.workers.set_path(worker, mode),
+        Trouble::Change(version) => {
+            fleet.store.put("op/config", desired(version).to_string());
+        }
         Trouble::Worker(worker, is_silent) => fleet.workers.set_silent(worker, is_silent),
         Trouble::Kill(host) => {
             drop(fleet.hosts[host].kill());
--- a/ragwortwick-standin/src/area/fleet.rs
+++ b/ragwortwick-standin/src/area/fleet.rs
@@ -1,5 +1,6 @@
 //! A whole area: store, workers and entry hosts as separate processes.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -11,6 +12,7 @@
 
 use super::{AreaStore, AreaWorkers};
 use crate::fleet::{Daemon, DaemonOptions, FleetError};
+use crate::relay::{Relay, RelayMode};
 
 /// How often workers write their entries.
 const BEAT_MS: DurationMs = DurationMs(200);
@@ -33,6 +35,8 @@
     directory: tempfile::TempDir,
     binary: PathBuf,
     http: HttpClient,
+    /// The hosts' paths to the store, by the hosts' names.
+    store_paths: BTreeMap<HostName, Relay>,
     beats: JoinHandle<()>,
     spawned: usize,
 }
@@ -61,6 +65,7 @@
             directory: tempfile::tempdir()?,
             binary: Path::new(binary).to_path_buf(),
             http: HttpClient::new(&HttpClientOptions::default()),
+            store_paths: BTreeMap::new(),
             beats,
             spawned: 0,
         };
@@ -78,10 +83,14 @@
     /// Fails if the process can't be had.
     pub async fn spawn_host(&mut self) -> Result<Daemon, FleetError> {
         self.spawned += 1;
+        let host = HostName::new(format!("host-{}", self.spawned));
+        let path = Relay::bind("127.0.0.1:0", self.store.address()).await?;
+        let store_address = path.address().to_string();
+        self.store_paths.insert(host.clone(), path);
         let options = DaemonOptions {
-            host: HostName::new(format!("host-{}", self.spawned)),
+            host,
             zone: ZoneName::new("z"),
-            store_address: self.store.address().to_string(),
+            store_address,
             hosts_address: String::new(),
             settings: Map::from_iter([(
                 "advice_address".to_owned(),
@@ -91,6 +100,13 @@
         Daemon::spawn_area(&self.binary, self.directory.path(), options).await
     }
 
+    /// `set_store_path` changes a host's path to the store.
+    pub fn set_store_path(&self, host: usize, mode: RelayMode) {
+        if let Some(path) = self.store_paths.get(self.hosts[host].host()) {
+            path.set_mode(mode);
+        }
+    }
+
     /// `call` sends a caller's call to a host.
     ///
     /// # Errors
@@ -154,14 +170,18 @@
     /// `coordinator` finds the host that coordinates, by its own log.
     #[must_use]
     pub fn coordinator(&self) -> Option<usize> {
-        let count = |lines: &[String], event: &str| {
-            let word = format!("event={event}");
+        (0..self.hosts.len()).find(|&host| self.coordinates(host))
+    }
+
+    /// `coordinates` tells whether a host coordinates, by its own log.
+    #[must_use]
+    pub fn coordinates(&self, host: usize) -> bool {
+        let lines = self.hosts[host].lines();
+        let count = |event: &str| {
+            let word = format!("event={event} ");
             lines.iter().filter(|line| line.contains(&word)).count()
         };
-        self.hosts.iter().position(|host| {
-            let lines = host.lines();
-            count(&lines, "term_begins ") > count(&lines, "term_ends ")
-        })
+        count("term_begins") > count("term_ends")
     }
 
     /// `close` ends everything.
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -19,6 +19,7 @@
 use super::worker_routes;
 use crate::faults::lock;
 use crate::now;
+use crate::relay::{Relay, RelayMode};
 
 /// How often ends and lapsed leases are looked for.
 const CHECK: Duration = Duration::from_millis(10);
@@ -234,6 +235,8 @@
 pub struct AreaWorkers {
     shared: PoolShared,
     servers: Vec<(String, Server)>,
+    /// The paths to the workers, in their order.
+    paths: Vec<Relay>,
     advisor: Server,
     checks: JoinHandle<()>,
 }
@@ -250,6 +253,7 @@
             changed: watch::Sender::new(0),
         };
         let mut servers = Vec::new();
+        let mut paths = Vec::new();
         for number in 0..count {
             let name = format!("w-{number}");
             let one = OneWorker {
@@ -261,6 +265,7 @@
             shared.with(|pool| {
                 pool.workers.insert(name.clone(), WorkerState::default());
             });
+            paths.push(Relay::bind("127.0.0.1:0", server.address()).await?);
             servers.push((name, server));
         }
         let checked = shared.clone();
@@ -274,6 +279,7 @@
         let workers = Self {
             shared,
             servers,
+            paths,
             advisor,
             checks,
         };
@@ -283,10 +289,11 @@
 
     /// `beat` writes every worker's entry, as their heartbeats do.
     pub fn beat(&self, store: &AreaStore) {
-        for (number, (name, server)) in self.servers.iter().enumerate() {
+        let workers = self.servers.iter().zip(&self.paths);
+        for (number, ((name, _), path)) in workers.enumerate() {
             let entry = json!({
                 "Service": "booking",
-                "Address": server.address().to_string(),
+                "Address": path.address().to_string(),
                 "Zone": "z",
                 "Version": "v1",
                 "Slots": 8,
@@ -334,6 +341,11 @@
         })
     }
 
+    /// `set_path` changes the path to a worker, for all hosts.
+    pub fn set_path(&self, number: usize, mode: RelayMode) {
+        self.paths[number].set_mode(mode);
+    }
+
     /// `set_silent` makes a worker take calls without an answer.
     pub fn set_silent(&self, number: usize, is_silent: bool) {
         let name = format!("w-{number}");
@@ -347,6 +359,9 @@
     /// `close` ends all workers.
     pub fn close(self) {
         self.checks.abort();
+        for path in self.paths {
+            path.close();
+        }
         drop(self.servers);
         drop(self.advisor);
     }
--- a/ragwortwick-standin/src/relay.rs
+++ b/ragwortwick-standin/src/relay.rs
@@ -1,4 +1,4 @@
-//! A TCP relay that can cut or blackhole the path through it.
+//! A TCP relay that can cut, slow down or silence the path through it, also one way only.
 
 use std::io;
 use std::net::SocketAddr;
@@ -24,6 +24,9 @@
 const RESERVE_TRIES: u32 = 250;
 const RESERVE_PAUSE: Duration = Duration::from_millis(20);
 
+/// How late a slow path passes what it read: more than a caller's patience for two or three calls.
+const SLOW: Duration = Duration::from_millis(250);
+
 /// A connection on loopback that takes longer is not going to be completed.
 const FILLER_WAIT: Duration = Duration::from_millis(100);
 
@@ -45,6 +48,14 @@
     SilenceOpen,
     /// Passes bytes, those towards the caller twice.
     Duplicate,
+    /// Passes bytes late.
+    Slow,
+    /// Closes connections that are open now; new ones pass.
+    ResetOpen,
+    /// Drops what goes to the target: no call arrives.
+    DropCalls,
+    /// Drops what comes back: calls arrive and their answers don't.
+    DropAnswers,
 }
 
 /// `Relay` is a running relay.
@@ -263,12 +274,18 @@
     fn follow_mode(&mut self) -> bool {
         let mode = *self.mode.borrow_and_update();
         self.is_silenced |= mode == RelayMode::SilenceOpen;
-        mode == RelayMode::Cut
+        matches!(mode, RelayMode::Cut | RelayMode::ResetOpen)
     }
 
     fn is_dropping(&self) -> bool {
         let mode = *self.mode.borrow();
-        self.is_silenced || matches!(mode, RelayMode::Blackhole | RelayMode::Frozen)
+        let is_dropped = match mode {
+            RelayMode::Blackhole | RelayMode::Frozen => true,
+            RelayMode::DropCalls => !self.is_towards_caller,
+            RelayMode::DropAnswers => self.is_towards_caller,
+            _ => false,
+        };
+        self.is_silenced || is_dropped
     }
 
     async fn wait_for_cut(&mut self) -> bool {
@@ -284,6 +301,9 @@
 
     async fn pass(&self, bytes: &[u8], to: &mut OwnedWriteHalf) -> io::Result<()> {
         self.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        if *self.mode.borrow() == RelayMode::Slow {
+            tokio::time::sleep(SLOW).await;
+        }
         to.write_all(bytes).await?;
         if self.is_towards_caller && *self.mode.borrow() == RelayMode::Duplicate {
             to.write_all(bytes).await?;
