Try silent workers again, and hear them before their work starts anew

Cause: looks went only to workers with runs or ends to forget, and only a look ends a worker's silence, so after a cut that outlasted all leases no worker ever got work again. And tasks of a silent worker started elsewhere as soon as its lease had run out, although one that had ended before is listed as done, and counts, when the worker is back in reach. Found by the emulator at 48 workers, 1.8 times the load and leases of 6 s, as one site has. Ruled out: the emulator's own rule.

--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -32,6 +32,13 @@
     DurationMs((AFTER_LOOK_MS.0 + more_ms).min(MOST_AFTER_ENDS_MS))
 }
 
+/// How long runs on a silent worker are kept back after its lease has run out, while it is listed.
+///
+/// They don't run any more, but may have come to their end before that. A worker that is only out of
+/// reach lists those ends when it is back: a booking started again meanwhile would be made twice. The
+/// longest cuts that were seen outlast a lease of 6 s by less than this.
+const HEAR_FIRST_MS: DurationMs = DurationMs(6_000);
+
 impl Coordinator {
     /// A run is over for good: its room is free, and its job goes on from there.
     pub(crate) fn resolve(
@@ -147,7 +154,12 @@
             .iter()
             .filter(|(_, worker)| {
                 let is_silent = worker.is_silent || worker.entry.address.is_empty();
-                is_silent && !worker.held.is_empty() && now >= worker.lease_bound
+                let given_up_at = if worker.is_listed {
+                    worker.lease_bound + HEAR_FIRST_MS
+                } else {
+                    worker.lease_bound
+                };
+                is_silent && !worker.held.is_empty() && now >= given_up_at
             })
             .map(|(name, _)| name.clone())
             .collect();
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -22,6 +22,9 @@
 /// Pause between looks at a worker that does not answer.
 const SILENT_LOOK_MS: DurationMs = DurationMs(250);
 
+/// The same where nothing runs: no lease is at stake, and each look is charged.
+const SILENT_IDLE_LOOK_MS: DurationMs = DurationMs(1_000);
+
 impl Coordinator {
     /// Sends the looks that are due.
     pub(crate) fn send_looks(&mut self, now: TimeMs) {
@@ -101,8 +104,13 @@
         }
         if let Some(worker) = self.workers.get_mut(worker_name) {
             worker.is_silent = true;
+            let pause_ms = if worker.held.is_empty() {
+                SILENT_IDLE_LOOK_MS
+            } else {
+                SILENT_LOOK_MS
+            };
             worker.look = LookState::Idle {
-                next_at: now + SILENT_LOOK_MS,
+                next_at: now + pause_ms,
             };
         }
     }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -220,13 +220,15 @@
             && now >= self.avoid_until
     }
 
-    /// Whether a look is wanted: something runs, or ends have to be forgotten.
+    /// Whether a look is wanted: something runs, ends have to be forgotten, or it is not known whether
+    /// a listed worker is back in reach. Silence ends with a look alone, and a silent worker gets no
+    /// work: after a cut that outlasted all leases no worker would ever get any.
     pub(crate) fn wants_look(&self) -> bool {
         let has_run = self
             .held
             .values()
             .any(|held| !matches!(held.phase, HeldPhase::Intended));
-        has_run || self.stored > self.told
+        has_run || self.stored > self.told || (self.is_silent && self.is_listed)
     }
 
     /// Ends that are taken in but not stored would be listed again at once; a look waits for them.
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -148,6 +148,9 @@
             }
         };
         for end in forgotten {
+            if self.workers[index].is_lapsed(&end) {
+                continue;
+            }
             let arrival = &self.arrivals[self.by_job[&end.task.job_id]];
             let is_gang = arrival.record.steps[end.task.step as usize].is_gang;
             self.truth.noted(&end.task, end.run, end.kind, is_gang);
@@ -177,11 +180,8 @@
             self.crash(index);
             return;
         }
-        if self.workers[index].is_lease_over(self.now) {
-            let tasks: Vec<TaskId> = self.workers[index].running.keys().cloned().collect();
-            for task in tasks {
-                self.end(index, &task, EndKind::LeaseExpired);
-            }
+        for task in self.workers[index].lapse(self.now) {
+            self.end(index, &task, EndKind::LeaseExpired);
         }
         let due: Vec<(TaskId, bool)> = self.workers[index]
             .running
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -38,6 +38,9 @@
     pub(crate) token: u64,
     /// When the lease of everything ends, on the worker's clock.
     lease_until: u64,
+    /// Ends up to this number were listed when the lease ran out and killed what ran; by the platform's
+    /// rules they don't count as known any more, whoever hears of them later.
+    lapsed_to: u64,
     pub(crate) running: BTreeMap<TaskId, Attempt>,
     /// Highest run that ended or was stopped, by task.
     over: BTreeMap<TaskId, u32>,
@@ -71,6 +74,7 @@
             is_failing: false,
             token: 0,
             lease_until: 0,
+            lapsed_to: 0,
             running: BTreeMap::new(),
             over: BTreeMap::new(),
             ended: Vec::new(),
@@ -112,6 +116,7 @@
         self.name = WorkerName::new(format!("{number}-{}", self.life));
         self.token = 0;
         self.lease_until = 0;
+        self.lapsed_to = 0;
         self.running.clear();
         self.over.clear();
         self.ended.clear();
@@ -119,13 +124,27 @@
         self.waiting_look = None;
     }
 
+    /// Whether an end had been listed when the lease ran out.
+    pub(crate) fn is_lapsed(&self, end: &EndedTask) -> bool {
+        end.number <= self.lapsed_to
+    }
+
+    /// The lease has run out and kills everything.
+    pub(crate) fn lapse(&mut self, now: TimeMs) -> Vec<TaskId> {
+        if !self.is_lease_over(now) {
+            return Vec::new();
+        }
+        self.lapsed_to = self.next_end - 1;
+        self.running.keys().cloned().collect()
+    }
+
     fn grant(&mut self, now: TimeMs, until: u64, lease_ms: DurationMs) {
         let most = self.clock(now) + lease_ms.0;
         self.lease_until = self.lease_until.max(until.min(most));
     }
 
     /// Whether the lease has run out with something running.
-    pub(crate) fn is_lease_over(&self, now: TimeMs) -> bool {
+    fn is_lease_over(&self, now: TimeMs) -> bool {
         !self.running.is_empty() && self.clock(now) >= self.lease_until
     }
 
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -131,3 +131,29 @@
         assert!(report.without_ticket * 50 <= report.starts, "seed {seed}");
     }
 }
+
+/// Seeds that once failed at a heavy load with leases of 6 s. In 20005 a cut outlasts the leases, and a
+/// worker lists an end from before; in the others every worker is out of reach for longer than its
+/// lease, and after it none ever got work again, since nothing was left to look at them for.
+#[test]
+fn verify_work_goes_on_after_a_cut_that_outlasts_the_leases() {
+    for seed in [20_005, 20_076, 20_082, 20_129] {
+        let faults = draw_faults(seed, 4, TimeMs(20_000));
+        let usual = Load::default();
+        let options = Options {
+            seed,
+            workers: 48,
+            limits: Limits {
+                lease_ms: DurationMs(6_000),
+                ..Limits::default()
+            },
+            load: Load {
+                per_s: usual.per_s.map(|per_s| per_s * 1.8),
+                ..usual
+            },
+            ..Options::default()
+        };
+        let report = World::new(options, faults.clone()).run();
+        assert_held(seed, &faults, &report);
+    }
+}
--- a/ragwortwick-standin/src/fleet/child.rs
+++ b/ragwortwick-standin/src/fleet/child.rs
@@ -3,6 +3,7 @@
 use std::io::{self, BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::FleetError;
+use crate::faults::lock;
 
 /// Longest wait for a line of the log; only a hung process reaches it.
 const LINE_LIMIT: Duration = Duration::from_secs(30);
@@ -39,6 +41,7 @@
     options: DaemonOptions,
     child: Option<Child>,
     lines: watch::Receiver<Vec<String>>,
+    reading: Arc<Reading>,
     address: String,
     peer_address: Option<String>,
 }
@@ -81,11 +84,13 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()?;
-        let lines = follow_lines(&mut child);
+        let reading = Arc::new(Reading::default());
+        let lines = follow_lines(&mut child, Arc::clone(&reading));
         let mut daemon = Self {
             options,
             child: Some(child),
             lines,
+            reading,
             address: String::new(),
             peer_address: None,
         };
@@ -161,6 +166,12 @@
         }
     }
 
+    /// `set_reading` stops reading its log, so that its pipe fills up, or goes on.
+    pub fn set_reading(&self, is_reading: bool) {
+        *lock(&self.reading.is_paused) = !is_reading;
+        self.reading.changed.notify_all();
+    }
+
     /// `lines` copies its log so far.
     #[must_use]
     pub fn lines(&self) -> Vec<String> {
@@ -309,12 +320,28 @@
     Ok(path)
 }
 
-fn follow_lines(child: &mut Child) -> watch::Receiver<Vec<String>> {
+/// `Reading` tells the thread that reads a log whether to go on.
+#[derive(Debug, Default)]
+struct Reading {
+    is_paused: Mutex<bool>,
+    changed: Condvar,
+}
+
+impl Reading {
+    fn wait(&self) {
+        let paused = lock(&self.is_paused);
+        // A poisoned lock means that the test has failed already.
+        drop(self.changed.wait_while(paused, |is_paused| *is_paused));
+    }
+}
+
+fn follow_lines(child: &mut Child, reading: Arc<Reading>) -> watch::Receiver<Vec<String>> {
     let (sender, receiver) = watch::channel(Vec::new());
     if let Some(stdout) = child.stdout.take() {
         thread::spawn(move || {
             for line in BufReader::new(stdout).lines().map_while(Result::ok) {
                 sender.send_modify(|lines: &mut Vec<String>| lines.push(line));
+                reading.wait();
             }
         });
     }
