--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -401,3 +401,42 @@
     assert_eq!(fleet.workers.starts().len(), 2, "nothing was stopped");
     fleet.close();
 }
+
+/// Whoever collects the host's log stops reading, and its pipe fills up. Callers notice nothing: jobs are
+/// accepted and completed meanwhile, and the log goes on where it stopped once it is read again.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_full_log_pipe_holds_up_no_caller() {
+    const PIPE_BYTES: usize = 64 << 10;
+    let fleet = open(1, 8).await;
+    let lines_before = fleet.hosts[0].lines().len();
+    fleet.hosts[0].set_reading(false);
+    let ids: Vec<String> = (0..400).map(|number| format!("{number:016x}")).collect();
+    for id in &ids {
+        let status = fleet.submit(0, id, area_job(1, 1, false)).await;
+        assert_eq!(status.ok(), Some(StatusCode::OK), "job {id}");
+    }
+    for id in &ids {
+        wait_for_state(&fleet, 0, id, "completed").await;
+    }
+    fleet.hosts[0].set_reading(true);
+    let written = || -> usize {
+        let lines = fleet.hosts[0].lines();
+        lines[lines_before..]
+            .iter()
+            .map(|line| line.len() + 1)
+            .sum()
+    };
+    wait_until("more than a pipe holds is read", async || {
+        written() > PIPE_BYTES
+    })
+    .await;
+    let id = "00000000000000fe";
+    let status = fleet.submit(0, id, area_job(1, 1, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    wait_until("the log goes on", async || {
+        let lines = fleet.hosts[0].lines();
+        lines.iter().any(|line| line.contains(id))
+    })
+    .await;
+    fleet.close();
+}
