Forget a set time that can't be acted on, instead of waking for it without end

Cause: when a job's set time came while the list of workers was old (or the term's lease over), the pass did nothing and left the due time in the past. The coordinator asked to be woken then, at once and again, and its thread never slept. On a host of one core the reader of the list, the renewal and the callers had no turn, so the list stayed old; the next coordinator inherited the job and stood still as well. Change: a pass that can't place forgets the due time, since the event that lifts the obstacle asks for a pass; a due time never lies before the next allowed pass; a duty sleeps for at least 1 ms. Before: the test counts 100 wakeups at one moment. Conclusion: a livelock that any moment's slowness could start is gone.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -261,7 +261,7 @@
             self.records.is_waiting() || self.next_look_at.is_some() || !self.open_jobs.is_empty();
         let tick = is_busy.then(|| now.steady + TICK_MS);
         let pass = self.wants_pass.then_some(self.next_pass_at);
-        let due = self.next_due_at;
+        let due = self.next_due_at.map(|at| at.max(self.next_pass_at));
         let look = if self.wants_looks {
             Some(self.looks_sent_at + LOOKS_INTERVAL_MS)
         } else {
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -51,6 +51,10 @@
     /// Places what can be placed, the most pressing work first.
     pub(crate) fn pass(&mut self, now: Now) {
         if !self.may_order(now.steady) || !self.knows_workers(now.steady) {
+            // A set time that has come stays in the past until a pass: asking to be woken at it would
+            // keep the thread busy without end. What is missing comes as an event, and that asks for
+            // the next pass.
+            self.next_due_at = None;
             return;
         }
         let mut candidates = self.candidates(now);
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -4,9 +4,11 @@
 
 use std::sync::Arc;
 
-use ragwortwick_area::{Action, EndKind, Event, KnownJob, OrderReply, RefusalCause};
-use ragwortwick_core::{JobId, TimeMs, WorkerName};
-use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
+use ragwortwick_area::{
+    Action, EndKind, Event, JobRecord, KnownJob, OrderReply, RefusalCause, Schedule,
+};
+use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
+use rig::{ATTEMPTS, Rig, at, ended, gang, job, running, step, worker};
 
 /// A gang's member fails, its end is stored and forgotten by its worker, and the coordinator dies
 /// before the other member has ended. The caller's job must still count that run as failed: lost,
@@ -380,3 +382,35 @@
     rig.store();
     assert_eq!(rig.starts().len(), 1, "the job starts anew");
 }
+
+/// A job's set time comes while the list of workers is old, as its reader is slow. Callers on this host
+/// then get no answers at all: the coordinator asked to be woken at a time that had passed, again and
+/// again, and its thread left the processor to nobody, the reader of the list included.
+#[test]
+fn verify_set_time_without_a_fresh_list_of_workers_is_waited_for() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let mut record = JobRecord::clone(&job("00000000000000d4", "patient", vec![step(1, 1)]));
+    record.schedule = Some(Schedule {
+        first_unix_ms: rig.now + DurationMs(2_000),
+        interval_ms: DurationMs(500),
+        occurrences: 3,
+    });
+    rig.tell(Event::JobAccepted(Arc::new(record)));
+    rig.pass(100);
+    rig.store();
+    rig.now = TimeMs(rig.now.0 + 4_000);
+    let mut wakeups = 0;
+    let end = rig.now.0 + 1_000;
+    while rig.now.0 < end {
+        let now = at(rig.now.0);
+        let actions = rig.coordinator.on_wakeup(now);
+        assert!(actions.is_empty(), "{actions:?}");
+        let next = rig.coordinator.next_wakeup(now).expect("a job is open");
+        rig.now = next.max(rig.now);
+        wakeups += 1;
+        assert!(wakeups < 100, "woken again and again at {}", rig.now);
+    }
+    rig.pass(20);
+    rig.store();
+    assert_eq!(rig.starts().len(), 3, "all that is due starts");
+}
--- a/ragwortwick-daemon/src/duty.rs
+++ b/ragwortwick-daemon/src/duty.rs
@@ -14,6 +14,10 @@
 /// Longest sleep of a duty without events; it bounds how late a duty notices a missed wakeup.
 const IDLE_WAIT_MS: DurationMs = DurationMs(1_000);
 
+/// Shortest sleep without an event. A machine that asks for a time that has passed would else never
+/// leave the processor to the threads that it waits for.
+const LEAST_WAIT_MS: DurationMs = DurationMs(1);
+
 /// `Machine` is a state machine that a duty's thread drives.
 pub trait Machine: Send + 'static {
     /// What the machine learns.
@@ -149,7 +153,8 @@
         }
         let wait_ms = machine
             .next_wakeup()
-            .map_or(IDLE_WAIT_MS, |at| at.since(clock.now()).min(IDLE_WAIT_MS));
+            .map_or(IDLE_WAIT_MS, |at| at.since(clock.now()))
+            .clamp(LEAST_WAIT_MS, IDLE_WAIT_MS);
         match receiver.recv_timeout(wait_ms.into()) {
             Ok(Message::Event(event)) => machine.on_event(clock.now(), event),
             Err(RecvTimeoutError::Timeout) => {}
