Split stops and inheritance off, and tests of pacing and reach from those of takeovers

Change: stops.rs and inherit.rs hold what their names say, moved as it was; tests/pacing.rs and tests/reach.rs.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -13,9 +13,8 @@
 use crate::messages::{Action, Event, WorkerEntry};
 use crate::progress::{JobPhase, Progress};
 use crate::records::Records;
-use crate::sharing::Role;
 use crate::value::whole_work;
-use crate::worker::{Held, HeldPhase, Worker, longest_lease};
+use crate::worker::Worker;
 
 /// How long a coordinator that lost the store goes on renewing what runs.
 ///
@@ -149,63 +148,6 @@
         coordinator
     }
 
-    fn inherit(&mut self, now: Now, known: KnownJob) {
-        let job_id = known.record.job_id.clone();
-        let accepted_at = steady_of(now, known.record.accepted_unix_ms);
-        let mut job = JobState::new(known.record, accepted_at);
-        let mut inherited = Vec::new();
-        if let Some(progress) = &known.progress {
-            inherited = job.restore(now.steady, progress);
-        }
-        self.count_work(&job);
-        let is_over = job.phase.is_final();
-        for (task, worker_name) in inherited {
-            let need = job
-                .spec(task.step)
-                .map(crate::job::StepSpec::reserved)
-                .unwrap_or_default();
-            let state = job
-                .step(task.occurrence, task.step)
-                .and_then(|step| step.tasks.get(task.index as usize));
-            let Some(state) = state else { continue };
-            let held = Held {
-                run: state.last_run,
-                need,
-                phase: if is_over {
-                    HeldPhase::Stopping {
-                        sent_at: None,
-                        in_flight: false,
-                        confirmed_at: None,
-                    }
-                } else {
-                    HeldPhase::Inherited
-                },
-                priority: self.terms_of(&job).priority,
-                placed_at: now.steady,
-                started_at: None,
-                checkpoint: Arc::clone(&state.checkpoint),
-                tries: 1,
-                role: job.spec(task.step).map_or(Role::Ordinary, Role::of),
-                load: 0,
-                pace_told: None,
-            };
-            let bound = now.steady + RENEWAL_AFTER_TENURE_MS + longest_lease(&self.limits);
-            let worker = self
-                .workers
-                .entry(worker_name.clone())
-                .or_insert_with(|| Worker::unlisted(now.steady, worker_name));
-            worker.lease_bound = bound;
-            worker.hold(task, held);
-        }
-        if !is_over {
-            self.open_jobs.insert(job_id.clone());
-        }
-        self.jobs.insert(job_id.clone(), job);
-        if known.is_cancelled {
-            self.cancel(now.steady, &job_id);
-        }
-    }
-
     /// `on_event` takes in one event.
     pub fn on_event(&mut self, now: Now, event: Event) -> Vec<Action> {
         match event {
@@ -381,7 +323,7 @@
         self.open_jobs.insert(job_id);
     }
 
-    fn count_work(&mut self, job: &JobState) {
+    pub(crate) fn count_work(&mut self, job: &JobState) {
         let seen = self
             .work_seen
             .entry(job.record.queue.clone())
@@ -416,6 +358,6 @@
 }
 
 /// Unix time on the steady clock, not later than now.
-fn steady_of(now: Now, unix: TimeMs) -> TimeMs {
+pub(crate) fn steady_of(now: Now, unix: TimeMs) -> TimeMs {
     now.steady - now.unix.since(unix)
 }
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -10,6 +10,7 @@
 mod desired;
 mod displacement;
 mod ends;
+mod inherit;
 mod job;
 mod job_state;
 mod limits;
@@ -23,6 +24,7 @@
 mod schedule;
 mod settle;
 mod sharing;
+mod stops;
 mod value;
 mod worker;
 
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -1,4 +1,4 @@
-//! Starts and stops: sent until their outcome is known.
+//! Starts, and orders that are sent again until their outcome is known.
 
 use std::sync::Arc;
 
@@ -14,9 +14,6 @@
 /// Pause before an order without an answer is sent again.
 const RESEND_MS: DurationMs = DurationMs(150);
 
-/// Pause before a stop that was confirmed, but whose end was never listed, is looked after.
-const STOP_LISTED_MS: DurationMs = DurationMs(150);
-
 impl Coordinator {
     /// Sends the start of a run whose record is stored, unless it has become pointless.
     pub(crate) fn start(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId, run: u32) {
@@ -137,27 +134,6 @@
         }
     }
 
-    fn send_stop(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId) {
-        let Some(worker) = self.workers.get_mut(worker_name) else {
-            return;
-        };
-        let address = Arc::clone(&worker.entry.address);
-        let Some(held) = worker.held.get_mut(task) else {
-            return;
-        };
-        held.phase = HeldPhase::Stopping {
-            sent_at: Some(now),
-            in_flight: true,
-            confirmed_at: None,
-        };
-        self.actions.push(Action::Stop {
-            worker: worker_name.clone(),
-            address,
-            task: task.clone(),
-            run: held.run,
-        });
-    }
-
     pub(crate) fn start_replied(
         &mut self,
         now: TimeMs,
@@ -228,113 +204,6 @@
         }
     }
 
-    pub(crate) fn stop_replied(
-        &mut self,
-        now: TimeMs,
-        worker_name: &WorkerName,
-        task: &TaskId,
-        run: u32,
-        reply: OrderReply,
-    ) {
-        if reply == OrderReply::WrongLife {
-            self.life_over(now, worker_name);
-            return;
-        }
-        if reply == OrderReply::Refused(RefusalCause::Fenced) {
-            self.actions.push(Action::Resign);
-            return;
-        }
-        let Some(worker) = self.workers.get_mut(worker_name) else {
-            return;
-        };
-        if let OrderReply::Accepted { clock_ms } = reply {
-            worker.hear_clock(now, clock_ms);
-        }
-        let Some(held) = worker.held.get_mut(task) else {
-            return;
-        };
-        let HeldPhase::Stopping { sent_at, .. } = held.phase else {
-            return;
-        };
-        if held.run != run {
-            return;
-        }
-        // A worker that refuses the stop as stale has nothing of that run any more.
-        let is_settled = !matches!(reply, OrderReply::Unknown);
-        held.phase = HeldPhase::Stopping {
-            sent_at,
-            in_flight: false,
-            confirmed_at: is_settled.then_some(now),
-        };
-        if let LookState::Idle { next_at } = worker.look {
-            worker.look = LookState::Idle {
-                next_at: next_at.min(now + STOP_LISTED_MS),
-            };
-        }
-    }
-
-    /// Tells all runs that match to stop, on every worker.
-    pub(crate) fn stop_where(&mut self, now: TimeMs, matches: impl Fn(&TaskId) -> bool) {
-        let names: Vec<WorkerName> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.held.keys().any(&matches))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in names {
-            self.stop_on(now, &name, &matches);
-        }
-    }
-
-    /// Tells the runs on one worker that match to stop.
-    pub(crate) fn stop_on(
-        &mut self,
-        now: TimeMs,
-        name: &WorkerName,
-        matches: impl Fn(&TaskId) -> bool,
-    ) {
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        self.wants_orders = true;
-        let mut never_sent = Vec::new();
-        for (task, held) in &mut worker.held {
-            if held.is_stopping() || !matches(task) {
-                continue;
-            }
-            if held.phase == HeldPhase::Intended {
-                never_sent.push((task.clone(), held.run));
-                continue;
-            }
-            held.phase = HeldPhase::Stopping {
-                sent_at: None,
-                in_flight: false,
-                confirmed_at: None,
-            };
-        }
-        for (task, run) in never_sent {
-            self.resolve(now, name, &task, run, Outcome::Void);
-        }
-    }
-
-    /// Stops a task, and with it the whole gang that it is a member of.
-    pub(crate) fn stop_group(&mut self, now: TimeMs, task: &TaskId) {
-        let is_gang = self
-            .jobs
-            .get(&task.job_id)
-            .and_then(|job| job.spec(task.step))
-            .is_some_and(|spec| spec.is_gang);
-        if is_gang {
-            self.stop_where(now, |other| {
-                other.job_id == task.job_id
-                    && other.occurrence == task.occurrence
-                    && other.step == task.step
-            });
-        } else {
-            self.stop_where(now, |other| other == task);
-        }
-    }
-
     /// Puts a run on a worker; its start is sent once the record of it is stored.
     pub(crate) fn place(
         &mut self,
--- /dev/null
+++ b/ragwortwick-area/tests/pacing.rs
@@ -0,0 +1,71 @@
+//! How the coordinator shares its thread's time between passes, events and waiting.
+
+mod rig;
+
+use std::sync::Arc;
+
+use ragwortwick_area::{Event, JobRecord, Schedule};
+use ragwortwick_core::{DurationMs, TimeMs};
+use rig::{Rig, at, job, step, worker};
+
+/// Callers see urgent work begin seconds late: on a full host a pass takes longer than the pause
+/// after it, and each answer of a worker that came meanwhile waits for a pass of its own. What a pass
+/// took is therefore left, three times over, to the events after it.
+#[test]
+fn verify_a_long_pass_leaves_time_to_what_came_meanwhile() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.pass(20);
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000d0",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    rig.pass(10);
+    assert_eq!(rig.store().len(), 1, "the first job is placed");
+    rig.now = TimeMs(rig.now.0 + 20);
+    rig.tell(Event::WorkersFresh);
+    rig.now = TimeMs(rig.now.0 + 50);
+    rig.coordinator.call_ended(rig.now);
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000d1",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    assert!(rig.store().is_empty(), "no pass with the next event");
+    rig.pass(140);
+    assert!(rig.store().is_empty(), "the pause is three times as long");
+    rig.pass(20);
+    assert_eq!(rig.store().len(), 1, "the second job is placed");
+}
+
+/// A job's set time comes while the list of workers is old, as its reader is slow. Callers on this host
+/// then get no answers at all: the coordinator asked to be woken at a time that had passed, again and
+/// again, and its thread left the processor to nobody, the reader of the list included.
+#[test]
+fn verify_set_time_without_a_fresh_list_of_workers_is_waited_for() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let mut record = JobRecord::clone(&job("00000000000000d4", "patient", vec![step(1, 1)]));
+    record.schedule = Some(Schedule {
+        first_unix_ms: rig.now + DurationMs(2_000),
+        interval_ms: DurationMs(500),
+        occurrences: 3,
+    });
+    rig.tell(Event::JobAccepted(Arc::new(record)));
+    rig.pass(100);
+    rig.store();
+    rig.now = TimeMs(rig.now.0 + 4_000);
+    let mut wakeups = 0;
+    let end = rig.now.0 + 1_000;
+    while rig.now.0 < end {
+        let now = at(rig.now.0);
+        let actions = rig.coordinator.on_wakeup(now);
+        assert!(actions.is_empty(), "{actions:?}");
+        let next = rig.coordinator.next_wakeup(now).expect("a job is open");
+        rig.now = next.max(rig.now);
+        wakeups += 1;
+        assert!(wakeups < 100, "woken again and again at {}", rig.now);
+    }
+    rig.pass(20);
+    rig.store();
+    assert_eq!(rig.starts().len(), 3, "all that is due starts");
+}
--- /dev/null
+++ b/ragwortwick-area/tests/reach.rs
@@ -0,0 +1,94 @@
+//! Workers that are out of reach for longer than their leases, and come back or don't.
+
+mod rig;
+
+use ragwortwick_area::{Action, EndKind, Event};
+use ragwortwick_core::{JobId, WorkerName};
+use rig::{Rig, ended, job, step, worker};
+
+/// The coordinator is cut off from all workers for longer than their leases. Everything there is given
+/// up, so nothing is left to look for, and without a look the workers would count as silent for ever:
+/// callers' jobs would wait although every worker is idle and back in reach.
+#[test]
+fn verify_silent_worker_without_runs_is_tried_again() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000d2",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    rig.pass(20);
+    rig.store();
+    let start = rig.starts().remove(0);
+    rig.accept(&start);
+    for _ in 0..60 {
+        rig.pass(300);
+        rig.store();
+        rig.actions.clear();
+        rig.tell(Event::LookFailed {
+            worker: WorkerName::new("w1"),
+            is_wrong_life: false,
+            is_fenced: false,
+        });
+    }
+    rig.pass(2_000);
+    let is_look = |action: &Action| matches!(action, Action::Look { .. });
+    assert!(rig.actions.iter().any(is_look), "the worker is tried again");
+    rig.look("w1", Vec::new(), Vec::new());
+    rig.pass(20);
+    rig.store();
+    assert_eq!(rig.starts().len(), 1, "the job starts anew");
+}
+
+/// A caller's booking is made on a worker that is out of reach, and its lease runs out with nothing else
+/// running there. The worker is still listed, so it is heard first: started elsewhere meanwhile, the
+/// booking would be made twice. If it stays silent the task starts elsewhere after all.
+#[test]
+fn verify_listed_worker_is_heard_before_its_work_starts_again() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1")];
+    for is_back in [true, false] {
+        let mut rig = Rig::new(&workers);
+        rig.tell(Event::JobAccepted(job(
+            "00000000000000d3",
+            "middle",
+            vec![step(1, 8)],
+        )));
+        rig.pass(20);
+        rig.store();
+        let start = rig.starts().remove(0);
+        rig.accept(&start);
+        let silent = |rig: &mut Rig| {
+            rig.tell(Event::LookFailed {
+                worker: start.0.clone(),
+                is_wrong_life: false,
+                is_fenced: false,
+            });
+            rig.pass(1_000);
+            rig.store();
+        };
+        for _ in 0..14 {
+            silent(&mut rig);
+        }
+        assert_eq!(
+            rig.starts(),
+            vec![],
+            "the lease of 10 s is over, and it is waited"
+        );
+        if is_back {
+            rig.look(
+                start.0.as_str(),
+                Vec::new(),
+                vec![ended(1, &start, EndKind::Done)],
+            );
+            rig.pass(20);
+            rig.store();
+            let phase = rig.coordinator.phase(&JobId::new("00000000000000d3"));
+            assert_eq!(phase, Some(ragwortwick_area::JobPhase::Completed));
+        } else {
+            for _ in 0..6 {
+                silent(&mut rig);
+            }
+            assert_eq!(rig.starts().len(), 1, "it starts elsewhere");
+        }
+    }
+}
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -4,11 +4,9 @@
 
 use std::sync::Arc;
 
-use ragwortwick_area::{
-    Action, EndKind, Event, JobRecord, KnownJob, OrderReply, RefusalCause, Schedule,
-};
-use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
-use rig::{ATTEMPTS, Rig, at, ended, gang, job, running, step, worker};
+use ragwortwick_area::{Action, EndKind, Event, KnownJob, OrderReply, RefusalCause};
+use ragwortwick_core::{JobId, WorkerName};
+use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
 
 /// A gang's member fails, its end is stored and forgotten by its worker, and the coordinator dies
 /// before the other member has ended. The caller's job must still count that run as failed: lost,
@@ -101,59 +99,6 @@
     assert_eq!(again[0].2, 2, "the run's number rises");
 }
 
-/// A caller's booking is made on a worker that is out of reach, and its lease runs out with nothing else
-/// running there. The worker is still listed, so it is heard first: started elsewhere meanwhile, the
-/// booking would be made twice. If it stays silent the task starts elsewhere after all.
-#[test]
-fn verify_listed_worker_is_heard_before_its_work_starts_again() {
-    let workers = [worker("w1", "r1"), worker("w2", "r1")];
-    for is_back in [true, false] {
-        let mut rig = Rig::new(&workers);
-        rig.tell(Event::JobAccepted(job(
-            "00000000000000d3",
-            "middle",
-            vec![step(1, 8)],
-        )));
-        rig.pass(20);
-        rig.store();
-        let start = rig.starts().remove(0);
-        rig.accept(&start);
-        let silent = |rig: &mut Rig| {
-            rig.tell(Event::LookFailed {
-                worker: start.0.clone(),
-                is_wrong_life: false,
-                is_fenced: false,
-            });
-            rig.pass(1_000);
-            rig.store();
-        };
-        for _ in 0..14 {
-            silent(&mut rig);
-        }
-        assert_eq!(
-            rig.starts(),
-            vec![],
-            "the lease of 10 s is over, and it is waited"
-        );
-        if is_back {
-            rig.look(
-                start.0.as_str(),
-                Vec::new(),
-                vec![ended(1, &start, EndKind::Done)],
-            );
-            rig.pass(20);
-            rig.store();
-            let phase = rig.coordinator.phase(&JobId::new("00000000000000d3"));
-            assert_eq!(phase, Some(ragwortwick_area::JobPhase::Completed));
-        } else {
-            for _ in 0..6 {
-                silent(&mut rig);
-            }
-            assert_eq!(rig.starts().len(), 1, "it starts elsewhere");
-        }
-    }
-}
-
 /// As above, but the worker shows the run: it goes on under the new coordinator.
 #[test]
 fn verify_running_task_is_adopted() {
@@ -318,99 +263,3 @@
     rig.pass(50);
     assert_eq!(noted(&rig), Some(7));
 }
-
-/// Callers see urgent work begin seconds late: on a full host a pass takes longer than the pause
-/// after it, and each answer of a worker that came meanwhile waits for a pass of its own. What a pass
-/// took is therefore left, three times over, to the events after it.
-#[test]
-fn verify_a_long_pass_leaves_time_to_what_came_meanwhile() {
-    let mut rig = Rig::new(&[worker("w1", "r1")]);
-    rig.pass(20);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000d0",
-        "patient",
-        vec![step(1, 1)],
-    )));
-    rig.pass(10);
-    assert_eq!(rig.store().len(), 1, "the first job is placed");
-    rig.now = TimeMs(rig.now.0 + 20);
-    rig.tell(Event::WorkersFresh);
-    rig.now = TimeMs(rig.now.0 + 50);
-    rig.coordinator.call_ended(rig.now);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000d1",
-        "patient",
-        vec![step(1, 1)],
-    )));
-    assert!(rig.store().is_empty(), "no pass with the next event");
-    rig.pass(140);
-    assert!(rig.store().is_empty(), "the pause is three times as long");
-    rig.pass(20);
-    assert_eq!(rig.store().len(), 1, "the second job is placed");
-}
-
-/// The coordinator is cut off from all workers for longer than their leases. Everything there is given
-/// up, so nothing is left to look for, and without a look the workers would count as silent for ever:
-/// callers' jobs would wait although every worker is idle and back in reach.
-#[test]
-fn verify_silent_worker_without_runs_is_tried_again() {
-    let mut rig = Rig::new(&[worker("w1", "r1")]);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000d2",
-        "patient",
-        vec![step(1, 1)],
-    )));
-    rig.pass(20);
-    rig.store();
-    let start = rig.starts().remove(0);
-    rig.accept(&start);
-    for _ in 0..60 {
-        rig.pass(300);
-        rig.store();
-        rig.actions.clear();
-        rig.tell(Event::LookFailed {
-            worker: WorkerName::new("w1"),
-            is_wrong_life: false,
-            is_fenced: false,
-        });
-    }
-    rig.pass(2_000);
-    let is_look = |action: &Action| matches!(action, Action::Look { .. });
-    assert!(rig.actions.iter().any(is_look), "the worker is tried again");
-    rig.look("w1", Vec::new(), Vec::new());
-    rig.pass(20);
-    rig.store();
-    assert_eq!(rig.starts().len(), 1, "the job starts anew");
-}
-
-/// A job's set time comes while the list of workers is old, as its reader is slow. Callers on this host
-/// then get no answers at all: the coordinator asked to be woken at a time that had passed, again and
-/// again, and its thread left the processor to nobody, the reader of the list included.
-#[test]
-fn verify_set_time_without_a_fresh_list_of_workers_is_waited_for() {
-    let mut rig = Rig::new(&[worker("w1", "r1")]);
-    let mut record = JobRecord::clone(&job("00000000000000d4", "patient", vec![step(1, 1)]));
-    record.schedule = Some(Schedule {
-        first_unix_ms: rig.now + DurationMs(2_000),
-        interval_ms: DurationMs(500),
-        occurrences: 3,
-    });
-    rig.tell(Event::JobAccepted(Arc::new(record)));
-    rig.pass(100);
-    rig.store();
-    rig.now = TimeMs(rig.now.0 + 4_000);
-    let mut wakeups = 0;
-    let end = rig.now.0 + 1_000;
-    while rig.now.0 < end {
-        let now = at(rig.now.0);
-        let actions = rig.coordinator.on_wakeup(now);
-        assert!(actions.is_empty(), "{actions:?}");
-        let next = rig.coordinator.next_wakeup(now).expect("a job is open");
-        rig.now = next.max(rig.now);
-        wakeups += 1;
-        assert!(wakeups < 100, "woken again and again at {}", rig.now);
-    }
-    rig.pass(20);
-    rig.store();
-    assert_eq!(rig.starts().len(), 3, "all that is due starts");
-}
