Use tickets that hold for less than the way of a start usually takes

Cause: work is placed only by a ticket with 0.6 s left; one that holds for half a second was never used, and a job on such a queue would wait for ever. Found on reading the diff. Change: the margin is at most a quarter of the ticket's time. Before: the new test finds no start. Ruled out: dropping the margin (starts would be refused for outdated tickets, which users are charged). Conclusion: short tickets serve.

--- a/ragwortwick-area/src/advice.rs
+++ b/ragwortwick-area/src/advice.rs
@@ -24,6 +24,9 @@
 /// an order waits up to 300 ms for those before it.
 const TICKET_MARGIN_MS: DurationMs = DurationMs(600);
 
+/// The margin is no larger a part of a ticket's time than this, or a short one could never be used.
+const MARGIN_PART: u64 = 4;
+
 /// `Advice` is what the advisor told of the steps that wait.
 #[derive(Debug, Default)]
 pub(crate) struct Advice {
@@ -60,6 +63,8 @@
 struct Ticket {
     text: Arc<str>,
     until: TimeMs,
+    /// Work is placed by it only before then.
+    usable_until: TimeMs,
 }
 
 /// `NoTicket` says that a start can't be sent: it needs a ticket, and there is none that holds.
@@ -68,7 +73,7 @@
 
 impl Ticket {
     fn holds(&self, now: TimeMs) -> bool {
-        now + TICKET_MARGIN_MS <= self.until
+        now <= self.usable_until
     }
 }
 
@@ -205,11 +210,19 @@
         };
         let terms = self.terms_of(job).advice.as_ref();
         let valid_ms = valid_ms.or(terms.map(|terms| terms.valid_ms));
+        let valid_ms = valid_ms.unwrap_or_default();
+        let margin_ms = TICKET_MARGIN_MS.min(DurationMs(valid_ms.0 / MARGIN_PART));
         // The ticket may be as old as the question.
-        let until = asked_at + valid_ms.unwrap_or_default();
+        let until = asked_at + valid_ms;
+        let usable_until = until - margin_ms;
         let known = self.advice.steps.entry(step).or_default();
         for (worker, text) in allowed {
-            known.tickets.insert(worker, Ticket { text, until });
+            let ticket = Ticket {
+                text,
+                until,
+                usable_until,
+            };
+            known.tickets.insert(worker, ticket);
         }
         for worker in asked {
             if !known.tickets.contains_key(&worker) {
--- a/ragwortwick-area/tests/advice.rs
+++ b/ragwortwick-area/tests/advice.rs
@@ -226,3 +226,28 @@
     let second = questions(&mut rig).remove(0);
     assert_eq!(second.0.job_id.as_str(), "00000000000000a8");
 }
+
+/// Tickets hold for less than the way of a start usually takes. A caller's job must not wait for ever
+/// for one that is good for longer.
+#[test]
+fn verify_short_tickets_are_used() {
+    let mut rig = rig();
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a9",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    rig.pass(20);
+    let asked = questions(&mut rig).remove(0);
+    rig.tell(Event::Advised {
+        step: asked.0,
+        asked: asked.1,
+        reply: AdviceReply::Given {
+            allowed: vec![(WorkerName::new("w1"), "short".into())],
+            valid_ms: Some(DurationMs(500)),
+        },
+    });
+    rig.pass(20);
+    rig.store();
+    assert_eq!(tickets(&mut rig).len(), 1);
+}
