--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -1,10 +1,11 @@
 //! One term of coordination: from winning the key to losing or giving it up.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use ragwortwick_adapter::{AdvisorClient, StoreClient, StoreFailure, WorkerClient};
 use ragwortwick_area::{Action, Coordinator, DesiredState, Event, KnownJob, Limits, Now};
-use ragwortwick_core::{DurationMs, Epoch, Revision, TimeMs, log_event};
+use ragwortwick_core::{DurationMs, Epoch, JobId, Revision, TimeMs, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
@@ -122,6 +123,7 @@
         .iter()
         .map(|(job, revision)| (job.record.job_id.clone(), *revision))
         .collect();
+    let told = ended_before(&jobs);
     let coordinator = Coordinator::take_over(
         now,
         parts.limits.clone(),
@@ -161,6 +163,7 @@
     let ends = EndedJobs {
         replica: parts.replica.clone(),
         metrics: parts.metrics.clone(),
+        told,
     };
     let writing = write_batches(job_store, write_feed, events.clone(), end.clone(), ends);
     tasks.spawn(writing);
@@ -182,6 +185,17 @@
     Ok(why)
 }
 
+/// Jobs that had come to their end before this term.
+fn ended_before(jobs: &[(KnownJob, Revision)]) -> HashSet<JobId> {
+    jobs.iter()
+        .filter(|(job, _)| {
+            let progress = job.progress.as_ref();
+            progress.is_some_and(|progress| progress.phase.is_final())
+        })
+        .map(|(job, _)| job.record.job_id.clone())
+        .collect()
+}
+
 /// Reads all jobs as they are now, and has every change from then on sent to the coordinator.
 async fn attach(parts: &TermParts, events: &EventSender) -> Option<Vec<(KnownJob, Revision)>> {
     let (reply, jobs) = oneshot::channel();
--- a/ragwortwick-daemon/src/area/term_writes.rs
+++ b/ragwortwick-daemon/src/area/term_writes.rs
@@ -1,5 +1,6 @@
 //! What a term writes: batches of progress, in order, and the removal of old jobs.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use ragwortwick_area::{Event, StoredProgress};
@@ -27,19 +28,22 @@
 pub(super) struct EndedJobs {
     pub(super) replica: Replica,
     pub(super) metrics: AreaMetrics,
+    /// Jobs whose end was told, by this term or before it.
+    pub(super) told: HashSet<JobId>,
 }
 
 impl EndedJobs {
-    fn tell(&self, stored: &StoredProgress) {
+    pub(super) fn tell(&mut self, stored: &StoredProgress) {
         let phase = stored.progress.phase;
         if !phase.is_final() {
             return;
         }
-        let view = self.replica.view(&stored.job_id);
-        // A record is stored again while runs of an ended job still stop; that is no second end.
-        if view.as_ref().is_some_and(|view| view.phase.is_final()) {
+        // A record is stored again while runs of an ended job still stop; that is no second end. The
+        // replica can't tell: its watch may have shown the stored end before this is reached.
+        if !self.told.insert(stored.job_id.clone()) {
             return;
         }
+        let view = self.replica.view(&stored.job_id);
         let phase = format!("{phase:?}");
         log_event!(Info, "job_over", job_id = stored.job_id, phase = phase);
         if let Some(record) = view.and_then(|view| view.record) {
@@ -57,7 +61,7 @@
     mut batches: mpsc::UnboundedReceiver<Write>,
     events: EventSender,
     end: mpsc::Sender<&'static str>,
-    ends: EndedJobs,
+    mut ends: EndedJobs,
 ) {
     while let Some(write) = batches.recv().await {
         match write {
@@ -71,7 +75,10 @@
                 }
                 events.send(Event::Stored { batch }).await;
             }
-            Write::Forget(job_id) => job_store.forget(&job_id).await,
+            Write::Forget(job_id) => {
+                job_store.forget(&job_id).await;
+                ends.told.remove(&job_id);
+            }
         }
     }
 }
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -1,14 +1,17 @@
 //! Tests of the parts that no other process sees.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
-use ragwortwick_adapter::{Change, Item};
-use ragwortwick_area::{JobRecord, QueueTerms, StepSpec};
+use ragwortwick_adapter::{Change, Item, StoreClient};
+use ragwortwick_area::{JobPhase, JobRecord, Progress, QueueTerms, StepSpec, StoredProgress};
 use ragwortwick_core::{DurationMs, JobId, Revision, TimeMs};
 
 use super::AreaSettings;
 use super::keys::JobKey;
+use super::metrics::AreaMetrics;
 use super::replica::{JobNews, Replica};
+use super::term_writes::EndedJobs;
 
 fn record(id: &str) -> Arc<JobRecord> {
     Arc::new(JobRecord {
@@ -75,6 +78,38 @@
     assert_eq!(is_accepted, [true, false], "{news:?}");
 }
 
+/// The host's own watch shows a stored end before its writer hears that it is stored. The end is logged
+/// and counted all the same, once: engineers who look for a caller's job would else find no end of it.
+#[test]
+fn verify_end_that_the_watch_showed_first_is_counted_once() {
+    let replica = Replica::default();
+    let record = record("00000000000000ad");
+    replica.note_accepted(&record, Revision(5));
+    let progress = Progress {
+        phase: JobPhase::Completed,
+        ..Progress::default()
+    };
+    replica.apply(&Change::Written(Item {
+        key: JobKey::Progress.of(&record.job_id),
+        value: serde_json::to_vec(&progress).expect("progress is written"),
+        revision: Revision(6),
+    }));
+    let metrics = AreaMetrics::open(StoreClient::open("127.0.0.1:1").counts()).expect("metrics");
+    let mut ends = EndedJobs {
+        replica,
+        metrics: metrics.clone(),
+        told: HashSet::new(),
+    };
+    let stored = StoredProgress {
+        job_id: record.job_id.clone(),
+        progress,
+    };
+    ends.tell(&stored);
+    ends.tell(&stored);
+    let counted = metrics.end_seconds.with_label_values(&["c", "Completed"]);
+    assert_eq!(counted.get_sample_count(), 1);
+}
+
 /// A watch that repeats an older revision brings nothing.
 #[test]
 fn verify_older_revision_is_no_news() {
