Say once what a slot takes, how orders wait in turn, and what an answer tells

Cause, found on reading the whole change: whether a step's data is far, whether a slot has its label and how many tasks it takes stood in packing, displacement and advice; the ranges of racks three times; the lane of a worker three times; the opening of both answers to orders, the making of a held run, the match of a gang's tasks and the bringing forward of a look twice each. Change: methods of Slot, Bounds, Held, HeldPhase, Worker and TaskId, racks(), in_turn(), hear_reply(); advice is dropped when its job ends. Behaviour is the same. Ruled out: one routine for both answers whole: a fenced stop resigns at once, a fenced start only if it is still awaited. Conclusion: shorter where it stood twice, and nothing else.

--- a/ragwortwick-area/src/advice.rs
+++ b/ragwortwick-area/src/advice.rs
@@ -3,16 +3,17 @@
 //! Whether a worker may run a step never changes, but its ticket holds only for a while and for one
 //! life of the worker. Tickets are not recorded: a new coordinator asks again.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
+use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
 
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
 use crate::job::{AdviceTerms, StepId, StepSpec, TaskId};
 use crate::messages::{Action, AdviceReply};
-use crate::packing::Slot;
+use crate::packing::{Slot, racks};
 
 /// Most workers in one question; the users' objective allows for one question about so many a step.
 const MOST_ASKED: usize = 30;
@@ -84,13 +85,18 @@
             step.tickets.remove(worker);
         }
     }
+
+    /// Drops what was told of a job that is over.
+    pub(crate) fn forget(&mut self, job_id: &JobId) {
+        self.steps.retain(|step, _| step.job_id != *job_id);
+    }
 }
 
 impl Coordinator {
     /// How the advisor of a candidate's queue answers; none if its jobs run on any worker.
-    pub(crate) fn advice_terms(&self, candidate: &Candidate) -> Option<AdviceTerms> {
+    pub(crate) fn advice_terms(&self, candidate: &Candidate) -> Option<&AdviceTerms> {
         let job = self.jobs.get(&candidate.job_id)?;
-        self.terms_of(job).advice.clone()
+        self.terms_of(job).advice.as_ref()
     }
 
     /// The workers that a candidate may go to now; none if any is good.
@@ -205,7 +211,8 @@
             self.advice.next_ask_at = now + FAILED_PAUSE_MS;
             return;
         };
-        let Some(job) = self.jobs.get(&step.job_id) else {
+        let job = self.jobs.get(&step.job_id);
+        let Some(job) = job.filter(|job| !job.phase.is_final()) else {
             return;
         };
         let terms = self.terms_of(job).advice.as_ref();
@@ -230,14 +237,6 @@
             }
         }
     }
-
-    /// Drops what was told of jobs that are over.
-    pub(crate) fn forget_advice(&mut self) {
-        let open = &self.open_jobs;
-        self.advice
-            .steps
-            .retain(|step, _| open.contains(&step.job_id));
-    }
 }
 
 /// Workers to ask about: those with room, the known ones with an outdated ticket first, then racks
@@ -251,32 +250,24 @@
     known: Option<&StepAdvice>,
     may_displace: bool,
 ) -> Vec<WorkerName> {
-    let fits = |slot: &Slot| slot.free.fits(spec.reserved()).min(u64::from(u32::MAX));
     let mut ranked = Vec::new();
-    for rack in slots.chunk_by(|a, b| a.rack_number == b.rack_number) {
-        let in_rack: u64 = rack.iter().map(fits).sum();
-        for slot in rack {
-            let has_label = spec
-                .required_label
-                .as_ref()
-                .is_none_or(|label| slot.labels.contains(label));
-            let has_room = fits(slot) > 0;
-            let is_candidate = has_label && (has_room || may_displace);
+    for within in racks(slots) {
+        let neighbours = &slots[within];
+        let in_rack: u64 = neighbours.iter().map(|slot| slot.fits(spec)).sum();
+        for slot in neighbours {
+            let has_room = slot.fits(spec) > 0;
+            let is_candidate = slot.has_label(spec) && (has_room || may_displace);
             let ticket = known.and_then(|step| step.tickets.get(&slot.worker));
             let is_refused = known.is_some_and(|step| step.refused.contains(&slot.worker));
             if !is_candidate || is_refused || ticket.is_some_and(|ticket| ticket.holds(now)) {
                 continue;
             }
-            let is_far = spec
-                .data_rack
-                .as_ref()
-                .is_some_and(|data| *data != slot.rack);
             let rank = (
                 !has_room,
                 ticket.is_none(),
-                is_far,
-                std::cmp::Reverse(in_rack),
-                std::cmp::Reverse(fits(slot)),
+                slot.is_far(spec),
+                Reverse(in_rack),
+                Reverse(slot.fits(spec)),
             );
             ranked.push((rank, slot.worker.clone()));
         }
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -219,7 +219,6 @@
             self.wants_looks = true;
             self.expire(now.steady);
             self.forget_old(now.steady);
-            self.forget_advice();
         }
         let is_due = self.next_due_at.is_some_and(|at| at <= now.steady);
         if (self.wants_pass || is_due) && now.steady >= self.next_pass_at {
@@ -349,6 +348,7 @@
             job.ended_at = Some(now);
         }
         self.open_jobs.remove(job_id);
+        self.advice.forget(job_id);
         self.records.mark(job_id);
         let is_completed = self.phase(job_id) == Some(JobPhase::Completed);
         if !is_completed {
--- a/ragwortwick-area/src/displacement.rs
+++ b/ragwortwick-area/src/displacement.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 
 use crate::job::{Resources, StepSpec};
-use crate::packing::{Bounds, Reach, Slot, pack_gang, pack_single};
+use crate::packing::{Bounds, Reach, Slot, pack_gang, pack_single, racks};
 use crate::preempt::Victim;
 
 /// `Plan` is a set of victims to stop and where the work then goes.
@@ -30,7 +30,7 @@
     let mut places = Vec::with_capacity(count);
     for _ in 0..count {
         let index = pack_single(&slots, spec, &bounds, Reach::Anywhere)?;
-        *bounds.taken.entry(slots[index].worker.clone()).or_insert(0) += 1;
+        bounds.take(&slots[index].worker);
         slots[index].free = slots[index].free.minus(spec.reserved());
         places.push(index);
     }
@@ -47,10 +47,7 @@
 ) -> Option<Plan> {
     let mut best: Option<Plan> = None;
     if spec.is_gang && spec.wants_same_rack {
-        let mut first = 0;
-        for rack in slots.chunk_by(|a, b| a.rack_number == b.rack_number) {
-            let within = first..first + rack.len();
-            first = within.end;
+        for within in racks(slots) {
             best = cheaper(best, plan(slots, within, spec, count, bounds, victims));
         }
     }
@@ -82,7 +79,7 @@
     let mut slots = pool[within.clone()].to_vec();
     let mut chosen: Vec<&Victim> = Vec::new();
     let mut places = find(&slots, spec, count, bounds);
-    let mut open_room: u64 = slots.iter().map(|slot| fits(slot, spec)).sum();
+    let mut open_room: u64 = slots.iter().map(|slot| slot.fits(spec)).sum();
     for victim in victims {
         if places.is_some() {
             break;
@@ -91,9 +88,9 @@
             continue;
         }
         for_each_freed(&mut slots, &within, victim, |slot, need| {
-            open_room -= fits(slot, spec);
+            open_room -= slot.fits(spec);
             slot.free = slot.free.plus(need);
-            open_room += fits(slot, spec);
+            open_room += slot.fits(spec);
         });
         chosen.push(victim);
         // Packing is tried only once the room could be enough at all.
@@ -135,11 +132,6 @@
     }
 }
 
-/// How many tasks a slot takes, whatever else binds.
-fn fits(slot: &Slot, spec: &StepSpec) -> u64 {
-    slot.free.fits(spec.reserved()).min(u64::from(u32::MAX))
-}
-
 /// Victims that were chosen early may turn out needless once later ones are: they go on.
 fn spare_needless(
     slots: &mut Vec<Slot>,
--- a/ragwortwick-area/src/inherit.rs
+++ b/ragwortwick-area/src/inherit.rs
@@ -4,7 +4,6 @@
 
 use crate::coordinator::{Coordinator, KnownJob, Now, RENEWAL_AFTER_TENURE_MS, steady_of};
 use crate::job_state::JobState;
-use crate::sharing::Role;
 use crate::worker::{Held, HeldPhase, Worker, longest_lease};
 
 impl Coordinator {
@@ -20,34 +19,23 @@
         self.count_work(&job);
         let is_over = job.phase.is_final();
         for (task, worker_name) in inherited {
-            let need = job
-                .spec(task.step)
-                .map(crate::job::StepSpec::reserved)
-                .unwrap_or_default();
             let state = job
                 .step(task.occurrence, task.step)
                 .and_then(|step| step.tasks.get(task.index as usize));
-            let Some(state) = state else { continue };
+            let (Some(spec), Some(state)) = (job.spec(task.step), state) else {
+                continue;
+            };
+            let priority = self.terms_of(&job).priority;
             let held = Held {
-                run: state.last_run,
-                need,
                 phase: if is_over {
-                    HeldPhase::Stopping {
-                        sent_at: None,
-                        in_flight: false,
-                        confirmed_at: None,
-                    }
+                    HeldPhase::TO_STOP
                 } else {
                     HeldPhase::Inherited
                 },
-                priority: self.terms_of(&job).priority,
-                placed_at: now.steady,
-                started_at: None,
                 checkpoint: Arc::clone(&state.checkpoint),
                 tries: 1,
-                role: job.spec(task.step).map_or(Role::Ordinary, Role::of),
-                load: 0,
                 pace_told: None,
+                ..Held::intended(now.steady, spec, state.last_run, priority)
             };
             let bound = now.steady + RENEWAL_AFTER_TENURE_MS + longest_lease(&self.limits);
             let worker = self
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -260,6 +260,12 @@
 }
 
 impl TaskId {
+    /// `is_of` tells whether the task belongs to the step.
+    #[must_use]
+    pub fn is_of(&self, step: &StepId) -> bool {
+        self.job_id == step.job_id && self.occurrence == step.occurrence && self.step == step.step
+    }
+
     /// `step_id` names the step that the task belongs to.
     #[must_use]
     pub fn step_id(&self) -> StepId {
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -8,8 +8,7 @@
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
 use crate::settle::Outcome;
-use crate::sharing::Role;
-use crate::worker::{Held, HeldPhase, LookState};
+use crate::worker::{Held, HeldPhase, Worker};
 
 /// Pause before an order without an answer is sent again.
 const RESEND_MS: DurationMs = DurationMs(150);
@@ -134,6 +133,24 @@
         }
     }
 
+    /// Hears what the answer to an order tells of its worker; none if the worker's life is over.
+    pub(crate) fn hear_reply(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        reply: OrderReply,
+    ) -> Option<&mut Worker> {
+        if reply == OrderReply::WrongLife {
+            self.life_over(now, worker_name);
+            return None;
+        }
+        let worker = self.workers.get_mut(worker_name)?;
+        if let OrderReply::Accepted { clock_ms } = reply {
+            worker.hear_clock(now, clock_ms);
+        }
+        Some(worker)
+    }
+
     pub(crate) fn start_replied(
         &mut self,
         now: TimeMs,
@@ -142,18 +159,12 @@
         run: u32,
         reply: OrderReply,
     ) {
-        if reply == OrderReply::WrongLife {
-            self.life_over(now, worker_name);
-            return;
-        }
-        let Some(worker) = self.workers.get_mut(worker_name) else {
+        let Some(worker) = self.hear_reply(now, worker_name, reply) else {
             return;
         };
-        if let OrderReply::Accepted { clock_ms } = reply {
-            worker.hear_clock(now, clock_ms);
+        if matches!(reply, OrderReply::Accepted { .. }) {
             worker.is_silent = false;
         }
-        let look = worker.look;
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
@@ -167,11 +178,7 @@
             OrderReply::Accepted { .. } => {
                 held.phase = HeldPhase::Running { since: now };
                 held.started_at = Some(now);
-                if let LookState::Idle { next_at } = look {
-                    worker.look = LookState::Idle {
-                        next_at: next_at.min(now),
-                    };
-                }
+                worker.look_by(now);
                 self.share(now, worker_name);
             }
             OrderReply::Unknown => {
@@ -187,12 +194,12 @@
             }
             OrderReply::Refused(cause) => {
                 let is_first_try = held.tries <= 1;
-                if cause == RefusalCause::NoTicket {
-                    self.advice.drop_ticket(worker_name, task);
-                }
                 if cause == RefusalCause::NoRoom || cause == RefusalCause::Unhealthy {
                     worker.avoid_until = now + AVOID_AFTER_REFUSAL_MS;
                 }
+                if cause == RefusalCause::NoTicket {
+                    self.advice.drop_ticket(worker_name, task);
+                }
                 if is_first_try {
                     self.resolve(now, worker_name, task, run, Outcome::Void);
                 } else {
@@ -219,23 +226,10 @@
         let Some(spec) = job.spec(task.step) else {
             return;
         };
-        let (need, role) = (spec.reserved(), Role::of(spec));
+        let held = Held::intended(now, spec, run, priority);
         job.place(task, worker_name, run);
         self.records.mark(&task.job_id);
         if let Some(worker) = self.workers.get_mut(worker_name) {
-            let held = Held {
-                run,
-                need,
-                phase: HeldPhase::Intended,
-                priority,
-                placed_at: now,
-                started_at: None,
-                checkpoint: "".into(),
-                tries: 0,
-                role,
-                load: 0,
-                pace_told: Some(100),
-            };
             worker.hold(task.clone(), held);
         }
     }
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -1,6 +1,7 @@
 //! Where tasks go: best fit, whole racks for gangs that want one, data near its rack.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::sync::Arc;
 
 use ragwortwick_core::{LabelName, RackName, WorkerName};
@@ -20,6 +21,39 @@
     pub(crate) doubt: u32,
 }
 
+impl Slot {
+    /// How many tasks it takes, whatever else binds.
+    pub(crate) fn fits(&self, spec: &StepSpec) -> u64 {
+        self.free.fits(spec.reserved()).min(u64::from(u32::MAX))
+    }
+
+    /// Whether the step's data is on another rack.
+    pub(crate) fn is_far(&self, spec: &StepSpec) -> bool {
+        spec.data_rack
+            .as_ref()
+            .is_some_and(|data| *data != self.rack)
+    }
+
+    /// Whether it has the label that the step requires, if it requires one.
+    pub(crate) fn has_label(&self, spec: &StepSpec) -> bool {
+        spec.required_label
+            .as_ref()
+            .is_none_or(|label| self.labels.contains(label))
+    }
+}
+
+/// The slots of each rack, which lie together.
+pub(crate) fn racks(slots: &[Slot]) -> impl Iterator<Item = Range<usize>> {
+    let mut first = 0;
+    slots
+        .chunk_by(|a, b| a.rack_number == b.rack_number)
+        .map(move |rack| {
+            let within = first..first + rack.len();
+            first = within.end;
+            within
+        })
+}
+
 /// `Bounds` says where a step's tasks may go, beside the room there.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Bounds {
@@ -30,6 +64,11 @@
 }
 
 impl Bounds {
+    /// Notes that one more task of the step goes to a worker.
+    pub(crate) fn take(&mut self, worker: &WorkerName) {
+        *self.taken.entry(worker.clone()).or_insert(0) += 1;
+    }
+
     fn permits(&self, worker: &WorkerName) -> bool {
         self.allowed
             .as_ref()
@@ -48,15 +87,10 @@
 
 /// Counts how many tasks of the step a slot takes.
 fn room(slot: &Slot, spec: &StepSpec, bounds: &Bounds) -> u64 {
-    if let Some(label) = &spec.required_label
-        && !slot.labels.contains(label)
-    {
+    if !slot.has_label(spec) || !bounds.permits(&slot.worker) {
         return 0;
     }
-    if !bounds.permits(&slot.worker) {
-        return 0;
-    }
-    let fits = slot.free.fits(spec.reserved()).min(u64::from(u32::MAX));
+    let fits = slot.fits(spec);
     match spec.max_per_worker {
         Some(most) => {
             let taken = bounds.taken.get(&slot.worker).copied().unwrap_or(0);
@@ -89,11 +123,9 @@
 
 fn best_rack(slots: &[Slot], spec: &StepSpec, count: usize, bounds: &Bounds) -> Option<Vec<usize>> {
     let mut best: Option<(bool, u32, u64, Vec<usize>)> = None;
-    let mut first = 0;
-    for within in slots.chunk_by(|a, b| a.rack_number == b.rack_number) {
-        let members: Vec<usize> = (first..first + within.len()).collect();
-        first += within.len();
-        let rack = &within[0].rack;
+    for within in racks(slots) {
+        let is_far = slots[within.start].is_far(spec);
+        let members: Vec<usize> = within.collect();
         let Some(places) = fill(slots, &members, spec, count, bounds) else {
             continue;
         };
@@ -101,7 +133,6 @@
             .iter()
             .map(|&index| slots[index].free.accelerators)
             .sum();
-        let is_far = spec.data_rack.as_ref().is_some_and(|data| data != rack);
         let doubt = places.iter().map(|&index| slots[index].doubt).max();
         let doubt = doubt.unwrap_or(0);
         let is_better = best
@@ -133,12 +164,14 @@
         .iter()
         .map(|&index| {
             let slot = &slots[index];
-            let is_far = spec
-                .data_rack
-                .as_ref()
-                .is_some_and(|data| *data != slot.rack);
             let fits = room(slot, spec, bounds);
-            (is_far, slot.doubt, slot.free.accelerators, index, fits)
+            (
+                slot.is_far(spec),
+                slot.doubt,
+                slot.free.accelerators,
+                index,
+                fits,
+            )
         })
         .filter(|entry| entry.4 > 0)
         .collect();
@@ -164,10 +197,7 @@
 ) -> Option<usize> {
     let mut best: Option<((bool, u32, u64, u64), usize)> = None;
     for (index, slot) in slots.iter().enumerate() {
-        let is_far = spec
-            .data_rack
-            .as_ref()
-            .is_some_and(|data| *data != slot.rack);
+        let is_far = slot.is_far(spec);
         if is_far && reach == Reach::Near {
             continue;
         }
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -2,12 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use ragwortwick_core::{CustomerName, JobId, TimeMs, WorkerName};
+use ragwortwick_core::{CustomerName, TimeMs, WorkerName};
 
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
 use crate::displacement::{Plan, cheapest, find};
-use crate::job::{Resources, StepSpec, TaskId};
+use crate::job::{Resources, StepId, StepSpec, TaskId};
 use crate::packing::{Bounds, Slot};
 use crate::schedule::Room;
 use crate::worker::Held;
@@ -24,13 +24,17 @@
 /// `Group` is what has to stop together: one task, or all members of a gang.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Group {
-    job_id: JobId,
-    occurrence: u32,
-    step: u32,
+    step: StepId,
     /// The task of a step that is no gang.
     index: Option<u32>,
 }
 
+impl Group {
+    fn holds(&self, task: &TaskId) -> bool {
+        task.is_of(&self.step) && self.index.is_none_or(|index| index == task.index)
+    }
+}
+
 /// `Victim` is a group that may be stopped.
 #[derive(Clone, Debug)]
 pub(crate) struct Victim {
@@ -129,7 +133,7 @@
     fn borrowers(&self, now: TimeMs, slot_of: &SlotOf) -> Vec<Victim> {
         let mut by_customer: BTreeMap<CustomerName, Vec<(TimeMs, Victim)>> = BTreeMap::new();
         for (placed_at, victim) in self.groups(now, slot_of, |held| held.priority == 0) {
-            let customer = self.jobs.get(&victim.group.job_id);
+            let customer = self.jobs.get(&victim.group.step.job_id);
             if let Some(customer) = customer.map(|job| job.record.customer.clone()) {
                 by_customer
                     .entry(customer)
@@ -240,12 +244,7 @@
     fn stop_victim(&mut self, now: TimeMs, victim: &Victim) {
         let group = &victim.group;
         for worker in &victim.on {
-            self.stop_on(now, worker, |task| {
-                task.job_id == group.job_id
-                    && task.occurrence == group.occurrence
-                    && task.step == group.step
-                    && group.index.is_none_or(|index| index == task.index)
-            });
+            self.stop_on(now, worker, |task| group.holds(task));
         }
     }
 }
@@ -268,9 +267,7 @@
 
 fn group_of(task: &TaskId, spec: &StepSpec) -> Group {
     Group {
-        job_id: task.job_id.clone(),
-        occurrence: task.occurrence,
-        step: task.step,
+        step: task.step_id(),
         index: (!spec.is_gang).then_some(task.index),
     }
 }
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -1,9 +1,9 @@
 //! One pass of placement: who is next, and where it goes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use ragwortwick_core::{DurationMs, PoolName, TimeMs, WorkerName};
+use ragwortwick_core::{DurationMs, PoolName, TimeMs};
 
 use crate::candidates::{Candidate, order};
 use crate::coordinator::{Coordinator, Now};
@@ -163,10 +163,11 @@
         } else {
             self.reach(now, candidate, room)
         };
-        let bounds = Bounds {
-            taken: taken_by_worker(job, candidate),
+        let mut bounds = Bounds {
             allowed: self.ticketed(now, candidate),
+            ..Bounds::default()
         };
+        take_placed(&mut bounds, job, candidate);
         if spec.is_gang {
             return self.place_gang(now, candidate, &spec, &bounds, reach, room);
         }
@@ -235,10 +236,7 @@
             let Some(slot) = pack_single(&room.slots, spec, &bounds, reach) else {
                 return false;
             };
-            *bounds
-                .taken
-                .entry(room.slots[slot].worker.clone())
-                .or_insert(0) += 1;
+            bounds.take(&room.slots[slot].worker);
             self.put(now, candidate, index, slot, run, spec, room);
         }
         true
@@ -293,16 +291,12 @@
 /// Time for a stop to reach a leaving worker and its end to be listed, before the worker is gone.
 const EVACUATION_MARGIN_MS: DurationMs = DurationMs(500);
 
-/// Tasks of the same step that workers have already, for the bound on one worker.
-fn taken_by_worker(job: &JobState, candidate: &Candidate) -> BTreeMap<WorkerName, u32> {
-    let mut taken = BTreeMap::new();
-    let Some(step) = job.step(candidate.occurrence, candidate.step) else {
-        return taken;
-    };
-    for task in &step.tasks {
+/// Notes the tasks of the same step that workers have already, for the bound on one worker.
+fn take_placed(bounds: &mut Bounds, job: &JobState, candidate: &Candidate) {
+    let step = job.step(candidate.occurrence, candidate.step);
+    for task in step.into_iter().flat_map(|step| &step.tasks) {
         if let TaskState::Placed(worker) = &task.state {
-            *taken.entry(worker.clone()).or_insert(0) += 1;
+            bounds.take(worker);
         }
     }
-    taken
 }
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -8,7 +8,7 @@
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
 use crate::settle::Outcome;
-use crate::worker::{HeldPhase, LookState};
+use crate::worker::HeldPhase;
 
 /// Pause before a stop that was confirmed, but whose end was never listed, is looked after.
 const STOP_LISTED_MS: DurationMs = DurationMs(150);
@@ -43,20 +43,13 @@
         run: u32,
         reply: OrderReply,
     ) {
-        if reply == OrderReply::WrongLife {
-            self.life_over(now, worker_name);
-            return;
-        }
         if reply == OrderReply::Refused(RefusalCause::Fenced) {
             self.actions.push(Action::Resign);
             return;
         }
-        let Some(worker) = self.workers.get_mut(worker_name) else {
+        let Some(worker) = self.hear_reply(now, worker_name, reply) else {
             return;
         };
-        if let OrderReply::Accepted { clock_ms } = reply {
-            worker.hear_clock(now, clock_ms);
-        }
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
@@ -73,11 +66,7 @@
             in_flight: false,
             confirmed_at: is_settled.then_some(now),
         };
-        if let LookState::Idle { next_at } = worker.look {
-            worker.look = LookState::Idle {
-                next_at: next_at.min(now + STOP_LISTED_MS),
-            };
-        }
+        worker.look_by(now + STOP_LISTED_MS);
     }
 
     /// Tells all runs that match to stop, on every worker.
@@ -113,11 +102,7 @@
                 never_sent.push((task.clone(), held.run));
                 continue;
             }
-            held.phase = HeldPhase::Stopping {
-                sent_at: None,
-                in_flight: false,
-                confirmed_at: None,
-            };
+            held.phase = HeldPhase::TO_STOP;
         }
         for (task, run) in never_sent {
             self.resolve(now, name, &task, run, Outcome::Void);
@@ -132,11 +117,8 @@
             .and_then(|job| job.spec(task.step))
             .is_some_and(|spec| spec.is_gang);
         if is_gang {
-            self.stop_where(now, |other| {
-                other.job_id == task.job_id
-                    && other.occurrence == task.occurrence
-                    && other.step == task.step
-            });
+            let step = task.step_id();
+            self.stop_where(now, |other| other.is_of(&step));
         } else {
             self.stop_where(now, |other| other == task);
         }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -5,7 +5,7 @@
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
-use crate::job::{Resources, TaskId};
+use crate::job::{Resources, StepSpec, TaskId};
 use crate::limits::Limits;
 use crate::messages::WorkerEntry;
 use crate::sharing::Role;
@@ -51,6 +51,15 @@
     },
 }
 
+impl HeldPhase {
+    /// A stop that was not sent yet.
+    pub(crate) const TO_STOP: Self = Self::Stopping {
+        sent_at: None,
+        in_flight: false,
+        confirmed_at: None,
+    };
+}
+
 /// `Held` is one run that takes room on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Held {
@@ -76,6 +85,23 @@
 }
 
 impl Held {
+    /// A run whose start waits to be stored.
+    pub(crate) fn intended(now: TimeMs, spec: &StepSpec, run: u32, priority: u32) -> Self {
+        Self {
+            run,
+            need: spec.reserved(),
+            phase: HeldPhase::Intended,
+            priority,
+            placed_at: now,
+            started_at: None,
+            checkpoint: "".into(),
+            tries: 0,
+            role: Role::of(spec),
+            load: 0,
+            pace_told: Some(100),
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, HeldPhase::Stopping { .. })
     }
@@ -196,6 +222,13 @@
         self.lease_bound = self.lease_bound.max(now + longest_lease(limits));
     }
 
+    /// Brings the next look forward, unless one is under way.
+    pub(crate) fn look_by(&mut self, at: TimeMs) {
+        if let LookState::Idle { next_at } = &mut self.look {
+            *next_at = at.min(*next_at);
+        }
+    }
+
     pub(crate) fn hold(&mut self, task: TaskId, held: Held) {
         self.used = self.used.plus(held.need);
         self.held.insert(task, held);
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -121,16 +121,18 @@
         self.events.send(event).await;
     }
 
+    /// Waits for the orders to the worker before this one, and makes the call; none if it waited in
+    /// vain and nothing was sent.
+    async fn in_turn<R>(&self, worker: &WorkerName, call: impl Future<Output = R>) -> Option<R> {
+        let lane = self.lanes.lane(worker);
+        let _turn = timeout(LANE_WAIT_MS.into(), lane.lock()).await.ok()?;
+        Some(call.await)
+    }
+
     async fn start(&self, worker: WorkerName, address: &str, order: StartOrder) -> Event {
-        let lane = self.lanes.lane(&worker);
-        let reply = match timeout(LANE_WAIT_MS.into(), lane.lock()).await {
-            Ok(_turn) => {
-                self.workers
-                    .start(&worker, address, self.term, &order)
-                    .await
-            }
-            Err(_) => OrderReply::Unknown,
-        };
+        let call = self.workers.start(&worker, address, self.term, &order);
+        let reply = self.in_turn(&worker, call).await;
+        let reply = reply.unwrap_or(OrderReply::Unknown);
         if matches!(reply, OrderReply::Accepted { .. }) {
             if self.start_lines.admit(self.clock.now()) {
                 log_event!(
@@ -165,11 +167,8 @@
     /// Tells whether the worker confirmed the pace. Orders of a worker go one after the other, so that
     /// an earlier pace does not arrive after a later one.
     async fn pace(&self, worker: &WorkerName, address: &str, order: &PaceOrder) -> bool {
-        let lane = self.lanes.lane(worker);
-        let is_told = match timeout(LANE_WAIT_MS.into(), lane.lock()).await {
-            Ok(_turn) => self.workers.pace(worker, address, self.term, order).await,
-            Err(_) => false,
-        };
+        let call = self.workers.pace(worker, address, self.term, order);
+        let is_told = self.in_turn(worker, call).await.unwrap_or(false);
         if self.pace_lines.admit(self.clock.now()) {
             log_event!(
                 Info,
@@ -225,15 +224,9 @@
     }
 
     async fn stop(&self, worker: WorkerName, address: &str, task: TaskId, run: u32) -> Event {
-        let lane = self.lanes.lane(&worker);
-        let reply = match timeout(LANE_WAIT_MS.into(), lane.lock()).await {
-            Ok(_turn) => {
-                self.workers
-                    .stop(&worker, address, self.term, &task, run)
-                    .await
-            }
-            Err(_) => OrderReply::Unknown,
-        };
+        let call = self.workers.stop(&worker, address, self.term, &task, run);
+        let reply = self.in_turn(&worker, call).await;
+        let reply = reply.unwrap_or(OrderReply::Unknown);
         if self.stop_lines.admit(self.clock.now()) {
             log_event!(
                 Info,
