Let the rig of the area's tests hand jobs in, fail looks and take actions

Cause, found on reading the whole change: 23 tests spelled out the acceptance of a job of one step, three the same failed look, and six places took actions of a kind out of the list by the same pair of filters. Change: Rig::hand_in, Rig::look_fails and Rig::take. No assertion, time or literal was touched (the lines with assert are the same before and after). Ruled out: a fixture for the first start as well: the tests differ in what they check in between. Conclusion: a test shows what it is about.

--- a/ragwortwick-area/tests/advice.rs
+++ b/ragwortwick-area/tests/advice.rs
@@ -9,7 +9,7 @@
     StepId,
 };
 use ragwortwick_core::{ClassName, DurationMs, WorkerName};
-use rig::{Rig, desired, gang, job, step, worker};
+use rig::{Rig, desired, gang, step, worker};
 
 const VALID_MS: u64 = 3_000;
 
@@ -32,13 +32,10 @@
 }
 
 fn questions(rig: &mut Rig) -> Vec<(StepId, Vec<WorkerName>)> {
-    rig.actions
-        .extract_if(.., |action| matches!(action, Action::AskAdvice { .. }))
-        .filter_map(|action| match action {
-            Action::AskAdvice { step, workers, .. } => Some((step, workers)),
-            _ => None,
-        })
-        .collect()
+    rig.take(|action| match action {
+        Action::AskAdvice { step, workers, .. } => Some((step.clone(), workers.clone())),
+        _ => None,
+    })
 }
 
 fn answer(rig: &mut Rig, question: &(StepId, Vec<WorkerName>), allowed: &[&str]) {
@@ -57,16 +54,13 @@
 
 /// The workers and tickets of the starts that were sent.
 fn tickets(rig: &mut Rig) -> Vec<(String, Option<String>)> {
-    rig.actions
-        .extract_if(.., |action| matches!(action, Action::Start { .. }))
-        .filter_map(|action| match action {
-            Action::Start { worker, ticket, .. } => {
-                let ticket = ticket.map(|text| text.to_string());
-                Some((worker.to_string(), ticket))
-            }
-            _ => None,
-        })
-        .collect()
+    rig.take(|action| match action {
+        Action::Start { worker, ticket, .. } => {
+            let ticket = ticket.as_ref().map(ToString::to_string);
+            Some((worker.to_string(), ticket))
+        }
+        _ => None,
+    })
 }
 
 /// A caller's job on a queue with an advisor would never run: each start without a ticket is refused.
@@ -74,11 +68,7 @@
 #[test]
 fn verify_job_runs_only_where_the_advisor_allows_it() {
     let mut rig = rig();
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a1",
-        "patient",
-        vec![gang(2, 8)],
-    )));
+    rig.hand_in("00000000000000a1", "patient", gang(2, 8));
     rig.pass(20);
     let asked = questions(&mut rig);
     assert_eq!(asked.len(), 1, "one question at a time");
@@ -99,11 +89,7 @@
 #[test]
 fn verify_other_queues_need_no_advice() {
     let mut rig = rig();
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a2",
-        "middle",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000a2", "middle", step(1, 1));
     rig.pass(20);
     rig.store();
     assert!(questions(&mut rig).is_empty());
@@ -115,11 +101,7 @@
 #[test]
 fn verify_outdated_ticket_is_renewed_before_the_start() {
     let mut rig = rig();
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a3",
-        "middle",
-        vec![step(24, 1)],
-    )));
+    rig.hand_in("00000000000000a3", "middle", step(24, 1));
     rig.pass(20);
     rig.store();
     let running = rig.starts();
@@ -127,11 +109,7 @@
     for start in &running {
         rig.accept(start);
     }
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a4",
-        "patient",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000a4", "patient", step(1, 1));
     rig.pass(20);
     assert!(questions(&mut rig).is_empty(), "no worker has room");
     let on_w1: Vec<_> = running
@@ -162,11 +140,7 @@
 #[test]
 fn verify_question_without_an_answer_is_asked_again() {
     let mut rig = rig();
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a5",
-        "patient",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000a5", "patient", step(1, 1));
     rig.pass(20);
     let asked = questions(&mut rig).remove(0);
     rig.tell(Event::Advised {
@@ -185,11 +159,7 @@
 #[test]
 fn verify_refused_ticket_is_not_used_again() {
     let mut rig = rig();
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a6",
-        "patient",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000a6", "patient", step(1, 1));
     rig.pass(20);
     let asked = questions(&mut rig).remove(0);
     answer(&mut rig, &asked, &["w2"]);
@@ -209,18 +179,10 @@
 #[test]
 fn verify_hopeless_step_leaves_the_advisor_to_others() {
     let mut rig = rig();
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a7",
-        "patient",
-        vec![gang(3, 8)],
-    )));
+    rig.hand_in("00000000000000a7", "patient", gang(3, 8));
     rig.pass(20);
     let first = questions(&mut rig).remove(0);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a8",
-        "patient",
-        vec![gang(3, 8)],
-    )));
+    rig.hand_in("00000000000000a8", "patient", gang(3, 8));
     answer(&mut rig, &first, &["w1"]);
     rig.pass(20);
     let second = questions(&mut rig).remove(0);
@@ -232,11 +194,7 @@
 #[test]
 fn verify_short_tickets_are_used() {
     let mut rig = rig();
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000a9",
-        "patient",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000a9", "patient", step(1, 1));
     rig.pass(20);
     let asked = questions(&mut rig).remove(0);
     rig.tell(Event::Advised {
--- a/ragwortwick-area/tests/guarantees.rs
+++ b/ragwortwick-area/tests/guarantees.rs
@@ -14,11 +14,7 @@
 fn verify_urgent_gang_displaces_patient_work() {
     let workers = [worker("w1", "r1"), worker("w2", "r1")];
     let mut rig = Rig::new(&workers);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000c0",
-        "patient",
-        vec![step(40, 1)],
-    )));
+    rig.hand_in("00000000000000c0", "patient", step(40, 1));
     rig.pass(20);
     rig.store();
     let patient = rig.starts();
@@ -27,11 +23,7 @@
         rig.accept(start);
     }
     rig.pass(500);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000c1",
-        "urgent",
-        vec![gang(1, 4)],
-    )));
+    rig.hand_in("00000000000000c1", "urgent", gang(1, 4));
     rig.pass(20);
     rig.store();
     let stops = rig.stops();
@@ -129,11 +121,7 @@
     rig.tell(Event::JobAccepted(patient));
     start_all(&mut rig);
     // Accepted a minute ago, by its record.
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000c3",
-        "urgent",
-        vec![gang(3, 8)],
-    )));
+    rig.hand_in("00000000000000c3", "urgent", gang(3, 8));
     rig.pass(200);
     rig.store();
     assert_eq!(rig.stops(), vec![]);
@@ -165,11 +153,7 @@
 #[test]
 fn verify_leaving_worker_gets_no_start() {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000c4",
-        "middle",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000c4", "middle", step(1, 1));
     rig.pass(20);
     let mut entry = worker("w1", "r1");
     entry.is_draining = true;
--- a/ragwortwick-area/tests/pacing.rs
+++ b/ragwortwick-area/tests/pacing.rs
@@ -15,22 +15,14 @@
 fn verify_a_long_pass_leaves_time_to_what_came_meanwhile() {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
     rig.pass(20);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000d0",
-        "patient",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000d0", "patient", step(1, 1));
     rig.pass(10);
     assert_eq!(rig.store().len(), 1, "the first job is placed");
     rig.now = TimeMs(rig.now.0 + 20);
     rig.tell(Event::WorkersFresh);
     rig.now = TimeMs(rig.now.0 + 50);
     rig.coordinator.call_ended(rig.now);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000d1",
-        "patient",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000d1", "patient", step(1, 1));
     assert!(rig.store().is_empty(), "no pass with the next event");
     rig.pass(140);
     assert!(rig.store().is_empty(), "the pause is three times as long");
--- a/ragwortwick-area/tests/reach.rs
+++ b/ragwortwick-area/tests/reach.rs
@@ -4,7 +4,7 @@
 
 use ragwortwick_area::{Action, EndKind, Event};
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{Rig, ended, job, step, worker};
+use rig::{Rig, ended, step, worker};
 
 /// The coordinator is cut off from all workers for longer than their leases. Everything there is given
 /// up, so nothing is left to look for, and without a look the workers would count as silent for ever:
@@ -12,11 +12,7 @@
 #[test]
 fn verify_silent_worker_without_runs_is_tried_again() {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000d2",
-        "patient",
-        vec![step(1, 1)],
-    )));
+    rig.hand_in("00000000000000d2", "patient", step(1, 1));
     rig.pass(20);
     rig.store();
     let start = rig.starts().remove(0);
@@ -25,11 +21,7 @@
         rig.pass(300);
         rig.store();
         rig.actions.clear();
-        rig.tell(Event::LookFailed {
-            worker: WorkerName::new("w1"),
-            is_wrong_life: false,
-            is_fenced: false,
-        });
+        rig.look_fails(&WorkerName::new("w1"));
     }
     rig.pass(2_000);
     let is_look = |action: &Action| matches!(action, Action::Look { .. });
@@ -48,11 +40,7 @@
     let workers = [worker("w1", "r1"), worker("w2", "r1")];
     for (is_back, is_listed) in [(true, true), (true, false), (false, true), (false, false)] {
         let mut rig = Rig::new(&workers);
-        rig.tell(Event::JobAccepted(job(
-            "00000000000000d3",
-            "middle",
-            vec![step(1, 8)],
-        )));
+        rig.hand_in("00000000000000d3", "middle", step(1, 8));
         rig.pass(20);
         rig.store();
         let start = rig.starts().remove(0);
@@ -61,11 +49,7 @@
             rig.tell(Event::WorkerGone(start.0.clone()));
         }
         let silent = |rig: &mut Rig| {
-            rig.tell(Event::LookFailed {
-                worker: start.0.clone(),
-                is_wrong_life: false,
-                is_fenced: false,
-            });
+            rig.look_fails(&start.0);
             rig.pass(1_000);
             rig.store();
         };
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -158,53 +158,65 @@
     pub fn store(&mut self) -> Vec<(JobId, Progress)> {
         let mut stored = Vec::new();
         loop {
-            let batches: Vec<(u64, Vec<(JobId, Progress)>)> = self
-                .actions
-                .extract_if(.., |action| matches!(action, Action::Store { .. }))
-                .filter_map(|action| match action {
-                    Action::Store { batch, records } => {
-                        let records = records
-                            .into_iter()
-                            .map(|record| (record.job_id, record.progress));
-                        Some((batch, records.collect()))
-                    }
-                    _ => None,
-                })
-                .collect();
+            let batches = self.take(|action| match action {
+                Action::Store { batch, records } => Some((*batch, records.clone())),
+                _ => None,
+            });
             if batches.is_empty() {
                 return stored;
             }
             for (batch, records) in batches {
-                stored.extend(records);
+                let records = records.into_iter();
+                stored.extend(records.map(|record| (record.job_id, record.progress)));
                 self.tell(Event::Stored { batch });
             }
         }
     }
 
+    /// Hands a job of one step in.
+    pub fn hand_in(&mut self, id: &str, queue: &str, step: StepSpec) {
+        self.tell(Event::JobAccepted(job(id, queue, vec![step])));
+    }
+
+    /// Takes the actions that are picked, and gives what was picked of them.
+    pub fn take<R>(&mut self, pick: impl Fn(&Action) -> Option<R>) -> Vec<R> {
+        let mut taken = Vec::new();
+        self.actions.retain(|action| {
+            let picked = pick(action);
+            let is_left = picked.is_none();
+            taken.extend(picked);
+            is_left
+        });
+        taken
+    }
+
     /// Takes the starts that were sent.
     pub fn starts(&mut self) -> Vec<(WorkerName, TaskId, u32)> {
-        self.actions
-            .extract_if(.., |action| matches!(action, Action::Start { .. }))
-            .filter_map(|action| match action {
-                Action::Start {
-                    worker, task, run, ..
-                } => Some((worker, task, run)),
-                _ => None,
-            })
-            .collect()
+        self.take(|action| match action {
+            Action::Start {
+                worker, task, run, ..
+            } => Some((worker.clone(), task.clone(), *run)),
+            _ => None,
+        })
     }
 
     /// Takes the stops that were sent.
     pub fn stops(&mut self) -> Vec<(WorkerName, TaskId, u32)> {
-        self.actions
-            .extract_if(.., |action| matches!(action, Action::Stop { .. }))
-            .filter_map(|action| match action {
-                Action::Stop {
-                    worker, task, run, ..
-                } => Some((worker, task, run)),
-                _ => None,
-            })
-            .collect()
+        self.take(|action| match action {
+            Action::Stop {
+                worker, task, run, ..
+            } => Some((worker.clone(), task.clone(), *run)),
+            _ => None,
+        })
+    }
+
+    /// A look at the worker gets no answer.
+    pub fn look_fails(&mut self, worker: &WorkerName) {
+        self.tell(Event::LookFailed {
+            worker: worker.clone(),
+            is_wrong_life: false,
+            is_fenced: false,
+        });
     }
 
     pub fn reply(&mut self, start: &(WorkerName, TaskId, u32), reply: OrderReply) {
--- a/ragwortwick-area/tests/sharing.rs
+++ b/ragwortwick-area/tests/sharing.rs
@@ -6,7 +6,7 @@
 
 use ragwortwick_area::{Action, Event, RunningTask, StepSpec, TaskId};
 use ragwortwick_core::{DurationMs, WorkerName};
-use rig::{Rig, job, running, step, worker};
+use rig::{Rig, running, step, worker};
 
 const TARGET_MS: u32 = 100;
 
@@ -28,16 +28,8 @@
         is_filler: true,
         ..step(2, 1)
     };
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000e1",
-        "middle",
-        vec![serving],
-    )));
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000e2",
-        "patient",
-        vec![filler],
-    )));
+    rig.hand_in("00000000000000e1", "middle", serving);
+    rig.hand_in("00000000000000e2", "patient", filler);
     rig.pass(30);
     rig.store();
     let (serving, fillers): (Vec<_>, Vec<_>) = rig
@@ -53,13 +45,10 @@
 
 /// Takes the paces that were ordered.
 fn paces(rig: &mut Rig) -> Vec<(TaskId, u32)> {
-    rig.actions
-        .extract_if(.., |action| matches!(action, Action::Pace { .. }))
-        .filter_map(|action| match action {
-            Action::Pace { task, percent, .. } => Some((task, percent)),
-            _ => None,
-        })
-        .collect()
+    rig.take(|action| match action {
+        Action::Pace { task, percent, .. } => Some((task.clone(), *percent)),
+        _ => None,
+    })
 }
 
 /// Users wait too long for a serving task because of fillers beside it. The fillers are slowed down
@@ -114,11 +103,7 @@
         is_filler: true,
         ..step(2, 1)
     };
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000e3",
-        "patient",
-        vec![filler],
-    )));
+    rig.hand_in("00000000000000e3", "patient", filler);
     rig.pass(30);
     rig.store();
     let starts = rig.starts();
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -85,11 +85,7 @@
         next.pass(1_000);
         next.store();
         assert_eq!(next.starts(), vec![]);
-        next.tell(Event::LookFailed {
-            worker: start.0.clone(),
-            is_wrong_life: false,
-            is_fenced: false,
-        });
+        next.look_fails(&start.0);
     }
     next.tell(Event::WorkerGone(start.0.clone()));
     next.pass(5_000);
@@ -171,11 +167,7 @@
 fn verify_task_of_an_ended_life_starts_at_once() {
     let workers = [worker("w1", "r1"), worker("w2", "r1")];
     let mut rig = Rig::new(&workers);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000ae",
-        "middle",
-        vec![step(1, 8)],
-    )));
+    rig.hand_in("00000000000000ae", "middle", step(1, 8));
     rig.pass(20);
     rig.store();
     let start = rig.starts().pop().expect("the task starts");
@@ -223,11 +215,7 @@
 #[test]
 fn verify_start_waits_for_its_record() {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000af",
-        "middle",
-        vec![step(2, 2)],
-    )));
+    rig.hand_in("00000000000000af", "middle", step(2, 2));
     rig.pass(500);
     assert_eq!(rig.starts(), vec![]);
     rig.store();
@@ -238,11 +226,7 @@
 #[test]
 fn verify_end_is_noted_only_once_it_is_stored() {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
-    rig.tell(Event::JobAccepted(job(
-        "00000000000000b0",
-        "middle",
-        vec![step(1, 2)],
-    )));
+    rig.hand_in("00000000000000b0", "middle", step(1, 2));
     rig.pass(20);
     rig.store();
     let start = rig.starts().pop().expect("the task starts");
