--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -5,7 +5,7 @@
 use ragwortwick_core::{CustomerName, JobId, PoolName, TimeMs};
 
 use crate::coordinator::{Coordinator, Now};
-use crate::job::JobRecord;
+use crate::job::{JobRecord, StepId};
 
 /// `Candidate` is one step of one occurrence with tasks to place.
 #[derive(Clone, Debug)]
@@ -24,6 +24,14 @@
 }
 
 impl Candidate {
+    pub(crate) fn step_id(&self) -> StepId {
+        StepId {
+            job_id: self.job_id.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+
     /// Whether others may be stopped for it: a promise, or an urgent answer that can still be in time.
     pub(crate) fn may_displace(&self) -> bool {
         self.is_guaranteed || (self.priority == 0 && self.is_in_time)
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -5,6 +5,7 @@
 
 use ragwortwick_core::{ClassName, DurationMs, JobId, TimeMs, WorkerName};
 
+use crate::advice::Advice;
 use crate::desired::DesiredState;
 use crate::job::{JobRecord, QueueTerms};
 use crate::job_state::JobState;
@@ -75,6 +76,7 @@
     /// Jobs that are not over, so that a pass doesn't go through all that ever were.
     pub(crate) open_jobs: BTreeSet<JobId>,
     pub(crate) records: Records,
+    pub(crate) advice: Advice,
     pub(crate) actions: Vec<Action>,
     pub(crate) tenure_until: TimeMs,
     workers_fresh_at: Option<TimeMs>,
@@ -109,6 +111,7 @@
             jobs: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
             records: Records::default(),
+            advice: Advice::default(),
             actions: Vec::new(),
             tenure_until: now.steady,
             workers_fresh_at: Some(now.steady),
@@ -218,6 +221,9 @@
                 is_wrong_life,
                 is_fenced,
             } => self.look_failed(now.steady, &worker, is_wrong_life, is_fenced),
+            Event::Advised { step, asked, reply } => {
+                self.advice_came(now.steady, step, asked, reply);
+            }
             Event::Tenure { until } => self.tenure_until = until,
         }
         self.wants_pass = true;
@@ -256,6 +262,7 @@
             self.next_chores_at = now.steady + CHORES_MS;
             self.expire(now.steady);
             self.forget_old(now.steady);
+            self.forget_advice();
         }
         let is_due = self.next_due_at.is_some_and(|at| at <= now.steady);
         if (self.wants_pass || is_due) && now.steady >= self.next_pass_at {
--- a/ragwortwick-area/src/displacement.rs
+++ b/ragwortwick-area/src/displacement.rs
@@ -5,7 +5,7 @@
 use ragwortwick_core::{RackName, WorkerName};
 
 use crate::job::StepSpec;
-use crate::packing::{Reach, Slot, pack_gang, pack_single};
+use crate::packing::{Bounds, Reach, Slot, pack_gang, pack_single};
 use crate::preempt::Victim;
 
 /// `Plan` is a set of victims to stop and where the work then goes.
@@ -16,17 +16,21 @@
 }
 
 /// Finds a slot for each task, all or none.
-pub(crate) fn find(slots: &[Slot], spec: &StepSpec, count: usize) -> Option<Vec<usize>> {
-    let none_taken = BTreeMap::new();
+pub(crate) fn find(
+    slots: &[Slot],
+    spec: &StepSpec,
+    count: usize,
+    bounds: &Bounds,
+) -> Option<Vec<usize>> {
     if spec.is_gang {
-        return pack_gang(slots, spec, count, &none_taken, Reach::Near);
+        return pack_gang(slots, spec, count, bounds, Reach::Near);
     }
     let mut slots = slots.to_vec();
-    let mut taken: BTreeMap<WorkerName, u32> = BTreeMap::new();
+    let mut bounds = bounds.clone();
     let mut places = Vec::with_capacity(count);
     for _ in 0..count {
-        let index = pack_single(&slots, spec, &taken, Reach::Anywhere)?;
-        *taken.entry(slots[index].worker.clone()).or_insert(0) += 1;
+        let index = pack_single(&slots, spec, &bounds, Reach::Anywhere)?;
+        *bounds.taken.entry(slots[index].worker.clone()).or_insert(0) += 1;
         slots[index].free = slots[index].free.minus(spec.reserved());
         places.push(index);
     }
@@ -38,6 +42,7 @@
     slots: &[Slot],
     spec: &StepSpec,
     count: usize,
+    bounds: &Bounds,
     victims: &[Victim],
 ) -> Option<Plan> {
     let mut best: Option<Plan> = None;
@@ -47,7 +52,7 @@
             racks.entry(&slot.rack).or_default().push(slot.clone());
         }
         for within in racks.into_values() {
-            best = cheaper(best, plan(within, spec, count, victims));
+            best = cheaper(best, plan(within, spec, count, bounds, victims));
         }
     }
     // On several racks the work is slower; that is still better than breaking the guarantee.
@@ -55,7 +60,7 @@
         wants_same_rack: false,
         ..spec.clone()
     };
-    best.or_else(|| plan(slots.to_vec(), &relaxed, count, victims))
+    best.or_else(|| plan(slots.to_vec(), &relaxed, count, bounds, victims))
 }
 
 fn cheaper(best: Option<Plan>, other: Option<Plan>) -> Option<Plan> {
@@ -67,14 +72,20 @@
 }
 
 /// Plans within the given slots alone, so that a rack's plan costs what the rack has, not the pool.
-fn plan(mut slots: Vec<Slot>, spec: &StepSpec, count: usize, victims: &[Victim]) -> Option<Plan> {
+fn plan(
+    mut slots: Vec<Slot>,
+    spec: &StepSpec,
+    count: usize,
+    bounds: &Bounds,
+    victims: &[Victim],
+) -> Option<Plan> {
     let places_of: BTreeMap<WorkerName, usize> = slots
         .iter()
         .enumerate()
         .map(|(index, slot)| (slot.worker.clone(), index))
         .collect();
     let mut chosen: Vec<&Victim> = Vec::new();
-    let mut places = find(&slots, spec, count);
+    let mut places = find(&slots, spec, count, bounds);
     let mut open_room: u64 = slots.iter().map(|slot| fits(slot, spec)).sum();
     for victim in victims {
         if places.is_some() {
@@ -97,7 +108,7 @@
         chosen.push(victim);
         // Packing is tried only once the room could be enough at all.
         if open_room >= count as u64 {
-            places = find(&slots, spec, count);
+            places = find(&slots, spec, count, bounds);
         }
     }
     let mut places = places?;
@@ -108,6 +119,7 @@
         &mut places,
         spec,
         count,
+        bounds,
     );
     Some(Plan {
         waste: chosen.iter().map(|victim| victim.waste).sum(),
@@ -132,6 +144,7 @@
     places: &mut Vec<usize>,
     spec: &StepSpec,
     count: usize,
+    bounds: &Bounds,
 ) {
     let mut order: Vec<usize> = (0..chosen.len()).collect();
     order.sort_by(|&a, &b| chosen[b].waste.total_cmp(&chosen[a].waste));
@@ -143,7 +156,7 @@
                 without[place].free = without[place].free.minus(*need);
             }
         }
-        if let Some(found) = find(&without, spec, count) {
+        if let Some(found) = find(&without, spec, count, bounds) {
             *slots = without;
             *places = found;
             spared.insert(index);
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -168,6 +168,37 @@
     pub stretch: f64,
     /// Constant part of the objective.
     pub target_latency_ms: DurationMs,
+    /// How the advisor of the queue's policy answers; none if any worker may run its jobs.
+    pub advice: Option<AdviceTerms>,
+}
+
+/// `AdviceTerms` tells how long the advisor takes and how long its tickets hold.
+#[common(wire)]
+#[derive(Eq)]
+pub struct AdviceTerms {
+    /// Constant part of the time of an answer.
+    pub answer_ms: DurationMs,
+    /// Further time for each worker asked about.
+    pub per_worker_ms: DurationMs,
+    /// How long a ticket holds.
+    pub valid_ms: DurationMs,
+}
+
+/// `StepId` names one step of one occurrence of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// The job.
+    pub job_id: JobId,
+    /// Occurrence, from 0.
+    pub occurrence: u32,
+    /// Number of the step, from 0.
+    pub step: u32,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job_id, self.occurrence, self.step)
+    }
 }
 
 /// `JobRecord` is an accepted job as the store keeps it; it never changes.
@@ -228,6 +259,18 @@
     }
 }
 
+impl TaskId {
+    /// `step_id` names the step that the task belongs to.
+    #[must_use]
+    pub fn step_id(&self) -> StepId {
+        StepId {
+            job_id: self.job_id.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
 /// `TaskId` names one task of one occurrence of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -3,6 +3,7 @@
 //! The coordinator learns by events and asks for actions; the present time is an argument. What it
 //! promises and why each safeguard is enough stands in docs/design/0050-platform.md.
 
+mod advice;
 mod candidates;
 mod check;
 mod coordinator;
@@ -27,11 +28,11 @@
 pub use check::JobProblem;
 pub use coordinator::{Coordinator, KnownJob, Now};
 pub use desired::{Customer, DesiredState, Queue};
-pub use job::{JobRecord, QueueTerms, Resources, Schedule, StepSpec, TaskId};
+pub use job::{AdviceTerms, JobRecord, QueueTerms, Resources, Schedule, StepId, StepSpec, TaskId};
 pub use limits::Limits;
 pub use messages::{
-    Action, EndKind, EndedTask, Event, Look, OrderReply, OverWhy, RefusalCause, RunOver,
-    RunningTask, StoredProgress, WorkerEntry,
+    Action, AdviceReply, EndKind, EndedTask, Event, Look, OrderReply, OverWhy, RefusalCause,
+    RunOver, RunningTask, StoredProgress, WorkerEntry,
 };
 pub use progress::{GangProgress, JobPhase, Progress, TaskProgress};
 pub use records::MAX_BATCH_RECORDS;
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::desired::DesiredState;
-use crate::job::{JobRecord, Resources, TaskId};
+use crate::job::{JobRecord, Resources, StepId, TaskId};
 use crate::progress::Progress;
 
 /// `WorkerEntry` is what a worker tells of itself in the store.
@@ -120,10 +120,26 @@
     NoRoom,
     /// The worker is unhealthy and did nothing.
     Unhealthy,
+    /// The start carries no ticket that holds there.
+    NoTicket,
     /// The order is malformed or not allowed there.
     Invalid,
 }
 
+/// `AdviceReply` is how a question to the advisor went.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdviceReply {
+    /// These workers may run the step, each with its ticket; the others may not.
+    Given {
+        /// Workers and their tickets.
+        allowed: Vec<(WorkerName, Arc<str>)>,
+        /// How long the tickets hold, if the answer tells.
+        valid_ms: Option<DurationMs>,
+    },
+    /// There is no usable answer; the same question may be asked again.
+    Failed,
+}
+
 /// `Event` is what the coordinator learns.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -184,6 +200,15 @@
         /// Whether the worker knows a coordinator of a later term.
         is_fenced: bool,
     },
+    /// The advisor answered a question, or did not.
+    Advised {
+        /// The step that was asked about.
+        step: StepId,
+        /// The workers that were asked about.
+        asked: Vec<WorkerName>,
+        /// The answer.
+        reply: AdviceReply,
+    },
     /// The lease as coordinator holds until then.
     Tenure {
         /// Last moment at which orders may be sent.
@@ -254,6 +279,17 @@
         checkpoint: Arc<str>,
         /// End of the worker's lease, on its own clock.
         lease_until_ms: u64,
+        /// The advisor's ticket, on queues that need one.
+        ticket: Option<Arc<str>>,
+    },
+    /// Ask the advisor which of the workers may run a step, and report `Event::Advised`.
+    AskAdvice {
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<WorkerName>,
+        /// Longest time that the answer takes if nothing else is asked.
+        answer_ms: DurationMs,
     },
     /// Tell a worker to stop a run.
     Stop {
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -20,10 +20,11 @@
     /// Sends the start of a run whose record is stored, unless it has become pointless.
     pub(crate) fn start(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId, run: u32) {
         let may_order = self.may_order(now);
+        let has_ticket = self.ticket_for(now, worker_name, task).is_ok();
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        let takes_work = worker.is_listed && !worker.entry.is_draining;
+        let takes_work = worker.is_listed && !worker.entry.is_draining && has_ticket;
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
@@ -52,6 +53,9 @@
             .and_then(|step| step.tasks.get(task.index as usize))
             .map(|state| Arc::clone(&state.checkpoint))
             .unwrap_or_default();
+        let Ok(ticket) = self.ticket_for(now, worker_name, task) else {
+            return;
+        };
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
@@ -76,6 +80,7 @@
             payload,
             checkpoint,
             lease_until_ms,
+            ticket,
         });
     }
 
@@ -117,13 +122,14 @@
     /// Repeats a start: it is idempotent, and tells whether the first one arrived.
     ///
     /// A worker that leaves must not be told again to start something: if the first order never
-    /// arrived, the second would begin work there. A stop settles it as well.
+    /// arrived, the second would begin work there. A stop settles it as well, also where the ticket
+    /// has run out and the repeat would be refused.
     fn resend_start(&mut self, now: TimeMs, worker: &WorkerName, task: &TaskId) {
         let is_leaving = self
             .workers
             .get(worker)
             .is_some_and(|worker| worker.entry.is_draining || !worker.is_listed);
-        if is_leaving {
+        if is_leaving || self.ticket_for(now, worker, task).is_err() {
             self.stop_group(now, task);
         } else {
             self.send_start(now, worker, task);
@@ -203,6 +209,9 @@
             }
             OrderReply::Refused(cause) => {
                 let is_first_try = held.tries <= 1;
+                if cause == RefusalCause::NoTicket {
+                    self.advice.drop_ticket(worker_name, task);
+                }
                 if cause == RefusalCause::NoRoom || cause == RefusalCause::Unhealthy {
                     worker.avoid_until = now + AVOID_AFTER_REFUSAL_MS;
                 }
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -1,6 +1,6 @@
 //! Where tasks go: best fit, whole racks for gangs that want one, data near its rack.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ragwortwick_core::{RackName, WorkerName};
 
@@ -17,6 +17,23 @@
     pub(crate) doubt: u32,
 }
 
+/// `Bounds` says where a step's tasks may go, beside the room there.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Bounds {
+    /// Tasks of the step that workers have already.
+    pub(crate) taken: BTreeMap<WorkerName, u32>,
+    /// The only workers that may run the step; none if any may.
+    pub(crate) allowed: Option<BTreeSet<WorkerName>>,
+}
+
+impl Bounds {
+    fn permits(&self, worker: &WorkerName) -> bool {
+        self.allowed
+            .as_ref()
+            .is_none_or(|allowed| allowed.contains(worker))
+    }
+}
+
 /// `Reach` says how far from its best place work may go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reach {
@@ -27,16 +44,19 @@
 }
 
 /// Counts how many tasks of the step a slot takes.
-fn room(slot: &Slot, spec: &StepSpec, already: &BTreeMap<WorkerName, u32>) -> u64 {
+fn room(slot: &Slot, spec: &StepSpec, bounds: &Bounds) -> u64 {
     if let Some(label) = &spec.required_label
         && !slot.labels.contains(label)
     {
         return 0;
     }
+    if !bounds.permits(&slot.worker) {
+        return 0;
+    }
     let fits = slot.free.fits(spec.reserved()).min(u64::from(u32::MAX));
     match spec.max_per_worker {
         Some(most) => {
-            let taken = already.get(&slot.worker).copied().unwrap_or(0);
+            let taken = bounds.taken.get(&slot.worker).copied().unwrap_or(0);
             fits.min(u64::from(most.saturating_sub(taken)))
         }
         None => fits,
@@ -51,32 +71,27 @@
     slots: &[Slot],
     spec: &StepSpec,
     count: usize,
-    already: &BTreeMap<WorkerName, u32>,
+    bounds: &Bounds,
     reach: Reach,
 ) -> Option<Vec<usize>> {
     if spec.wants_same_rack {
-        let in_rack = best_rack(slots, spec, count, already);
+        let in_rack = best_rack(slots, spec, count, bounds);
         if in_rack.is_some() || reach == Reach::Near {
             return in_rack;
         }
     }
     let all: Vec<usize> = (0..slots.len()).collect();
-    fill(slots, &all, spec, count, already)
+    fill(slots, &all, spec, count, bounds)
 }
 
-fn best_rack(
-    slots: &[Slot],
-    spec: &StepSpec,
-    count: usize,
-    already: &BTreeMap<WorkerName, u32>,
-) -> Option<Vec<usize>> {
+fn best_rack(slots: &[Slot], spec: &StepSpec, count: usize, bounds: &Bounds) -> Option<Vec<usize>> {
     let mut best: Option<(bool, u32, u64, Vec<usize>)> = None;
     let mut first = 0;
     for within in slots.chunk_by(|a, b| a.rack == b.rack) {
         let members: Vec<usize> = (first..first + within.len()).collect();
         first += within.len();
         let rack = &within[0].rack;
-        let Some(places) = fill(slots, &members, spec, count, already) else {
+        let Some(places) = fill(slots, &members, spec, count, bounds) else {
             continue;
         };
         let free: u64 = members
@@ -102,11 +117,11 @@
     members: &[usize],
     spec: &StepSpec,
     count: usize,
-    already: &BTreeMap<WorkerName, u32>,
+    bounds: &Bounds,
 ) -> Option<Vec<usize>> {
     let whole: u64 = members
         .iter()
-        .map(|&index| room(&slots[index], spec, already))
+        .map(|&index| room(&slots[index], spec, bounds))
         .sum();
     if whole < count as u64 {
         return None;
@@ -119,7 +134,7 @@
                 .data_rack
                 .as_ref()
                 .is_some_and(|data| *data != slot.rack);
-            let fits = room(slot, spec, already);
+            let fits = room(slot, spec, bounds);
             (is_far, slot.doubt, slot.free.accelerators, index, fits)
         })
         .filter(|entry| entry.4 > 0)
@@ -141,7 +156,7 @@
 pub(crate) fn pack_single(
     slots: &[Slot],
     spec: &StepSpec,
-    already: &BTreeMap<WorkerName, u32>,
+    bounds: &Bounds,
     reach: Reach,
 ) -> Option<usize> {
     let mut best: Option<((bool, u32, u64, u64), usize)> = None;
@@ -153,7 +168,7 @@
         if is_far && reach == Reach::Near {
             continue;
         }
-        if room(slot, spec, already) == 0 {
+        if room(slot, spec, bounds) == 0 {
             continue;
         }
         let rank = (
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -8,7 +8,7 @@
 use crate::coordinator::Coordinator;
 use crate::displacement::{Plan, cheapest, find};
 use crate::job::{Resources, StepSpec, TaskId};
-use crate::packing::Slot;
+use crate::packing::{Bounds, Slot};
 use crate::schedule::Room;
 use crate::worker::Held;
 
@@ -70,9 +70,15 @@
             let Some((spec, count)) = self.waiting_tasks(candidate) else {
                 continue;
             };
+            self.want_advice(now, candidate, &room.slots);
+            let bounds = Bounds {
+                allowed: self.advised(candidate),
+                ..Bounds::default()
+            };
             let shape = (spec.shape(), count);
-            let is_hopeless = unplaced.contains(&shape);
-            if !is_hopeless && let Some(places) = find(&future, &spec, count) {
+            // What the advisor allows differs from step to step.
+            let is_hopeless = bounds.allowed.is_none() && unplaced.contains(&shape);
+            if !is_hopeless && let Some(places) = find(&future, &spec, count, &bounds) {
                 let names: Vec<WorkerName> = places
                     .into_iter()
                     .map(|index| future[index].worker.clone())
@@ -90,7 +96,7 @@
             plans_left -= 1;
             // Listing all that runs costs more than anything else in a pass.
             let victims = victims.get_or_insert_with(|| self.displaceable(now));
-            let Some(plan) = plan_for(candidate, &future, &spec, count, victims) else {
+            let Some(plan) = plan_for(candidate, &future, &spec, count, &bounds, victims) else {
                 continue;
             };
             for victim in &plan.stopped {
@@ -271,17 +277,19 @@
     future: &[Slot],
     spec: &StepSpec,
     count: usize,
+    bounds: &Bounds,
     victims: &[Victim],
 ) -> Option<Plan> {
     if candidate.is_guaranteed {
-        return cheapest(future, spec, count, victims);
+        return cheapest(future, spec, count, bounds, victims);
     }
     let lower: Vec<Victim> = victims
         .iter()
         .filter(|victim| victim.priority > candidate.priority)
         .cloned()
         .collect();
-    cheapest(future, spec, count, &lower).filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
+    cheapest(future, spec, count, bounds, &lower)
+        .filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
 }
 
 fn slot_of<'a>(slots: &'a mut [Slot], worker: &WorkerName) -> Option<&'a mut Slot> {
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -8,7 +8,7 @@
 use crate::coordinator::{Coordinator, Now};
 use crate::job::{Resources, StepSpec};
 use crate::job_state::{JobState, TaskState};
-use crate::packing::{Reach, Slot, pack_gang, pack_single};
+use crate::packing::{Bounds, Reach, Slot, pack_gang, pack_single};
 use crate::worker::HeldPhase;
 
 /// Below this share of accelerators in use, work also goes where it runs slower.
@@ -66,6 +66,7 @@
                 self.place_other(now.steady, candidate, &mut room, &mut failed);
             }
         }
+        self.ask_advice(now.steady);
     }
 
     fn place_other(
@@ -81,12 +82,17 @@
         if shape.0.need.accelerators > 0 && !room.has_accelerators() {
             return;
         }
-        // What found no place a moment ago finds none now: the room only shrinks during a pass.
-        let is_bound = shape.0.max_per_worker.is_some();
+        // What found no place a moment ago finds none now: the room only shrinks during a pass. It
+        // tells nothing of steps that may go to other workers.
+        let is_bound = shape.0.max_per_worker.is_some() || self.advice_terms(candidate).is_some();
         if !is_bound && failed.contains(&shape) {
             return;
         }
-        if !self.place_step(now, candidate, room) && !is_bound {
+        if self.place_step(now, candidate, room) {
+            return;
+        }
+        self.want_advice(now, candidate, &room.slots);
+        if !is_bound {
             failed.push(shape);
         }
     }
@@ -141,11 +147,14 @@
             return true;
         };
         let reach = self.reach(now, candidate, room);
-        let already = taken_by_worker(job, candidate);
+        let bounds = Bounds {
+            taken: taken_by_worker(job, candidate),
+            allowed: self.ticketed(now, candidate),
+        };
         if spec.is_gang {
-            return self.place_gang(now, candidate, &spec, &already, reach, room);
+            return self.place_gang(now, candidate, &spec, &bounds, reach, room);
         }
-        self.place_singles(now, candidate, &spec, already, reach, room)
+        self.place_singles(now, candidate, &spec, bounds, reach, room)
     }
 
     fn reach(&self, now: TimeMs, candidate: &Candidate, room: &Room) -> Reach {
@@ -163,7 +172,7 @@
         now: TimeMs,
         candidate: &Candidate,
         spec: &StepSpec,
-        already: &BTreeMap<WorkerName, u32>,
+        bounds: &Bounds,
         reach: Reach,
         room: &mut Room,
     ) -> bool {
@@ -176,7 +185,7 @@
         let count = step.tasks.len();
         let run = step.tasks.iter().map(|task| task.last_run).max();
         let run = run.unwrap_or(0) + 1;
-        let Some(places) = pack_gang(&room.slots, spec, count, already, reach) else {
+        let Some(places) = pack_gang(&room.slots, spec, count, bounds, reach) else {
             return false;
         };
         for (index, slot) in (0..).zip(places) {
@@ -190,7 +199,7 @@
         now: TimeMs,
         candidate: &Candidate,
         spec: &StepSpec,
-        mut already: BTreeMap<WorkerName, u32>,
+        mut bounds: Bounds,
         reach: Reach,
         room: &mut Room,
     ) -> bool {
@@ -207,10 +216,13 @@
             .map(|(index, task)| (index, task.last_run + 1))
             .collect();
         for (index, run) in waiting {
-            let Some(slot) = pack_single(&room.slots, spec, &already, reach) else {
+            let Some(slot) = pack_single(&room.slots, spec, &bounds, reach) else {
                 return false;
             };
-            *already.entry(room.slots[slot].worker.clone()).or_insert(0) += 1;
+            *bounds
+                .taken
+                .entry(room.slots[slot].worker.clone())
+                .or_insert(0) += 1;
             self.put(now, candidate, index, slot, run, spec, room);
         }
         true
--- /dev/null
+++ b/ragwortwick-area/tests/advice.rs
@@ -0,0 +1,228 @@
+//! Queues whose policy an outside advisor knows: what starts, where, and with which ticket.
+
+mod rig;
+
+use std::sync::Arc;
+
+use ragwortwick_area::{
+    Action, AdviceReply, AdviceTerms, DesiredState, EndKind, Event, OrderReply, RefusalCause,
+    StepId,
+};
+use ragwortwick_core::{ClassName, DurationMs, WorkerName};
+use rig::{Rig, desired, gang, job, step, worker};
+
+const VALID_MS: u64 = 3_000;
+
+/// The desired state of the rig, with an advisor for the patient queue.
+fn advised() -> Arc<DesiredState> {
+    let mut state = DesiredState::clone(&desired());
+    let queue = state.queues.get_mut(&ClassName::new("patient"));
+    queue.expect("a patient queue").terms.advice = Some(AdviceTerms {
+        answer_ms: DurationMs(50),
+        per_worker_ms: DurationMs(5),
+        valid_ms: DurationMs(VALID_MS),
+    });
+    Arc::new(state)
+}
+
+fn rig() -> Rig {
+    let mut rig = Rig::new(&[worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r2")]);
+    rig.tell(Event::Desired(advised()));
+    rig
+}
+
+fn questions(rig: &mut Rig) -> Vec<(StepId, Vec<WorkerName>)> {
+    rig.actions
+        .extract_if(.., |action| matches!(action, Action::AskAdvice { .. }))
+        .filter_map(|action| match action {
+            Action::AskAdvice { step, workers, .. } => Some((step, workers)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn answer(rig: &mut Rig, question: &(StepId, Vec<WorkerName>), allowed: &[&str]) {
+    let allowed = allowed
+        .iter()
+        .map(|name| (WorkerName::new(*name), format!("ticket-{name}").into()));
+    rig.tell(Event::Advised {
+        step: question.0.clone(),
+        asked: question.1.clone(),
+        reply: AdviceReply::Given {
+            allowed: allowed.collect(),
+            valid_ms: None,
+        },
+    });
+}
+
+/// The workers and tickets of the starts that were sent.
+fn tickets(rig: &mut Rig) -> Vec<(String, Option<String>)> {
+    rig.actions
+        .extract_if(.., |action| matches!(action, Action::Start { .. }))
+        .filter_map(|action| match action {
+            Action::Start { worker, ticket, .. } => {
+                let ticket = ticket.map(|text| text.to_string());
+                Some((worker.to_string(), ticket))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+/// A caller's job on a queue with an advisor would never run: each start without a ticket is refused.
+/// The advisor is asked first, and the job goes only where it is allowed, with that worker's ticket.
+#[test]
+fn verify_job_runs_only_where_the_advisor_allows_it() {
+    let mut rig = rig();
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a1",
+        "patient",
+        vec![gang(2, 8)],
+    )));
+    rig.pass(20);
+    let asked = questions(&mut rig);
+    assert_eq!(asked.len(), 1, "one question at a time");
+    assert_eq!(asked[0].0.to_string(), "00000000000000a1.0.0");
+    assert_eq!(asked[0].1.len(), 3, "all workers have room");
+    assert!(rig.store().is_empty(), "nothing is placed without advice");
+    answer(&mut rig, &asked[0], &["w1", "w3"]);
+    rig.pass(20);
+    rig.store();
+    let mut sent = tickets(&mut rig);
+    sent.sort();
+    let ticket = |name: &str| (name.to_owned(), Some(format!("ticket-{name}")));
+    assert_eq!(sent, [ticket("w1"), ticket("w3")]);
+    assert!(questions(&mut rig).is_empty(), "nothing else waits");
+}
+
+/// Jobs of other queues need no advice, and their starts carry no ticket.
+#[test]
+fn verify_other_queues_need_no_advice() {
+    let mut rig = rig();
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a2",
+        "middle",
+        vec![step(1, 1)],
+    )));
+    rig.pass(20);
+    rig.store();
+    assert!(questions(&mut rig).is_empty());
+    assert_eq!(tickets(&mut rig).len(), 1);
+}
+
+/// A job waits for room until its ticket has run out. A start with the old ticket would be refused, so
+/// the worker is asked about again, and the others, which may not run it, are not.
+#[test]
+fn verify_outdated_ticket_is_renewed_before_the_start() {
+    let mut rig = rig();
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a3",
+        "middle",
+        vec![step(24, 1)],
+    )));
+    rig.pass(20);
+    rig.store();
+    let running = rig.starts();
+    assert_eq!(running.len(), 24, "no room is left");
+    for start in &running {
+        rig.accept(start);
+    }
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a4",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    rig.pass(20);
+    assert!(questions(&mut rig).is_empty(), "no worker has room");
+    let on_w1: Vec<_> = running
+        .iter()
+        .filter(|start| start.0.as_str() == "w1")
+        .collect();
+    let others = on_w1[1..].iter().map(|start| rig::running(start)).collect();
+    rig.look("w1", others, vec![rig::ended(1, on_w1[0], EndKind::Done)]);
+    rig.pass(20);
+    let asked = questions(&mut rig);
+    assert_eq!(asked[0].1, [WorkerName::new("w1")], "only w1 has room");
+    rig.pass(VALID_MS);
+    answer(&mut rig, &asked[0], &["w1"]);
+    rig.pass(20);
+    rig.store();
+    assert!(
+        tickets(&mut rig).is_empty(),
+        "the answer came too late to use"
+    );
+    let again = questions(&mut rig);
+    answer(&mut rig, &again[0], &["w1"]);
+    rig.pass(20);
+    rig.store();
+    assert_eq!(tickets(&mut rig).len(), 1);
+}
+
+/// The advisor answers 429, or not at all. The caller's job is asked about again after a pause.
+#[test]
+fn verify_question_without_an_answer_is_asked_again() {
+    let mut rig = rig();
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a5",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    rig.pass(20);
+    let asked = questions(&mut rig).remove(0);
+    rig.tell(Event::Advised {
+        step: asked.0,
+        asked: asked.1,
+        reply: AdviceReply::Failed,
+    });
+    rig.pass(200);
+    assert!(questions(&mut rig).is_empty(), "not at once");
+    rig.pass(200);
+    assert_eq!(questions(&mut rig).len(), 1);
+}
+
+/// A worker started a new life unseen and refuses the ticket of the old one. The job must not be sent
+/// there again with it: it counts as no attempt and waits for new advice.
+#[test]
+fn verify_refused_ticket_is_not_used_again() {
+    let mut rig = rig();
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a6",
+        "patient",
+        vec![step(1, 1)],
+    )));
+    rig.pass(20);
+    let asked = questions(&mut rig).remove(0);
+    answer(&mut rig, &asked, &["w2"]);
+    rig.pass(20);
+    rig.store();
+    let start = rig.starts().remove(0);
+    rig.reply(&start, OrderReply::Refused(RefusalCause::NoTicket));
+    rig.pass(20);
+    rig.store();
+    assert!(rig.starts().is_empty(), "no start with the refused ticket");
+    let again = questions(&mut rig).remove(0);
+    assert_eq!(again.1, [WorkerName::new("w2")], "the others stay refused");
+}
+
+/// A gang that no allowed workers can hold waits for advice again and again. Another job gets its
+/// question in between, instead of never.
+#[test]
+fn verify_hopeless_step_leaves_the_advisor_to_others() {
+    let mut rig = rig();
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a7",
+        "patient",
+        vec![gang(3, 8)],
+    )));
+    rig.pass(20);
+    let first = questions(&mut rig).remove(0);
+    rig.tell(Event::JobAccepted(job(
+        "00000000000000a8",
+        "patient",
+        vec![gang(3, 8)],
+    )));
+    answer(&mut rig, &first, &["w1"]);
+    rig.pass(20);
+    let second = questions(&mut rig).remove(0);
+    assert_eq!(second.0.job_id.as_str(), "00000000000000a8");
+}
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -51,6 +51,7 @@
         priority,
         attempts: ATTEMPTS,
         stretch: 2.0,
+        advice: None,
         target_latency_ms: DurationMs(1_000),
     }
 }
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -97,6 +97,7 @@
             health: health.clone(),
             clock,
             limits: settings.limits(),
+            advice_address: settings.advice_address.clone(),
             desired: desired.clone(),
             attach,
             coordinator_key,
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use ragwortwick_adapter::{LookOrder, LookReply, StartOrder, WorkerClient};
-use ragwortwick_area::{Action, Event, OrderReply, TaskId};
+use ragwortwick_adapter::{AdvisorClient, LookOrder, LookReply, StartOrder, WorkerClient};
+use ragwortwick_area::{Action, AdviceReply, Event, OrderReply, StepId, TaskId};
 use ragwortwick_core::{DurationMs, Epoch, WorkerName, log_event};
 
 use tokio::sync::Mutex as AsyncMutex;
@@ -38,6 +38,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct OrderSender {
     pub(super) workers: WorkerClient,
+    pub(super) advisor: AdvisorClient,
     pub(super) term: Epoch,
     pub(super) clock: Clock,
     pub(super) events: EventSender,
@@ -58,6 +59,7 @@
                 payload,
                 checkpoint,
                 lease_until_ms,
+                ticket,
             } => {
                 let order = StartOrder {
                     task,
@@ -65,6 +67,7 @@
                     payload,
                     checkpoint,
                     lease_until_ms,
+                    ticket,
                 };
                 self.start(worker, &address, order).await
             }
@@ -88,6 +91,11 @@
                 };
                 self.look(worker, &address, &order).await
             }
+            Action::AskAdvice {
+                step,
+                workers,
+                answer_ms,
+            } => self.ask(step, workers, answer_ms).await,
             Action::Store { .. } | Action::Resign | Action::Forget(_) | Action::Report(_) => return,
         };
         self.events.send(event).await;
@@ -134,6 +142,45 @@
         }
     }
 
+    async fn ask(&self, step: StepId, workers: Vec<WorkerName>, answer_ms: DurationMs) -> Event {
+        let asked_at = self.clock.now();
+        let reply = self.advisor.ask(&step, &workers, answer_ms).await;
+        let took_ms = self.clock.now().since(asked_at);
+        let reply = match reply {
+            Ok(reply) => {
+                let allowed = match &reply {
+                    AdviceReply::Given { allowed, .. } => allowed.len(),
+                    AdviceReply::Failed => 0,
+                };
+                log_event!(
+                    Info,
+                    "advice_given",
+                    step = step,
+                    asked = workers.len(),
+                    allowed = allowed,
+                    took_ms = took_ms.0
+                );
+                reply
+            }
+            Err(cause) => {
+                log_event!(
+                    Warn,
+                    "advice_failed",
+                    step = step,
+                    asked = workers.len(),
+                    took_ms = took_ms.0,
+                    cause = cause
+                );
+                AdviceReply::Failed
+            }
+        };
+        Event::Advised {
+            step,
+            asked: workers,
+            reply,
+        }
+    }
+
     async fn stop(&self, worker: WorkerName, address: &str, task: TaskId, run: u32) -> Event {
         let lane = self.lanes.lane(&worker);
         let reply = match timeout(LANE_WAIT_MS.into(), lane.lock()).await {
--- a/ragwortwick-daemon/src/area/settings.rs
+++ b/ragwortwick-daemon/src/area/settings.rs
@@ -22,6 +22,9 @@
     pub metrics_listen: Option<String>,
     /// ip:port of the platform's store.
     pub store_address: String,
+    /// ip:port of the advisor on which workers may run what; without one no queue may need it.
+    #[serde(default)]
+    pub advice_address: Option<String>,
     /// Share of a core that this host has.
     #[serde(default = "whole_core")]
     pub cpu_share: f64,
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ragwortwick_adapter::{StoreClient, StoreFailure, WorkerClient};
+use ragwortwick_adapter::{AdvisorClient, StoreClient, StoreFailure, WorkerClient};
 use ragwortwick_area::{Action, Coordinator, DesiredState, Event, KnownJob, Limits, Now};
 use ragwortwick_core::{DurationMs, Epoch, Revision, TimeMs, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -39,6 +39,8 @@
     pub(super) health: StoreHealth,
     pub(super) clock: Clock,
     pub(super) limits: Limits,
+    /// Address of the advisor, if the installation has one.
+    pub(super) advice_address: Option<String>,
     pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
     pub(super) attach: mpsc::Sender<Attach>,
     pub(super) coordinator_key: watch::Receiver<CoordinatorKey>,
@@ -165,6 +167,7 @@
     tasks.spawn(renew(parts.clone(), won, events.clone(), end));
     let sender = OrderSender {
         workers: WorkerClient::open(),
+        advisor: AdvisorClient::open(parts.advice_address.as_deref()),
         term,
         clock: parts.clock,
         events,
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -19,6 +19,7 @@
             priority: 0,
             attempts: 1,
             stretch: 1.0,
+            advice: None,
             target_latency_ms: DurationMs(100),
         },
         customer: "c".into(),
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -326,3 +326,47 @@
     assert!(ended.is_some_and(|status| status.success()));
     fleet.close();
 }
+
+/// A caller's job needs workers that only the advisor knows, and its coordinator dies in between. The
+/// first tickets are gone with it; the next coordinator asks again, and the job still completes, on
+/// allowed workers alone and without a start that is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_advised_jobs_complete_on_allowed_workers() {
+    let mut fleet = open(2, 6).await;
+    let mut job = area_job(3, 600, true);
+    let payload = json!({"work_ms": 600, "gang": 3, "needs_ticket": true});
+    job["Spec"] = json!(payload.to_string());
+    let hand_in = async |fleet: &AreaFleet, host: usize, id: &str| {
+        let path = format!("/advised/{id}");
+        let reply = fleet
+            .call(Method::POST, host, &path, Some(job.clone()))
+            .await;
+        assert_eq!(reply.map(|reply| reply.status).ok(), Some(StatusCode::OK));
+    };
+    let wait_completed = async |fleet: &AreaFleet, host: usize, id: &str| {
+        let path = format!("/advised/{id}");
+        wait_until("the job is completed", async || {
+            let reply = fleet.call(Method::GET, host, &path, None).await;
+            reply.is_ok_and(|reply| reply.body.as_ref() == br#"{"State":"completed"}"#)
+        })
+        .await;
+    };
+    hand_in(&fleet, 0, ID).await;
+    wait_completed(&fleet, 1, ID).await;
+    let leader = fleet.coordinator().expect("a host coordinates");
+    fleet.hosts[leader].kill().expect("the process is killed");
+    let left = 1 - leader;
+    hand_in(&fleet, left, "00000000000000ab").await;
+    wait_completed(&fleet, left, "00000000000000ab").await;
+    let starts = fleet.workers.starts();
+    assert_eq!(starts.len(), 6);
+    let allowed = ["w-0", "w-2", "w-4"];
+    assert!(
+        starts
+            .iter()
+            .all(|start| allowed.contains(&start.worker.as_str()))
+    );
+    assert_eq!(fleet.workers.without_ticket(), 0);
+    assert_nothing_twice(&fleet);
+    fleet.close();
+}
--- a/ragwortwick-emulator/src/arrivals.rs
+++ b/ragwortwick-emulator/src/arrivals.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Customer, DesiredState, JobRecord, Queue, QueueTerms, Resources, Schedule, StepSpec,
+    AdviceTerms, Customer, DesiredState, JobRecord, Queue, QueueTerms, Resources, Schedule,
+    StepSpec,
 };
 use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, PoolName, TimeMs};
 use rand::Rng;
@@ -12,6 +13,9 @@
 /// Pool of all workers.
 pub(crate) const POOL: &str = "booking";
 
+/// How long the advisor's tickets hold.
+pub(crate) const TICKET_MS: DurationMs = DurationMs(3_000);
+
 /// `Load` is how much comes in.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
@@ -23,6 +27,8 @@
     pub cancelled: f64,
     /// Mean width of the patient queue's steps.
     pub patient_width: u32,
+    /// Whether the middle queue's jobs run only where an advisor allows them.
+    pub is_advised: bool,
 }
 
 impl Default for Load {
@@ -32,6 +38,7 @@
             for_ms: DurationMs(20_000),
             cancelled: 0.08,
             patient_width: 16,
+            is_advised: false,
         }
     }
 }
@@ -197,7 +204,7 @@
         record: Arc::new(JobRecord {
             job_id,
             queue: ClassName::new(shape.queue),
-            terms: terms(shape.queue),
+            terms: terms(shape.queue, load.is_advised),
             customer,
             payload: Arc::from(payload),
             steps,
@@ -210,7 +217,12 @@
     }
 }
 
-fn terms(queue: &str) -> QueueTerms {
+fn terms(queue: &str, is_advised: bool) -> QueueTerms {
+    let advice = AdviceTerms {
+        answer_ms: DurationMs(40),
+        per_worker_ms: DurationMs(3),
+        valid_ms: TICKET_MS,
+    };
     let (priority, stretch, target_ms) = match queue {
         "conflict-check" => (0, 1.5, 250),
         "pass-plan" => (1, 3.0, 1_000),
@@ -222,17 +234,18 @@
         attempts: 3,
         stretch,
         target_latency_ms: DurationMs(target_ms),
+        advice: (is_advised && queue == "pass-plan").then_some(advice),
     }
 }
 
 /// The operators' desired state of every run.
-pub(crate) fn desired(accelerators: u64) -> DesiredState {
+pub(crate) fn desired(accelerators: u64, is_advised: bool) -> DesiredState {
     let names = ["conflict-check", "pass-plan", "orbit-refine"];
     let queues = names.iter().map(|name| {
         let queue = Queue {
             host: "jobs.example".into(),
             path_prefix: format!("/{name}/").into(),
-            terms: terms(name),
+            terms: terms(name, is_advised),
             is_public: false,
         };
         (ClassName::new(name), queue)
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -66,6 +66,14 @@
                 Action::Forget(job_id) => {
                     self.store.jobs.remove(&job_id);
                 }
+                Action::AskAdvice {
+                    step,
+                    workers,
+                    answer_ms,
+                } => {
+                    let event = self.advise(step, workers, answer_ms);
+                    self.after(answer_ms.0 + 2, Happening::Hear { host, term, event });
+                }
                 order => self.send(host, term, order),
             }
         }
--- a/ragwortwick-emulator/src/lib.rs
+++ b/ragwortwick-emulator/src/lib.rs
@@ -3,6 +3,7 @@
 //! It holds a store, workers under leases, a network that loses and delays, and hosts that
 //! coordinate in turn. After each event it checks what must always hold, from what workers see.
 
+mod advisor;
 mod arrivals;
 mod callers;
 mod check;
--- a/ragwortwick-emulator/src/pool.rs
+++ b/ragwortwick-emulator/src/pool.rs
@@ -1,6 +1,6 @@
 //! Workers in the world: orders that arrive, and the runs that they begin.
 
-use ragwortwick_area::{Action, EndKind, Event, OrderReply, TaskId};
+use ragwortwick_area::{Action, EndKind, Event, OrderReply, RefusalCause, TaskId};
 use ragwortwick_core::DurationMs;
 use rand::Rng;
 
@@ -43,6 +43,7 @@
                 payload,
                 checkpoint,
                 lease_until_ms,
+                ticket,
                 ..
             } => {
                 let reply = if is_wrong_life {
@@ -56,6 +57,7 @@
                         &payload,
                         &checkpoint,
                         lease_until_ms,
+                        ticket.as_deref(),
                         is_late,
                     )
                 };
@@ -127,11 +129,15 @@
         payload: &str,
         checkpoint: &str,
         until: u64,
+        ticket: Option<&str>,
         is_late: bool,
     ) -> OrderReply {
         let lease_ms = self.options.limits.lease_ms;
         let admitted = self.workers[index].admit(self.now, term, task, run, until, lease_ms);
         match admitted {
+            Ok(true) if !self.holds_ticket(index, task, ticket) => {
+                return OrderReply::Refused(RefusalCause::NoTicket);
+            }
             Ok(true) => {}
             Ok(false) => {
                 return OrderReply::Accepted {
--- a/ragwortwick-emulator/src/world.rs
+++ b/ragwortwick-emulator/src/world.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::advisor::Advisor;
 use crate::arrivals::{Arrival, Arrivals, Load, desired};
 use crate::check::Truth;
 use crate::faults::Fault;
@@ -75,6 +76,8 @@
     pub in_time: BTreeMap<String, usize>,
     /// Jobs that were owed, by queue.
     pub owed: BTreeMap<String, usize>,
+    /// Starts that were refused for want of a ticket.
+    pub without_ticket: u64,
     /// Core-seconds of work that was stopped or lost.
     pub wasted_core_s: u64,
 }
@@ -138,6 +141,7 @@
     pub(crate) gangs: BTreeMap<GangKey, Gang>,
     pub(crate) truth: Truth,
     pub(crate) desired: Arc<DesiredState>,
+    pub(crate) advisor: Advisor,
     pub(crate) orders_late: bool,
     pub(crate) calm_from: TimeMs,
     pub(crate) last_feed: TimeMs,
@@ -192,7 +196,8 @@
             hosts: (0..3).map(|_| Host::default()).collect(),
             gangs: BTreeMap::new(),
             truth: Truth::default(),
-            desired: Arc::new(desired(accelerators)),
+            desired: Arc::new(desired(accelerators, options.load.is_advised)),
+            advisor: Advisor::default(),
             orders_late: false,
             calm_from: last_fault.max(last_arrival),
             last_feed: TimeMs(0),
@@ -299,6 +304,7 @@
             latencies_ms,
             in_time,
             owed,
+            without_ticket: self.advisor.refused,
             wasted_core_s: self.wasted_core_ms / 1_000,
         }
     }
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -110,3 +110,24 @@
         assert_held(seed, &faults, &report);
     }
 }
+
+/// One queue's jobs run only where an advisor allows them, with a ticket that soon runs out. Hosts
+/// die with their tickets, questions stay unanswered and workers start new lives: every job still
+/// comes to its end, and hardly a start is refused for its ticket.
+#[test]
+fn verify_promises_hold_with_an_advisor() {
+    for seed in 600..612 {
+        let faults = draw_faults(seed, 3, TimeMs(20_000));
+        let options = Options {
+            seed,
+            load: Load {
+                is_advised: true,
+                ..Load::default()
+            },
+            ..Options::default()
+        };
+        let report = World::new(options, faults.clone()).run();
+        assert_held(seed, &faults, &report);
+        assert!(report.without_ticket * 50 <= report.starts, "seed {seed}");
+    }
+}
--- a/ragwortwick-standin/src/area/fleet.rs
+++ b/ragwortwick-standin/src/area/fleet.rs
@@ -83,7 +83,10 @@
             zone: ZoneName::new("z"),
             store_address: self.store.address().to_string(),
             hosts_address: String::new(),
-            settings: Map::new(),
+            settings: Map::from_iter([(
+                "advice_address".to_owned(),
+                json!(self.workers.advice_address()),
+            )]),
         };
         Daemon::spawn_area(&self.binary, self.directory.path(), options).await
     }
@@ -171,7 +174,7 @@
     }
 }
 
-/// A desired state with one queue for the stand-in workers.
+/// A desired state with two queues, one of them with an advisor, for the stand-in workers.
 #[must_use]
 pub fn desired(version: u64) -> Value {
     json!({
@@ -179,7 +182,11 @@
         "Routes": [
             {"Name": "work", "Host": "jobs.example", "Prefix": "/work/", "Type": "non_idempotent",
              "TimeoutMs": 3000, "TargetLatencyMs": 1000, "Priority": 1, "Service": "booking",
-             "Attempts": 3, "Stretch": 3.0, "Public": false}
+             "Attempts": 3, "Stretch": 3.0, "Public": false},
+            {"Name": "advised", "Host": "jobs.example", "Prefix": "/advised/",
+             "Type": "non_idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 1000, "Priority": 1,
+             "Service": "booking", "Attempts": 3, "Stretch": 3.0, "Public": false,
+             "Advice": {"DecideMs": 20, "PerItemMs": 1, "ValidMs": 1500}}
         ],
         "Services": [],
         "Limits": {"MaxBodyBytes": 4096},
--- a/ragwortwick-standin/src/area/mod.rs
+++ b/ragwortwick-standin/src/area/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the users' platform, by its published protocol: its store and its workers.
 
+mod advisor;
 mod fleet;
 mod store;
 mod store_routes;
--- a/ragwortwick-standin/src/area/worker_routes.rs
+++ b/ragwortwick-standin/src/area/worker_routes.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
-use super::workers::{LEASE_MS, OneWorker, Payload, PoolState, RunningTask, StartSeen};
+use super::workers::{LEASE_MS, OneWorker, Payload, PoolState, RunningTask, StartSeen, step_of};
 use crate::now;
 
 /// Largest body.
@@ -117,6 +117,11 @@
         .as_str()
         .and_then(|text| serde_json::from_str(text).ok())
         .unwrap_or_default();
+    if payload.needs_ticket && !holds_ticket(pool, name, &task, body) {
+        pool.without_ticket += 1;
+        return Some("ticket");
+    }
+    let worker = pool.workers.get_mut(name)?;
     let held = RunningTask {
         run,
         payload,
@@ -133,6 +138,13 @@
     None
 }
 
+/// Whether the start carries the advisor's ticket for its worker and step, and that still holds.
+fn holds_ticket(pool: &PoolState, name: &str, task: &str, body: &Value) -> bool {
+    let key = (name.to_owned(), step_of(task));
+    let known = pool.tickets.get(&key);
+    known.is_some_and(|(ticket, until)| body["Ticket"] == ticket.as_str() && now() < *until)
+}
+
 async fn stop(state: &mut State) -> SimpleHandlerResult {
     let (one, body) = match read(state).await {
         Ok(call) => call,
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::advisor;
 use super::store::AreaStore;
 use super::worker_routes;
 use crate::faults::lock;
@@ -33,6 +34,8 @@
     pub(super) work_ms: u64,
     /// Members that have to be there, for a gang.
     pub(super) gang: usize,
+    /// Whether a start needs the advisor's ticket.
+    pub(super) needs_ticket: bool,
 }
 
 impl Default for Payload {
@@ -40,6 +43,7 @@
         Self {
             work_ms: 100,
             gang: 1,
+            needs_ticket: false,
         }
     }
 }
@@ -110,6 +114,10 @@
 pub(super) struct PoolState {
     pub(super) workers: BTreeMap<String, WorkerState>,
     pub(super) starts: Vec<StartSeen>,
+    /// The advisor's tickets by worker and step, and until when they hold.
+    pub(super) tickets: BTreeMap<(String, String), (String, TimeMs)>,
+    /// Starts that were refused for want of a ticket.
+    pub(super) without_ticket: usize,
 }
 
 /// `PoolShared` is what the handlers of all workers reach.
@@ -196,7 +204,7 @@
 }
 
 /// The name of a task's step: the name without its last part.
-fn step_of(task: &str) -> String {
+pub(super) fn step_of(task: &str) -> String {
     task.rsplit_once('.')
         .map_or("", |(step, _)| step)
         .to_owned()
@@ -207,6 +215,7 @@
 pub struct AreaWorkers {
     shared: PoolShared,
     servers: Vec<(String, Server)>,
+    advisor: Server,
     checks: JoinHandle<()>,
 }
 
@@ -242,9 +251,11 @@
                 checked.check();
             }
         });
+        let advisor = advisor::bind(shared.clone()).await?;
         let workers = Self {
             shared,
             servers,
+            advisor,
             checks,
         };
         workers.beat(store);
@@ -277,6 +288,18 @@
         self.shared.with(|pool| pool.starts.clone())
     }
 
+    /// `advice_address` is where the advisor of these workers is asked.
+    #[must_use]
+    pub fn advice_address(&self) -> String {
+        self.advisor.address().to_string()
+    }
+
+    /// `without_ticket` counts the starts that were refused for want of a ticket that holds.
+    #[must_use]
+    pub fn without_ticket(&self) -> usize {
+        self.shared.with(|pool| pool.without_ticket)
+    }
+
     /// `set_silent` makes a worker take calls without an answer.
     pub fn set_silent(&self, number: usize, is_silent: bool) {
         let name = format!("w-{number}");
@@ -291,5 +314,6 @@
     pub fn close(self) {
         self.checks.abort();
         drop(self.servers);
+        drop(self.advisor);
     }
 }
