Describe the emulator's loads as data, and count what callers get of what they are owed

Ruled out: fitting it to a deployment. The log line of a job that is handed in tells its steps in short. The default load draws what it drew: all kept seeds play as before, and pass.

--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -141,6 +141,34 @@
     }
 }
 
+/// Tells in a few characters what decides where a step's tasks go, for log lines.
+impl fmt::Display for StepSpec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Resources {
+            cpu_millis,
+            memory_mb,
+            accelerators,
+        } = self.need;
+        write!(
+            f,
+            "{}x{accelerators}acc/{cpu_millis}m/{memory_mb}MB/{}ms",
+            self.count, self.estimate_ms
+        )?;
+        let flags = [
+            (self.is_gang, "gang"),
+            (self.wants_same_rack, "rack"),
+            (self.saves_checkpoints, "saves"),
+            (self.required_label.is_some(), "label"),
+            (self.data_rack.is_some(), "data"),
+            (self.max_per_worker.is_some(), "apart"),
+            (!self.after.is_empty(), "after"),
+        ];
+        let set = flags.iter().filter(|(is_set, _)| *is_set);
+        set.into_iter()
+            .try_for_each(|(_, name)| write!(f, "+{name}"))
+    }
+}
+
 /// `Schedule` repeats a job's steps at set times.
 #[common(wire)]
 #[derive(Eq)]
@@ -241,6 +269,13 @@
             })
     }
 
+    /// `steps_in_short` describes the steps for log lines.
+    #[must_use]
+    pub fn steps_in_short(&self) -> String {
+        let steps: Vec<String> = self.steps.iter().map(StepSpec::to_string).collect();
+        steps.join(",")
+    }
+
     /// `chain_ms` estimates the longest chain of steps of one occurrence.
     #[must_use]
     pub fn chain_ms(&self) -> DurationMs {
--- a/ragwortwick-daemon/src/area/front.rs
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -205,6 +205,7 @@
         return Refusal::new(StatusCode::BAD_REQUEST, error.field(), text).into_response(state);
     }
     let begun_at = front.clock.now();
+    let steps = record.steps_in_short();
     let outcome = front.writer.accept(record, call.until).await;
     let customer = call.customer.as_str();
     let counted = front
@@ -221,7 +222,8 @@
         job_id = job_id,
         queue = call.queue_name,
         customer = call.customer,
-        outcome = format!("{outcome:?}")
+        outcome = format!("{outcome:?}"),
+        steps = steps
     );
     respond(state, &outcome)
 }
--- a/ragwortwick-emulator/examples/emulate.rs
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -54,13 +54,12 @@
     let (mut starts, mut stopped, mut jobs, mut without_ticket) = (0, 0, 0, 0);
     for seed in first..first + seeds {
         let share = f64::from(u32::try_from(percent).unwrap_or(100)) / 100.0;
-        let usual = Load::default();
         let options = Options {
             seed,
-            load: Load {
-                is_advised,
-                per_s: usual.per_s.map(|per_s| per_s * share),
-                ..usual
+            load: if is_advised {
+                Load::default().scaled(share).advised()
+            } else {
+                Load::default().scaled(share)
             },
             workers: u32::try_from(workers).unwrap_or(24),
             limits: Limits {
--- a/ragwortwick-emulator/src/check.rs
+++ b/ragwortwick-emulator/src/check.rs
@@ -24,6 +24,16 @@
     pub(crate) starts: u64,
     pub(crate) stopped: u64,
     pub(crate) lapsed: u64,
+    pub(crate) by_job: BTreeMap<JobId, Tally>,
+}
+
+/// `Tally` is what befell the runs of one job.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) first_start: Option<TimeMs>,
+    pub(crate) stopped: u32,
+    pub(crate) failed: u32,
+    pub(crate) lapsed: u32,
 }
 
 /// `StartSeen` is a run that a worker begins.
@@ -60,6 +70,8 @@
 
     pub(crate) fn started(&mut self, seen: &StartSeen<'_>) {
         self.starts += 1;
+        let tally = self.by_job.entry(seen.task.job_id.clone()).or_default();
+        tally.first_start.get_or_insert(seen.now);
         let (task, run, worker) = (seen.task, seen.run, seen.worker);
         let mut problems: Vec<String> = Vec::new();
         if !seen.others.is_empty() {
@@ -115,6 +127,13 @@
     }
 
     pub(crate) fn ended(&mut self, task: &TaskId, kind: EndKind) {
+        let tally = self.by_job.entry(task.job_id.clone()).or_default();
+        match kind {
+            EndKind::Stopped => tally.stopped += 1,
+            EndKind::Failed => tally.failed += 1,
+            EndKind::LeaseExpired => tally.lapsed += 1,
+            EndKind::Done | EndKind::GangBroken | EndKind::GangIncomplete => {}
+        }
         match kind {
             EndKind::Done => {
                 self.done.insert(task.clone());
--- a/ragwortwick-emulator/src/faults.rs
+++ b/ragwortwick-emulator/src/faults.rs
@@ -3,9 +3,11 @@
 use ragwortwick_core::{DurationMs, TimeMs};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 
 /// `FaultKind` is one kind of trouble.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum FaultKind {
     /// The coordinator's process is killed.
     CoordinatorKilled,
@@ -31,9 +33,11 @@
     WorkersSlow,
     /// Some workers fail everything that they start.
     WorkersFailing,
+    /// What runs on some workers stands still; loads name it, it is not drawn.
+    WorkersHang,
 }
 
-/// All kinds, for drawing.
+/// The kinds that are drawn.
 const KINDS: [FaultKind; 12] = [
     FaultKind::CoordinatorKilled,
     FaultKind::CoordinatorFrozen,
@@ -50,7 +54,8 @@
 ];
 
 /// `Fault` is one trouble with its time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Fault {
     /// What happens.
     pub kind: FaultKind,
--- a/ragwortwick-emulator/src/pool.rs
+++ b/ragwortwick-emulator/src/pool.rs
@@ -5,8 +5,8 @@
 use rand::Rng;
 
 use crate::check::StartSeen;
-use crate::worker::{Attempt, EmuWorker};
-use crate::world::World;
+use crate::worker::{Attempt, EmuWorker, read_checkpoint};
+use crate::world::{Happening, World};
 
 impl World {
     pub(crate) fn deliver(
@@ -75,12 +75,10 @@
                     OrderReply::WrongLife
                 } else {
                     let reply = self.workers[index].stop(self.now, term, &task, run);
-                    let is_there = self.workers[index]
-                        .running
-                        .get(&task)
-                        .is_some_and(|held| held.run <= run);
-                    if matches!(reply, OrderReply::Accepted { .. }) && is_there {
-                        self.end(index, &task, EndKind::Stopped);
+                    let there = self.workers[index].running.get(&task);
+                    let there = there.map(|held| held.run).filter(|&held| held <= run);
+                    if let (OrderReply::Accepted { .. }, Some(there)) = (reply, there) {
+                        self.after_stop(index, &task, there);
                     }
                     reply
                 };
@@ -116,6 +114,15 @@
         }
     }
 
+    fn after_stop(&mut self, index: usize, task: &TaskId, run: u32) {
+        let stop_ms = self.options.load.stop_ms;
+        if stop_ms == 0 {
+            self.end(index, task, EndKind::Stopped);
+        } else {
+            self.after(stop_ms, Happening::Stopped(index, task.clone(), run));
+        }
+    }
+
     #[expect(
         clippy::too_many_arguments,
         reason = "an order to start is made of just these parts"
@@ -149,25 +156,39 @@
         self.judge_start(index, task, run, payload, checkpoint, is_late);
         let arrival = &self.arrivals[self.by_job[&task.job_id]];
         let spec = &arrival.record.steps[task.step as usize];
-        let mut work_ms = arrival.work_ms[task.step as usize].0 * self.workers[index].slowness;
-        if spec
+        let is_far = spec
             .data_rack
             .as_ref()
-            .is_some_and(|rack| rack.as_str() != self.workers[index].rack)
-        {
-            work_ms *= 3;
-        }
+            .is_some_and(|rack| rack.as_str() != self.workers[index].rack);
+        let far = if is_far { 3.0 } else { 1.0 };
         let failing = arrival.failing;
         let will_fail = self.workers[index].is_failing || self.rng.random_bool(failing);
         let is_gang = spec.is_gang;
-        let held = Attempt {
+        let saving = self.workers[index].saving;
+        let (_, saved_ms) = read_checkpoint(checkpoint);
+        let work_ms = arrival.work_ms[task.step as usize];
+        let mut held = Attempt {
             run,
             need: spec.need,
             started_at: self.now,
-            ends_at: (!is_gang).then(|| self.now + DurationMs(work_ms)),
+            work_ms,
+            brought_ms: if saving.is_restored {
+                saved_ms.min(work_ms)
+            } else {
+                DurationMs(0)
+            },
+            factor: 0.0,
+            span: None,
             will_fail,
             saves: spec.saves_checkpoints,
         };
+        if !is_gang {
+            let factor = self.workers[index].factor() * far;
+            held.begin(self.now, factor, saving.restore_ms);
+            if self.workers[index].is_hung {
+                held.pause(self.now);
+            }
+        }
         self.workers[index].running.insert(task.clone(), held);
         if is_gang {
             self.join_gang(index, task, run, will_fail);
@@ -248,7 +269,7 @@
             max_per_worker: spec.max_per_worker,
             attempts: record.terms.attempts,
             is_payload_right: *record.payload == *payload,
-            is_checkpoint_right: checkpoint.is_empty() || checkpoint == expected,
+            is_checkpoint_right: checkpoint.is_empty() || read_checkpoint(checkpoint).0 == expected,
         };
         self.truth.started(&seen);
     }
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -7,6 +7,7 @@
 
 use crate::worker::WaitingLook;
 use crate::world::{GangKey, Happening, World};
+use crate::worth::WasteCause;
 
 impl World {
     pub(crate) fn join_gang(&mut self, index: usize, task: &TaskId, run: u32, will_fail: bool) {
@@ -30,23 +31,23 @@
             .map(|(id, &at)| (id.clone(), at))
             .collect();
         let will_fail = gang.will_fail;
-        let slowest = members
-            .iter()
-            .map(|(_, at)| self.workers[*at].slowness)
-            .max();
         let racks: BTreeSet<&str> = members
             .iter()
             .map(|(_, at)| self.workers[*at].rack.as_str())
             .collect();
         let far = if spec.wants_same_rack && racks.len() > 1 {
-            3
+            3.0
         } else {
-            1
+            1.0
         };
-        let work_ms = arrival.work_ms[task.step as usize].0 * slowest.unwrap_or(1) * far;
         for (position, (id, at)) in members.iter().enumerate() {
+            let worker = &self.workers[*at];
+            let (factor, is_hung, saving) = (worker.factor() * far, worker.is_hung, worker.saving);
             if let Some(held) = self.workers[*at].running.get_mut(id) {
-                held.ends_at = Some(now + DurationMs(work_ms));
+                held.begin(now, factor, saving.restore_ms);
+                if is_hung {
+                    held.pause(now);
+                }
                 held.will_fail = will_fail && position == 0;
             }
         }
@@ -79,6 +80,34 @@
         }
     }
 
+    /// Lets what runs on some workers stand still, or go on.
+    pub(crate) fn hang(&mut self, hung: &[usize], is_on: bool) {
+        for &index in hung {
+            self.workers[index].is_hung = is_on;
+        }
+        let now = self.now;
+        for &index in hung {
+            for run in self.workers[index].running.values_mut() {
+                if is_on && run.span.is_some() {
+                    run.pause(now);
+                } else if !is_on {
+                    run.go_on(now);
+                }
+            }
+        }
+    }
+
+    /// Whether all members of a gang have done their work; they end together.
+    fn is_gang_done(&self, key: &GangKey) -> bool {
+        let Some(gang) = self.gangs.get(key) else {
+            return true;
+        };
+        gang.members.iter().all(|(task, &at)| {
+            let run = self.workers[at].running.get(task);
+            run.is_some_and(|run| run.is_done(self.now))
+        })
+    }
+
     /// Ends a run on a worker, and with it what depends on it.
     pub(crate) fn end(&mut self, index: usize, task: &TaskId, kind: EndKind) {
         let Some(run) = self.workers[index].end(self.now, task, kind) else {
@@ -86,13 +115,15 @@
         };
         self.truth.ended(task, kind);
         if kind != EndKind::Done {
-            let spent_ms = self.now.since(run.started_at).0;
-            let lost_ms = if run.saves {
-                spent_ms.min(500)
-            } else {
-                spent_ms
-            };
-            self.wasted_core_ms += lost_ms * run.need.core_equivalents();
+            let lost_ms = run.unsaved_ms(self.now, kind, &self.workers[index].saving);
+            let is_cancelled = self
+                .store
+                .jobs
+                .get(&task.job_id)
+                .is_some_and(|job| job.cancelled_at.is_some());
+            let why = WasteCause::of(kind, is_cancelled);
+            let wasted = lost_ms * run.need.core_equivalents();
+            *self.wasted_core_ms.entry(why).or_insert(0) += wasted;
         }
         let key = (task.job_id.clone(), task.occurrence, task.step, run.run);
         if kind != EndKind::GangIncomplete
@@ -186,7 +217,10 @@
         let due: Vec<(TaskId, bool)> = self.workers[index]
             .running
             .iter()
-            .filter(|(_, run)| run.ends_at.is_some_and(|at| self.now >= at))
+            .filter(|(task, run)| {
+                let key = (task.job_id.clone(), task.occurrence, task.step, run.run);
+                run.is_done(self.now) && self.is_gang_done(&key)
+            })
             .map(|(task, run)| (task.clone(), run.will_fail))
             .collect();
         for (task, will_fail) in due {
--- a/ragwortwick-emulator/src/troubles.rs
+++ b/ragwortwick-emulator/src/troubles.rs
@@ -82,6 +82,7 @@
                     self.workers[at].slowness = if is_on { 5 } else { 1 };
                 }
             }
+            FaultKind::WorkersHang => self.hang(&few, is_on),
             FaultKind::WorkersFailing => {
                 for at in few {
                     self.workers[at].is_failing = is_on;
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -8,18 +8,95 @@
 };
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
+use crate::arrivals::{as_float, whole};
+
 /// `Attempt` is one run in progress.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) run: u32,
     pub(crate) need: Resources,
     pub(crate) started_at: TimeMs,
-    /// When its work is done; none while a gang waits for members.
-    pub(crate) ends_at: Option<TimeMs>,
+    /// Its work at normal speed, and how much of that was done before the present span.
+    pub(crate) work_ms: DurationMs,
+    pub(crate) brought_ms: DurationMs,
+    /// How many times as long as at normal speed it takes.
+    pub(crate) factor: f64,
+    /// When the work began or went on, and when it is done; none while it stands still.
+    pub(crate) span: Option<(TimeMs, TimeMs)>,
     pub(crate) will_fail: bool,
     pub(crate) saves: bool,
 }
 
+impl Attempt {
+    /// Lets the work begin; it takes `factor` times as long as at normal speed.
+    pub(crate) fn begin(&mut self, now: TimeMs, factor: f64, restore_ms: DurationMs) {
+        let rest = as_float(self.work_ms.0.saturating_sub(self.brought_ms.0)) * factor;
+        let restore_ms = if self.brought_ms.0 > 0 {
+            restore_ms.0
+        } else {
+            0
+        };
+        self.factor = factor;
+        self.span = Some((now, now + DurationMs(whole(rest) + restore_ms)));
+    }
+
+    /// Lets the work stand still.
+    pub(crate) fn pause(&mut self, now: TimeMs) {
+        self.brought_ms = DurationMs(self.done_ms(now));
+        self.span = None;
+    }
+
+    /// Lets work that stood still go on.
+    pub(crate) fn go_on(&mut self, now: TimeMs) {
+        if self.span.is_none() && self.factor > 0.0 {
+            self.begin(now, self.factor, DurationMs(0));
+        }
+    }
+
+    pub(crate) fn is_done(&self, now: TimeMs) -> bool {
+        self.span.is_some_and(|(_, ends)| now >= ends)
+    }
+
+    /// Work that is done, at normal speed.
+    fn done_ms(&self, now: TimeMs) -> u64 {
+        let Some((began, ends)) = self.span else {
+            return self.brought_ms.0;
+        };
+        let span = ends.since(began).0.max(1);
+        let rest = self.work_ms.0.saturating_sub(self.brought_ms.0);
+        self.brought_ms.0 + rest * now.since(began).0.min(span) / span
+    }
+
+    /// Time spent on work that a run which ends now leaves unsaved.
+    pub(crate) fn unsaved_ms(&self, now: TimeMs, kind: EndKind, saving: &Saving) -> u64 {
+        let spent_ms = now.since(self.started_at).0;
+        if !self.saves {
+            spent_ms
+        } else if saving.is_restored && kind == EndKind::Stopped {
+            0
+        } else {
+            spent_ms.min(saving.every_ms.0)
+        }
+    }
+}
+
+/// `Saving` tells how the worker saves and restores progress.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Saving {
+    /// Whether a start from a checkpoint leaves out what was saved.
+    pub(crate) is_restored: bool,
+    /// Work between two checkpoints.
+    pub(crate) every_ms: DurationMs,
+    /// Time that resuming takes.
+    pub(crate) restore_ms: DurationMs,
+}
+
+impl Saving {
+    fn last_saved_ms(&self, done_ms: u64) -> u64 {
+        done_ms - done_ms % self.every_ms.0.max(1)
+    }
+}
+
 /// `EmuWorker` is one worker with its present life.
 #[derive(Clone, Debug)]
 pub(crate) struct EmuWorker {
@@ -33,8 +110,11 @@
     pub(crate) is_up: bool,
     pub(crate) draining_since: Option<TimeMs>,
     pub(crate) leaves_at: Option<TimeMs>,
-    pub(crate) slowness: u64,
+    pub(crate) slowness: u32,
+    pub(crate) speed_percent: u32,
+    pub(crate) saving: Saving,
     pub(crate) is_failing: bool,
+    pub(crate) is_hung: bool,
     pub(crate) token: u64,
     /// When the lease of everything ends, on the worker's clock.
     lease_until: u64,
@@ -59,7 +139,14 @@
 }
 
 impl EmuWorker {
-    pub(crate) fn new(number: u64, rack: u32, label: &'static str, capacity: Resources) -> Self {
+    pub(crate) fn new(
+        number: u64,
+        rack: u32,
+        label: &'static str,
+        capacity: Resources,
+        speed_percent: u32,
+        saving: Saving,
+    ) -> Self {
         Self {
             name: WorkerName::new(format!("w{number}-0")),
             life: 0,
@@ -71,7 +158,10 @@
             draining_since: None,
             leaves_at: None,
             slowness: 1,
+            speed_percent,
+            saving,
             is_failing: false,
+            is_hung: false,
             token: 0,
             lease_until: 0,
             lapsed_to: 0,
@@ -180,12 +270,17 @@
         let run = self.running.remove(task)?;
         let over = self.over.entry(task.clone()).or_insert(0);
         *over = (*over).max(run.run);
+        let saved_ms = if kind == EndKind::Stopped {
+            run.done_ms(now)
+        } else {
+            self.saving.last_saved_ms(run.done_ms(now))
+        };
         self.ended.push(EndedTask {
             number: self.next_end,
             task: task.clone(),
             run: run.run,
             kind,
-            checkpoint: checkpoint(task, &run, now),
+            checkpoint: checkpoint(task, &run, saved_ms),
         });
         self.next_end += 1;
         Some(run)
@@ -236,7 +331,10 @@
                 .map(|(task, run)| RunningTask {
                     task: task.clone(),
                     run: run.run,
-                    checkpoint: checkpoint(task, run, now),
+                    checkpoint: {
+                        let saved_ms = self.saving.last_saved_ms(run.done_ms(now));
+                        checkpoint(task, run, saved_ms)
+                    },
                     percent: percent(run, now),
                     load: 0,
                 })
@@ -245,6 +343,11 @@
         }
     }
 
+    /// How many times as long as at normal speed work takes here.
+    pub(crate) fn factor(&self) -> f64 {
+        f64::from(self.slowness) * 100.0 / f64::from(self.speed_percent.max(1))
+    }
+
     pub(crate) fn used(&self) -> Resources {
         self.running
             .values()
@@ -252,17 +355,25 @@
     }
 }
 
-/// A checkpoint names its step, so that a foreign one is noticed.
-fn checkpoint(task: &TaskId, run: &Attempt, now: TimeMs) -> Arc<str> {
-    let saved = now.since(run.started_at).0 / 500;
-    if !run.saves || saved == 0 {
+/// A checkpoint names its step, so that a foreign one is noticed, and the work that it saves.
+fn checkpoint(task: &TaskId, run: &Attempt, saved_ms: u64) -> Arc<str> {
+    if !run.saves || saved_ms == 0 {
         return "".into();
     }
-    format!("{}.{}.{}", task.job_id, task.occurrence, task.step).into()
+    format!(
+        "{}.{}.{}/{saved_ms}",
+        task.job_id, task.occurrence, task.step
+    )
+    .into()
+}
+
+/// The step that a checkpoint names, and the work that it saves.
+pub(crate) fn read_checkpoint(text: &str) -> (&str, DurationMs) {
+    let (step, saved) = text.split_once('/').unwrap_or((text, ""));
+    (step, DurationMs(saved.parse().unwrap_or(0)))
 }
 
 fn percent(run: &Attempt, now: TimeMs) -> u32 {
-    let Some(ends_at) = run.ends_at else { return 0 };
-    let whole = ends_at.since(run.started_at).0.max(1);
-    u32::try_from(now.since(run.started_at).0 * 100 / whole).unwrap_or(100)
+    let percent = run.done_ms(now) * 100 / run.work_ms.0.max(1);
+    u32::try_from(percent).unwrap_or(100)
 }
--- a/ragwortwick-emulator/src/world.rs
+++ b/ragwortwick-emulator/src/world.rs
@@ -5,19 +5,21 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Action, DesiredState, Event, JobPhase, Limits, Resources, StoredProgress, TaskId,
+    Action, DesiredState, EndKind, Event, JobPhase, Limits, StoredProgress, TaskId,
 };
 use ragwortwick_core::{DurationMs, JobId, TimeMs};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use crate::advisor::Advisor;
-use crate::arrivals::{Arrival, Arrivals, Load, desired};
+use crate::arrivals::{Arrival, Arrivals, desired};
 use crate::check::Truth;
 use crate::faults::Fault;
 use crate::host::Host;
+use crate::load::Load;
 use crate::store::{Store, StoredJob};
-use crate::worker::EmuWorker;
+use crate::worker::{EmuWorker, Saving};
+use crate::worth::{Scale, Seen, WasteCause, Worth};
 
 /// How often leases, gangs, elections and feeds are looked after.
 pub(crate) const TICK_MS: DurationMs = DurationMs(20);
@@ -33,7 +35,7 @@
 pub struct Options {
     /// Seed of everything that is drawn.
     pub seed: u64,
-    /// Workers, of eight accelerators each.
+    /// Number of workers.
     pub workers: u32,
     /// Workers in a rack.
     pub rack: u32,
@@ -78,8 +80,10 @@
     pub owed: BTreeMap<String, usize>,
     /// Starts that were refused for want of a ticket.
     pub without_ticket: u64,
-    /// Core-seconds of work that was stopped or lost.
-    pub wasted_core_s: u64,
+    /// Core-seconds of work that was stopped or lost, by why.
+    pub wasted_core_s: BTreeMap<WasteCause, u64>,
+    /// What callers got of jobs without set times that were not cancelled and could be done.
+    pub worth: Worth,
 }
 
 #[derive(Debug)]
@@ -90,6 +94,8 @@
     Begin(usize),
     Finish(usize),
     Wakeup(usize, u64),
+    /// A run that was told to stop ends: worker, task, run.
+    Stopped(usize, TaskId, u32),
     /// An order reaches a worker.
     Deliver {
         host: usize,
@@ -147,28 +153,32 @@
     pub(crate) last_feed: TimeMs,
     pub(crate) last_renewal: TimeMs,
     pub(crate) completed_at: BTreeMap<JobId, TimeMs>,
-    pub(crate) wasted_core_ms: u64,
+    pub(crate) wasted_core_ms: BTreeMap<WasteCause, u64>,
 }
 
 impl World {
     /// `new` draws a world.
     #[must_use]
-    pub fn new(options: Options, faults: Vec<Fault>) -> Self {
+    pub fn new(options: Options, mut faults: Vec<Fault>) -> Self {
+        faults.extend(&options.load.faults);
         let racks = options.workers.div_ceil(options.rack.max(1));
         let arrivals = Arrivals::draw(options.seed, &options.load, racks).jobs;
+        let saving = Saving {
+            is_restored: options.load.restores,
+            every_ms: options.limits.checkpoint_ms,
+            restore_ms: options.limits.restore_ms,
+        };
         let workers: Vec<EmuWorker> = (0..options.workers)
             .map(|number| {
                 let label = if number % 3 == 0 { "b" } else { "a" };
-                let capacity = Resources {
-                    cpu_millis: 32_000,
-                    memory_mb: 65_536,
-                    accelerators: 8,
-                };
+                let speeds = &options.load.speeds_percent;
                 EmuWorker::new(
                     u64::from(number),
                     number / options.rack.max(1),
                     label,
-                    capacity,
+                    options.load.capacity,
+                    speeds[number as usize % speeds.len()],
+                    saving,
                 )
             })
             .collect();
@@ -183,7 +193,7 @@
             .max()
             .unwrap_or_default();
         let last_arrival = arrivals.last().map(|job| job.at).unwrap_or_default();
-        let accelerators = u64::from(options.workers) * 8;
+        let accelerators = u64::from(options.workers) * options.load.capacity.accelerators;
         let mut world = Self {
             now: TimeMs(0),
             rng: Pcg64Mcg::seed_from_u64(options.seed ^ 0x9e37),
@@ -196,14 +206,14 @@
             hosts: (0..3).map(|_| Host::default()).collect(),
             gangs: BTreeMap::new(),
             truth: Truth::default(),
-            desired: Arc::new(desired(accelerators, options.load.is_advised)),
+            desired: Arc::new(desired(&options.load, accelerators)),
             advisor: Advisor::default(),
             orders_late: false,
             calm_from: last_fault.max(last_arrival),
             last_feed: TimeMs(0),
             last_renewal: TimeMs(0),
             completed_at: BTreeMap::new(),
-            wasted_core_ms: 0,
+            wasted_core_ms: BTreeMap::new(),
             arrivals,
             faults,
             options,
@@ -270,6 +280,9 @@
         let mut latencies_ms: BTreeMap<String, Vec<u64>> = BTreeMap::new();
         let mut in_time: BTreeMap<String, usize> = BTreeMap::new();
         let mut owed: BTreeMap<String, usize> = BTreeMap::new();
+        let mut worth = Worth::default();
+        let arrived = self.arrivals.iter().map(|arrival| &*arrival.record);
+        let scale = Scale::of(&self.options.load, arrived);
         let jobs: Vec<StoredJob> = self.store.jobs.values().cloned().collect();
         for job in &jobs {
             let phase = job.progress.as_ref().map_or(JobPhase::Queued, |p| p.phase);
@@ -282,15 +295,29 @@
             }
             let queue = job.record.queue.as_str().to_owned();
             *owed.entry(queue.clone()).or_insert(0) += 1;
-            let Some(done_at) = self.completed_at.get(job_id) else {
+            let done_at = self.completed_at.get(job_id);
+            let latency_ms = done_at.map(|at| at.since(job.record.accepted_unix_ms).0);
+            let objective_ms = self.objective_ms(job_id);
+            if !self.is_hopeless(job_id) {
+                let tally = self.truth.by_job.get(job_id).copied().unwrap_or_default();
+                let accepted_at = job.record.accepted_unix_ms;
+                let seen = Seen {
+                    objective_ms,
+                    chain_ms: self.chain_ms(job_id),
+                    first_start_ms: tally.first_start.map(|at| at.since(accepted_at).0),
+                    latency_ms,
+                    tally,
+                };
+                worth.count(&scale, &job.record, &seen);
+            }
+            let Some(latency_ms) = latency_ms else {
                 continue;
             };
-            let latency_ms = done_at.since(job.record.accepted_unix_ms).0;
             latencies_ms
                 .entry(queue.clone())
                 .or_default()
                 .push(latency_ms);
-            if latency_ms <= self.objective_ms(job_id) {
+            if latency_ms <= objective_ms {
                 *in_time.entry(queue).or_insert(0) += 1;
             }
         }
@@ -305,17 +332,31 @@
             in_time,
             owed,
             without_ticket: self.advisor.refused,
-            wasted_core_s: self.wasted_core_ms / 1_000,
+            wasted_core_s: self
+                .wasted_core_ms
+                .iter()
+                .map(|(&cause, &ms)| (cause, ms / 1_000))
+                .collect(),
+            worth,
         }
     }
 
+    /// Whether every run of the job fails, so that nobody can do it.
+    fn is_hopeless(&self, job_id: &JobId) -> bool {
+        self.arrivals[self.by_job[job_id]].failing >= 1.0
+    }
+
     /// The objective by the true work, as callers feel it.
     pub(crate) fn objective_ms(&self, job_id: &JobId) -> u64 {
+        let terms = &self.arrivals[self.by_job[job_id]].record.terms;
+        let chain_ms = crate::arrivals::as_float(self.chain_ms(job_id));
+        crate::arrivals::whole(chain_ms * terms.stretch) + terms.target_latency_ms.0
+    }
+
+    /// True duration of all steps, each of which waits for the one before.
+    fn chain_ms(&self, job_id: &JobId) -> u64 {
         let arrival = &self.arrivals[self.by_job[job_id]];
-        let chain: u64 = arrival.work_ms.iter().map(|span| span.0).sum();
-        let terms = &arrival.record.terms;
-        crate::arrivals::whole(crate::arrivals::as_float(chain) * terms.stretch)
-            + terms.target_latency_ms.0
+        arrival.work_ms.iter().map(|span| span.0).sum()
     }
 
     fn happen(&mut self, happening: Happening) {
@@ -329,6 +370,9 @@
             Happening::Begin(index) => self.set_fault(index, true),
             Happening::Finish(index) => self.set_fault(index, false),
             Happening::Wakeup(host, term) => self.wake(host, term),
+            Happening::Stopped(index, task, run) => {
+                self.end_if(index, &task, run, EndKind::Stopped);
+            }
             Happening::Deliver {
                 host,
                 term,
--- /dev/null
+++ b/ragwortwick-emulator/src/worth.rs
@@ -0,0 +1,236 @@
+//! What callers get of what they are owed, by queue and by customer.
+
+use std::collections::BTreeMap;
+
+use ragwortwick_area::{EndKind, JobRecord, StepSpec};
+use serde::{Deserialize, Serialize};
+
+use crate::arrivals::as_float;
+use crate::check::Tally;
+use crate::load::{Load, QueueLoad};
+
+/// Up to this many times its objective a job is late; past it, it is worth nothing to its caller.
+const LATE_LIMIT: u64 = 3;
+
+/// `Account` is worth that was owed, and what was earned of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// Worth of all jobs that callers wait for.
+    pub owed: f64,
+    /// Worth of those that they got, by how late.
+    pub earned: f64,
+}
+
+impl Account {
+    /// `share` is what was earned of what was owed; all if nothing was.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        if self.owed > 0.0 {
+            self.earned / self.owed
+        } else {
+            1.0
+        }
+    }
+
+    fn add(&mut self, owed: f64, earned: f64) {
+        self.owed += owed;
+        self.earned += earned;
+    }
+}
+
+/// `LossCause` is the first of the things that befell a job whose worth was lost in part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LossCause {
+    /// A run of it failed.
+    Failed,
+    /// The lease of a run ran out.
+    Lapsed,
+    /// It began in time, and a run of it was stopped.
+    Displaced,
+    /// It began when it could no longer be in time.
+    Waited,
+    /// None of these: it ran slowly, or its later steps waited.
+    Slow,
+}
+
+/// `WasteCause` is why work was thrown away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WasteCause {
+    /// It was stopped for other work, or since its worker was about to leave.
+    Displaced,
+    /// Its caller cancelled it.
+    Cancelled,
+    /// It failed.
+    Failed,
+    /// Another member of its gang failed or ended.
+    Broken,
+    /// Its lease ran out, or its gang never came together.
+    Lapsed,
+}
+
+impl WasteCause {
+    pub(crate) fn of(kind: EndKind, is_cancelled: bool) -> Self {
+        match kind {
+            EndKind::Stopped if is_cancelled => Self::Cancelled,
+            EndKind::Stopped | EndKind::Done => Self::Displaced,
+            EndKind::Failed => Self::Failed,
+            EndKind::GangBroken => Self::Broken,
+            EndKind::LeaseExpired | EndKind::GangIncomplete => Self::Lapsed,
+        }
+    }
+}
+
+/// `Outcome` is what became of one job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// Its queue.
+    pub queue: String,
+    /// Its customer.
+    pub customer: String,
+    /// Its steps in short.
+    pub steps: String,
+    /// What it was worth.
+    pub owed: f64,
+    /// What its caller got of that.
+    pub earned: f64,
+    /// Time from acceptance within which it was to be done.
+    pub objective_ms: u64,
+    /// Time from acceptance to its first start.
+    pub first_start_ms: Option<u64>,
+    /// Time from acceptance to its end.
+    pub latency_ms: Option<u64>,
+    /// Runs that were stopped.
+    pub stopped: u32,
+    /// Why something was lost, if so.
+    pub cause: Option<LossCause>,
+}
+
+/// `Worth` sums what callers got.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Worth {
+    /// All jobs.
+    pub whole: Account,
+    /// By queue.
+    pub by_queue: BTreeMap<String, Account>,
+    /// By customer.
+    pub by_customer: BTreeMap<String, Account>,
+    /// Worth that was lost, by cause.
+    pub lost: BTreeMap<LossCause, f64>,
+    /// Every job.
+    pub outcomes: Vec<Outcome>,
+}
+
+/// `Scale` tells what a job is worth within its objective.
+pub(crate) struct Scale<'a> {
+    load: &'a Load,
+    /// Mean work of a queue's jobs.
+    means: BTreeMap<&'a str, f64>,
+}
+
+impl<'a> Scale<'a> {
+    /// Weighs by the mean work of each queue's jobs that come in.
+    pub(crate) fn of(load: &'a Load, records: impl Iterator<Item = &'a JobRecord>) -> Self {
+        let mut sums: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        for record in records {
+            let sum = sums.entry(record.queue.as_str()).or_default();
+            sum.0 += work(record);
+            sum.1 += 1.0;
+        }
+        let means = sums.into_iter();
+        Self {
+            load,
+            means: means
+                .map(|(name, (sum, count))| (name, sum / count))
+                .collect(),
+        }
+    }
+
+    fn queue(&self, record: &JobRecord) -> Option<&QueueLoad> {
+        let name = record.queue.as_str();
+        self.load.queues.iter().find(|queue| queue.name == name)
+    }
+
+    /// Large jobs are worth more, at seven tenths of their work and up to four times the mean.
+    fn size(&self, record: &JobRecord) -> f64 {
+        let mean = self.means.get(record.queue.as_str()).copied();
+        (0.3 + 0.7 * work(record) / mean.unwrap_or(1.0).max(f64::MIN_POSITIVE)).min(4.0)
+    }
+}
+
+impl Worth {
+    /// Takes in one job that its caller waited for.
+    pub(crate) fn count(&mut self, scale: &Scale<'_>, record: &JobRecord, seen: &Seen) {
+        let Some(queue) = scale.queue(record) else {
+            return;
+        };
+        let size = scale.size(record);
+        let earned = match seen.latency_ms {
+            Some(latency_ms) if latency_ms <= seen.objective_ms => queue.weight,
+            Some(latency_ms) if latency_ms <= seen.objective_ms * LATE_LIMIT => queue.late_weight,
+            _ => 0.0,
+        };
+        let (owed, earned) = (queue.weight * size, earned * size);
+        self.whole.add(owed, earned);
+        let of_queue = self.by_queue.entry(queue.name.clone()).or_default();
+        of_queue.add(owed, earned);
+        let customer = record.customer.as_str().to_owned();
+        let of_customer = self.by_customer.entry(customer.clone()).or_default();
+        of_customer.add(owed, earned);
+        let cause = (earned < owed).then(|| seen.cause());
+        if let Some(cause) = cause {
+            *self.lost.entry(cause).or_insert(0.0) += owed - earned;
+        }
+        self.outcomes.push(Outcome {
+            queue: queue.name.clone(),
+            customer,
+            steps: record.steps_in_short(),
+            owed,
+            earned,
+            objective_ms: seen.objective_ms,
+            first_start_ms: seen.first_start_ms,
+            latency_ms: seen.latency_ms,
+            stopped: seen.tally.stopped,
+            cause,
+        });
+    }
+}
+
+/// `Seen` is what the world saw of one job; spans count from its acceptance.
+pub(crate) struct Seen {
+    pub(crate) objective_ms: u64,
+    /// Duration of its longest chain of steps.
+    pub(crate) chain_ms: u64,
+    pub(crate) first_start_ms: Option<u64>,
+    pub(crate) latency_ms: Option<u64>,
+    pub(crate) tally: Tally,
+}
+
+impl Seen {
+    fn cause(&self) -> LossCause {
+        let begins_in_time = self
+            .first_start_ms
+            .is_some_and(|at| at + self.chain_ms <= self.objective_ms);
+        if self.tally.failed > 0 {
+            LossCause::Failed
+        } else if self.tally.lapsed > 0 {
+            LossCause::Lapsed
+        } else if !begins_in_time {
+            LossCause::Waited
+        } else if self.tally.stopped > 0 {
+            LossCause::Displaced
+        } else {
+            LossCause::Slow
+        }
+    }
+}
+
+fn work(record: &JobRecord) -> f64 {
+    record.steps.iter().map(step_work).sum()
+}
+
+fn step_work(spec: &StepSpec) -> f64 {
+    let cores = as_float(spec.need.core_equivalents().max(1));
+    cores * as_float(spec.estimate_ms.0) * f64::from(spec.count)
+}
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -100,10 +100,7 @@
                 lease_ms: DurationMs(6_000),
                 ..Limits::default()
             },
-            load: Load {
-                per_s: [1.9, 0.7, 1.0],
-                ..Load::default()
-            },
+            load: Load::default().at_rates(&[1.9, 0.7, 1.0]),
             ..Options::default()
         };
         let report = World::new(options, faults.clone()).run();
@@ -120,10 +117,7 @@
         let faults = draw_faults(seed, 3, TimeMs(20_000));
         let options = Options {
             seed,
-            load: Load {
-                is_advised: true,
-                ..Load::default()
-            },
+            load: Load::default().advised(),
             ..Options::default()
         };
         let report = World::new(options, faults.clone()).run();
@@ -139,7 +133,6 @@
 fn verify_work_goes_on_after_a_cut_that_outlasts_the_leases() {
     for seed in [20_005, 20_076, 20_082, 20_129] {
         let faults = draw_faults(seed, 4, TimeMs(20_000));
-        let usual = Load::default();
         let options = Options {
             seed,
             workers: 48,
@@ -147,10 +140,7 @@
                 lease_ms: DurationMs(6_000),
                 ..Limits::default()
             },
-            load: Load {
-                per_s: usual.per_s.map(|per_s| per_s * 1.8),
-                ..usual
-            },
+            load: Load::default().scaled(1.8),
             ..Options::default()
         };
         let report = World::new(options, faults.clone()).run();
