Weigh what is stopped against what the caller gains, and clear one worker after the other

Change: a run that saves checkpoints costs its restore; workers are cleared one at a time, the cheapest next, by the weight of the stopped callers; others are stopped if the worth of an answer in time outweighs the work thrown away, at the worth of a core-second of all that came in; room goes to the job that it was cleared for. Weights are settings.

--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ragwortwick_core::{CustomerName, JobId, PoolName, TimeMs};
+use ragwortwick_core::{CustomerName, DurationMs, JobId, PoolName, TimeMs};
 
 use crate::coordinator::{Coordinator, Now};
 use crate::job::{JobRecord, StepId};
@@ -19,7 +19,13 @@
     pub(crate) due_at: TimeMs,
     /// Whether the customer's guarantee covers it.
     pub(crate) is_guaranteed: bool,
+    /// When others were stopped for it, if that was a moment ago.
+    pub(crate) cleared_at: Option<TimeMs>,
     pub(crate) density: f64,
+    /// Worth of the whole job if it is in time.
+    pub(crate) worth: f64,
+    /// Whether it can still be of any worth to its caller.
+    pub(crate) has_hope: bool,
     pub(crate) is_in_time: bool,
 }
 
@@ -38,6 +44,11 @@
     }
 }
 
+/// How long a job that others were stopped for goes first: a stop takes a few tenths of a second, and
+/// what it freed went to each later job that was worth more by the second. The job then had others
+/// stopped again, up to four times, and its room stood idle meanwhile.
+const CLEARED_MS: DurationMs = DurationMs(1_500);
+
 impl Coordinator {
     /// All steps that could start now.
     pub(crate) fn candidates(&mut self, now: Now) -> Vec<Candidate> {
@@ -74,13 +85,21 @@
                         priority: terms.priority,
                         due_at,
                         is_guaranteed: false,
+                        cleared_at: None,
                         density: standing.density,
+                        worth: standing.worth,
+                        has_hope: standing.has_hope,
                         is_in_time: standing.is_in_time,
                     });
                 }
             }
         }
         self.next_due_at = next_due;
+        self.cleared_for
+            .retain(|_, at| now.steady.since(*at) <= CLEARED_MS);
+        for candidate in &mut found {
+            candidate.cleared_at = self.cleared_for.get(&candidate.step_id()).copied();
+        }
         self.mark_guaranteed(&mut found);
         found
     }
@@ -143,11 +162,13 @@
     }
 }
 
-/// Guaranteed work first, oldest first; then by worth over the accelerator time still needed.
+/// What others were stopped for first; then guaranteed work, oldest first; then by worth over the accelerator time still needed.
 pub(crate) fn order(candidates: &mut [Candidate]) {
     candidates.sort_by(|a, b| {
-        b.is_guaranteed
-            .cmp(&a.is_guaranteed)
+        let cleared = |candidate: &Candidate| candidate.cleared_at.unwrap_or(TimeMs(u64::MAX));
+        cleared(a)
+            .cmp(&cleared(b))
+            .then_with(|| b.is_guaranteed.cmp(&a.is_guaranteed))
             .then_with(|| {
                 if a.is_guaranteed {
                     a.due_at.cmp(&b.due_at)
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -7,7 +7,7 @@
 
 use crate::advice::Advice;
 use crate::desired::DesiredState;
-use crate::job::{JobRecord, QueueTerms};
+use crate::job::{JobRecord, QueueTerms, StepId};
 use crate::job_state::JobState;
 use crate::limits::Limits;
 use crate::messages::{Action, Event, WorkerEntry};
@@ -100,6 +100,8 @@
     pub(crate) next_due_at: Option<TimeMs>,
     /// Accelerator-seconds and number of the jobs that each queue has brought.
     pub(crate) work_seen: BTreeMap<ClassName, (f64, u32)>,
+    /// Steps for which others were stopped, and when that was.
+    pub(crate) cleared_for: BTreeMap<StepId, TimeMs>,
 }
 
 impl Coordinator {
@@ -135,6 +137,7 @@
             next_chores_at: TimeMs(0),
             next_due_at: None,
             work_seen: BTreeMap::new(),
+            cleared_for: BTreeMap::new(),
         };
         for entry in entries {
             let name = entry.name.clone();
--- a/ragwortwick-area/src/displacement.rs
+++ b/ragwortwick-area/src/displacement.rs
@@ -1,6 +1,9 @@
-//! Which runs have to stop for a job: the set that throws away the least work.
+//! Which runs have to stop for a job: the set whose stop costs the least.
+//!
+//! Answers the load in which small tasks of others lie on all workers when a gang of large ones is owed
+//! its room. Workers are cleared one at a time, the cheapest next. Taking the cheapest runs of the whole
+//! pool first stopped runs on many workers until one of them happened to have room.
 
-use std::collections::BTreeSet;
 use std::ops::Range;
 
 use crate::job::{Resources, StepSpec};
@@ -13,6 +16,7 @@
     /// Slots of the pass.
     pub(crate) places: Vec<usize>,
     pub(crate) waste: f64,
+    cost: f64,
 }
 
 /// Finds a slot for each task, all or none.
@@ -37,7 +41,7 @@
     Some(places)
 }
 
-/// The plan that throws away the least work, over all racks for work that wants one.
+/// The plan that costs the least, over all racks for work that wants one.
 pub(crate) fn cheapest(
     slots: &[Slot],
     spec: &StepSpec,
@@ -48,118 +52,220 @@
     let mut best: Option<Plan> = None;
     if spec.is_gang && spec.wants_same_rack {
         for within in racks(slots) {
-            best = cheaper(best, plan(slots, within, spec, count, bounds, victims));
+            let plan = Clearing::new(slots, within, spec, bounds, victims).plan(count);
+            best = cheaper(best, plan);
         }
     }
     // On several racks the work is slower; that is still better than breaking the guarantee.
-    let relaxed = StepSpec {
-        wants_same_rack: false,
-        ..spec.clone()
-    };
-    best.or_else(|| plan(slots, 0..slots.len(), &relaxed, count, bounds, victims))
+    best.or_else(|| Clearing::new(slots, 0..slots.len(), spec, bounds, victims).plan(count))
 }
 
 fn cheaper(best: Option<Plan>, other: Option<Plan>) -> Option<Plan> {
     match (best, other) {
-        (Some(best), Some(other)) if other.waste < best.waste => Some(other),
+        (Some(best), Some(other)) if other.cost < best.cost => Some(other),
         (None, other) => other,
         (best, _) => best,
     }
 }
 
-/// Plans within a range of the slots alone, so that a rack's plan costs what the rack has, not the pool.
-fn plan(
-    pool: &[Slot],
+/// `Clearing` makes room for the tasks of a step within a range of the slots.
+struct Clearing<'a> {
+    spec: &'a StepSpec,
     within: Range<usize>,
-    spec: &StepSpec,
-    count: usize,
-    bounds: &Bounds,
-    victims: &[Victim],
-) -> Option<Plan> {
-    let mut slots = pool[within.clone()].to_vec();
-    let mut chosen: Vec<&Victim> = Vec::new();
-    let mut places = find(&slots, spec, count, bounds);
-    let mut open_room: u64 = slots.iter().map(|slot| slot.fits(spec)).sum();
-    for victim in victims {
-        if places.is_some() {
-            break;
+    slots: Vec<Slot>,
+    bounds: Bounds,
+    victims: &'a [Victim],
+    /// The victims with something on each slot.
+    on_slot: Vec<Vec<usize>>,
+    is_stopped: Vec<bool>,
+    /// What room for one more task costs on each slot.
+    offers: Vec<Offer>,
+}
+
+/// `Offer` is what a slot offers to one more task.
+#[derive(Clone, Debug)]
+enum Offer {
+    /// The slot has changed since.
+    Unknown,
+    /// No room, whatever stops.
+    Nothing,
+    /// Room once these victims have stopped.
+    Room { stops: Vec<usize>, cost: f64 },
+}
+
+impl<'a> Clearing<'a> {
+    fn new(
+        pool: &[Slot],
+        within: Range<usize>,
+        spec: &'a StepSpec,
+        bounds: &Bounds,
+        victims: &'a [Victim],
+    ) -> Self {
+        let slots = pool[within.clone()].to_vec();
+        let mut on_slot = vec![Vec::new(); slots.len()];
+        for (number, victim) in victims.iter().enumerate() {
+            for (index, _) in &victim.frees {
+                if within.contains(index) {
+                    let on_slot: &mut Vec<usize> = &mut on_slot[index - within.start];
+                    // The members of a gang may lie on one worker.
+                    if on_slot.last() != Some(&number) {
+                        on_slot.push(number);
+                    }
+                }
+            }
         }
-        if !victim.frees.iter().any(|(index, _)| within.contains(index)) {
-            continue;
+        Self {
+            spec,
+            bounds: bounds.clone(),
+            is_stopped: vec![false; victims.len()],
+            offers: vec![Offer::Unknown; slots.len()],
+            within,
+            slots,
+            victims,
+            on_slot,
+        }
+    }
+
+    fn plan(mut self, count: usize) -> Option<Plan> {
+        let mut places = Vec::with_capacity(count);
+        for _ in 0..count {
+            let index = self.cheapest_slot()?;
+            let offer = std::mem::replace(&mut self.offers[index], Offer::Unknown);
+            if let Offer::Room { stops, .. } = offer {
+                for victim in stops {
+                    self.stop(victim);
+                }
+            }
+            let slot = &mut self.slots[index];
+            slot.free = slot.free.minus(self.spec.reserved());
+            self.bounds.take(&slot.worker);
+            places.push(self.within.start + index);
+        }
+        let stopped = self.victims.iter().zip(&self.is_stopped);
+        let stopped: Vec<Victim> = stopped
+            .filter(|(_, is_stopped)| **is_stopped)
+            .map(|(victim, _)| victim.clone())
+            .collect();
+        Some(Plan {
+            waste: stopped.iter().map(|victim| victim.waste).sum(),
+            cost: stopped.iter().map(|victim| victim.cost).sum(),
+            stopped,
+            places,
+        })
+    }
+
+    /// The slot that offers room at the least cost, among equals the fullest.
+    fn cheapest_slot(&mut self) -> Option<usize> {
+        for index in 0..self.slots.len() {
+            if matches!(self.offers[index], Offer::Unknown) {
+                self.offers[index] = self.offer(index);
+            }
         }
-        for_each_freed(&mut slots, &within, victim, |slot, need| {
-            open_room -= slot.fits(spec);
-            slot.free = slot.free.plus(need);
-            open_room += slot.fits(spec);
+        let rank = |index: usize, cost: f64| {
+            let slot = &self.slots[index];
+            (cost, slot.doubt, slot.free.accelerators)
+        };
+        let offers = self.offers.iter().enumerate();
+        let rooms = offers.filter_map(|(index, offer)| match offer {
+            Offer::Room { cost, .. } => Some((index, rank(index, *cost))),
+            Offer::Unknown | Offer::Nothing => None,
+        });
+        let best = rooms.min_by(|(_, a), (_, b)| {
+            let by_cost = a.0.total_cmp(&b.0);
+            by_cost.then_with(|| (a.1, a.2).cmp(&(b.1, b.2)))
         });
-        chosen.push(victim);
-        // Packing is tried only once the room could be enough at all.
-        if open_room >= count as u64 {
-            places = find(&slots, spec, count, bounds);
+        best.map(|(index, _)| index)
+    }
+
+    /// The cheapest victims that leave room for one more task on a slot.
+    fn offer(&self, index: usize) -> Offer {
+        let mut slot = self.slots[index].clone();
+        let has_room = |slot: &Slot| slot.room(self.spec, &self.bounds) > 0;
+        let mut stops: Vec<usize> = Vec::new();
+        if !has_room(&slot) {
+            let mut victims: Vec<usize> = self.on_slot[index]
+                .iter()
+                .copied()
+                .filter(|&victim| !self.is_stopped[victim])
+                .collect();
+            victims.sort_by(|&a, &b| {
+                let price = |victim: usize| {
+                    self.victims[victim].cost / share(self.freed_on(victim, index), self.spec)
+                };
+                price(a).total_cmp(&price(b))
+            });
+            for victim in victims {
+                slot.free = slot.free.plus(self.freed_on(victim, index));
+                stops.push(victim);
+                if has_room(&slot) {
+                    break;
+                }
+            }
+            if !has_room(&slot) {
+                return Offer::Nothing;
+            }
+            self.spare_needless(index, &mut slot, &mut stops, has_room);
         }
+        let cost = stops.iter().map(|&victim| self.victims[victim].cost).sum();
+        Offer::Room { stops, cost }
     }
-    let mut places = places?;
-    spare_needless(
-        &mut slots,
-        &within,
-        &mut chosen,
-        &mut places,
-        spec,
-        count,
-        bounds,
-    );
-    Some(Plan {
-        waste: chosen.iter().map(|victim| victim.waste).sum(),
-        stopped: chosen.into_iter().cloned().collect(),
-        places: places
-            .into_iter()
-            .map(|index| within.start + index)
-            .collect(),
-    })
-}
 
-/// Calls back with each slot of the range on which a victim frees room, and how much.
-fn for_each_freed(
-    slots: &mut [Slot],
-    within: &Range<usize>,
-    victim: &Victim,
-    mut change: impl FnMut(&mut Slot, Resources),
-) {
-    for &(index, need) in &victim.frees {
-        if within.contains(&index) {
-            change(&mut slots[index - within.start], need);
+    /// Victims that were taken early may turn out needless once later ones are: they go on.
+    fn spare_needless(
+        &self,
+        index: usize,
+        slot: &mut Slot,
+        stops: &mut Vec<usize>,
+        has_room: impl Fn(&Slot) -> bool,
+    ) {
+        let mut dearest = stops.clone();
+        dearest.sort_by(|&a, &b| self.victims[b].cost.total_cmp(&self.victims[a].cost));
+        for victim in dearest {
+            let freed = self.freed_on(victim, index);
+            let free = slot.free;
+            slot.free = free.minus(freed);
+            if has_room(slot) {
+                stops.retain(|&other| other != victim);
+            } else {
+                slot.free = free;
+            }
         }
     }
-}
 
-/// Victims that were chosen early may turn out needless once later ones are: they go on.
-fn spare_needless(
-    slots: &mut Vec<Slot>,
-    within: &Range<usize>,
-    chosen: &mut Vec<&Victim>,
-    places: &mut Vec<usize>,
-    spec: &StepSpec,
-    count: usize,
-    bounds: &Bounds,
-) {
-    let mut order: Vec<usize> = (0..chosen.len()).collect();
-    order.sort_by(|&a, &b| chosen[b].waste.total_cmp(&chosen[a].waste));
-    let mut spared = BTreeSet::new();
-    for index in order {
-        let mut without = slots.clone();
-        for_each_freed(&mut without, within, chosen[index], |slot, need| {
-            slot.free = slot.free.minus(need);
-        });
-        if let Some(found) = find(&without, spec, count, bounds) {
-            *slots = without;
-            *places = found;
-            spared.insert(index);
+    fn stop(&mut self, victim: usize) {
+        self.is_stopped[victim] = true;
+        for (index, need) in &self.victims[victim].frees {
+            if self.within.contains(index) {
+                let slot = &mut self.slots[index - self.within.start];
+                slot.free = slot.free.plus(*need);
+                self.offers[index - self.within.start] = Offer::Unknown;
+            }
         }
     }
-    let mut index = 0;
-    chosen.retain(|_| {
-        let is_needed = !spared.contains(&index);
-        index += 1;
-        is_needed
-    });
+
+    fn freed_on(&self, victim: usize, index: usize) -> Resources {
+        let frees = self.victims[victim].frees.iter();
+        frees
+            .filter(|(at, _)| *at == self.within.start + index)
+            .fold(Resources::default(), |sum, (_, need)| sum.plus(*need))
+    }
+}
+
+/// How much of what one task needs is freed: the mean over what it needs at all.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "amounts on one worker are far below what a float holds exactly"
+)]
+fn share(freed: Resources, spec: &StepSpec) -> f64 {
+    let need = spec.reserved();
+    let parts = [
+        (freed.cpu_millis, need.cpu_millis),
+        (freed.memory_mb, need.memory_mb),
+        (freed.accelerators, need.accelerators),
+    ];
+    let shares = parts
+        .iter()
+        .filter(|(_, need)| *need > 0)
+        .map(|&(freed, need)| (freed as f64 / need as f64).min(1.0));
+    shares.sum::<f64>().max(0.01)
 }
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -32,7 +32,7 @@
 pub use coordinator::{Coordinator, KnownJob, Now};
 pub use desired::{Customer, DesiredState, Queue};
 pub use job::{AdviceTerms, JobRecord, QueueTerms, Resources, Schedule, StepId, StepSpec, TaskId};
-pub use limits::Limits;
+pub use limits::{Limits, Weights};
 pub use messages::{
     Action, AdviceReply, EndKind, EndedTask, Event, Look, OrderReply, OverWhy, RefusalCause,
     RunOver, RunningTask, StoredProgress, WorkerEntry,
--- a/ragwortwick-area/src/limits.rs
+++ b/ragwortwick-area/src/limits.rs
@@ -1,6 +1,6 @@
 //! Bounds of the installation that the coordinator's decisions depend on.
 
-use ragwortwick_core::DurationMs;
+use ragwortwick_core::{DurationMs, common};
 
 /// `Limits` holds the installation's bounds, from the settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +21,49 @@
     pub restore_ms: DurationMs,
     /// How long a job's final state can be asked for.
     pub retention_ms: DurationMs,
+    /// What operators say that work is worth.
+    pub weights: Weights,
+}
+
+/// `Weights` ranks work by what it is worth to its callers; operators may set it.
+#[common(wire)]
+#[serde(default, deny_unknown_fields)]
+pub struct Weights {
+    /// Worth of a job of mean size by its queue's priority, 0 first; later priorities count as the last.
+    pub by_priority: Vec<f64>,
+    /// Share of the worth that is left past the objective.
+    pub late_share: f64,
+}
+
+impl Weights {
+    /// `problem` tells what is wrong with the weights, if anything is.
+    #[must_use]
+    pub fn problem(&self) -> Option<&'static str> {
+        let is_weight = |weight: &f64| weight.is_finite() && *weight > 0.0;
+        if self.by_priority.is_empty() || !self.by_priority.iter().all(is_weight) {
+            return Some("weights.by_priority: expected at least one number above 0");
+        }
+        let is_share = (0.0..=1.0).contains(&self.late_share);
+        (!is_share).then_some("weights.late_share: expected a number from 0 to 1")
+    }
+
+    /// `of` is the worth of a job of mean size in a queue of the given priority.
+    #[must_use]
+    pub fn of(&self, priority: u32) -> f64 {
+        let last = self.by_priority.last();
+        let own = self.by_priority.get(priority as usize);
+        own.or(last).copied().unwrap_or(1.0)
+    }
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            // Urgent answers are worth most to those who wait for them.
+            by_priority: vec![4.0, 3.0, 1.0],
+            late_share: 0.4,
+        }
+    }
 }
 
 impl Default for Limits {
@@ -34,6 +77,7 @@
             checkpoint_ms: DurationMs(500),
             restore_ms: DurationMs(100),
             retention_ms: DurationMs(120_000),
+            weights: Weights::default(),
         }
     }
 }
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -27,6 +27,11 @@
         self.free.fits(spec.reserved()).min(u64::from(u32::MAX))
     }
 
+    /// Counts how many tasks of the step it takes within the bounds.
+    pub(crate) fn room(&self, spec: &StepSpec, bounds: &Bounds) -> u64 {
+        room(self, spec, bounds)
+    }
+
     /// Whether the step's data is on another rack.
     pub(crate) fn is_far(&self, spec: &StepSpec) -> bool {
         spec.data_rack
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -12,11 +12,8 @@
 use crate::schedule::Room;
 use crate::worker::Held;
 
-/// Most core-seconds thrown away for an urgent job that no guarantee covers.
-///
-/// An urgent answer in time is worth about 3 more than a late one; a core-second thrown away costs
-/// 0.002 and the room to do it again, in the users' prices. Above this the trade loses.
-const MOST_WASTE_UNGUARANTEED: f64 = 500.0;
+/// Work that a stop costs beside what it throws away: the run's room stands empty meanwhile.
+const RESTART_MS: u64 = 500;
 
 /// Plans made in one pass; the next pass, milliseconds later, goes on from there.
 const MOST_PLANS: usize = 6;
@@ -42,6 +39,8 @@
     priority: u32,
     /// Core-seconds of work that a stop throws away.
     pub(crate) waste: f64,
+    /// The same with what the stop itself takes, by the weight of its callers: victims are chosen by it.
+    pub(crate) cost: f64,
     /// Workers that it runs on.
     on: BTreeSet<WorkerName>,
     /// What it frees, by the slot of the pass.
@@ -60,6 +59,7 @@
         }
         // What is stopping already is as good as free.
         let mut future = self.with_stopping_freed(&room.slots);
+        let worth_of_core_second = self.worth_of_core_second();
         let mut plans_left = MOST_PLANS;
         let slot_of = slots_by_worker(&room.slots);
         let mut victims: Option<Vec<Victim>> = None;
@@ -100,6 +100,15 @@
             let Some(plan) = plan_for(candidate, &future, &spec, count, &bounds, victims) else {
                 continue;
             };
+            // Others are stopped only if what the caller gains by an answer in time is worth more than
+            // what the room would have been used for. A fixed bound of 500 core-seconds kept large urgent
+            // jobs waiting that are worth many times as much: 0.011 to 0.018 of all that callers are owed,
+            // on 60 seeds of two loads.
+            let gain = candidate.worth * (1.0 - self.limits.weights.late_share);
+            if !candidate.is_guaranteed && plan.waste * worth_of_core_second > gain {
+                continue;
+            }
+            self.cleared_for.entry(candidate.step_id()).or_insert(now);
             for victim in &plan.stopped {
                 self.stop_victim(now, victim);
                 for &(index, need) in &victim.frees {
@@ -122,9 +131,10 @@
         Some((job.spec(candidate.step)?.clone(), count))
     }
 
-    /// All that may be stopped for guaranteed work: lower priorities first, then borrowed shares.
+    /// All that may be stopped for guaranteed work: lower priorities and borrowed shares.
     fn displaceable(&self, now: TimeMs, slot_of: &SlotOf) -> Vec<Victim> {
-        let mut victims = self.victims(now, slot_of);
+        let lower = self.groups(now, slot_of, |held| held.priority > 0);
+        let mut victims: Vec<Victim> = lower.into_iter().map(|(_, victim)| victim).collect();
         victims.extend(self.borrowers(now, slot_of));
         victims
     }
@@ -173,21 +183,6 @@
         future
     }
 
-    /// Runs of lower priority, the cheapest to stop first.
-    fn victims(&self, now: TimeMs, slot_of: &SlotOf) -> Vec<Victim> {
-        let mut victims: Vec<Victim> = self
-            .groups(now, slot_of, |held| held.priority > 0)
-            .into_iter()
-            .map(|(_, victim)| victim)
-            .collect();
-        victims.sort_by(|a, b| {
-            b.priority
-                .cmp(&a.priority)
-                .then_with(|| per_accelerator(a).total_cmp(&per_accelerator(b)))
-        });
-        victims
-    }
-
     /// What has to stop together, with when it was placed, of the runs that match.
     fn groups(
         &self,
@@ -213,22 +208,27 @@
                     continue;
                 }
                 let since = held.started_at.unwrap_or(held.placed_at);
-                let mut lost_ms = now.since(since).0;
-                if spec.saves_checkpoints {
-                    lost_ms = lost_ms.min(self.limits.checkpoint_ms.0) + self.limits.restore_ms.0;
-                }
+                // A stop saves a checkpoint, so that only resuming from it takes time.
+                let lost_ms = if spec.saves_checkpoints {
+                    self.limits.restore_ms.0
+                } else {
+                    now.since(since).0
+                };
                 let group = group_of(task, spec);
                 let (_, victim) = groups.entry(group.clone()).or_insert_with(|| {
                     let victim = Victim {
                         group,
                         priority: held.priority,
                         waste: 0.0,
+                        cost: 0.0,
                         on: BTreeSet::new(),
                         frees: Vec::new(),
                         accelerators: 0,
                     };
                     (held.placed_at, victim)
                 });
+                let weight = self.limits.weights.of(held.priority);
+                victim.cost += weight * waste(spec.need, lost_ms + RESTART_MS);
                 victim.waste += waste(spec.need, lost_ms);
                 victim.on.insert(name.clone());
                 // Room on a worker that takes no work helps nobody.
@@ -257,14 +257,6 @@
     need.core_equivalents().max(1) as f64 * lost_ms as f64 / 1_000.0
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "a count of accelerators is far below what a float holds exactly"
-)]
-fn per_accelerator(victim: &Victim) -> f64 {
-    victim.waste / victim.accelerators.max(1) as f64
-}
-
 fn group_of(task: &TaskId, spec: &StepSpec) -> Group {
     Group {
         step: task.step_id(),
@@ -272,7 +264,7 @@
     }
 }
 
-/// A plan that is worth it: any for a promise, a cheap one for what only can be in time.
+/// The cheapest plan: anything may be stopped for a promise, lower priorities for other urgent work.
 fn plan_for(
     candidate: &Candidate,
     future: &[Slot],
@@ -290,7 +282,6 @@
         .cloned()
         .collect();
     cheapest(future, spec, count, bounds, &lower)
-        .filter(|plan| plan.waste <= MOST_WASTE_UNGUARANTEED)
 }
 
 /// Which slot of the pass is a worker's.
--- a/ragwortwick-area/src/value.rs
+++ b/ragwortwick-area/src/value.rs
@@ -3,26 +3,31 @@
 use ragwortwick_core::{DurationMs, TimeMs};
 
 use crate::coordinator::Coordinator;
-use crate::job::QueueTerms;
+use crate::job::{CORES_PER_ACCELERATOR, QueueTerms};
 use crate::job_state::{JobState, StepState, TaskState};
 
-/// Worth of a job by its queue's priority; urgent answers are worth most to their callers.
-const WORTH_BY_PRIORITY: [f64; 3] = [4.0, 3.0, 1.0];
-
-/// Share of the worth that is left past the objective.
-const LATE_SHARE: f64 = 0.4;
-
 /// Past this many times the objective a job is worth nothing more.
 const LATE_LIMIT: f64 = 3.0;
 
 /// Share of the worth of what has missed even that; it is still owed to its caller.
 const HOPELESS_SHARE: f64 = 0.01;
 
+/// What an accelerator counts for in cores, as a float.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the figure is a small whole number"
+)]
+const CORES_PER_ACCELERATOR_AS_FLOAT: f64 = CORES_PER_ACCELERATOR as f64;
+
 /// `Standing` is how a job's open occurrence ranks among others.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Standing {
     /// Worth for each accelerator-second that is still to be spent.
     pub(crate) density: f64,
+    /// Worth of the whole job if it is in time.
+    pub(crate) worth: f64,
+    /// Whether it can still be of any worth to its caller.
+    pub(crate) has_hope: bool,
     /// Whether it can still make its objective.
     pub(crate) is_in_time: bool,
 }
@@ -43,25 +48,46 @@
         let ready_at = now + rest_ms;
         let late_at = due_at + DurationMs(scaled(objective_ms, LATE_LIMIT));
         let is_in_time = ready_at <= due_at + objective_ms;
+        let has_hope = ready_at <= late_at;
+        let weights = &self.limits.weights;
         let share = if is_in_time {
             1.0
-        } else if ready_at <= late_at {
-            LATE_SHARE
+        } else if has_hope {
+            weights.late_share
         } else {
             HOPELESS_SHARE
         };
-        let class = (terms.priority as usize).min(WORTH_BY_PRIORITY.len() - 1);
         let spent = rest_of_work(job, steps).max(1.0);
         let whole = whole_work(job).max(1.0);
         // The worth grows with the whole job's work, at seven tenths of it.
         let mean = self.mean_work(&job.record.queue).unwrap_or(whole);
-        let worth = WORTH_BY_PRIORITY[class] * (0.3 + 0.7 * whole / mean).min(4.0);
+        let worth = weights.of(terms.priority) * (0.3 + 0.7 * whole / mean).min(4.0);
         Standing {
             density: worth * share / spent,
+            worth,
+            has_hope,
             is_in_time,
         }
     }
 
+    /// Worth of a core-second, an accelerator counted in cores: all that came in, over what it takes.
+    ///
+    /// What is thrown away takes as much room a second time, and other work would have had it.
+    pub(crate) fn worth_of_core_second(&self) -> f64 {
+        let mut worth = 0.0;
+        let mut work = 0.0;
+        for (queue, (sum, count)) in &self.work_seen {
+            let priority = self
+                .desired
+                .queues
+                .get(queue)
+                .map_or(0, |q| q.terms.priority);
+            worth += self.limits.weights.of(priority) * f64::from(*count);
+            work += sum * CORES_PER_ACCELERATOR_AS_FLOAT;
+        }
+        if work > 0.0 { worth / work } else { 0.0 }
+    }
+
     fn mean_work(&self, queue: &ragwortwick_core::ClassName) -> Option<f64> {
         let (sum, count) = self.work_seen.get(queue)?;
         (*count > 0).then(|| sum / f64::from(*count))
--- /dev/null
+++ b/ragwortwick-area/tests/displacement.rs
@@ -0,0 +1,124 @@
+//! Which runs give way when urgent work comes in and every worker is full.
+
+mod rig;
+
+use ragwortwick_area::{Action, EndKind, StepSpec};
+use ragwortwick_core::DurationMs;
+use rig::{Rig, ended, gang, step, worker};
+
+const FOUR_WORKERS: [&str; 4] = ["w1", "w2", "w3", "w4"];
+
+fn pool() -> Rig {
+    let entries: Vec<_> = FOUR_WORKERS.iter().map(|name| worker(name, "r1")).collect();
+    Rig::new(&entries)
+}
+
+fn saving(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec {
+        saves_checkpoints: true,
+        ..step(count, accelerators)
+    }
+}
+
+/// Patient work fills all workers; half of it saves checkpoints. A stop saves one more, so stopping that
+/// half throws nothing away, though it has run for longer. The other half's callers keep their work.
+#[test]
+fn verify_work_that_saves_checkpoints_gives_way_first() {
+    let mut rig = pool();
+    rig.hand_in("00000000000000a0", "patient", saving(16, 1));
+    rig.start_all();
+    rig.pass(1_000);
+    rig.hand_in("00000000000000a1", "patient", step(16, 1));
+    assert_eq!(rig.start_all().len(), 16);
+    rig.pass(300);
+    rig.hand_in_for("00000000000000a2", "d", "urgent", gang(2, 8));
+    rig.pass(20);
+    let stops = rig.stops();
+    assert_eq!(stops.len(), 16);
+    let saves = |id: &str| id == "00000000000000a0";
+    assert!(stops.iter().all(|stop| saves(stop.1.job_id.as_str())));
+}
+
+/// On each of four workers one task began long ago and seven a moment ago. An urgent job needs one whole
+/// worker, so eight tasks stop, all on one: the cheapest of the pool one after the other would have been
+/// the young ones of all workers, and no worker would have come free before most of them were stopped.
+#[test]
+fn verify_one_worker_is_cleared_not_a_little_of_each() {
+    let mut rig = pool();
+    let one_each = StepSpec {
+        max_per_worker: Some(1),
+        ..step(4, 1)
+    };
+    rig.hand_in("00000000000000b0", "patient", one_each);
+    rig.start_all();
+    rig.pass(3_000);
+    rig.hand_in("00000000000000b1", "patient", step(28, 1));
+    assert_eq!(rig.start_all().len(), 28);
+    rig.pass(100);
+    rig.hand_in_for("00000000000000b2", "d", "urgent", gang(1, 8));
+    rig.pass(20);
+    let stops = rig.stops();
+    assert_eq!(stops.len(), 8);
+    assert!(stops.iter().all(|stop| stop.0 == stops[0].0));
+}
+
+/// An urgent gang beyond its customer's share needs three of four workers, on which patient work has run
+/// for three of its sixty seconds. The gang is large, and worth as much more to its caller as it is larger
+/// than others of its queue; a bound that is the same for all jobs kept it waiting until it was too late.
+#[test]
+fn verify_a_large_urgent_job_may_displace_more_than_others() {
+    let mut rig = pool();
+    for number in 0..12 {
+        let id = format!("{:016x}", 0xc00 + number);
+        rig.hand_in_for(&id, "c", "urgent", gang(1, 1));
+    }
+    let small = rig.start_all();
+    for (number, start) in (1..).zip(&small) {
+        let end = ended(number, start, EndKind::Done);
+        rig.look(start.0.as_str(), Vec::new(), vec![end]);
+    }
+    let long = StepSpec {
+        estimate_ms: DurationMs(60_000),
+        ..step(32, 1)
+    };
+    rig.hand_in("00000000000000c1", "patient", long);
+    assert_eq!(rig.start_all().len(), 32);
+    rig.pass(3_000);
+    rig.hand_in_for("00000000000000c2", "nobody", "urgent", gang(3, 8));
+    rig.pass(20);
+    assert_eq!(rig.stops().len(), 24);
+}
+
+/// Room is being cleared for an urgent job when another comes in that is worth more by the second. The
+/// first one's caller has waited for the stops, so it gets the room; the second has its own cleared.
+#[test]
+fn verify_cleared_room_goes_to_the_job_that_it_was_cleared_for() {
+    let mut rig = pool();
+    rig.hand_in("00000000000000d0", "patient", saving(32, 1));
+    let patient = rig.start_all();
+    rig.pass(300);
+    rig.hand_in_for("00000000000000d1", "nobody", "urgent", gang(1, 8));
+    rig.pass(20);
+    let stops = rig.stops();
+    assert_eq!(stops.len(), 8);
+    let shorter = StepSpec {
+        estimate_ms: DurationMs(1_000),
+        ..gang(1, 8)
+    };
+    rig.hand_in_for("00000000000000d2", "nobody", "urgent", shorter);
+    rig.pass(20);
+    let cleared = stops[0].0.clone();
+    let ends = (1..).zip(patient.iter().filter(|start| start.0 == cleared));
+    let ends = ends.map(|(number, start)| ended(number, start, EndKind::Stopped));
+    rig.look(cleared.as_str(), Vec::new(), ends.collect());
+    rig.pass(30);
+    rig.store();
+    let starts = rig.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.job_id.as_str(), "00000000000000d1");
+    let is_stop = |action: &Action| matches!(action, Action::Stop { .. });
+    assert!(
+        rig.actions.iter().any(is_stop),
+        "room is cleared for the second"
+    );
+}
--- a/ragwortwick-area/tests/guarantees.rs
+++ b/ragwortwick-area/tests/guarantees.rs
@@ -67,16 +67,6 @@
     })
 }
 
-fn start_all(rig: &mut Rig) -> Vec<(WorkerName, TaskId, u32)> {
-    rig.pass(20);
-    rig.store();
-    let starts = rig.starts();
-    for start in &starts {
-        rig.accept(start);
-    }
-    starts
-}
-
 /// Urgent work beyond its customer's share that can be in time displaces patient work only while
 /// little of that is thrown away: here it has run for a moment.
 #[test]
@@ -85,7 +75,7 @@
     let mut rig = Rig::new(&workers);
     let patient = job("00000000000000c2", "patient", vec![step(24, 1)]);
     rig.tell(Event::JobAccepted(patient));
-    start_all(&mut rig);
+    rig.start_all();
     rig.pass(200);
     let record = urgent(&rig, "00000000000000c3", "c", vec![gang(3, 8)]);
     rig.tell(Event::JobAccepted(record));
@@ -101,7 +91,7 @@
     let mut rig = Rig::new(&workers);
     let patient = job("00000000000000c2", "patient", vec![step(24, 1)]);
     rig.tell(Event::JobAccepted(patient));
-    start_all(&mut rig);
+    rig.start_all();
     rig.pass(4_000);
     let record = urgent(&rig, "00000000000000c3", "c", vec![gang(3, 8)]);
     rig.tell(Event::JobAccepted(record));
@@ -119,7 +109,7 @@
     rig.pass(60_000);
     let patient = job("00000000000000c2", "patient", vec![step(24, 1)]);
     rig.tell(Event::JobAccepted(patient));
-    start_all(&mut rig);
+    rig.start_all();
     // Accepted a minute ago, by its record.
     rig.hand_in("00000000000000c3", "urgent", gang(3, 8));
     rig.pass(200);
@@ -137,7 +127,7 @@
         let id = format!("{:016x}", 0xd0 + number);
         let record = urgent(&rig, &id, "c", vec![gang(1, 8)]);
         rig.tell(Event::JobAccepted(record));
-        assert_eq!(start_all(&mut rig).len(), 1);
+        assert_eq!(rig.start_all().len(), 1);
         rig.pass(1_000);
     }
     let record = urgent(&rig, "00000000000000df", "d", vec![gang(1, 8)]);
@@ -173,7 +163,7 @@
     let mut rig = Rig::new(&workers);
     let patient = job("00000000000000e0", "patient", vec![step(24, 1)]);
     rig.tell(Event::JobAccepted(patient));
-    let patient = start_all(&mut rig);
+    let patient = rig.start_all();
     rig.pass(300);
     let wide = urgent(&rig, "00000000000000e1", "c", vec![gang(2, 8)]);
     rig.tell(Event::JobAccepted(wide));
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -200,6 +200,42 @@
         })
     }
 
+    /// Lets what waits be placed, stored and started; gives the starts, all accepted.
+    pub fn start_all(&mut self) -> Vec<(WorkerName, TaskId, u32)> {
+        self.pass(20);
+        self.store();
+        let starts = self.starts();
+        for start in &starts {
+            self.accept(start);
+        }
+        starts
+    }
+
+    /// Hands a job in now, of the given customer and queue.
+    pub fn hand_in_for(&mut self, id: &str, customer: &str, queue: &str, step: StepSpec) {
+        let record = JobRecord {
+            accepted_unix_ms: self.now,
+            customer: customer.into(),
+            ..(*job(id, queue, vec![step])).clone()
+        };
+        self.tell(Event::JobAccepted(Arc::new(record)));
+    }
+
+    /// A look tells how far the runs are.
+    pub fn tell_progress(
+        &mut self,
+        worker: &str,
+        runs: &[(WorkerName, TaskId, u32)],
+        percent: u32,
+    ) {
+        let here = runs.iter().filter(|run| run.0.as_str() == worker);
+        let rows = here.map(|run| RunningTask {
+            percent,
+            ..running(run)
+        });
+        self.look(worker, rows.collect(), Vec::new());
+    }
+
     /// Takes the stops that were sent.
     pub fn stops(&mut self) -> Vec<(WorkerName, TaskId, u32)> {
         self.take(|action| match action {
--- a/ragwortwick-daemon/src/area/settings.rs
+++ b/ragwortwick-daemon/src/area/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of an entry host on the users' platform, read from a JSON file.
 
-use ragwortwick_area::Limits;
+use ragwortwick_area::{Limits, Weights};
 use ragwortwick_core::{DurationMs, HostName, ZoneName};
 use serde::Deserialize;
 
@@ -46,6 +46,9 @@
     pub restore_ms: DurationMs,
     /// How long a job's final state can be asked for, in seconds.
     pub retention_s: f64,
+    /// What work is worth, for the order in which it is placed and for what others are stopped.
+    #[serde(default)]
+    pub weights: Weights,
 }
 
 impl AreaSettings {
@@ -56,7 +59,12 @@
     /// Fails with the first mistake and its path.
     pub fn parse(text: &str) -> Result<Self, String> {
         let mut reader = serde_json::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(&mut reader).map_err(|error| error.to_string())
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut reader).map_err(|error| error.to_string())?;
+        match settings.weights.problem() {
+            Some(problem) => Err(problem.to_owned()),
+            None => Ok(settings),
+        }
     }
 
     /// `limits` are the bounds that decisions depend on.
@@ -71,6 +79,7 @@
             checkpoint_ms: ms(self.checkpoint_s),
             restore_ms: self.restore_ms,
             retention_ms: ms(self.retention_s),
+            weights: self.weights.clone(),
         }
     }
 }
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -132,3 +132,33 @@
     let problem = AreaSettings::parse(&broken).expect_err("a wrong type");
     assert!(problem.contains("retention_s"), "{problem}");
 }
+
+/// Weights are the operators' to set. One that ranks nothing is told at the start, not found out by
+/// callers whose jobs are never placed.
+#[test]
+fn verify_weights_are_read_and_checked() {
+    let text = |weights: &str| {
+        format!(
+            r#"{{"host":"h","zone":"z","listen":"127.0.0.1:0","ready_listen":"127.0.0.1:0",
+            "store_address":"127.0.0.1:1","stop_grace_s":6,"worker_lease_ms":10000,
+            "worker_stop_ms":200,"gang_wait_ms":3000,"reclaim_ms":2700,"remote_penalty":3,
+            "checkpoint_s":0.5,"restore_ms":100,"retention_s":120,"weights":{weights}}}"#
+        )
+    };
+    let settings = AreaSettings::parse(&text(r#"{"by_priority":[2,1]}"#)).expect("valid settings");
+    let weights = settings.limits().weights;
+    assert!(weights.of(0) > weights.of(1));
+    assert!(
+        weights.of(7).total_cmp(&weights.of(1)).is_eq(),
+        "the last holds on"
+    );
+    for (wrong, field) in [
+        (r#"{"by_priority":[]}"#, "by_priority"),
+        (r#"{"by_priority":[1,0]}"#, "by_priority"),
+        (r#"{"late_share":1.5}"#, "late_share"),
+        (r#"{"late_shar":0.5}"#, "late_shar"),
+    ] {
+        let problem = AreaSettings::parse(&text(wrong)).expect_err("wrong weights");
+        assert!(problem.contains(field), "{problem}");
+    }
+}
