Let a gang stand still as long as its furthest member took, before it starts again elsewhere

A gang of eight large tasks was moved after half a second, since the member that stood still had done nothing; the other seven had worked for four seconds. Change: what a move throws away is what the gang's furthest member has done. Also: the test of a frozen zone owner waited for one of two ways in which it may stand by.

--- a/ragwortwick-area/src/stalls.rs
+++ b/ragwortwick-area/src/stalls.rs
@@ -39,28 +39,24 @@
         watch.hear(clock_ms, percent, self.expected_ms)
     }
 
-    fn is_stalled_too_long(&self) -> bool {
-        self.watch
-            .is_some_and(|watch| watch.still_ms() > LONGEST_STALL_MS)
+    /// How long it has stood still when it was last heard of.
+    fn still_ms(&self) -> DurationMs {
+        self.watch.map_or(DurationMs(0), |watch| watch.still_ms())
     }
 
-    /// Whether it has stood still for as long as starting again would throw away.
-    fn is_better_elsewhere(&self, restore_ms: DurationMs) -> bool {
-        let Some(watch) = self.watch else {
-            return false;
-        };
-        let lost_ms = if self.saves_checkpoints {
-            restore_ms
-        } else {
-            watch.done_ms(self.expected_ms)
-        };
-        watch.still_ms().0 >= lost_ms.0 + AGAIN_MS.0
+    /// Time that the work took which its stop throws away.
+    fn lost_by_move(&self, restore_ms: DurationMs) -> DurationMs {
+        match self.watch {
+            _ if self.saves_checkpoints => restore_ms,
+            Some(watch) => watch.done_ms(self.expected_ms),
+            None => DurationMs(0),
+        }
     }
 }
 
 impl Worker {
-    /// Takes in the progress of what runs; gives what is better off elsewhere.
-    fn hear_progress(&mut self, now: TimeMs, look: &Look, restore_ms: DurationMs) -> Vec<TaskId> {
+    /// Takes in the progress of what runs; gives what stands still, and for how long.
+    fn hear_progress(&mut self, now: TimeMs, look: &Look) -> Vec<(TaskId, DurationMs)> {
         let mut is_moving = false;
         let mut stalled = Vec::new();
         for row in &look.running {
@@ -74,11 +70,9 @@
             match held.hear_progress(look.clock_ms, row.percent) {
                 Movement::Unknown => {}
                 Movement::Moving => is_moving = true,
-                Movement::Stalled if held.is_stalled_too_long() => {}
+                Movement::Stalled if held.still_ms() > LONGEST_STALL_MS => {}
                 Movement::Stalled => {
-                    if held.is_better_elsewhere(restore_ms) {
-                        stalled.push(row.task.clone());
-                    }
+                    stalled.push((row.task.clone(), held.still_ms()));
                     self.stalled_until = now + AVOID_MS;
                 }
             }
@@ -94,54 +88,54 @@
 impl Coordinator {
     /// Takes in what a look tells of progress, and stops what is better off elsewhere.
     pub(crate) fn hear_progress(&mut self, now: TimeMs, worker_name: &WorkerName, look: &Look) {
-        let restore_ms = self.limits.restore_ms;
         let may_order = self.may_order(now);
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        let stalled = worker.hear_progress(now, look, restore_ms);
+        let stalled = worker.hear_progress(now, look);
         if may_order {
-            for task in stalled {
-                self.move_stalled(now, &task);
+            for (task, still_ms) in stalled {
+                self.move_stalled(now, &task, still_ms);
             }
         }
     }
 
     /// Stops a run that stands still, so that the next pass places it elsewhere.
-    fn move_stalled(&mut self, now: TimeMs, task: &TaskId) {
-        if !self.has_begun(task) {
+    fn move_stalled(&mut self, now: TimeMs, task: &TaskId, still_ms: DurationMs) {
+        let Some(lost_ms) = self.lost_by_move(task) else {
             return;
-        }
+        };
         let Some(job) = self.jobs.get_mut(&task.job_id) else {
             return;
         };
-        if job.moves < MOST_MOVES {
+        if still_ms.0 >= lost_ms.0 + AGAIN_MS.0 && job.moves < MOST_MOVES {
             job.moves += 1;
             self.stop_group(now, task);
         }
     }
 
-    /// Whether all members of the task's gang are known to run. A gang stands still at its beginning
-    /// while the start of a member is on its way; stopped then, it would lose what it waited for.
-    fn has_begun(&self, task: &TaskId) -> bool {
-        let step = self
-            .jobs
-            .get(&task.job_id)
-            .filter(|job| job.spec(task.step).is_some_and(|spec| spec.is_gang))
-            .and_then(|job| job.step(task.occurrence, task.step));
-        let Some(step) = step else {
-            return true;
-        };
-        (0..).zip(&step.tasks).all(|(index, member)| {
+    /// Time that the work took which a run's stop throws away; none if that can't be told yet.
+    ///
+    /// A gang loses what its furthest member has done. It stands still at its beginning while the start
+    /// of a member is on its way; stopped then, it would lose what it waited for.
+    fn lost_by_move(&self, task: &TaskId) -> Option<DurationMs> {
+        let job = self.jobs.get(&task.job_id)?;
+        let step = job.step(task.occurrence, task.step)?;
+        let is_gang = job.spec(task.step)?.is_gang;
+        let members = (0..).zip(&step.tasks);
+        let members = members.filter(|(index, _)| is_gang || *index == task.index);
+        let losses = members.map(|(index, member)| {
             let TaskState::Placed(worker) = &member.state else {
-                return false;
+                return None;
             };
             let id = TaskId {
                 index,
                 ..task.clone()
             };
-            let held = self.workers.get(worker).and_then(|w| w.held.get(&id));
-            held.is_some_and(|held| matches!(held.phase, HeldPhase::Running { .. }))
-        })
+            let held = self.workers.get(worker)?.held.get(&id)?;
+            let is_running = matches!(held.phase, HeldPhase::Running { .. });
+            is_running.then(|| held.lost_by_move(self.limits.restore_ms))
+        });
+        losses.collect::<Option<Vec<_>>>()?.into_iter().max()
     }
 }
--- a/ragwortwick-area/tests/stalls.rs
+++ b/ragwortwick-area/tests/stalls.rs
@@ -74,6 +74,32 @@
     assert_eq!(rig.stops(), vec![]);
 }
 
+/// One member of a gang stands still at its beginning while the other has nearly done its part. Starting
+/// again would throw away the other's work, so the gang is given as long as that took.
+#[test]
+fn verify_gang_is_given_as_long_as_its_furthest_member_took() {
+    let mut rig = Rig::new(&[worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r1")]);
+    rig.hand_in("00000000000000f7", "patient", gang(2, 8));
+    let starts = rig.start_all();
+    let tell = |rig: &mut Rig, percent| {
+        rig.pass(500);
+        rig.tell_progress(starts[1].0.as_str(), &starts, percent);
+        rig.tell_progress(starts[0].0.as_str(), &starts, 0);
+    };
+    for percent in [25, 50, 75] {
+        tell(&mut rig, percent);
+    }
+    assert_eq!(
+        rig.stops(),
+        vec![],
+        "1.5 s of work against 1.5 s of standing still"
+    );
+    for _ in 0..2 {
+        tell(&mut rig, 75);
+    }
+    assert_eq!(rig.stops().len(), 2);
+}
+
 /// A member of a gang that has done its part waits for the others at 100 per cent.
 #[test]
 fn verify_member_that_waits_for_slower_ones_is_left_alone() {
--- a/ragwortwick-daemon/tests/state_owner_moves.rs
+++ b/ragwortwick-daemon/tests/state_owner_moves.rs
@@ -35,6 +35,21 @@
     Fleet::open_with_table(options).await.expect("a fleet")
 }
 
+/// Starts the hosts anew, each with its own relay before the store, and gives the relays.
+async fn put_relays_before_the_store(fleet: &mut Fleet) -> Vec<Relay> {
+    let mut relays = Vec::new();
+    for host in 0..fleet.daemons.len() {
+        let relay = Relay::bind("127.0.0.1:0", fleet.store.address()).await;
+        let relay = relay.expect("a free port");
+        let mut options = fleet.daemon_options(host);
+        options.store_address = relay.address().to_string();
+        fleet.daemons[host].kill().expect("killed");
+        fleet.daemons[host] = fleet.spawn_daemon(options).await.expect("a new host");
+        relays.push(relay);
+    }
+    relays
+}
+
 fn epoch(fleet: &Fleet) -> Epoch {
     let key = "zones/east/epoch".to_owned();
     let reply = fleet
@@ -94,8 +109,9 @@
 }
 
 // The owner is frozen past its lease and another host takes the zone. When it wakes, its permission
-// has run out by the clock; it asks the store, hears that its lease is gone, and stands by. At the
-// end one host says that it owns the zone.
+// has run out by the clock. It stands by at the first sign that the zone is another's: its own renewal
+// hears from the store that the lease is gone, or a message of a peer that waited in its socket shows
+// the higher epoch; which is read first is chance. At the end one host says that it owns the zone.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_frozen_owner_stands_by_when_it_wakes() {
     let fleet = one_zone().await;
@@ -108,8 +124,34 @@
     .await;
     fleet.daemons[first].wake().expect("woken");
     wait_until("the old owner stands by", async || {
-        let is_lost = |line: &String| line.contains("cause=lease_lost");
-        fleet.daemons[first].lines().iter().any(is_lost)
+        let is_over =
+            |line: &String| line.contains("cause=lease_lost") || line.contains("cause=fenced");
+        fleet.daemons[first].lines().iter().any(is_over)
+    })
+    .await;
+    assert_eq!(owned_epoch(&fleet, first).await, None);
+    assert_eq!(fleet.owner(&fleet.zones()[0]), Some(second));
+    fleet.close().await;
+}
+
+// As above, and the woken owner can't reach the store any more, so only its peers can tell it. It stands
+// by at their word all the same: a renewal that never comes back must not keep it in office.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_frozen_owner_stands_by_at_the_word_of_its_peers() {
+    let mut fleet = one_zone().await;
+    let relays = put_relays_before_the_store(&mut fleet).await;
+    let first = wait_for_owner(&fleet, None).await;
+    fleet.daemons[first].freeze().expect("frozen");
+    let second = wait_for_owner(&fleet, Some(first)).await;
+    wait_until("the new owner knows", async || {
+        owned_epoch(&fleet, second).await.is_some()
+    })
+    .await;
+    relays[first].set_mode(RelayMode::Blackhole);
+    fleet.daemons[first].wake().expect("woken");
+    wait_until("the old owner stands by", async || {
+        let is_fenced = |line: &String| line.contains("cause=fenced");
+        fleet.daemons[first].lines().iter().any(is_fenced)
     })
     .await;
     assert_eq!(owned_epoch(&fleet, first).await, None);
@@ -220,16 +262,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_owner_cut_from_the_store_yields_to_the_next() {
     let mut fleet = one_zone().await;
-    let mut relays = Vec::new();
-    for host in 0..3 {
-        let relay = Relay::bind("127.0.0.1:0", fleet.store.address()).await;
-        let relay = relay.expect("a free port");
-        let mut options = fleet.daemon_options(host);
-        options.store_address = relay.address().to_string();
-        fleet.daemons[host].kill().expect("killed");
-        fleet.daemons[host] = fleet.spawn_daemon(options).await.expect("a new host");
-        relays.push(relay);
-    }
+    let relays = put_relays_before_the_store(&mut fleet).await;
     wait_until("the job is accepted", async || {
         let job = sample_job("long", 1, 12_000, false);
         fleet.caller.job(fleet.address(0), &job).await.is_ok()
