Say once what a slot takes, hand jobs in by the rig, and drop figures that nobody reads

Cause: a last reading of the change. Ruled out: one figure for what a stop and a move throw away (time since the start, and progress told): that is a change of decisions. Change: one method, one rig, one opening, three fields less. No assertion, bound or decision is touched.

--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -162,7 +162,8 @@
     }
 }
 
-/// What others were stopped for first; then guaranteed work, oldest first; then by worth over the accelerator time still needed.
+/// What others were stopped for first; then guaranteed work, oldest first; then by worth over the
+/// accelerator time still needed.
 pub(crate) fn order(candidates: &mut [Candidate]) {
     candidates.sort_by(|a, b| {
         let cleared = |candidate: &Candidate| candidate.cleared_at.unwrap_or(TimeMs(u64::MAX));
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -163,9 +163,8 @@
             (self.max_per_worker.is_some(), "apart"),
             (!self.after.is_empty(), "after"),
         ];
-        let set = flags.iter().filter(|(is_set, _)| *is_set);
-        set.into_iter()
-            .try_for_each(|(_, name)| write!(f, "+{name}"))
+        let mut set = flags.iter().filter(|(is_set, _)| *is_set);
+        set.try_for_each(|(_, name)| write!(f, "+{name}"))
     }
 }
 
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -29,7 +29,17 @@
 
     /// Counts how many tasks of the step it takes within the bounds.
     pub(crate) fn room(&self, spec: &StepSpec, bounds: &Bounds) -> u64 {
-        room(self, spec, bounds)
+        if !self.has_label(spec) || !bounds.permits(&self.worker) {
+            return 0;
+        }
+        let fits = self.fits(spec);
+        match spec.max_per_worker {
+            Some(most) => {
+                let taken = bounds.taken.get(&self.worker).copied().unwrap_or(0);
+                fits.min(u64::from(most.saturating_sub(taken)))
+            }
+            None => fits,
+        }
     }
 
     /// Whether the step's data is on another rack.
@@ -90,21 +100,6 @@
     Anywhere,
 }
 
-/// Counts how many tasks of the step a slot takes.
-fn room(slot: &Slot, spec: &StepSpec, bounds: &Bounds) -> u64 {
-    if !slot.has_label(spec) || !bounds.permits(&slot.worker) {
-        return 0;
-    }
-    let fits = slot.fits(spec);
-    match spec.max_per_worker {
-        Some(most) => {
-            let taken = bounds.taken.get(&slot.worker).copied().unwrap_or(0);
-            fits.min(u64::from(most.saturating_sub(taken)))
-        }
-        None => fits,
-    }
-}
-
 /// `pack_gang` finds a slot for each of `count` members, or none at all.
 ///
 /// A gang that wants one rack gets the rack that it leaves the least of, so that other racks stay
@@ -160,7 +155,7 @@
 ) -> Option<Vec<usize>> {
     let whole: u64 = members
         .iter()
-        .map(|&index| room(&slots[index], spec, bounds))
+        .map(|&index| slots[index].room(spec, bounds))
         .sum();
     if whole < count as u64 {
         return None;
@@ -169,7 +164,7 @@
         .iter()
         .map(|&index| {
             let slot = &slots[index];
-            let fits = room(slot, spec, bounds);
+            let fits = slot.room(spec, bounds);
             (
                 slot.is_far(spec),
                 slot.doubt,
@@ -206,7 +201,7 @@
         if is_far && reach == Reach::Near {
             continue;
         }
-        if room(slot, spec, bounds) == 0 {
+        if slot.room(spec, bounds) == 0 {
             continue;
         }
         let rank = (
--- a/ragwortwick-area/tests/guarantees.rs
+++ b/ragwortwick-area/tests/guarantees.rs
@@ -2,9 +2,7 @@
 
 mod rig;
 
-use std::sync::Arc;
-
-use ragwortwick_area::{EndKind, Event, JobRecord, OrderReply, StepSpec, TaskId};
+use ragwortwick_area::{EndKind, Event, OrderReply, TaskId};
 use ragwortwick_core::WorkerName;
 use rig::{Rig, ended, gang, job, step, worker};
 
@@ -57,16 +55,6 @@
     assert_eq!(starts.len(), 1, "the freed room is not given away");
 }
 
-/// An urgent job handed in now, of the given customer.
-fn urgent(rig: &Rig, id: &str, customer: &str, steps: Vec<StepSpec>) -> Arc<JobRecord> {
-    let record = job(id, "urgent", steps);
-    Arc::new(JobRecord {
-        accepted_unix_ms: rig.now,
-        customer: customer.into(),
-        ..(*record).clone()
-    })
-}
-
 /// Urgent work beyond its customer's share that can be in time displaces patient work only while
 /// little of that is thrown away: here it has run for a moment.
 #[test]
@@ -77,8 +65,7 @@
     rig.tell(Event::JobAccepted(patient));
     rig.start_all();
     rig.pass(200);
-    let record = urgent(&rig, "00000000000000c3", "c", vec![gang(3, 8)]);
-    rig.tell(Event::JobAccepted(record));
+    rig.hand_in_for("00000000000000c3", "c", "urgent", gang(3, 8));
     rig.pass(200);
     rig.store();
     assert_eq!(rig.stops().len(), 24);
@@ -93,8 +80,7 @@
     rig.tell(Event::JobAccepted(patient));
     rig.start_all();
     rig.pass(4_000);
-    let record = urgent(&rig, "00000000000000c3", "c", vec![gang(3, 8)]);
-    rig.tell(Event::JobAccepted(record));
+    rig.hand_in_for("00000000000000c3", "c", "urgent", gang(3, 8));
     rig.pass(500);
     rig.store();
     assert_eq!(rig.stops(), vec![]);
@@ -125,13 +111,11 @@
     let mut rig = Rig::new(&workers);
     for number in 0..3 {
         let id = format!("{:016x}", 0xd0 + number);
-        let record = urgent(&rig, &id, "c", vec![gang(1, 8)]);
-        rig.tell(Event::JobAccepted(record));
+        rig.hand_in_for(&id, "c", "urgent", gang(1, 8));
         assert_eq!(rig.start_all().len(), 1);
         rig.pass(1_000);
     }
-    let record = urgent(&rig, "00000000000000df", "d", vec![gang(1, 8)]);
-    rig.tell(Event::JobAccepted(record));
+    rig.hand_in_for("00000000000000df", "d", "urgent", gang(1, 8));
     rig.pass(100);
     rig.store();
     let stops = rig.stops();
@@ -165,8 +149,7 @@
     rig.tell(Event::JobAccepted(patient));
     let patient = rig.start_all();
     rig.pass(300);
-    let wide = urgent(&rig, "00000000000000e1", "c", vec![gang(2, 8)]);
-    rig.tell(Event::JobAccepted(wide));
+    rig.hand_in_for("00000000000000e1", "c", "urgent", gang(2, 8));
     rig.pass(20);
     rig.store();
     let stops = rig.stops();
@@ -182,8 +165,7 @@
         rig.store();
     };
     clear(&mut rig, &first);
-    let small = urgent(&rig, "00000000000000e2", "d", vec![gang(1, 8)]);
-    rig.tell(Event::JobAccepted(small));
+    rig.hand_in_for("00000000000000e2", "d", "urgent", gang(1, 8));
     rig.pass(30);
     rig.store();
     assert_eq!(rig.starts(), vec![], "the free worker is kept for the gang");
--- a/ragwortwick-daemon/tests/state_owner_moves.rs
+++ b/ragwortwick-daemon/tests/state_owner_moves.rs
@@ -35,6 +35,18 @@
     Fleet::open_with_table(options).await.expect("a fleet")
 }
 
+/// Freezes the owner past its lease; gives it and the host that owns the zone then.
+async fn freeze_until_replaced(fleet: &Fleet) -> (usize, usize) {
+    let first = wait_for_owner(fleet, None).await;
+    fleet.daemons[first].freeze().expect("frozen");
+    let second = wait_for_owner(fleet, Some(first)).await;
+    wait_until("the new owner knows", async || {
+        owned_epoch(fleet, second).await.is_some()
+    })
+    .await;
+    (first, second)
+}
+
 /// Starts the hosts anew, each with its own relay before the store, and gives the relays.
 async fn put_relays_before_the_store(fleet: &mut Fleet) -> Vec<Relay> {
     let mut relays = Vec::new();
@@ -115,13 +127,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_frozen_owner_stands_by_when_it_wakes() {
     let fleet = one_zone().await;
-    let first = wait_for_owner(&fleet, None).await;
-    fleet.daemons[first].freeze().expect("frozen");
-    let second = wait_for_owner(&fleet, Some(first)).await;
-    wait_until("the new owner knows", async || {
-        owned_epoch(&fleet, second).await.is_some()
-    })
-    .await;
+    let (first, second) = freeze_until_replaced(&fleet).await;
     fleet.daemons[first].wake().expect("woken");
     wait_until("the old owner stands by", async || {
         let is_over =
@@ -140,13 +146,7 @@
 async fn verify_frozen_owner_stands_by_at_the_word_of_its_peers() {
     let mut fleet = one_zone().await;
     let relays = put_relays_before_the_store(&mut fleet).await;
-    let first = wait_for_owner(&fleet, None).await;
-    fleet.daemons[first].freeze().expect("frozen");
-    let second = wait_for_owner(&fleet, Some(first)).await;
-    wait_until("the new owner knows", async || {
-        owned_epoch(&fleet, second).await.is_some()
-    })
-    .await;
+    let (first, second) = freeze_until_replaced(&fleet).await;
     relays[first].set_mode(RelayMode::Blackhole);
     fleet.daemons[first].wake().expect("woken");
     wait_until("the old owner stands by", async || {
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -331,10 +331,7 @@
                 .map(|(task, run)| RunningTask {
                     task: task.clone(),
                     run: run.run,
-                    checkpoint: {
-                        let saved_ms = self.saving.last_saved_ms(run.done_ms(now));
-                        checkpoint(task, run, saved_ms)
-                    },
+                    checkpoint: checkpoint(task, run, self.saving.last_saved_ms(run.done_ms(now))),
                     percent: percent(run, now),
                     load: 0,
                 })
--- a/ragwortwick-emulator/src/world.rs
+++ b/ragwortwick-emulator/src/world.rs
@@ -72,12 +72,6 @@
     pub stopped: u64,
     /// Runs whose lease ran out.
     pub lapsed: u64,
-    /// Time from acceptance to completion, by queue.
-    pub latencies_ms: BTreeMap<String, Vec<u64>>,
-    /// Jobs that made their objective, by queue.
-    pub in_time: BTreeMap<String, usize>,
-    /// Jobs that were owed, by queue.
-    pub owed: BTreeMap<String, usize>,
     /// Starts that were refused for want of a ticket.
     pub without_ticket: u64,
     /// Core-seconds of work that was stopped or lost, by why.
@@ -277,9 +271,6 @@
     }
 
     fn finish(mut self) -> Report {
-        let mut latencies_ms: BTreeMap<String, Vec<u64>> = BTreeMap::new();
-        let mut in_time: BTreeMap<String, usize> = BTreeMap::new();
-        let mut owed: BTreeMap<String, usize> = BTreeMap::new();
         let mut worth = Worth::default();
         let arrived = self.arrivals.iter().map(|arrival| &*arrival.record);
         let scale = Scale::of(&self.options.load, arrived);
@@ -293,16 +284,13 @@
             if job.cancelled_at.is_some() || job.record.schedule.is_some() {
                 continue;
             }
-            let queue = job.record.queue.as_str().to_owned();
-            *owed.entry(queue.clone()).or_insert(0) += 1;
             let done_at = self.completed_at.get(job_id);
             let latency_ms = done_at.map(|at| at.since(job.record.accepted_unix_ms).0);
-            let objective_ms = self.objective_ms(job_id);
             if !self.is_hopeless(job_id) {
                 let tally = self.truth.by_job.get(job_id).copied().unwrap_or_default();
                 let accepted_at = job.record.accepted_unix_ms;
                 let seen = Seen {
-                    objective_ms,
+                    objective_ms: self.objective_ms(job_id),
                     chain_ms: self.chain_ms(job_id),
                     first_start_ms: tally.first_start.map(|at| at.since(accepted_at).0),
                     latency_ms,
@@ -310,16 +298,6 @@
                 };
                 worth.count(&scale, &job.record, &seen);
             }
-            let Some(latency_ms) = latency_ms else {
-                continue;
-            };
-            latencies_ms
-                .entry(queue.clone())
-                .or_default()
-                .push(latency_ms);
-            if latency_ms <= objective_ms {
-                *in_time.entry(queue).or_insert(0) += 1;
-            }
         }
         Report {
             findings: self.truth.findings,
@@ -328,9 +306,6 @@
             starts: self.truth.starts,
             stopped: self.truth.stopped,
             lapsed: self.truth.lapsed,
-            latencies_ms,
-            in_time,
-            owed,
             without_ticket: self.advisor.refused,
             wasted_core_s: self
                 .wasted_core_ms
