Tell when a reader of the store is behind, and how it caught up

Callers of one host were refused for queues that the others served. Its log did not tell which reader's calls failed, how often, or how much came in the answer that ended the gap: the failures of the desired state's reader were below the level that is written, and the other readers wrote none. So a growing answer, a skipped change and a busy host could be told apart only from the link's figures.

Each reader now writes one line when it falls behind and one when it has caught up, and counts its failed calls; the version in force is a metric. No decision is changed. A test cuts a host's path to the store and finds both lines and both metrics.

--- a/ragwortwick-daemon/src/area/desired_feed.rs
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -9,7 +9,10 @@
 use ragwortwick_core::{DurationMs, Revision, log_event};
 use tokio::sync::watch;
 
+use super::feed_log::FeedLog;
+use super::metrics::AreaMetrics;
 use super::store_health::StoreHealth;
+use crate::Clock;
 
 /// Longest wait of one watch: an accepted version has to be in force two seconds later, also if a
 /// connection went silent meanwhile.
@@ -27,11 +30,21 @@
     pub(super) store: StoreClient,
     pub(super) health: StoreHealth,
     pub(super) desired: watch::Sender<Option<Arc<DesiredState>>>,
+    pub(super) clock: Clock,
+    pub(super) metrics: AreaMetrics,
+}
+
+/// `Answer` is what a call brought.
+struct Answer {
+    /// Where the next watch begins.
+    as_of: Revision,
+    entries: usize,
 }
 
 impl DesiredFeed {
     /// Runs until the process ends.
     pub(super) async fn run(self) {
+        let mut log = FeedLog::open("desired", self.clock, &self.metrics);
         let mut position: Option<Revision> = None;
         loop {
             let result = match position {
@@ -39,27 +52,35 @@
                 Some(after) => self.watch(after).await,
             };
             match result {
-                Ok(next) => position = Some(next),
-                Err(StoreFailure::HistoryGone) => position = None,
+                Ok(answer) => {
+                    log.answered(answer.entries);
+                    position = Some(answer.as_of);
+                }
                 Err(error) => {
-                    log_event!(Debug, "desired_state_call_failed", cause = error);
-                    tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
+                    log.failed(&error);
+                    match error {
+                        StoreFailure::HistoryGone => position = None,
+                        _ => tokio::time::sleep(FAILED_PAUSE_MS.into()).await,
+                    }
                 }
             }
         }
     }
 
-    async fn read(&self) -> Result<Revision, StoreFailure> {
+    async fn read(&self) -> Result<Answer, StoreFailure> {
         let page = self.store.page(DESIRED_PREFIX, None).await;
         self.health.note(&page);
         let page = page?;
         for item in &page.items {
             self.take(item);
         }
-        Ok(page.as_of)
+        Ok(Answer {
+            as_of: page.as_of,
+            entries: page.items.len(),
+        })
     }
 
-    async fn watch(&self, after: Revision) -> Result<Revision, StoreFailure> {
+    async fn watch(&self, after: Revision) -> Result<Answer, StoreFailure> {
         let wait_ms = if self.health.is_failing() {
             PROBE_WAIT_MS
         } else {
@@ -73,7 +94,10 @@
                 self.take(item);
             }
         }
-        Ok(reply.as_of)
+        Ok(Answer {
+            as_of: reply.as_of,
+            entries: reply.changes.len(),
+        })
     }
 
     fn take(&self, item: &Item) {
@@ -104,6 +128,8 @@
             is_new
         });
         if is_new {
+            let version_shown = i64::try_from(version).unwrap_or(i64::MAX);
+            self.metrics.desired_version.set(version_shown);
             log_event!(
                 Info,
                 "desired_state_in_force",
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -81,6 +81,8 @@
             store: store.clone(),
             health: health.clone(),
             desired: desired_sender,
+            clock,
+            metrics: metrics.clone(),
         };
         feeds.spawn(desired_feed.run());
         let replica_feed = ReplicaFeed {
@@ -88,6 +90,8 @@
             health: health.clone(),
             replica: replica.clone(),
             coordinator_key: key_sender,
+            clock,
+            metrics: metrics.clone(),
         };
         feeds.spawn(replica_feed.run(attach_feed));
 
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -39,6 +39,10 @@
     pub(super) end_seconds: HistogramVec,
     /// Runs that are over, by cause; counted by the coordinator.
     pub(super) runs_over: IntCounterVec,
+    /// Calls of a reader of the store without a usable answer, by reader.
+    pub(super) feed_failures: IntCounterVec,
+    /// Version of the desired state in force here; zero before the first.
+    pub(super) desired_version: IntGauge,
     /// Whether this host coordinates.
     pub(super) is_coordinator: IntGauge,
     store_calls: IntGaugeVec,
@@ -74,6 +78,11 @@
             "Runs that are over, by this host as coordinator",
             &["cause"],
         )?;
+        let feed_failures = counter(
+            "ragwortwick_area_feed_failures_total",
+            "Calls of a reader of the store without a usable answer",
+            &["feed"],
+        )?;
         let accept_seconds = histogram(
             "ragwortwick_area_accept_seconds",
             "Time to take a job in",
@@ -86,6 +95,11 @@
             &["customer", "phase"],
             &END_BUCKETS_S,
         )?;
+        let desired_version = IntGauge::new(
+            "ragwortwick_area_desired_version",
+            "Version of the desired state in force here",
+        )?;
+        registry.register(Box::new(desired_version.clone()))?;
         let is_coordinator = IntGauge::new(
             "ragwortwick_area_is_coordinator",
             "Whether this host coordinates",
@@ -100,6 +114,8 @@
             accept_seconds,
             end_seconds,
             runs_over,
+            feed_failures,
+            desired_version,
             is_coordinator,
             store_calls,
             counts,
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -4,6 +4,7 @@
 mod coordination;
 mod desired_feed;
 mod election;
+mod feed_log;
 mod front;
 mod host;
 mod job_store;
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -8,9 +8,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::coordination::EventSender;
+use super::feed_log::FeedLog;
 use super::keys::{COORDINATOR, ROOT};
+use super::metrics::AreaMetrics;
 use super::replica::{JobNews, Replica};
 use super::store_health::StoreHealth;
+use crate::Clock;
 
 /// Longest wait of one watch. A connection that went silent is noticed after this and a margin.
 const WATCH_WAIT_MS: DurationMs = DurationMs(1_500);
@@ -51,6 +54,8 @@
     pub(super) health: StoreHealth,
     pub(super) replica: Replica,
     pub(super) coordinator_key: watch::Sender<CoordinatorKey>,
+    pub(super) clock: Clock,
+    pub(super) metrics: AreaMetrics,
 }
 
 /// `Step` is what one round of the feed brings.
@@ -68,6 +73,7 @@
 impl ReplicaFeed {
     /// Runs until nobody can ask to be attached any more.
     pub(super) async fn run(self, mut attach: mpsc::Receiver<Attach>) {
+        let mut log = FeedLog::open("jobs", self.clock, &self.metrics);
         let mut listener: Option<EventSender> = None;
         let mut position: Option<Revision> = None;
         let mut pause_ms = DurationMs(0);
@@ -84,10 +90,12 @@
                     position = self.attach_listener(request, &mut listener).await;
                 }
                 Step::Loaded(as_of, news) => {
+                    log.answered(news.len());
                     position = Some(as_of);
                     tell(&mut listener, news).await;
                 }
                 Step::Changed(reply) => {
+                    log.answered(reply.changes.len());
                     let news = self.take(&reply);
                     tell(&mut listener, news).await;
                     pause_ms = match (reply.changes.is_empty(), &listener) {
@@ -97,11 +105,13 @@
                     };
                     position = Some(reply.as_of);
                 }
-                Step::Failed(StoreFailure::HistoryGone) => {
-                    log_event!(Info, "jobs_history_gone");
-                    position = None;
+                Step::Failed(error) => {
+                    log.failed(&error);
+                    match error {
+                        StoreFailure::HistoryGone => position = None,
+                        _ => pause_ms = FAILED_PAUSE_MS,
+                    }
                 }
-                Step::Failed(_) => pause_ms = FAILED_PAUSE_MS,
             }
         }
     }
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -148,6 +148,8 @@
         health: parts.health.clone(),
         events: events.clone(),
         known: known_workers,
+        clock: parts.clock,
+        metrics: parts.metrics.clone(),
     };
     let job_store = JobStore {
         store: parts.store.clone(),
--- a/ragwortwick-daemon/src/area/worker_feed.rs
+++ b/ragwortwick-daemon/src/area/worker_feed.rs
@@ -9,8 +9,11 @@
 use ragwortwick_core::{DurationMs, Revision, WorkerName, log_event};
 
 use super::coordination::EventSender;
+use super::feed_log::FeedLog;
+use super::metrics::AreaMetrics;
 use super::replica_feed::read_all;
 use super::store_health::StoreHealth;
+use crate::Clock;
 
 /// Pause between two watches. Every worker's heartbeat changes its entry, so a watch sent at once is
 /// answered at once; a leaving worker is still seen well before it must get no more work.
@@ -31,6 +34,8 @@
     pub(super) events: EventSender,
     /// Workers that the coordinator was told of.
     pub(super) known: BTreeSet<WorkerName>,
+    pub(super) clock: Clock,
+    pub(super) metrics: AreaMetrics,
 }
 
 /// Reads all entries as they are now.
@@ -62,6 +67,7 @@
 impl WorkerFeed {
     /// Runs until the term ends.
     pub(super) async fn run(mut self, mut position: Option<Revision>) {
+        let mut log = FeedLog::open("workers", self.clock, &self.metrics);
         loop {
             let result = match position {
                 None => self.read().await,
@@ -69,14 +75,20 @@
             };
             match result {
                 Ok(next) => {
+                    log.answered(self.known.len());
                     position = next;
                     if !self.events.send(Event::WorkersFresh).await {
                         return;
                     }
                     tokio::time::sleep(PAUSE_MS.into()).await;
                 }
-                Err(StoreFailure::HistoryGone) => position = None,
-                Err(_) => tokio::time::sleep(FAILED_PAUSE_MS.into()).await,
+                Err(error) => {
+                    log.failed(&error);
+                    match error {
+                        StoreFailure::HistoryGone => position = None,
+                        _ => tokio::time::sleep(FAILED_PAUSE_MS.into()).await,
+                    }
+                }
             }
         }
     }
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -5,7 +5,7 @@
 use http::{Method, StatusCode};
 use ragwortwick_core::DurationMs;
 use ragwortwick_http::{HttpClient, HttpClientOptions};
-use ragwortwick_standin::{AreaFleet, StoreTrouble, area_job, desired, wait_until};
+use ragwortwick_standin::{AreaFleet, RelayMode, StoreTrouble, area_job, desired, wait_until};
 use serde_json::json;
 
 const ID: &str = "00000000000000aa";
@@ -280,6 +280,33 @@
     fleet.close();
 }
 
+/// An engineer asks why one host told a caller something old. Its log says from when to when each reader of the
+/// store was behind and why, and its metrics say how many calls failed and which version is in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_gaps_of_the_readers_are_logged_and_counted() {
+    let fleet = open(1, 2).await;
+    fleet.set_store_path(0, RelayMode::Cut);
+    let behind = fleet.hosts[0].wait_for_event("feed_behind").await;
+    behind.expect("the gap is logged");
+    fleet.set_store_path(0, RelayMode::Pass);
+    let caught_up = fleet.hosts[0].wait_for_event("feed_caught_up").await;
+    caught_up.expect("its end is logged");
+    let http = HttpClient::new(&HttpClientOptions::default());
+    let metrics = fleet.hosts[0].metrics_address().await.expect("an address");
+    let reply = http.send(Method::GET, &metrics, "/metrics", None, DurationMs(3_000));
+    let reply = reply.await.expect("an answer");
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    assert!(
+        text.contains("ragwortwick_area_desired_version 1"),
+        "{text}"
+    );
+    assert!(
+        text.contains("ragwortwick_area_feed_failures_total{feed="),
+        "{text}"
+    );
+    fleet.close();
+}
+
 /// A version that removes the queue is in force soon, and never goes back to an older one.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_newer_desired_state_stays_in_force() {
