Read the newest desired state after a gap, not every version of it

Callers of a host that had been cut off from the store got 404 for queues that were confirmed three to twenty seconds before, for up to six seconds after the path was back.

Cause: after a failed call the host watched from the last revision that it knew. Each version is the whole desired state, so the answer held all versions of the gap. On a small host's link it took longer than the call may, and each further try had more to bring: nothing bounded how long that went on.

Ruled out: a watch that skipped changes (the next version, 0.8 s later, would have come in force; 38 came in force at once), and a busy processor (0 or 1 % in those seconds, while the link was full).

Change: any failed call is followed by a read of the one key, and the watch goes on from there. The watch asks for that key alone; the short watch that probed for the store's return is gone, as the read does that.

Why it holds: what has to come in after a gap no longer grows with the gap.

--- a/ragwortwick-daemon/src/area/desired_feed.rs
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -1,10 +1,8 @@
-//! Keeps the desired state in force: read at start, then watched; a version never goes back.
+//! Keeps the desired state in force: read at start and after each gap, then watched; a version never goes back.
 
 use std::sync::Arc;
 
-use ragwortwick_adapter::{
-    Change, DESIRED_KEY, DESIRED_PREFIX, Item, StoreClient, StoreFailure, decode_desired,
-};
+use ragwortwick_adapter::{Change, DESIRED_KEY, Item, StoreClient, StoreFailure, decode_desired};
 use ragwortwick_area::DesiredState;
 use ragwortwick_core::{DurationMs, Revision, log_event};
 use tokio::sync::watch;
@@ -18,9 +16,6 @@
 /// connection went silent meanwhile.
 const WATCH_WAIT_MS: DurationMs = DurationMs(1_000);
 
-/// Wait of a watch while calls fail: it finds out soon when the store is back.
-const PROBE_WAIT_MS: DurationMs = DurationMs(50);
-
 /// Pause after a failed call.
 const FAILED_PAUSE_MS: DurationMs = DurationMs(150);
 
@@ -58,9 +53,11 @@
                 }
                 Err(error) => {
                     log.failed(&error);
-                    match error {
-                        StoreFailure::HistoryGone => position = None,
-                        _ => tokio::time::sleep(FAILED_PAUSE_MS.into()).await,
+                    // The changes of a gap hold every version that it missed, and may be more than the path carries before
+                    // the call ends, the next time more still. The newest version alone is always of one size.
+                    position = None;
+                    if error != StoreFailure::HistoryGone {
+                        tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
                     }
                 }
             }
@@ -68,7 +65,7 @@
     }
 
     async fn read(&self) -> Result<Answer, StoreFailure> {
-        let page = self.store.page(DESIRED_PREFIX, None).await;
+        let page = self.store.page(DESIRED_KEY, None).await;
         self.health.note(&page);
         let page = page?;
         for item in &page.items {
@@ -81,12 +78,7 @@
     }
 
     async fn watch(&self, after: Revision) -> Result<Answer, StoreFailure> {
-        let wait_ms = if self.health.is_failing() {
-            PROBE_WAIT_MS
-        } else {
-            WATCH_WAIT_MS
-        };
-        let reply = self.store.watch(DESIRED_PREFIX, after, wait_ms).await;
+        let reply = self.store.watch(DESIRED_KEY, after, WATCH_WAIT_MS).await;
         self.health.note(&reply);
         let reply = reply?;
         for change in &reply.changes {
--- a/ragwortwick-daemon/src/area/store_health.rs
+++ b/ragwortwick-daemon/src/area/store_health.rs
@@ -69,7 +69,7 @@
     }
 
     /// Whether the newest call failed.
-    pub(super) fn is_failing(&self) -> bool {
+    fn is_failing(&self) -> bool {
         self.is_failing.load(Ordering::Relaxed)
     }
 }
