Show that readers of jobs and workers never catch up on a narrow path

Callers of a host that was away see jobs as they were before, and a coordinator that was away sees no new worker, for as long as the path is narrow. Three tests bring it about: a follower that missed 200 jobs with 1.2 MB of records, the same with the history forgotten so that pages are read, and a coordinator that missed 2,500 heartbeats while the store was silent.

--- a/ragwortwick-daemon/tests/area_catch_up.rs
+++ b/ragwortwick-daemon/tests/area_catch_up.rs
@@ -1,12 +1,21 @@
 //! Hosts that were away from the store find their way back, on a path that carries little.
 
 use http::{Method, StatusCode};
-use ragwortwick_standin::{AreaFleet, RelayMode, desired, wait_until};
+use ragwortwick_standin::{AreaFleet, RelayMode, StoreTrouble, area_job, desired, wait_until};
 use serde_json::{Value, json};
 
 /// Versions that the operator confirms while a host is away.
 const MISSED_VERSIONS: u64 = 60;
 
+/// Jobs that come in while a host is away; with their payloads more than a megabyte in the store.
+const MISSED_JOBS: u64 = 200;
+
+/// Length of their payloads, below the largest body that callers may send.
+const PAYLOAD_BYTES: usize = 3_000;
+
+/// Heartbeats of workers that the coordinator misses; with their entries more than two megabytes.
+const MISSED_HEARTBEATS: u64 = 2_500;
+
 /// Customers of a large area; their keys are most of a desired state.
 const CUSTOMERS: u64 = 200;
 
@@ -57,3 +66,87 @@
     .await;
     fleet.close();
 }
+
+/// Cuts a follower off from the store and has the other host take jobs in; gives the follower and the last job's id.
+async fn miss_jobs(fleet: &AreaFleet) -> (usize, String) {
+    let leader = fleet.coordinator().expect("a host coordinates");
+    let follower = 1 - leader;
+    fleet.set_store_path(follower, RelayMode::Cut);
+    let behind = fleet.hosts[follower].wait_for_event("feed_behind").await;
+    behind.expect("the host has lost the store");
+    let mut last = String::new();
+    for number in 0..MISSED_JOBS {
+        last = format!("{number:016x}");
+        let mut job = area_job(1, 10, false);
+        let padding = "p".repeat(PAYLOAD_BYTES);
+        job["Spec"] = json!(json!({"work_ms": 10, "padding": padding}).to_string());
+        let status = fleet.submit(leader, &last, job).await;
+        assert_eq!(status.ok(), Some(StatusCode::OK));
+    }
+    fleet.wait_for_state(leader, &last, "completed").await;
+    (follower, last)
+}
+
+/// A caller asks a host for a job that has ended, and is told for good that it waits. The host's path to the store was
+/// lost for a while and came back narrow. All jobs that changed meanwhile come in one answer, which is on its way
+/// for longer than the host lets a watch take: it broke the answer off and asked for the same again, and more. On the
+/// host of the stale queues the link was full for six seconds, 6.9 MB, of which 3 MB were needed.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_host_that_was_away_learns_of_jobs_that_changed() {
+    let fleet = open(2, 8).await;
+    let (follower, last) = miss_jobs(&fleet).await;
+    fleet.set_store_path(follower, RelayMode::Narrow);
+    fleet.wait_for_state(follower, &last, "completed").await;
+    fleet.close();
+}
+
+/// As before, but the store has forgotten its history meanwhile, so the host reads all jobs anew. A page of them takes
+/// longer on the narrow path than the host lets a read take, and each try begins with the first page.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_host_that_was_away_reads_all_jobs_anew() {
+    let fleet = open(2, 8).await;
+    let (follower, last) = miss_jobs(&fleet).await;
+    fleet.store.forget_history();
+    fleet.set_store_path(follower, RelayMode::Narrow);
+    fleet.wait_for_state(follower, &last, "completed").await;
+    fleet.close();
+}
+
+/// Jobs wait although workers have joined. The store answered nobody for some seconds, in which leases stand still, so
+/// the coordinator kept its term; the workers' heartbeats went on, and each is a change of a whole entry. On a narrow
+/// path the answer with all of them took longer than the watch may, again and again, and no worker was ever seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_coordinator_that_was_away_sees_new_workers() {
+    let fleet = open(1, 2).await;
+    fleet.store.set_trouble(StoreTrouble::Silent);
+    let behind = async || {
+        let lines = fleet.hosts[0].lines();
+        lines
+            .iter()
+            .any(|line| line.contains("event=feed_behind feed=workers"))
+    };
+    wait_until("the workers' reader is behind", behind).await;
+    for number in 0..MISSED_HEARTBEATS {
+        let entry = json!({
+            "Service": "booking",
+            "Address": "127.0.0.1:1",
+            "Zone": "z",
+            "Version": "v".repeat(PAYLOAD_BYTES / 5),
+            "State": "ready",
+            "Capacity": {"Cpu": 32_000, "MemMb": 65_536, "Gpu": 8},
+            "Labels": ["a", "r-9"],
+            "Sequence": number,
+        });
+        fleet.store.put("servers/late", entry.to_string());
+    }
+    fleet.set_store_path(0, RelayMode::Narrow);
+    fleet.store.set_trouble(StoreTrouble::None);
+    wait_until("the new worker is seen", async || {
+        let lines = fleet.hosts[0].lines();
+        lines
+            .iter()
+            .any(|line| line.contains("event=worker_seen worker=late"))
+    })
+    .await;
+    fleet.close();
+}
