Limit the store's long answers by their pauses, not by their whole time

Callers of a host that had been away saw jobs as they were before, a host could not read all jobs anew, and a coordinator saw no new worker, for as long as the host's path to the store was narrow.

Cause: each call had one limit on its whole time. The answer to a watch grows with what was missed, a page of jobs is up to a megabyte, and both share a small host's link; an answer that takes longer than the limit was broken off and asked for again, by when it was longer still. The reader of the desired state had the same fault; here the state is no smaller than the changes, so reading it anew would not help.

A silent connection is found as soon as before. An answer beyond the client's bound on bodies is told apart, and the prefix is then read in pages, as after a forgotten history: the same call again would only be longer.

Why it holds: bytes that came are never thrown away while more are coming, so each try makes progress.

--- a/ragwortwick-daemon/src/area/desired_feed.rs
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -56,7 +56,7 @@
                     // The changes of a gap hold every version that it missed, and may be more than the path carries before
                     // the call ends, the next time more still. The newest version alone is always of one size.
                     position = None;
-                    if error != StoreFailure::HistoryGone {
+                    if !error.is_gap() {
                         tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
                     }
                 }
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -107,9 +107,10 @@
                 }
                 Step::Failed(error) => {
                     log.failed(&error);
-                    match error {
-                        StoreFailure::HistoryGone => position = None,
-                        _ => pause_ms = FAILED_PAUSE_MS,
+                    if error.is_gap() {
+                        position = None;
+                    } else {
+                        pause_ms = FAILED_PAUSE_MS;
                     }
                 }
             }
--- a/ragwortwick-daemon/src/area/store_health.rs
+++ b/ragwortwick-daemon/src/area/store_health.rs
@@ -36,10 +36,10 @@
 
     /// Notes how a call went.
     pub(super) fn note<T>(&self, result: &Result<T, StoreFailure>) {
-        let is_answer = matches!(
-            result,
-            Ok(_) | Err(StoreFailure::HistoryGone | StoreFailure::LeaseGone)
-        );
+        let is_answer = match result {
+            Ok(_) | Err(StoreFailure::LeaseGone) => true,
+            Err(failure) => failure.is_gap(),
+        };
         let was_failing = self.is_failing.swap(!is_answer, Ordering::Relaxed);
         if is_answer {
             self.last_answer_ms
--- a/ragwortwick-daemon/src/area/worker_feed.rs
+++ b/ragwortwick-daemon/src/area/worker_feed.rs
@@ -84,9 +84,10 @@
                 }
                 Err(error) => {
                     log.failed(&error);
-                    match error {
-                        StoreFailure::HistoryGone => position = None,
-                        _ => tokio::time::sleep(FAILED_PAUSE_MS.into()).await,
+                    if error.is_gap() {
+                        position = None;
+                    } else {
+                        tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
                     }
                 }
             }
--- a/ragwortwick-http/src/client.rs
+++ b/ragwortwick-http/src/client.rs
@@ -3,13 +3,16 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use ragwortwick_core::DurationMs;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::answer::{AnswerLimits, BodyFailure, read_body};
 
 /// `HttpClientOptions` sets the bounds of a client.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +61,13 @@
         /// Body as text.
         body: String,
     },
+    /// too long an answer from {address}: {cause}
+    TooLong {
+        /// Who answered.
+        address: String,
+        /// The bound that it is beyond.
+        cause: String,
+    },
     /// malformed answer from {address}: {cause}
     Malformed {
         /// Who answered.
@@ -144,11 +154,11 @@
             .await
     }
 
-    /// `send_with` is `send` with further header fields.
+    /// `send_with` is `send` with further header fields, and limits for each part of the answer.
     ///
     /// # Errors
     ///
-    /// As `send`.
+    /// As `send`; with `TooLong` for a body beyond the client's bound.
     pub async fn send_with(
         &self,
         method: Method,
@@ -156,7 +166,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: Option<Bytes>,
-        timeout_ms: DurationMs,
+        limits: impl Into<AnswerLimits>,
     ) -> Result<HttpReply, HttpError> {
         let mut request = Request::builder()
             .method(method)
@@ -165,7 +175,7 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        self.exchange(address, request, body.unwrap_or_default(), timeout_ms)
+        self.exchange(address, request, body.unwrap_or_default(), limits.into())
             .await
     }
 
@@ -174,7 +184,7 @@
         address: &str,
         request: http::request::Builder,
         body: Bytes,
-        timeout_ms: DurationMs,
+        limits: AnswerLimits,
     ) -> Result<HttpReply, HttpError> {
         let request = request
             .body(Full::new(body))
@@ -186,8 +196,13 @@
             address: address.to_owned(),
             cause,
         };
+        let late = |limit_ms: DurationMs| no_answer(format!("no answer within {limit_ms} ms"));
         let exchange = async {
-            let response = self.inner.request(request).await.map_err(|e| {
+            let response = timeout(limits.head_ms.into(), self.inner.request(request));
+            let Ok(response) = response.await else {
+                return Err(late(limits.head_ms));
+            };
+            let response = response.map_err(|e| {
                 if e.is_connect() {
                     HttpError::NotSent {
                         address: address.to_owned(),
@@ -198,19 +213,23 @@
                 }
             })?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, self.max_body_bytes)
-                .collect()
-                .await
-                .map_err(|e| no_answer(e.to_string()))?;
+            let body = read_body(body, self.max_body_bytes, limits.pause_ms);
+            let body = body.await.map_err(|failure| match failure {
+                BodyFailure::TooLong(_) => HttpError::TooLong {
+                    address: address.to_owned(),
+                    cause: failure.to_string(),
+                },
+                _ => no_answer(failure.to_string()),
+            })?;
             Ok(HttpReply {
                 status: head.status,
                 headers: head.headers,
-                body: body.to_bytes(),
+                body,
             })
         };
-        tokio::time::timeout(timeout_ms.into(), exchange)
+        timeout(limits.whole_ms.into(), exchange)
             .await
-            .unwrap_or_else(|_| Err(no_answer(format!("no answer within {timeout_ms} ms"))))
+            .unwrap_or_else(|_| Err(late(limits.whole_ms)))
     }
 
     /// `post` sends a JSON body and reads a JSON answer of status 2xx.
@@ -273,7 +292,7 @@
             request = request.header(header::IF_NONE_MATCH, tag);
         }
         let reply = self
-            .exchange(address, request, Bytes::new(), timeout_ms)
+            .exchange(address, request, Bytes::new(), timeout_ms.into())
             .await?;
         if reply.status == StatusCode::NOT_MODIFIED {
             return Ok(Fetched::Unchanged);
--- a/ragwortwick-http/tests/http_bounds.rs
+++ b/ragwortwick-http/tests/http_bounds.rs
@@ -11,7 +11,8 @@
 use ragwortwick_border::{Problem, Shape};
 use ragwortwick_core::DurationMs;
 use ragwortwick_http::{
-    HttpClient, HttpClientOptions, HttpError, Server, ServerOptions, json_response, read_json,
+    AnswerLimits, HttpClient, HttpClientOptions, HttpError, Server, ServerOptions, json_response,
+    read_json,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -116,6 +117,61 @@
     other_end.await.expect("the other end ended");
 }
 
+/// Answers one request with these bytes, and then keeps the connection open and says nothing more.
+async fn answers_and_falls_silent(bytes: &'static [u8]) -> (String, tokio::task::JoinHandle<()>) {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("loopback binds");
+    let address = listener.local_addr().expect("bound").to_string();
+    let other_end = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("the client connects");
+        let mut request = [0; 1_024];
+        let _ = socket.read(&mut request).await.expect("a request arrives");
+        socket.write_all(bytes).await.expect("the client reads");
+        // The client's end of the connection is the end of this one.
+        let _ = socket.read(&mut request).await;
+    });
+    (address, other_end)
+}
+
+#[tokio::test]
+async fn verify_answer_that_falls_silent_is_no_answer() {
+    // A reader with time for a long answer must not spend all of it on a connection that went silent
+    // in the middle of one: it gives up after the pause and asks again on another.
+    let (address, other_end) =
+        answers_and_falls_silent(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n0123456789").await;
+    let client = HttpClient::new(&HttpClientOptions::default());
+    let limits = AnswerLimits {
+        head_ms: TIMEOUT_MS,
+        pause_ms: DurationMs(100),
+        whole_ms: DurationMs(3_600_000),
+    };
+    let error = client
+        .send_with(http::Method::GET, &address, "/", &[], None, limits)
+        .await
+        .expect_err("the answer stops");
+    assert!(matches!(error, HttpError::NoAnswer { .. }), "{error}");
+    assert!(error.to_string().contains("nothing more came"), "{error}");
+    drop(client);
+    other_end.await.expect("the other end ended");
+}
+
+#[tokio::test]
+async fn verify_answer_beyond_the_bound_is_told_apart() {
+    // Asked again, such an answer would be as long: the caller has to ask for something else.
+    let (address, other_end) =
+        answers_and_falls_silent(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789").await;
+    let client = HttpClient::new(&HttpClientOptions {
+        max_body_bytes: 9,
+        ..HttpClientOptions::default()
+    });
+    let error = client
+        .get::<Shape>(&address, "/", TIMEOUT_MS)
+        .await
+        .expect_err("the answer is too long");
+    assert!(matches!(error, HttpError::TooLong { .. }), "{error}");
+    drop(client);
+    other_end.await.expect("the other end ended");
+}
+
 #[tokio::test]
 async fn verify_half_sent_head_is_closed_by_the_server() {
     // A caller that never finishes its request head would hold a connection for ever; the server
--- a/ragwortwick-platform/src/store_error.rs
+++ b/ragwortwick-platform/src/store_error.rs
@@ -41,7 +41,9 @@
         let text = error.to_string();
         match error {
             HttpError::NotSent { .. } => Self::NotSent(text),
-            HttpError::NoAnswer { .. } | HttpError::Malformed { .. } => Self::NoAnswer(text),
+            HttpError::NoAnswer { .. }
+            | HttpError::TooLong { .. }
+            | HttpError::Malformed { .. } => Self::NoAnswer(text),
             HttpError::Status { status, .. } => match status {
                 UNAVAILABLE | TOO_MANY => Self::NotSent(text),
                 400..500 => Self::Refused(text),
