Show that a new coordinator waits twice for a worker that was lost

The test takes over a recorded run whose worker is gone: it is given up 17.2 s later, though the longest lease is over after 14.7 s and a silent worker is to be heard within 12.5 s.

--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -120,6 +120,36 @@
     assert_eq!(phase, Some(ragwortwick_area::JobPhase::Completed));
 }
 
+/// A caller's job stands still although most workers are idle. Its last task had come to its end on a worker that was
+/// leaving; a zone was cut off before the coordinator there could store that, and the end was lost with both. The
+/// next coordinator can't know, and waits until every lease must have run out, which outlasts the time within which a
+/// silent worker is to be heard. It waited for both, one after the other: `term_begins` at 35.4 s, `run_over …
+/// cause=WorkerSilent` at 52.5 s, and the step after it had not begun when the job was asked for at 58 s.
+#[test]
+fn verify_recorded_run_on_a_lost_worker_is_given_up_once_its_lease_is_over() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1")];
+    let record = job("00000000000000b1", "middle", vec![step(1, 8)]);
+    let mut rig = Rig::new(&workers);
+    rig.tell(Event::JobAccepted(Arc::clone(&record)));
+    rig.pass(20);
+    let stored = rig.store().pop().expect("the start is announced");
+    let start = rig.starts().pop().expect("the task starts");
+    let known = KnownJob {
+        record,
+        progress: Some(stored.1),
+        is_cancelled: false,
+    };
+    let mut next = Rig::take_over(10_000, vec![known], &workers);
+    next.tell(Event::WorkerGone(start.0.clone()));
+    // The last lease may have been sent 4 s after the takeover, and lasts 10.7 s with all margins.
+    for _ in 0..15 {
+        next.look_fails(&start.0);
+        next.pass(1_000);
+        next.store();
+    }
+    assert_eq!(next.starts().len(), 1, "it starts elsewhere");
+}
+
 /// A start gets no answer and is refused when it is repeated. The first one may still arrive late,
 /// so a stop has to rule it out before the task runs elsewhere; without it the caller's booking
 /// would be made twice.
