--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -120,11 +120,12 @@
     assert_eq!(phase, Some(ragwortwick_area::JobPhase::Completed));
 }
 
-/// A caller's job stands still although most workers are idle. Its last task had come to its end on a worker that was
-/// leaving; a zone was cut off before the coordinator there could store that, and the end was lost with both. The
-/// next coordinator can't know, and waits until every lease must have run out, which outlasts the time within which a
-/// silent worker is to be heard. It waited for both, one after the other: `term_begins` at 35.4 s, `run_over …
-/// cause=WorkerSilent` at 52.5 s, and the step after it had not begun when the job was asked for at 58 s.
+/// A caller's job stands still although most workers are idle. Its last task had come to its end on
+/// a worker that was leaving; a zone was cut off before the coordinator there could store that, and
+/// the end was lost with both. The next coordinator can't know, and waits until every lease must
+/// have run out, which outlasts the time within which a silent worker is to be heard. It waited for
+/// both, one after the other: `term_begins` at 35.4 s, `run_over … cause=WorkerSilent` at 52.5 s,
+/// and the step after it had not begun when the job was asked for at 58 s.
 #[test]
 fn verify_recorded_run_on_a_lost_worker_is_given_up_once_its_lease_is_over() {
     let workers = [worker("w1", "r1"), worker("w2", "r1")];
--- a/ragwortwick-daemon/src/area/desired_feed.rs
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -1,4 +1,5 @@
-//! Keeps the desired state in force: read at start and after each gap, then watched; a version never goes back.
+//! Keeps the desired state in force: read at start and after each gap, then watched; a version
+//! never goes back.
 
 use std::sync::Arc;
 
@@ -56,8 +57,9 @@
                 }
                 Err(error) => {
                     log.failed(&error);
-                    // The changes of a gap hold every version that it missed, and may be more than the path carries before
-                    // the call ends, the next time more still. The newest version alone is always of one size.
+                    // The changes of a gap hold every version that it missed, and may be more than
+                    // the path carries before the call ends, the next time more still. The newest
+                    // version alone is always of one size.
                     position = None;
                     if !error.is_gap() {
                         tokio::time::sleep(FAILED_PAUSE_MS.into()).await;
--- a/ragwortwick-daemon/src/area/front.rs
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -131,8 +131,8 @@
             desired_age_ms = front.age.age_ms(now)
         );
     }
-    // A version that this host hasn't seen may have added what is unknown here. Refused for good, the
-    // caller would not ask another host.
+    // A version that this host hasn't seen may have added what is unknown here. Refused for good,
+    // the caller would not ask another host.
     if front.age.is_confirmed(now) {
         refusal.into_response(state)
     } else {
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -267,8 +267,9 @@
     fleet.close();
 }
 
-/// An engineer asks why one host told a caller something old. Its log says from when to when each reader of the
-/// store was behind and why, and its metrics say how many calls failed and which version is in force.
+/// An engineer asks why one host told a caller something old. Its log says from when to when each
+/// reader of the store was behind and why, and its metrics say how many calls failed and which
+/// version is in force.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_gaps_of_the_readers_are_logged_and_counted() {
     let fleet = open(1, 2).await;
--- a/ragwortwick-daemon/tests/area_catch_up.rs
+++ b/ragwortwick-daemon/tests/area_catch_up.rs
@@ -41,11 +41,13 @@
     state
 }
 
-/// A caller asks a host for a queue that was confirmed seconds ago, and gets 404; every other host serves it. The host's
-/// path to the store had been lost while the operator went on with changes, and came back narrow. It asked for all
-/// changes since the last that it knew, each of which holds the whole state, and gave up before the answer was whole; at
-/// the next try the answer was longer still. The log showed `store_reachable is_reachable=false cause="… no answer within
-/// 750 ms"` four times in five seconds while the link was full, and then `desired_state_in_force` 38 times within 10 ms.
+/// A caller asks a host for a queue that was confirmed seconds ago, and gets 404; every other host
+/// serves it. The host's path to the store had been lost while the operator went on with changes,
+/// and came back narrow. It asked for all changes since the last that it knew, each of which holds
+/// the whole state, and gave up before the answer was whole; at the next try the answer was longer
+/// still. The log showed `store_reachable is_reachable=false cause="… no answer within 750 ms"`
+/// four times in five seconds while the link was full, and then `desired_state_in_force` 38 times
+/// within 10 ms.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_host_that_was_away_serves_the_newest_desired_state() {
     let fleet = open(1, 2).await;
@@ -68,7 +70,8 @@
     fleet.close();
 }
 
-/// Cuts a follower off from the store and has the other host take jobs in; gives the follower and the last job's id.
+/// Cuts a follower off from the store and has the other host take jobs in; gives the follower and
+/// the last job's id.
 async fn miss_jobs(fleet: &AreaFleet) -> (usize, String) {
     let leader = fleet.coordinator().expect("a host coordinates");
     let follower = 1 - leader;
@@ -88,10 +91,11 @@
     (follower, last)
 }
 
-/// A caller asks a host for a job that has ended, and is told for good that it waits. The host's path to the store was
-/// lost for a while and came back narrow. All jobs that changed meanwhile come in one answer, which is on its way
-/// for longer than the host lets a watch take: it broke the answer off and asked for the same again, and more. On the
-/// host of the stale queues the link was full for six seconds, 6.9 MB, of which 3 MB were needed.
+/// A caller asks a host for a job that has ended, and is told for good that it waits. The host's
+/// path to the store was lost for a while and came back narrow. All jobs that changed meanwhile
+/// come in one answer, which is on its way for longer than the host lets a watch take: it broke the
+/// answer off and asked for the same again, and more. On the host of the stale queues the link was
+/// full for six seconds, 6.9 MB.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_host_that_was_away_learns_of_jobs_that_changed() {
     let fleet = open(2, 8).await;
@@ -101,8 +105,9 @@
     fleet.close();
 }
 
-/// As before, but the store has forgotten its history meanwhile, so the host reads all jobs anew. A page of them takes
-/// longer on the narrow path than the host lets a read take, and each try begins with the first page.
+/// As before, but the store has forgotten its history meanwhile, so the host reads all jobs anew. A
+/// page of them takes longer on the narrow path than the host lets a read take, and each try begins
+/// with the first page.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_host_that_was_away_reads_all_jobs_anew() {
     let fleet = open(2, 8).await;
@@ -113,9 +118,10 @@
     fleet.close();
 }
 
-/// Jobs wait although workers have joined. The store answered nobody for some seconds, in which leases stand still, so
-/// the coordinator kept its term; the workers' heartbeats went on, and each is a change of a whole entry. On a narrow
-/// path the answer with all of them took longer than the watch may, again and again, and no worker was ever seen.
+/// Jobs wait although workers have joined. The store answered nobody for some seconds, in which
+/// leases stand still, so the coordinator kept its term; the workers' heartbeats went on, and each
+/// is a change of a whole entry. On a narrow path the answer with all of them took longer than the
+/// watch may, again and again, and no worker was ever seen.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_coordinator_that_was_away_sees_new_workers() {
     let fleet = open(1, 2).await;
@@ -152,10 +158,11 @@
     fleet.close();
 }
 
-/// A caller asks for a queue that was added a moment ago, at a host that has lost the store, and is told for good that
-/// there is none: it doesn't ask another host. The desired state of such a host is as old as its loss, 15 s where a path
-/// was cut from 32 to 45 s and the state came in force at 51.59, so it can't know what is not there. It says when to come
-/// back instead, also to callers with a key that it doesn't know, and goes on telling of the jobs that it knows.
+/// A caller asks for a queue that was added a moment ago, at a host that has lost the store, and is
+/// told for good that there is none: it doesn't ask another host. The desired state of such a host
+/// is as old as its loss, 15 s where a path was cut from 32 to 45 s and the state came in force at
+/// 51.59, so it can't know what is not there. It says when to come back instead, also to callers
+/// with a key that it doesn't know, and goes on telling of the jobs that it knows.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_host_without_the_newest_desired_state_refuses_nothing_for_good() {
     let fleet = open(1, 2).await;
