Show that an end which a cut-off coordinator heard is lost with its worker

The test cuts the coordinator off, has it hear the end, takes the worker away and lets the next host coordinate: two starts in place of one. The setup of three takeover tests is one function now; their checks are as they were.

--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use ragwortwick_area::{Action, EndKind, Event, KnownJob, OrderReply, RefusalCause};
+use ragwortwick_area::{
+    Action, EndKind, Event, KnownJob, OrderReply, RefusalCause, TaskId, WorkerEntry,
+};
 use ragwortwick_core::{JobId, WorkerName};
 use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
 
@@ -64,13 +66,10 @@
     assert_eq!(phase, Some(ragwortwick_area::JobPhase::Failed));
 }
 
-/// The last coordinator recorded a start and died; its worker can't be reached. The task may be
-/// running there, so it is started elsewhere only once every lease there must have run out.
-#[test]
-fn verify_recorded_run_blocks_its_task_until_the_lease_is_over() {
-    let workers = [worker("w1", "r1"), worker("w2", "r1")];
-    let record = job("00000000000000ab", "middle", vec![step(1, 8)]);
-    let mut rig = Rig::new(&workers);
+/// A job of one task as the store has it after its coordinator sent the start and died.
+fn recorded_start(id: &str, workers: &[WorkerEntry]) -> (KnownJob, (WorkerName, TaskId, u32)) {
+    let record = job(id, "middle", vec![step(1, 8)]);
+    let mut rig = Rig::new(workers);
     rig.tell(Event::JobAccepted(Arc::clone(&record)));
     rig.pass(20);
     let stored = rig.store().pop().expect("the start is announced");
@@ -80,6 +79,15 @@
         progress: Some(stored.1),
         is_cancelled: false,
     };
+    (known, start)
+}
+
+/// The last coordinator recorded a start and died; its worker can't be reached. The task may be
+/// running there, so it is started elsewhere only once every lease there must have run out.
+#[test]
+fn verify_recorded_run_blocks_its_task_until_the_lease_is_over() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1")];
+    let (known, start) = recorded_start("00000000000000ab", &workers);
     let mut next = Rig::take_over(10_000, vec![known], &workers);
     for _ in 0..13 {
         next.pass(1_000);
@@ -99,17 +107,7 @@
 #[test]
 fn verify_running_task_is_adopted() {
     let workers = [worker("w1", "r1")];
-    let record = job("00000000000000ac", "middle", vec![step(1, 8)]);
-    let mut rig = Rig::new(&workers);
-    rig.tell(Event::JobAccepted(Arc::clone(&record)));
-    rig.pass(20);
-    let stored = rig.store().pop().expect("the start is announced");
-    let start = rig.starts().pop().expect("the task starts");
-    let known = KnownJob {
-        record,
-        progress: Some(stored.1),
-        is_cancelled: false,
-    };
+    let (known, start) = recorded_start("00000000000000ac", &workers);
     let mut next = Rig::take_over(10_000, vec![known], &workers);
     next.look("w1", vec![running(&start)], vec![]);
     next.pass(1_000);
@@ -129,17 +127,7 @@
 #[test]
 fn verify_recorded_run_on_a_lost_worker_is_given_up_once_its_lease_is_over() {
     let workers = [worker("w1", "r1"), worker("w2", "r1")];
-    let record = job("00000000000000b1", "middle", vec![step(1, 8)]);
-    let mut rig = Rig::new(&workers);
-    rig.tell(Event::JobAccepted(Arc::clone(&record)));
-    rig.pass(20);
-    let stored = rig.store().pop().expect("the start is announced");
-    let start = rig.starts().pop().expect("the task starts");
-    let known = KnownJob {
-        record,
-        progress: Some(stored.1),
-        is_cancelled: false,
-    };
+    let (known, start) = recorded_start("00000000000000b1", &workers);
     let mut next = Rig::take_over(10_000, vec![known], &workers);
     next.tell(Event::WorkerGone(start.0.clone()));
     // The last lease may have been sent 4 s after the takeover, and lasts 10.7 s with all margins.
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -66,6 +66,36 @@
     fleet.close();
 }
 
+/// A caller's task comes to its end, and is done a second time. Its coordinator had lost the store
+/// a moment before and could hear the end, but not store it; then the worker left for good, and
+/// another host took over. The first coordinator is back seconds later and knows of the end, but
+/// nobody asks it: the log has `run_over … cause=Done` under its term and, 17 s later, `run_over …
+/// cause=NotThere` for the same run under the next.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_end_that_a_cut_off_coordinator_heard_is_not_lost_with_its_worker() {
+    let fleet = open(2, 2).await;
+    let leader = fleet.coordinator().expect("a host coordinates");
+    let other = 1 - leader;
+    let status = fleet.submit(leader, ID, area_job(1, 700, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    wait_until("the task runs", async || !fleet.workers.starts().is_empty()).await;
+    fleet.set_store_path(leader, RelayMode::Cut);
+    let over = fleet.hosts[leader].wait_for_event("run_over").await;
+    let over = over.expect("the coordinator hears the end");
+    assert!(over.contains("cause=Done"), "{over}");
+    let worker = fleet.workers.starts().remove(0).worker;
+    fleet.workers.leave(&worker, &fleet.store);
+    wait_until("the other host coordinates", async || {
+        fleet.coordinates(other)
+    })
+    .await;
+    fleet.set_store_path(leader, RelayMode::Pass);
+    fleet.wait_for_state(other, ID, "completed").await;
+    let starts = fleet.workers.starts();
+    assert_eq!(starts.len(), 1, "done again: {starts:?}");
+    fleet.close();
+}
+
 /// All hosts die at once and empty ones come back: what was accepted is still done, once.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_accepted_jobs_survive_the_kill_of_every_host() {
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -87,6 +87,7 @@
     pub(super) ended: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
     pub(super) is_silent: bool,
+    has_left: bool,
 }
 
 impl WorkerState {
@@ -291,6 +292,9 @@
     pub fn beat(&self, store: &AreaStore) {
         let workers = self.servers.iter().zip(&self.paths);
         for (number, ((name, _), path)) in workers.enumerate() {
+            if self.shared.with(|pool| pool.workers[name].has_left) {
+                continue;
+            }
             let entry = json!({
                 "Service": "booking",
                 "Address": path.address().to_string(),
@@ -356,6 +360,23 @@
         });
     }
 
+    /// `leave` takes a worker away for good, with all that it ran and listed.
+    pub fn leave(&self, name: &str, store: &AreaStore) {
+        self.shared.with(|pool| {
+            if let Some(worker) = pool.workers.get_mut(name) {
+                *worker = WorkerState {
+                    has_left: true,
+                    ..WorkerState::default()
+                };
+            }
+        });
+        let known = self.servers.iter().position(|(other, _)| other == name);
+        if let Some(number) = known {
+            self.set_path(number, RelayMode::Cut);
+        }
+        store.remove(&format!("servers/{name}"));
+    }
+
     /// `close` ends all workers.
     pub fn close(self) {
         self.checks.abort();
