Leave ends that can't be stored to the next coordinator

Cause: a coordinator that loses the store goes on hearing workers for some seconds. An end that it hears then is in no record. If the worker leaves, as when runners are replaced, nobody else hears it; the next coordinator waits until every lease has run out, 13 to 17 s, and starts the task again.

Ruled out: waiting less, as the task may be running as long as a lease lasts, and giving up work on leaving workers sooner, as one in a cut-off zone looks the same and may go on for many seconds.

Change: a term keeps the ends that it heard until the batch with their record is stored. What is left after it is written for its job once the store is reached again; the next coordinator takes such an end in if it still holds that very run. It is final, whoever tells it. What carries actions out is a module of its own now.

Measured: the test is red before (two starts in place of one) and passes; so do one on the decision alone and one on what is left. Why it holds: an end is in a record, with its worker, or left for the next coordinator.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -164,6 +164,7 @@
             Event::JobAccepted(record) => self.job_accepted(now, record),
             Event::JobCancelled(job_id) => self.cancel(now.steady, &job_id),
             Event::Stored { batch } => self.stored(now.steady, batch),
+            Event::EndLeft { task, run } => self.end_left(now.steady, &task, run),
             Event::StartReplied {
                 worker,
                 task,
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -6,6 +6,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
+use crate::job_state::TaskState;
 use crate::messages::{Action, EndKind, EndedTask, Look, OverWhy, RunOver};
 use crate::settle::{Outcome, Settled};
 use crate::worker::{HeldPhase, LookState};
@@ -122,6 +123,18 @@
         self.resolve(now, worker_name, &end.task, end.run, outcome);
     }
 
+    /// Takes in an end that an earlier coordinator heard: final, whatever became of its worker.
+    pub(crate) fn end_left(&mut self, now: TimeMs, task: &TaskId, run: u32) {
+        let job = self.jobs.get(&task.job_id);
+        let step = job.and_then(|job| job.step(task.occurrence, task.step));
+        let state = step.and_then(|step| step.tasks.get(task.index as usize));
+        let Some(TaskState::Placed(worker)) = state.map(|state| &state.state) else {
+            return;
+        };
+        let worker = worker.clone();
+        self.resolve(now, &worker, task, run, Outcome::Done);
+    }
+
     /// A worker's address answers as another life: nothing of the earlier one runs any more.
     pub(crate) fn life_over(&mut self, now: TimeMs, worker_name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(worker_name) {
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -163,6 +163,13 @@
         /// Number of the batch.
         batch: u64,
     },
+    /// An earlier coordinator heard that a run did its work, and could not store it.
+    EndLeft {
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: u32,
+    },
     /// A start was answered, or not.
     StartReplied {
         /// The worker.
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -139,6 +139,31 @@
     assert_eq!(next.starts().len(), 1, "it starts elsewhere");
 }
 
+/// A caller's task ended on a worker that then left; only a coordinator that had lost the store heard
+/// it, and tells once it is back. The task counts as done under the next coordinator, which would else
+/// do it again. An end of an earlier run says nothing of the run that is recorded.
+#[test]
+fn verify_end_that_an_earlier_coordinator_left_is_final() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1")];
+    let (known, start) = recorded_start("00000000000000b2", &workers);
+    let (task, run) = (start.1.clone(), start.2);
+    let job_id = task.job_id.clone();
+    let mut next = Rig::take_over(10_000, vec![known], &workers);
+    next.tell(Event::WorkerGone(start.0.clone()));
+    next.tell(Event::EndLeft {
+        task: task.clone(),
+        run: run - 1,
+    });
+    let phase = next.coordinator.phase(&job_id);
+    assert_ne!(phase, Some(ragwortwick_area::JobPhase::Completed));
+    next.tell(Event::EndLeft { task, run });
+    let phase = next.coordinator.phase(&job_id);
+    assert_eq!(phase, Some(ragwortwick_area::JobPhase::Completed));
+    next.pass(20_000);
+    next.store();
+    assert_eq!(next.starts(), vec![], "it is not done again");
+}
+
 /// A start gets no answer and is refused when it is repeated. The first one may still arrive late,
 /// so a stop has to rule it out before the task runs elsewhere; without it the caller's booking
 /// would be made twice.
--- a/ragwortwick-daemon/src/area/job_store.rs
+++ b/ragwortwick-daemon/src/area/job_store.rs
@@ -115,14 +115,13 @@
 
     /// Removes all keys of a job that ended long ago; a failure is tried again by a later term.
     pub(super) async fn forget(&mut self, job_id: &JobId) {
-        let parts = [JobKey::Record, JobKey::Progress, JobKey::Cancel];
         let txn = Txn {
             expect: vec![Expectation {
                 key: COORDINATOR.to_owned(),
                 revision: self.term,
             }],
             writes: Vec::new(),
-            removes: parts.iter().map(|part| part.of(job_id)).collect(),
+            removes: JobKey::ALL.iter().map(|part| part.of(job_id)).collect(),
         };
         let reply = self.store.change(&txn).await;
         self.health.note(&reply);
--- a/ragwortwick-daemon/src/area/keys.rs
+++ b/ragwortwick-daemon/src/area/keys.rs
@@ -20,14 +20,20 @@
     Progress,
     /// A caller's wish to cancel it; written by the host that took the call.
     Cancel,
+    /// Ends that a coordinator heard and could not store; written by it after its term.
+    LeftEnds,
 }
 
 impl JobKey {
+    /// All parts.
+    pub(super) const ALL: [Self; 4] = [Self::Record, Self::Progress, Self::Cancel, Self::LeftEnds];
+
     fn suffix(self) -> &'static str {
         match self {
             Self::Record => "record",
             Self::Progress => "progress",
             Self::Cancel => "cancel",
+            Self::LeftEnds => "left-ends",
         }
     }
 
@@ -39,9 +45,7 @@
     /// Reads a key back.
     pub(super) fn parse(key: &str) -> Option<(JobId, Self)> {
         let (job_id, suffix) = key.strip_prefix(JOBS)?.split_once('/')?;
-        let part = [Self::Record, Self::Progress, Self::Cancel]
-            .into_iter()
-            .find(|part| part.suffix() == suffix)?;
+        let part = Self::ALL.into_iter().find(|part| part.suffix() == suffix)?;
         Some((JobId::new(job_id), part))
     }
 }
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -13,6 +13,7 @@
 mod log_budget;
 mod metrics;
 mod orders;
+mod outlets;
 mod ready;
 mod replica;
 mod replica_feed;
@@ -20,6 +21,7 @@
 mod store_health;
 mod term;
 mod term_writes;
+mod unstored_ends;
 mod worker_feed;
 
 pub use host::{AreaHost, AreaHostError};
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -51,6 +51,26 @@
 }
 
 impl OrderSender {
+    /// Opens connections of its own for a term.
+    pub(super) fn open(
+        clock: Clock,
+        advice_address: Option<&str>,
+        term: Epoch,
+        events: EventSender,
+    ) -> Self {
+        Self {
+            workers: WorkerClient::open(),
+            advisor: AdvisorClient::open(advice_address),
+            term,
+            clock,
+            events,
+            lanes: Lanes::default(),
+            start_lines: LogBudget::new("run_started"),
+            stop_lines: LogBudget::new("run_stopped"),
+            pace_lines: LogBudget::new("run_paced"),
+        }
+    }
+
     /// Sends one order and reports its outcome as an event.
     pub(super) async fn carry_out(self, action: Action) {
         let event = match action {
--- /dev/null
+++ b/ragwortwick-daemon/src/area/outlets.rs
@@ -0,0 +1,82 @@
+//! Where the actions of a term's coordinator go: the store, the workers, logs and metrics.
+
+use ragwortwick_area::{Action, OverWhy, RunOver};
+use ragwortwick_core::log_event;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::log_budget::LogBudget;
+use super::metrics::AreaMetrics;
+use super::orders::OrderSender;
+use super::term_writes::Write;
+use super::unstored_ends::UnstoredEnds;
+
+/// `Outlets` are where the coordinator's actions go.
+pub(super) struct Outlets {
+    writes: mpsc::UnboundedSender<Write>,
+    sender: OrderSender,
+    over_lines: LogBudget,
+    metrics: AreaMetrics,
+    pub(super) unstored: UnstoredEnds,
+}
+
+impl Outlets {
+    pub(super) fn open(
+        writes: mpsc::UnboundedSender<Write>,
+        sender: OrderSender,
+        metrics: AreaMetrics,
+        unstored: UnstoredEnds,
+    ) -> Self {
+        Self {
+            writes,
+            sender,
+            over_lines: LogBudget::new("run_over"),
+            metrics,
+            unstored,
+        }
+    }
+
+    /// Sends actions on their way; tells whether the term goes on.
+    pub(super) fn carry_out(&self, batch: Vec<Action>, orders: &mut JoinSet<()>) -> bool {
+        for action in batch {
+            match action {
+                Action::Store { batch, records } => {
+                    self.unstored.batched(batch, &records);
+                    self.write(Write::Batch { batch, records });
+                }
+                Action::Forget(job_id) => self.write(Write::Forget(job_id)),
+                Action::Resign => return false,
+                Action::Report(over) => self.report(&over),
+                order => {
+                    orders.spawn(self.sender.clone().carry_out(order));
+                }
+            }
+        }
+        true
+    }
+
+    fn write(&self, write: Write) {
+        // The writer ends first only if the key is lost, which ends the term as well.
+        let _ = self.writes.send(write);
+    }
+
+    fn report(&self, over: &RunOver) {
+        if over.why == OverWhy::Done {
+            self.unstored.heard(&over.task, over.run);
+        }
+        let cause = format!("{:?}", over.why);
+        let counted = self.metrics.runs_over.with_label_values(&[cause.as_str()]);
+        counted.inc();
+        if self.over_lines.admit(self.sender.clock.now()) {
+            log_event!(
+                Info,
+                "run_over",
+                task = over.task,
+                run = over.run,
+                worker = over.worker,
+                term = self.sender.term,
+                cause = cause
+            );
+        }
+    }
+}
--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -8,6 +8,7 @@
 use ragwortwick_core::{ClassName, JobId, Revision, log_event};
 
 use super::keys::JobKey;
+use super::unstored_ends::LeftEnd;
 
 /// `JobView` is one job as this host knows it.
 #[derive(Clone, Debug, Default)]
@@ -18,6 +19,7 @@
     progress: Option<Progress>,
     pub(super) progress_revision: Revision,
     pub(super) is_cancelled: bool,
+    left_ends: Vec<LeftEnd>,
 }
 
 impl JobView {
@@ -36,10 +38,24 @@
 pub(super) enum JobNews {
     /// A job was accepted.
     Accepted(Arc<JobRecord>),
+    /// A coordinator whose term is over left ends that it could not store.
+    EndsLeft(JobId, Vec<LeftEnd>),
     /// A job was cancelled.
     Cancelled(JobId),
 }
 
+impl JobNews {
+    /// Place among the news of one reading: a coordinator drops what it hears of a job that it
+    /// doesn't know, and would run a cancelled job once its record comes.
+    fn rank(&self) -> u8 {
+        match self {
+            Self::Accepted(_) => 0,
+            Self::EndsLeft(..) => 1,
+            Self::Cancelled(_) => 2,
+        }
+    }
+}
+
 /// `Replica` is the shared copy; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Replica(Arc<Mutex<Jobs>>);
@@ -91,9 +107,8 @@
             news.extend(jobs.write(item));
         }
         jobs.is_loaded = true;
-        // Keys list a job's cancel before its record. The coordinator drops the cancel of a job that
-        // it doesn't know, and would run the job once the record comes: a stable sort puts cancels last.
-        news.sort_by_key(|item| matches!(item, JobNews::Cancelled(_)));
+        // Keys list a job's cancel before its record.
+        news.sort_by_key(JobNews::rank);
         news
     }
 
@@ -127,6 +142,18 @@
         jobs.views.entry(job_id.clone()).or_default().is_cancelled = true;
     }
 
+    /// Ends that were left for the next coordinator.
+    pub(super) fn left_ends(&self) -> Vec<(JobId, Vec<LeftEnd>)> {
+        let jobs = self.lock();
+        let with_ends = jobs
+            .views
+            .iter()
+            .filter(|(_, view)| !view.left_ends.is_empty());
+        with_ends
+            .map(|(job_id, view)| (job_id.clone(), view.left_ends.clone()))
+            .collect()
+    }
+
     /// All jobs, for a new term of the coordinator.
     pub(super) fn known_jobs(&self) -> Vec<(KnownJob, Revision)> {
         let jobs = self.lock();
@@ -175,6 +202,10 @@
                 }
                 None
             }
+            JobKey::LeftEnds => {
+                view.left_ends = read(item)?;
+                Some(JobNews::EndsLeft(job_id, view.left_ends.clone()))
+            }
             JobKey::Cancel => {
                 view.is_cancelled = true;
                 Some(JobNews::Cancelled(job_id))
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -1,10 +1,8 @@
 //! Keeps the replica up to date with one watch, and tells the coordinator what changes.
 
-use std::sync::Arc;
-
 use ragwortwick_adapter::{Change, Item, StoreClient, StoreFailure, WatchReply};
 use ragwortwick_area::{Event, KnownJob};
-use ragwortwick_core::{DurationMs, Revision, log_event};
+use ragwortwick_core::{DurationMs, JobId, Revision, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::coordination::EventSender;
@@ -13,6 +11,7 @@
 use super::metrics::AreaMetrics;
 use super::replica::{JobNews, Replica};
 use super::store_health::StoreHealth;
+use super::unstored_ends::LeftEnd;
 use crate::Clock;
 
 /// Longest wait of one watch. A connection that went silent is noticed after this and a margin.
@@ -215,11 +214,7 @@
 
 async fn tell(listener: &mut Option<EventSender>, news: Vec<JobNews>) {
     let Some(events) = listener else { return };
-    for item in news {
-        let event = match item {
-            JobNews::Accepted(record) => Event::JobAccepted(Arc::clone(&record)),
-            JobNews::Cancelled(job_id) => Event::JobCancelled(job_id),
-        };
+    for event in news.into_iter().flat_map(events_of) {
         if !events.send(event).await {
             // The term is over.
             *listener = None;
@@ -227,3 +222,18 @@
         }
     }
 }
+
+fn events_of(news: JobNews) -> Vec<Event> {
+    match news {
+        JobNews::Accepted(record) => vec![Event::JobAccepted(record)],
+        JobNews::EndsLeft(job_id, ends) => ends_left(&job_id, &ends),
+        JobNews::Cancelled(job_id) => vec![Event::JobCancelled(job_id)],
+    }
+}
+
+/// What the coordinator is told of a job's ends that an earlier one left.
+pub(super) fn ends_left(job_id: &JobId, ends: &[LeftEnd]) -> Vec<Event> {
+    let ends = ends.iter().map(|end| end.of_job(job_id));
+    ends.map(|(task, run)| Event::EndLeft { task, run })
+        .collect()
+}
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use ragwortwick_adapter::{AdvisorClient, StoreClient, StoreFailure, WorkerClient};
+use ragwortwick_adapter::{StoreClient, StoreFailure};
 use ragwortwick_area::{Action, Coordinator, DesiredState, Event, KnownJob, Limits, Now};
 use ragwortwick_core::{DurationMs, Epoch, JobId, Revision, TimeMs, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -11,13 +11,14 @@
 
 use super::coordination::{CoordinatorMachine, EventSender, Load};
 use super::job_store::JobStore;
-use super::log_budget::LogBudget;
 use super::metrics::AreaMetrics;
-use super::orders::{Lanes, OrderSender};
+use super::orders::OrderSender;
+use super::outlets::Outlets;
 use super::replica::Replica;
-use super::replica_feed::{Attach, CoordinatorKey};
+use super::replica_feed::{Attach, CoordinatorKey, ends_left};
 use super::store_health::StoreHealth;
-use super::term_writes::{EndedJobs, Write, write_batches};
+use super::term_writes::{EndedJobs, write_batches};
+use super::unstored_ends::{self, UnstoredEnds};
 use super::worker_feed::{WorkerFeed, read_workers};
 use crate::{Clock, Duty, unix_now};
 
@@ -142,6 +143,7 @@
     });
     let until = won.tenure_until(won.granted_at);
     events.send(Event::Tenure { until }).await;
+    tell_left_ends(parts, &events).await;
 
     let feed = WorkerFeed {
         store: parts.store.clone(),
@@ -167,26 +169,45 @@
         metrics: parts.metrics.clone(),
         told,
     };
-    let writing = write_batches(job_store, write_feed, events.clone(), end.clone(), ends);
+    let unstored = UnstoredEnds::default();
+    let writing = write_batches(
+        job_store,
+        write_feed,
+        events.clone(),
+        end.clone(),
+        ends,
+        unstored.clone(),
+    );
     tasks.spawn(writing);
     tasks.spawn(renew(parts.clone(), won, events.clone(), end));
-    let sender = OrderSender {
-        workers: WorkerClient::open(),
-        advisor: AdvisorClient::open(parts.advice_address.as_deref()),
-        term,
-        clock: parts.clock,
-        events,
-        lanes: Lanes::default(),
-        start_lines: LogBudget::new("run_started"),
-        stop_lines: LogBudget::new("run_stopped"),
-        pace_lines: LogBudget::new("run_paced"),
-    };
-    let why = hand_out(parts, won, action_feed, &writes, &sender, ended).await;
+    let advice_address = parts.advice_address.as_deref();
+    let sender = OrderSender::open(parts.clock, advice_address, term, events);
+    let outlets = Outlets::open(writes, sender, parts.metrics.clone(), unstored);
+    let why = hand_out(parts, won, action_feed, &outlets, ended).await;
     tasks.shutdown().await;
     duty.close();
+    leave_unstored(parts, &outlets.unstored);
     Ok(why)
 }
 
+/// Tells of ends that earlier coordinators left.
+async fn tell_left_ends(parts: &TermParts, events: &EventSender) {
+    for (job_id, ends) in parts.replica.left_ends() {
+        for event in ends_left(&job_id, &ends) {
+            events.send(event).await;
+        }
+    }
+}
+
+/// Leaves what this term heard and could not store to the next one, which must not wait for it.
+fn leave_unstored(parts: &TermParts, unstored: &UnstoredEnds) {
+    let left = unstored.take();
+    if !left.is_empty() {
+        let (store, health) = (parts.store.clone(), parts.health.clone());
+        tokio::spawn(unstored_ends::leave(store, health, left));
+    }
+}
+
 /// Jobs that had come to their end before this term.
 fn ended_before(jobs: &[(KnownJob, Revision)]) -> HashSet<JobId> {
     jobs.iter()
@@ -214,12 +235,10 @@
     parts: &TermParts,
     won: Won,
     mut actions: mpsc::UnboundedReceiver<Vec<Action>>,
-    writes: &mpsc::UnboundedSender<Write>,
-    sender: &OrderSender,
+    outlets: &Outlets,
     mut ended: mpsc::Receiver<&'static str>,
 ) -> &'static str {
     let mut orders = JoinSet::new();
-    let over_lines = LogBudget::new("run_over");
     let mut key = parts.coordinator_key.clone();
     let mut stopping = parts.stopping.clone();
     if *stopping.borrow_and_update() {
@@ -229,7 +248,7 @@
         tokio::select! {
             batch = actions.recv() => {
                 let Some(batch) = batch else { break "the coordinator has ended" };
-                if !carry_out(batch, writes, sender, &mut orders, &over_lines, &parts.metrics) {
+                if !outlets.carry_out(batch, &mut orders) {
                     break "a worker knows a later term";
                 }
             }
@@ -248,47 +267,6 @@
     why
 }
 
-/// Sends actions on their way; tells whether the term goes on.
-fn carry_out(
-    batch: Vec<Action>,
-    writes: &mpsc::UnboundedSender<Write>,
-    sender: &OrderSender,
-    orders: &mut JoinSet<()>,
-    over_lines: &LogBudget,
-    metrics: &AreaMetrics,
-) -> bool {
-    for action in batch {
-        let write = match action {
-            Action::Store { batch, records } => Write::Batch { batch, records },
-            Action::Forget(job_id) => Write::Forget(job_id),
-            Action::Resign => return false,
-            Action::Report(over) => {
-                let cause = format!("{:?}", over.why);
-                metrics.runs_over.with_label_values(&[cause.as_str()]).inc();
-                if over_lines.admit(sender.clock.now()) {
-                    log_event!(
-                        Info,
-                        "run_over",
-                        task = over.task,
-                        run = over.run,
-                        worker = over.worker,
-                        term = sender.term,
-                        cause = cause
-                    );
-                }
-                continue;
-            }
-            order => {
-                orders.spawn(sender.clone().carry_out(order));
-                continue;
-            }
-        };
-        // The writer ends first only if the key is lost, which ends the term as well.
-        let _ = writes.send(write);
-    }
-    true
-}
-
 /// `LateMachine` waits for its coordinator, so that events that come early are kept in the ring.
 struct LateMachine {
     start: std::sync::mpsc::Receiver<CoordinatorMachine>,
--- a/ragwortwick-daemon/src/area/term_writes.rs
+++ b/ragwortwick-daemon/src/area/term_writes.rs
@@ -11,6 +11,7 @@
 use super::job_store::JobStore;
 use super::metrics::AreaMetrics;
 use super::replica::Replica;
+use super::unstored_ends::UnstoredEnds;
 use crate::unix_now;
 
 /// `Write` is a change that the store has to take.
@@ -62,6 +63,7 @@
     events: EventSender,
     end: mpsc::Sender<&'static str>,
     mut ends: EndedJobs,
+    unstored: UnstoredEnds,
 ) {
     while let Some(write) = batches.recv().await {
         match write {
@@ -70,6 +72,7 @@
                     let _ = end.send("the key is lost").await;
                     return;
                 }
+                unstored.stored(batch);
                 for record in &records {
                     ends.tell(record);
                 }
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use ragwortwick_adapter::{Change, Item, StoreClient};
-use ragwortwick_area::{JobPhase, JobRecord, Progress, QueueTerms, StepSpec, StoredProgress};
+use ragwortwick_area::{
+    JobPhase, JobRecord, Progress, QueueTerms, StepSpec, StoredProgress, TaskId,
+};
 use ragwortwick_core::{DurationMs, JobId, Revision, TimeMs};
 
 use super::AreaSettings;
@@ -12,6 +14,7 @@
 use super::metrics::AreaMetrics;
 use super::replica::{JobNews, Replica};
 use super::term_writes::EndedJobs;
+use super::unstored_ends::UnstoredEnds;
 
 fn record(id: &str) -> Arc<JobRecord> {
     Arc::new(JobRecord {
@@ -110,6 +113,38 @@
     assert_eq!(counted.get_sample_count(), 1);
 }
 
+/// A coordinator hears an end and can't store it. What its term leaves is exactly what no stored batch
+/// holds: left out, the task is done again; left in for ever, each term would leave more.
+#[test]
+fn verify_a_term_leaves_the_ends_that_no_batch_has_stored() {
+    let unstored = UnstoredEnds::default();
+    let task = |job_id: &str, index| TaskId {
+        job_id: JobId::new(job_id),
+        occurrence: 0,
+        step: 0,
+        index,
+    };
+    let record_of = |job_id: &str| StoredProgress {
+        job_id: JobId::new(job_id),
+        progress: Progress::default(),
+    };
+    unstored.heard(&task("a", 0), 1);
+    unstored.batched(1, &[record_of("a")]);
+    unstored.heard(&task("a", 1), 2);
+    unstored.heard(&task("b", 0), 3);
+    unstored.batched(2, &[record_of("b")]);
+    unstored.stored(1);
+    let left = unstored.take();
+    let runs = |job_id: &str| -> Vec<(TaskId, u32)> {
+        let job_id = JobId::new(job_id);
+        let ends = left.get(&job_id).into_iter().flatten();
+        ends.map(|end| end.of_job(&job_id)).collect()
+    };
+    assert_eq!(runs("a"), [(task("a", 1), 2)]);
+    assert_eq!(runs("b"), [(task("b", 0), 3)]);
+    assert!(unstored.take().is_empty());
+}
+
 /// A watch that repeats an older revision brings nothing.
 #[test]
 fn verify_older_revision_is_no_news() {
