--- a/ragwortwick-standin/src/area/fleet.rs
+++ b/ragwortwick-standin/src/area/fleet.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::{AreaStore, AreaWorkers};
-use crate::fleet::{Daemon, DaemonOptions, FleetError};
+use crate::fleet::{Daemon, DaemonOptions, FleetError, wait_until};
 use crate::relay::{Relay, RelayMode};
 
 /// How often workers write their entries.
@@ -76,6 +76,42 @@
         Ok(fleet)
     }
 
+    /// `open_in_force` starts an area and waits until a host coordinates and the first takes calls.
+    ///
+    /// # Errors
+    ///
+    /// As `open`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that does not come about within the outer limit.
+    pub async fn open_in_force(
+        binary: &str,
+        hosts: usize,
+        workers: usize,
+    ) -> Result<Self, FleetError> {
+        let fleet = Self::open(binary, hosts, workers).await?;
+        wait_until("a host coordinates", async || fleet.coordinator().is_some()).await;
+        wait_until("the desired state is in force", async || {
+            let reply = fleet.call(Method::GET, 0, "/work/", None).await;
+            reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+        })
+        .await;
+        Ok(fleet)
+    }
+
+    /// `wait_for_state` waits until a host shows a job in a state.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not within the outer limit.
+    pub async fn wait_for_state(&self, host: usize, id: &str, wanted: &str) {
+        wait_until(wanted, async || {
+            self.state(host, id).await.as_deref() == Some(wanted)
+        })
+        .await;
+    }
+
     /// `spawn_host` starts one more entry host.
     ///
     /// # Errors
