--- a/ragwortwick-daemon/src/area/desired_feed.rs
+++ b/ragwortwick-daemon/src/area/desired_feed.rs
@@ -7,6 +7,7 @@
 use ragwortwick_core::{DurationMs, Revision, log_event};
 use tokio::sync::watch;
 
+use super::desired_age::DesiredAge;
 use super::feed_log::FeedLog;
 use super::metrics::AreaMetrics;
 use super::store_health::StoreHealth;
@@ -25,6 +26,7 @@
     pub(super) store: StoreClient,
     pub(super) health: StoreHealth,
     pub(super) desired: watch::Sender<Option<Arc<DesiredState>>>,
+    pub(super) age: DesiredAge,
     pub(super) clock: Clock,
     pub(super) metrics: AreaMetrics,
 }
@@ -49,6 +51,7 @@
             match result {
                 Ok(answer) => {
                     log.answered(answer.entries);
+                    self.age.confirm(self.clock.now());
                     position = Some(answer.as_of);
                 }
                 Err(error) => {
--- a/ragwortwick-daemon/src/area/front.rs
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -21,6 +21,8 @@
 use tokio::sync::watch;
 
 use super::accept::{JobWriter, WriteOutcome};
+use super::desired_age::DesiredAge;
+use super::log_budget::LogBudget;
 use super::metrics::AreaMetrics;
 use crate::{Clock, unix_now};
 
@@ -36,6 +38,9 @@
 /// Whole seconds after which a refused caller may come back: outages of the store last seconds.
 const RETRY_AFTER_S: u64 = 1;
 
+/// Why a host refuses for now what only the newest desired state can tell.
+const UNCONFIRMED: &str = "the desired state on this host may be old";
+
 /// Digits of a job's id.
 const JOB_ID_DIGITS: usize = 16;
 
@@ -44,9 +49,12 @@
 pub(super) struct Front {
     pub(super) clock: Clock,
     pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    pub(super) age: DesiredAge,
     pub(super) writer: JobWriter,
     pub(super) stopping: watch::Receiver<bool>,
     pub(super) metrics: AreaMetrics,
+    /// Bounds the lines on calls that are refused before they name a job.
+    pub(super) refusal_lines: LogBudget,
 }
 
 /// The handler's view of `Front`. A panic ends the process, so no half-changed state is ever seen.
@@ -89,11 +97,11 @@
 }
 
 async fn answer(front: &Front, state: &mut State) -> Response<Body> {
+    let method = Method::borrow_from(state).clone();
     let call = match identify(front, state) {
         Ok(call) => call,
-        Err(refusal) => return refusal.into_response(state),
+        Err(refusal) => return refuse(front, state, refusal),
     };
-    let method = Method::borrow_from(state).clone();
     if call.rest.is_empty() && method == Method::GET {
         let pending = front.writer.replica.pending(&call.queue_name);
         return json_bytes(state, encode_pending(pending));
@@ -109,6 +117,29 @@
     }
 }
 
+/// Refuses a call whose queue or customer is unknown here.
+fn refuse(front: &Front, state: &State, refusal: Refusal) -> Response<Body> {
+    let now = front.clock.now();
+    if front.refusal_lines.admit(now) {
+        let desired = front.desired.borrow().clone();
+        log_event!(
+            Info,
+            "call_refused",
+            status = refusal.status.as_u16(),
+            path = Uri::borrow_from(state).path(),
+            desired_version = desired.map_or(0, |desired| desired.version),
+            desired_age_ms = front.age.age_ms(now)
+        );
+    }
+    // A version that this host hasn't seen may have added what is unknown here. Refused for good, the
+    // caller would not ask another host.
+    if front.age.is_confirmed(now) {
+        refusal.into_response(state)
+    } else {
+        come_back(state, UNCONFIRMED)
+    }
+}
+
 fn identify(front: &Front, state: &State) -> Result<Call, Refusal> {
     let arrived_at = front.clock.now();
     let headers = HeaderMap::borrow_from(state);
@@ -206,7 +237,12 @@
     }
     let begun_at = front.clock.now();
     let steps = record.steps_in_short();
-    let outcome = front.writer.accept(record, call.until).await;
+    // A version that this host hasn't seen may have dropped the queue or the key.
+    let outcome = if front.age.is_confirmed(begun_at) {
+        front.writer.accept(record, call.until).await
+    } else {
+        WriteOutcome::NotStored(UNCONFIRMED.to_owned())
+    };
     let customer = call.customer.as_str();
     let counted = front
         .metrics
@@ -254,19 +290,22 @@
         WriteOutcome::NoSuchJob => {
             Refusal::new(StatusCode::GONE, "job_id", "no such job").into_response(state)
         }
-        WriteOutcome::NotStored(cause) => {
-            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "store", cause.as_str());
-            let mut response = refusal.into_response(state);
-            let value = HeaderValue::from(RETRY_AFTER_S);
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-            response
-        }
+        WriteOutcome::NotStored(cause) => come_back(state, cause),
         WriteOutcome::Unknown(cause) => {
             Refusal::new(StatusCode::GATEWAY_TIMEOUT, "store", cause.as_str()).into_response(state)
         }
     }
 }
 
+/// Refuses a call that has not been carried out, and says when to try again.
+fn come_back(state: &State, cause: &str) -> Response<Body> {
+    let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "store", cause);
+    let mut response = refusal.into_response(state);
+    let value = HeaderValue::from(RETRY_AFTER_S);
+    response.headers_mut().insert(header::RETRY_AFTER, value);
+    response
+}
+
 fn json_bytes(state: &State, bytes: Vec<u8>) -> Response<Body> {
     create_response(state, StatusCode::OK, mime::APPLICATION_JSON, bytes)
 }
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -11,9 +11,11 @@
 use tokio::task::JoinSet;
 
 use super::accept::JobWriter;
+use super::desired_age::DesiredAge;
 use super::desired_feed::DesiredFeed;
 use super::election;
 use super::front::{self, Front};
+use super::log_budget::LogBudget;
 use super::metrics::{self, AreaMetrics};
 use super::ready::{self, Readiness};
 use super::replica::Replica;
@@ -69,6 +71,7 @@
         let clock = Clock::open();
         let store = StoreClient::open(&settings.store_address);
         let health = StoreHealth::open(clock);
+        let age = DesiredAge::default();
         let replica = Replica::default();
         let metrics = AreaMetrics::open(store.counts()).map_err(AreaHostError::Metrics)?;
         let (stopping, stopping_feed) = watch::channel(false);
@@ -81,6 +84,7 @@
             store: store.clone(),
             health: health.clone(),
             desired: desired_sender,
+            age: age.clone(),
             clock,
             metrics: metrics.clone(),
         };
@@ -118,6 +122,7 @@
         let front = Front {
             clock,
             desired: desired.clone(),
+            age: age.clone(),
             writer: JobWriter {
                 store,
                 health: health.clone(),
@@ -126,9 +131,12 @@
             },
             stopping: stopping_feed.clone(),
             metrics: metrics.clone(),
+            refusal_lines: LogBudget::new("call_refused"),
         };
         let readiness = Readiness {
+            clock,
             desired,
+            age,
             replica,
             health,
             stopping: stopping_feed,
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod coordination;
+mod desired_age;
 mod desired_feed;
 mod election;
 mod feed_log;
--- a/ragwortwick-daemon/src/area/ready.rs
+++ b/ragwortwick-daemon/src/area/ready.rs
@@ -14,13 +14,17 @@
 use ragwortwick_area::DesiredState;
 use tokio::sync::watch;
 
+use super::desired_age::DesiredAge;
 use super::replica::Replica;
 use super::store_health::StoreHealth;
+use crate::Clock;
 
 /// `Readiness` is what the answer depends on; clones share it.
 #[derive(Clone, Debug, StateData)]
 pub(super) struct Readiness {
+    pub(super) clock: Clock,
     pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    pub(super) age: DesiredAge,
     pub(super) replica: Replica,
     pub(super) health: StoreHealth,
     pub(super) stopping: watch::Receiver<bool>,
@@ -33,6 +37,8 @@
             Some("stopping")
         } else if self.desired.borrow().is_none() {
             Some("no desired state")
+        } else if !self.age.is_confirmed(self.clock.now()) {
+            Some("desired state may be old")
         } else if !self.replica.is_loaded() {
             Some("jobs not read")
         } else if !self.health.is_near() {
--- a/ragwortwick-daemon/tests/area_catch_up.rs
+++ b/ragwortwick-daemon/tests/area_catch_up.rs
@@ -173,6 +173,12 @@
         reply.is_ok_and(|reply| comes_back(&reply))
     })
     .await;
+    let refused = fleet.hosts[0].wait_for_event("call_refused").await;
+    let refused = refused.expect("the refusal is logged");
+    assert!(
+        refused.contains("desired_version=1 desired_age_ms="),
+        "{refused}"
+    );
     let with_new_key = fleet.call_as("new-key", Method::GET, 0, "/work/", None);
     let reply = with_new_key.await.expect("an answer");
     assert!(comes_back(&reply), "{}", reply.status);
