Let hosts hear phases of jobs, and read progress only where a term begins

Cause: every host watched all progress of all jobs. Progress is written with each run and holds all of a job's tasks, so hosts of 0.12 cores and 20 Mbit/s fell behind; the hosts of 0.5 cores showed ends after 0.15 s. Ruled out: the coordinator (an end is stored 20 ms after it is heard, half of the time; 0.06 s at 90 of 100), the pause between watches alone (0.2 s).

Change: progress moves to a prefix of its own, which a coordinator reads once it holds its key; what callers see is a small key that is written in the same transaction when it changes. A batch counts its entries, since a new phase is one more.

The test fails on the code before (more than a hundred changes for a job of forty tasks in place of three).

It holds since a phase can't be stored without its progress or the other way round, and no earlier term can write progress once the key has another holder, so what a new coordinator reads after winning is final.

--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -77,6 +77,8 @@
 pub(crate) struct JobState {
     pub(crate) record: Arc<JobRecord>,
     pub(crate) phase: JobPhase,
+    /// The phase in the last record that was sent to the store.
+    pub(crate) recorded_phase: JobPhase,
     /// Steps by occurrence and number.
     pub(crate) occurrences: Vec<Vec<StepState>>,
     /// Acceptance on the coordinator's clock.
@@ -95,6 +97,7 @@
             occurrences: vec![steps; record.occurrences() as usize],
             record,
             phase: JobPhase::Queued,
+            recorded_phase: JobPhase::Queued,
             accepted_at,
             ended_at: None,
             last_over_at: accepted_at,
@@ -105,6 +108,7 @@
     /// Takes in what an earlier coordinator stored; gives the runs that may be on workers.
     pub(crate) fn restore(&mut self, now: TimeMs, stored: &Progress) -> Vec<(TaskId, WorkerName)> {
         self.phase = stored.phase;
+        self.recorded_phase = stored.phase;
         self.ended_at = stored.phase.is_final().then_some(now);
         for gang in &stored.gangs {
             if let Some(step) = self.step_mut(gang.occurrence, gang.step) {
@@ -261,6 +265,11 @@
         }
     }
 
+    /// Whether callers have to learn another phase than the last record tells.
+    pub(crate) fn has_new_phase(&self) -> bool {
+        self.phase != self.recorded_phase
+    }
+
     /// Whether no run of it is placed anywhere.
     pub(crate) fn is_idle(&self) -> bool {
         let mut steps = self.occurrences.iter().flatten();
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -242,6 +242,8 @@
     pub job_id: JobId,
     /// Its progress.
     pub progress: Progress,
+    /// Whether callers see another phase than the last record told.
+    pub has_new_phase: bool,
 }
 
 /// `RunOver` tells that a run is over, for the log.
--- a/ragwortwick-area/src/records.rs
+++ b/ragwortwick-area/src/records.rs
@@ -6,12 +6,19 @@
 
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
+use crate::job_state::JobState;
 use crate::messages::{Action, StoredProgress};
 use crate::worker::HeldPhase;
 
-/// Most records in a batch. The store takes 32 entries, each record is two of them, a condition and a
-/// write, and one more is the condition on the coordinator's own key.
-pub const MAX_BATCH_RECORDS: usize = 15;
+/// Entries of a record in a transaction: a condition and a write. A new phase is one write more.
+const ENTRIES_PER_RECORD: usize = 2;
+
+/// Most entries of the records in a batch. The store takes 32, and one is the condition on the
+/// coordinator's own key.
+const MAX_BATCH_ENTRIES: usize = 31;
+
+/// Most records in a batch.
+pub const MAX_BATCH_RECORDS: usize = MAX_BATCH_ENTRIES / ENTRIES_PER_RECORD;
 
 /// Time by which the record of a job that ended outlives the time in which it can be asked for.
 const FORGET_MARGIN_MS: DurationMs = DurationMs(180_000);
@@ -64,23 +71,17 @@
             self.ends_stored(&notes);
             return;
         }
-        let chosen: Vec<JobId> = self
-            .records
-            .dirty
-            .iter()
-            .take(MAX_BATCH_RECORDS)
-            .cloned()
-            .collect();
-        for job_id in &chosen {
-            self.records.dirty.remove(job_id);
-        }
+        let chosen = self.take_batch();
         let records: Vec<StoredProgress> = chosen
             .iter()
             .filter_map(|job_id| {
-                let progress = self.jobs.get(job_id)?.progress();
+                let job = self.jobs.get_mut(job_id)?;
+                let has_new_phase = job.has_new_phase();
+                job.recorded_phase = job.phase;
                 Some(StoredProgress {
                     job_id: job_id.clone(),
-                    progress,
+                    progress: job.progress(),
+                    has_new_phase,
                 })
             })
             .collect();
@@ -101,6 +102,24 @@
         self.actions.push(Action::Store { batch, records });
     }
 
+    /// Takes as many jobs whose records have changed as one transaction of the store holds.
+    fn take_batch(&mut self) -> Vec<JobId> {
+        let mut entries = 0;
+        let mut chosen = Vec::new();
+        for job_id in &self.records.dirty {
+            let has_new_phase = self.jobs.get(job_id).is_some_and(JobState::has_new_phase);
+            entries += ENTRIES_PER_RECORD + usize::from(has_new_phase);
+            if entries > MAX_BATCH_ENTRIES {
+                break;
+            }
+            chosen.push(job_id.clone());
+        }
+        for job_id in &chosen {
+            self.records.dirty.remove(job_id);
+        }
+        chosen
+    }
+
     fn intents_of(&self, jobs: &[JobId]) -> Vec<(WorkerName, TaskId, u32)> {
         let mut intents = Vec::new();
         for (name, worker) in &self.workers {
--- a/ragwortwick-daemon/src/area/job_store.rs
+++ b/ragwortwick-daemon/src/area/job_store.rs
@@ -5,8 +5,9 @@
 use ragwortwick_adapter::{Expectation, Item, StoreClient, StoreFailure, Txn, TxnReply, WriteItem};
 use ragwortwick_area::StoredProgress;
 use ragwortwick_core::{DurationMs, JobId, Revision, log_event};
+use serde::Serialize;
 
-use super::keys::{COORDINATOR, JobKey};
+use super::keys::{COORDINATOR, JobKey, progress_key};
 use super::store_health::StoreHealth;
 
 /// Pause before a write without a certain outcome is sent again.
@@ -72,21 +73,17 @@
             ..Txn::default()
         };
         for record in records {
-            let key = JobKey::Progress.of(&record.job_id);
-            let value = match serde_json::to_vec(&record.progress) {
-                Ok(value) => value,
-                Err(error) => unreachable!("progress has only plain fields: {error}"),
-            };
+            let key = progress_key(&record.job_id);
             let revision = self.revisions.get(&record.job_id).copied();
             txn.expect.push(Expectation {
                 key: key.clone(),
                 revision: revision.unwrap_or_default(),
             });
-            txn.writes.push(WriteItem {
-                key,
-                value,
-                lease: None,
-            });
+            txn.writes.push(write(key, &record.progress));
+            if record.has_new_phase {
+                let key = JobKey::Phase.of(&record.job_id);
+                txn.writes.push(write(key, &record.progress.phase));
+            }
         }
         txn
     }
@@ -102,10 +99,13 @@
         if !is_ours {
             return Err(Deposed);
         }
-        for (record, write) in records.iter().zip(&txn.writes) {
-            let Some(item) = find(&write.key).filter(|item| item.value == write.value) else {
+        for record in records {
+            let key = progress_key(&record.job_id);
+            let written = txn.writes.iter().find(|write| write.key == key);
+            let is_written = |item: &&Item| written.is_some_and(|write| item.value == write.value);
+            let Some(item) = find(&key).filter(is_written) else {
                 // Only this term writes these keys, so a third value means that the term is lost.
-                log_event!(Error, "progress_conflict", key = write.key);
+                log_event!(Error, "progress_conflict", key = key);
                 return Err(Deposed);
             };
             self.revisions.insert(record.job_id.clone(), item.revision);
@@ -115,13 +115,15 @@
 
     /// Removes all keys of a job that ended long ago; a failure is tried again by a later term.
     pub(super) async fn forget(&mut self, job_id: &JobId) {
+        let mut removes: Vec<String> = JobKey::ALL.iter().map(|part| part.of(job_id)).collect();
+        removes.push(progress_key(job_id));
         let txn = Txn {
             expect: vec![Expectation {
                 key: COORDINATOR.to_owned(),
                 revision: self.term,
             }],
             writes: Vec::new(),
-            removes: JobKey::ALL.iter().map(|part| part.of(job_id)).collect(),
+            removes,
         };
         let reply = self.store.change(&txn).await;
         self.health.note(&reply);
@@ -131,3 +133,15 @@
         self.revisions.remove(job_id);
     }
 }
+
+fn write(key: String, value: &impl Serialize) -> WriteItem {
+    let value = match serde_json::to_vec(value) {
+        Ok(value) => value,
+        Err(error) => unreachable!("records have only plain fields: {error}"),
+    };
+    WriteItem {
+        key,
+        value,
+        lease: None,
+    }
+}
--- a/ragwortwick-daemon/src/area/keys.rs
+++ b/ragwortwick-daemon/src/area/keys.rs
@@ -2,12 +2,16 @@
 
 use ragwortwick_core::JobId;
 
-/// Prefix of everything of ours, so that one watch sees it all.
-pub(super) const ROOT: &str = "ragwortwick/";
+/// Prefix of what every host has to know, so that one watch sees it all.
+pub(super) const SHARED: &str = "ragwortwick/";
 
-/// Prefix of the jobs' keys.
+/// Prefix of the jobs' keys that every host has to know.
 const JOBS: &str = "ragwortwick/jobs/";
 
+/// Prefix of the jobs' progress. It changes with each run and grows with a job's tasks, and only a
+/// coordinator needs it: under the prefix that all hosts watch, the narrow ones fell seconds behind.
+pub(super) const PROGRESS: &str = "ragwortwick-progress/";
+
 /// Key of the coordinator, under its lease; its revision is the term's fencing token.
 pub(super) const COORDINATOR: &str = "ragwortwick/coordinator";
 
@@ -16,8 +20,8 @@
 pub(super) enum JobKey {
     /// The job as accepted; written once by the host that accepted it.
     Record,
-    /// How far it is; written by the coordinator alone.
-    Progress,
+    /// What callers see of it; written by the coordinator alone, with the progress.
+    Phase,
     /// A caller's wish to cancel it; written by the host that took the call.
     Cancel,
     /// Ends that a coordinator heard and could not store; written by it after its term.
@@ -26,12 +30,12 @@
 
 impl JobKey {
     /// All parts.
-    pub(super) const ALL: [Self; 4] = [Self::Record, Self::Progress, Self::Cancel, Self::LeftEnds];
+    pub(super) const ALL: [Self; 4] = [Self::Record, Self::Phase, Self::Cancel, Self::LeftEnds];
 
     fn suffix(self) -> &'static str {
         match self {
             Self::Record => "record",
-            Self::Progress => "progress",
+            Self::Phase => "phase",
             Self::Cancel => "cancel",
             Self::LeftEnds => "left-ends",
         }
@@ -49,3 +53,13 @@
         Some((JobId::new(job_id), part))
     }
 }
+
+/// The key of a job's progress.
+pub(super) fn progress_key(job_id: &JobId) -> String {
+    format!("{PROGRESS}{job_id}")
+}
+
+/// Reads the key of a job's progress back.
+pub(super) fn progress_of(key: &str) -> Option<JobId> {
+    key.strip_prefix(PROGRESS).map(JobId::new)
+}
--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -7,7 +7,7 @@
 use ragwortwick_area::{JobPhase, JobRecord, KnownJob, Progress};
 use ragwortwick_core::{ClassName, JobId, Revision, log_event};
 
-use super::keys::JobKey;
+use super::keys::{JobKey, progress_of};
 use super::unstored_ends::LeftEnd;
 
 /// `JobView` is one job as this host knows it.
@@ -16,8 +16,7 @@
     pub(super) record: Option<Arc<JobRecord>>,
     record_revision: Revision,
     pub(super) phase: JobPhase,
-    progress: Option<Progress>,
-    pub(super) progress_revision: Revision,
+    phase_revision: Revision,
     pub(super) is_cancelled: bool,
     left_ends: Vec<LeftEnd>,
 }
@@ -56,6 +55,18 @@
     }
 }
 
+/// Progress of jobs as the store has it, with the revision that the next write depends on.
+pub(super) type StoredProgresses = HashMap<JobId, (Progress, Revision)>;
+
+/// Reads the jobs' progress; what can't be read is logged and left out.
+pub(super) fn stored_progress(items: &[Item]) -> StoredProgresses {
+    let known = items.iter().filter_map(|item| {
+        let job_id = progress_of(&item.key)?;
+        Some((job_id, (read(item)?, item.revision)))
+    });
+    known.collect()
+}
+
 /// `Replica` is the shared copy; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Replica(Arc<Mutex<Jobs>>);
@@ -154,18 +165,20 @@
             .collect()
     }
 
-    /// All jobs, for a new term of the coordinator.
-    pub(super) fn known_jobs(&self) -> Vec<(KnownJob, Revision)> {
+    /// All jobs with the given progress, for a new term of the coordinator.
+    pub(super) fn known_jobs(&self, mut progress: StoredProgresses) -> Vec<(KnownJob, Revision)> {
         let jobs = self.lock();
         jobs.views
-            .values()
-            .filter_map(|view| {
+            .iter()
+            .filter_map(|(job_id, view)| {
+                let stored = progress.remove(job_id);
+                let (progress, revision) = stored.unzip();
                 let known = KnownJob {
                     record: Arc::clone(view.record.as_ref()?),
-                    progress: view.progress.clone(),
+                    progress,
                     is_cancelled: view.is_cancelled,
                 };
-                Some((known, view.progress_revision))
+                Some((known, revision.unwrap_or_default()))
             })
             .collect()
     }
@@ -193,12 +206,10 @@
                 view.record_revision = item.revision;
                 Some(JobNews::Accepted(record))
             }
-            JobKey::Progress => {
-                if item.revision > view.progress_revision {
-                    let progress = read::<Progress>(item)?;
-                    view.phase = progress.phase;
-                    view.progress = Some(progress);
-                    view.progress_revision = item.revision;
+            JobKey::Phase => {
+                if item.revision > view.phase_revision {
+                    view.phase = read(item)?;
+                    view.phase_revision = item.revision;
                 }
                 None
             }
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -7,9 +7,9 @@
 
 use super::coordination::EventSender;
 use super::feed_log::FeedLog;
-use super::keys::{COORDINATOR, ROOT};
+use super::keys::{COORDINATOR, PROGRESS, SHARED};
 use super::metrics::AreaMetrics;
-use super::replica::{JobNews, Replica};
+use super::replica::{JobNews, Replica, stored_progress};
 use super::store_health::StoreHealth;
 use super::unstored_ends::LeftEnd;
 use crate::Clock;
@@ -126,7 +126,7 @@
                 Err(error) => Step::Failed(error),
             };
         };
-        let result = self.store.watch(ROOT, after, WATCH_WAIT_MS).await;
+        let result = self.store.watch(SHARED, after, WATCH_WAIT_MS).await;
         self.health.note(&result);
         match result {
             Ok(reply) => Step::Changed(reply),
@@ -148,10 +148,13 @@
         request: Attach,
         listener: &mut Option<EventSender>,
     ) -> Option<Revision> {
-        // The term was won after every earlier acceptance, so what is read now holds all of them.
-        match self.load().await {
-            Ok((as_of, _)) => {
-                let jobs = self.replica.known_jobs();
+        // The term was won after every earlier acceptance, and earlier terms can't write any more, so
+        // what is read now holds all of them and the newest progress.
+        let progress = read_all(&self.store, &self.health, PROGRESS);
+        let (loaded, progress) = tokio::join!(self.load(), progress);
+        match loaded.and_then(|loaded| Ok((loaded, progress?))) {
+            Ok(((as_of, _), (items, _))) => {
+                let jobs = self.replica.known_jobs(stored_progress(&items));
                 if request.reply.send(jobs).is_ok() {
                     *listener = Some(request.events);
                 }
@@ -175,7 +178,7 @@
     }
 
     async fn load(&self) -> Result<(Revision, Vec<JobNews>), StoreFailure> {
-        let (items, as_of) = read_all(&self.store, &self.health, ROOT).await?;
+        let (items, as_of) = read_all(&self.store, &self.health, SHARED).await?;
         let coordinator = items.iter().find(|item| item.key == COORDINATOR);
         let seen = coordinator.map_or(CoordinatorKey::Free, |item| {
             CoordinatorKey::Held(item.revision)
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -93,8 +93,8 @@
         ..Progress::default()
     };
     replica.apply(&Change::Written(Item {
-        key: JobKey::Progress.of(&record.job_id),
-        value: serde_json::to_vec(&progress).expect("progress is written"),
+        key: JobKey::Phase.of(&record.job_id),
+        value: serde_json::to_vec(&progress.phase).expect("a phase is written"),
         revision: Revision(6),
     }));
     let metrics = AreaMetrics::open(StoreClient::open("127.0.0.1:1").counts()).expect("metrics");
@@ -106,6 +106,7 @@
     let stored = StoredProgress {
         job_id: record.job_id.clone(),
         progress,
+        has_new_phase: true,
     };
     ends.tell(&stored);
     ends.tell(&stored);
@@ -127,6 +128,7 @@
     let record_of = |job_id: &str| StoredProgress {
         job_id: JobId::new(job_id),
         progress: Progress::default(),
+        has_new_phase: false,
     };
     unstored.heard(&task("a", 0), 1);
     unstored.batched(1, &[record_of("a")]);
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -8,6 +8,9 @@
 use ragwortwick_standin::{AreaFleet, RelayMode, StoreTrouble, area_job, desired, wait_until};
 use serde_json::json;
 
+/// Prefix of the store's keys that all hosts watch for jobs.
+const JOBS_PREFIX: &str = "ragwortwick/jobs/";
+
 const ID: &str = "00000000000000aa";
 
 async fn open(hosts: usize, workers: usize) -> AreaFleet {
@@ -191,6 +194,25 @@
     fleet.close();
 }
 
+/// Guards against hosts on narrow links that learn of a job's end seconds late, since their watch
+/// brings every change of every task.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_watch_of_all_hosts_brings_no_change_of_single_tasks() {
+    const TASKS: u64 = 40;
+    /// The record, that it runs, and that it is completed.
+    const CHANGES_OF_A_JOB: usize = 3;
+    let fleet = open(2, 2).await;
+    let before = fleet.store.changes_under(JOBS_PREFIX);
+    let status = fleet.submit(0, ID, area_job(TASKS, 40, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    for host in 0..2 {
+        fleet.wait_for_state(host, ID, "completed").await;
+    }
+    let changes = fleet.store.changes_under(JOBS_PREFIX) - before;
+    assert_eq!(changes, CHANGES_OF_A_JOB);
+    fleet.close();
+}
+
 /// A cancelled job is shown so on every host, and what runs of it stops.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_cancelled_job_stops() {
--- a/ragwortwick-standin/src/area/store.rs
+++ b/ragwortwick-standin/src/area/store.rs
@@ -234,6 +234,15 @@
         self.shared.with(|kv| kv.items.get(key).cloned())
     }
 
+    /// `changes_under` counts the changes under a prefix that a watch from the beginning would bring.
+    #[must_use]
+    pub fn changes_under(&self, prefix: &str) -> usize {
+        self.shared.with(|kv| {
+            let events = kv.history.iter();
+            events.filter(|event| event.key.starts_with(prefix)).count()
+        })
+    }
+
     /// `set_trouble` changes how it misbehaves.
     pub fn set_trouble(&self, trouble: StoreTrouble) {
         self.shared.with(|kv| kv.trouble = trouble);
