Send callers of a host without the store to other hosts sooner

A host now counts as not ready as soon as it would refuse to store anything (1.3 s without an answer, newest call failed), and closes kept connections after each answer meanwhile, as it already did while stopping. It goes on telling what it knows. Weighed and not taken: 503 for a job's state, since in an outage of the whole store callers would learn nothing.

--- a/ragwortwick-daemon/src/area/front.rs
+++ b/ragwortwick-daemon/src/area/front.rs
@@ -77,8 +77,9 @@
 async fn handle(state: &mut State) -> SimpleHandlerResult {
     let front = Arc::clone(&SharedFront::borrow_from(state).0);
     let mut response = answer(&front, state).await;
-    if *front.stopping.borrow() {
-        // A caller that keeps its connection would send its next request into the closing of it.
+    if *front.stopping.borrow() || front.writer.health.is_away() {
+        // A caller that keeps its connection would send its next request into the closing of it, or ask
+        // a host that learns nothing new, while others could tell it of its job's end.
         let value = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, value);
     }
--- a/ragwortwick-daemon/src/area/ready.rs
+++ b/ragwortwick-daemon/src/area/ready.rs
@@ -41,7 +41,7 @@
             Some("desired state may be old")
         } else if !self.replica.is_loaded() {
             Some("jobs not read")
-        } else if !self.health.is_near() {
+        } else if self.health.is_away() || !self.health.is_near() {
             Some("store out of reach")
         } else {
             None
