Store batches of different jobs side by side

Callers' jobs waited for seconds before they began while the store was slow.

Cause: one batch of 15 records was under way at a time. At 4 ms an answer that carries 3,700 records a second, at a quarter of a second 60, while 540 workers want some 150. Ruled out: the coordinator's time (2.6 of 10 s), cuts and lost renewals (none logged then), workers (they answered).

Change: up to eight batches are under way, each of other jobs. A batch that is not full follows only once the one before has been under way for 15 ms, so that a fast store still takes what has gathered in one call. A worker forgets an end once the batch with its effect and all earlier ones are stored. Starts that wait for a record are kept by job, in place of a search through all that runs for each batch.

Tests: of the three, two fail on the code before; the third holds before and after (a job is in one batch at a time). It holds since each batch depends on the coordinator's key and on the revisions of its own jobs alone.

--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -239,7 +239,7 @@
             ..Held::intended(now, spec, run, priority)
         };
         job.place(task, worker_name, run);
-        self.records.mark(&task.job_id);
+        self.records.intend(worker_name, task, run);
         if let Some(worker) = self.workers.get_mut(worker_name) {
             worker.hold(task.clone(), held);
         }
--- a/ragwortwick-area/src/records.rs
+++ b/ragwortwick-area/src/records.rs
@@ -1,4 +1,7 @@
-//! What has to be stored: one batch at a time, and what waits for it.
+//! What has to be stored: batches of records, and what waits for them.
+//!
+//! Answers the load in which far more jobs change than one transaction holds while each answer of the
+//! store takes long: batches of different jobs then go out side by side.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -8,7 +11,6 @@
 use crate::job::TaskId;
 use crate::job_state::JobState;
 use crate::messages::{Action, StoredProgress};
-use crate::worker::HeldPhase;
 
 /// Entries of a record in a transaction: a condition and a write. A new phase is one write more.
 const ENTRIES_PER_RECORD: usize = 2;
@@ -20,26 +22,46 @@
 /// Most records in a batch.
 pub const MAX_BATCH_RECORDS: usize = MAX_BATCH_ENTRIES / ENTRIES_PER_RECORD;
 
+/// Most batches under way at a time.
+const MAX_BATCHES: usize = 8;
+
+/// How long the last batch has to be under way before one that is not full follows it. A store that
+/// answers within it then takes what has gathered in one call.
+const NEXT_BATCH_MS: DurationMs = DurationMs(15);
+
 /// Time by which the record of a job that ended outlives the time in which it can be asked for.
 const FORGET_MARGIN_MS: DurationMs = DurationMs(180_000);
 
+/// Ends that workers may forget once their effect is stored, by worker.
+type Notes = BTreeMap<WorkerName, u64>;
+
 /// `Records` tracks what is not stored yet.
 #[derive(Debug, Default)]
 pub(crate) struct Records {
     dirty: BTreeSet<JobId>,
-    /// Ends taken in, by worker, whose effect is not in a batch yet.
-    notes: BTreeMap<WorkerName, u64>,
-    in_flight: Option<InFlight>,
+    /// Starts that wait for the record of their job.
+    intents: BTreeMap<JobId, Vec<Intent>>,
+    /// Ends taken in, whose effect is not in a batch yet.
+    notes: Notes,
+    in_flight: BTreeMap<u64, InFlight>,
+    /// Ends whose effect is in this batch or an earlier one.
+    noted: BTreeMap<u64, Notes>,
     last_batch: u64,
+    last_sent_at: TimeMs,
+}
+
+/// `Intent` is a start that may be sent once the record of its job is stored.
+#[derive(Clone, Debug)]
+struct Intent {
+    worker: WorkerName,
+    task: TaskId,
+    run: u32,
 }
 
 #[derive(Debug)]
 struct InFlight {
-    batch: u64,
-    /// Starts that may be sent once the batch is stored.
-    intents: Vec<(WorkerName, TaskId, u32)>,
-    /// Ends that workers may forget once the batch is stored.
-    notes: BTreeMap<WorkerName, u64>,
+    jobs: Vec<JobId>,
+    intents: Vec<Intent>,
 }
 
 impl Records {
@@ -51,106 +73,128 @@
         self.notes.insert(worker.clone(), number);
     }
 
+    /// Notes a start that has to be in the record of its job before it is sent.
+    pub(crate) fn intend(&mut self, worker: &WorkerName, task: &TaskId, run: u32) {
+        self.mark(&task.job_id);
+        let intents = self.intents.entry(task.job_id.clone()).or_default();
+        intents.push(Intent {
+            worker: worker.clone(),
+            task: task.clone(),
+            run,
+        });
+    }
+
     pub(crate) fn is_waiting(&self) -> bool {
-        self.in_flight.is_some() || !self.dirty.is_empty() || !self.notes.is_empty()
+        !self.in_flight.is_empty() || !self.dirty.is_empty() || !self.notes.is_empty()
+    }
+
+    /// Jobs whose record can go out: of a job that is under way the next one waits.
+    fn ready(&self) -> impl Iterator<Item = &JobId> {
+        let is_free = |job_id: &&JobId| {
+            let mut in_flight = self.in_flight.values();
+            !in_flight.any(|batch| batch.jobs.binary_search(job_id).is_ok())
+        };
+        self.dirty.iter().filter(is_free)
+    }
+
+    /// Whether another batch may follow now.
+    fn may_send(&self, now: TimeMs, is_full: bool) -> bool {
+        let is_slow = now.since(self.last_sent_at) >= NEXT_BATCH_MS;
+        self.in_flight.is_empty() || (self.in_flight.len() < MAX_BATCHES && (is_full || is_slow))
+    }
+
+    /// Ends whose effect is stored by now: every batch up to theirs is.
+    fn take_stored_notes(&mut self) -> Vec<Notes> {
+        let first_open = self.in_flight.keys().next().copied();
+        let open = match first_open {
+            Some(batch) => self.noted.split_off(&batch),
+            None => BTreeMap::new(),
+        };
+        let stored = std::mem::replace(&mut self.noted, open);
+        stored.into_values().collect()
     }
 }
 
 impl Coordinator {
-    /// Sends the next batch if none is under way.
+    /// Sends batches of what has changed.
     ///
     /// A record is stored before the start that it announces and before its worker may forget an
     /// end, so that a successor knows of every run there can be and misses no end.
     pub(crate) fn flush(&mut self, now: TimeMs) {
-        if self.records.in_flight.is_some() || !self.may_order(now) {
+        if !self.may_order(now) {
             return;
         }
-        if self.records.dirty.is_empty() {
-            // Ends that changed no record need no write.
+        while let Some(jobs) = self.next_batch(now) {
+            self.send_batch(now, jobs);
+        }
+        // An end may concern any changed job, so ends wait until all are in a batch.
+        if self.records.dirty.is_empty() && !self.records.notes.is_empty() {
             let notes = std::mem::take(&mut self.records.notes);
-            self.ends_stored(&notes);
-            return;
+            let of_last_batch = self.records.noted.entry(self.records.last_batch);
+            of_last_batch.or_default().extend(notes);
         }
-        let chosen = self.take_batch();
-        let records: Vec<StoredProgress> = chosen
-            .iter()
-            .filter_map(|job_id| {
-                let job = self.jobs.get_mut(job_id)?;
-                let has_new_phase = job.has_new_phase();
-                job.recorded_phase = job.phase;
-                Some(StoredProgress {
-                    job_id: job_id.clone(),
-                    progress: job.progress(),
-                    has_new_phase,
-                })
-            })
-            .collect();
-        // An end may concern any dirty job, so ends wait for the batch that leaves none behind.
-        let notes = if self.records.dirty.is_empty() {
-            std::mem::take(&mut self.records.notes)
-        } else {
-            BTreeMap::new()
-        };
-        self.records.last_batch += 1;
-        let batch = self.records.last_batch;
-        let intents = self.intents_of(&chosen);
-        self.records.in_flight = Some(InFlight {
-            batch,
-            intents,
-            notes,
-        });
-        self.actions.push(Action::Store { batch, records });
+        self.tell_stored_notes();
     }
 
-    /// Takes as many jobs whose records have changed as one transaction of the store holds.
-    fn take_batch(&mut self) -> Vec<JobId> {
+    /// As many changed jobs as one transaction of the store holds, if a batch may follow now.
+    fn next_batch(&self, now: TimeMs) -> Option<Vec<JobId>> {
         let mut entries = 0;
-        let mut chosen = Vec::new();
-        for job_id in &self.records.dirty {
+        let mut is_full = false;
+        let mut jobs = Vec::new();
+        for job_id in self.records.ready() {
             let has_new_phase = self.jobs.get(job_id).is_some_and(JobState::has_new_phase);
             entries += ENTRIES_PER_RECORD + usize::from(has_new_phase);
-            if entries > MAX_BATCH_ENTRIES {
+            is_full = entries > MAX_BATCH_ENTRIES;
+            if is_full {
                 break;
             }
-            chosen.push(job_id.clone());
+            jobs.push(job_id.clone());
         }
-        for job_id in &chosen {
-            self.records.dirty.remove(job_id);
-        }
-        chosen
+        (!jobs.is_empty() && self.records.may_send(now, is_full)).then_some(jobs)
     }
 
-    fn intents_of(&self, jobs: &[JobId]) -> Vec<(WorkerName, TaskId, u32)> {
+    fn send_batch(&mut self, now: TimeMs, jobs: Vec<JobId>) {
+        let mut records = Vec::with_capacity(jobs.len());
         let mut intents = Vec::new();
-        for (name, worker) in &self.workers {
-            for (task, held) in &worker.held {
-                let is_intent = held.phase == HeldPhase::Intended;
-                if is_intent && jobs.binary_search(&task.job_id).is_ok() {
-                    intents.push((name.clone(), task.clone(), held.run));
-                }
-            }
+        for job_id in &jobs {
+            self.records.dirty.remove(job_id);
+            intents.extend(self.records.intents.remove(job_id).unwrap_or_default());
+            let Some(job) = self.jobs.get_mut(job_id) else {
+                continue;
+            };
+            let has_new_phase = job.has_new_phase();
+            job.recorded_phase = job.phase;
+            records.push(StoredProgress {
+                job_id: job_id.clone(),
+                progress: job.progress(),
+                has_new_phase,
+            });
         }
-        intents
+        self.records.last_batch += 1;
+        self.records.last_sent_at = now;
+        let batch = self.records.last_batch;
+        let in_flight = InFlight { jobs, intents };
+        self.records.in_flight.insert(batch, in_flight);
+        self.actions.push(Action::Store { batch, records });
     }
 
     pub(crate) fn stored(&mut self, now: TimeMs, batch: u64) {
-        let Some(in_flight) = self
-            .records
-            .in_flight
-            .take_if(|in_flight| in_flight.batch == batch)
-        else {
+        let Some(in_flight) = self.records.in_flight.remove(&batch) else {
             return;
         };
-        self.ends_stored(&in_flight.notes);
-        for (worker, task, run) in in_flight.intents {
-            self.start(now, &worker, &task, run);
+        self.tell_stored_notes();
+        for intent in in_flight.intents {
+            self.start(now, &intent.worker, &intent.task, intent.run);
         }
     }
 
-    fn ends_stored(&mut self, notes: &BTreeMap<WorkerName, u64>) {
-        for (name, &number) in notes {
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.stored = worker.stored.max(number);
+    /// Lets workers forget the ends whose effect is stored.
+    fn tell_stored_notes(&mut self) {
+        for notes in self.records.take_stored_notes() {
+            for (name, number) in notes {
+                if let Some(worker) = self.workers.get_mut(&name) {
+                    worker.stored = worker.stored.max(number);
+                }
             }
         }
     }
--- /dev/null
+++ b/ragwortwick-area/tests/records.rs
@@ -0,0 +1,93 @@
+//! What is stored while the store takes its time, and what waits for it.
+
+mod rig;
+
+use std::collections::BTreeSet;
+
+use ragwortwick_area::{Action, EndKind, Event, StoredProgress};
+use ragwortwick_core::JobId;
+use rig::{Rig, ended, step, worker};
+
+type Batch = (u64, Vec<StoredProgress>);
+
+fn batches(rig: &mut Rig) -> Vec<Batch> {
+    rig.take(|action| match action {
+        Action::Store { batch, records } => Some((*batch, records.clone())),
+        _ => None,
+    })
+}
+
+fn jobs_of(batches: &[Batch]) -> Vec<&JobId> {
+    let records = batches.iter().flat_map(|(_, records)| records);
+    records.map(|record| &record.job_id).collect()
+}
+
+/// Guards against starts that wait for one answer of a slow store after the other, fifteen jobs at a time.
+#[test]
+fn verify_a_slow_store_holds_up_no_record_of_other_jobs() {
+    const JOBS: u64 = 60;
+    let workers: Vec<_> = (0..8).map(|n| worker(&format!("w{n}"), "r1")).collect();
+    let mut rig = Rig::new(&workers);
+    for number in 0..JOBS {
+        rig.hand_in(&format!("{number:016x}"), "middle", step(1, 1));
+    }
+    rig.pass(200);
+    let waiting = batches(&mut rig);
+    let jobs = jobs_of(&waiting);
+    let distinct: BTreeSet<_> = jobs.iter().collect();
+    assert_eq!(distinct.len() as u64, JOBS);
+    assert_eq!(jobs.len(), distinct.len(), "a job is in two batches");
+    assert!(rig.starts().is_empty(), "a start went before its record");
+    for (batch, _) in waiting.iter().rev() {
+        rig.tell(Event::Stored { batch: *batch });
+    }
+    assert_eq!(rig.starts().len() as u64, JOBS);
+}
+
+/// Guards against an older record of a job that overwrites a newer one.
+#[test]
+fn verify_a_job_is_in_one_batch_at_a_time() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let id = "00000000000000aa";
+    rig.hand_in(id, "middle", step(2, 1));
+    rig.pass(20);
+    let first = batches(&mut rig);
+    assert_eq!(jobs_of(&first), [&JobId::new(id)]);
+    rig.tell(Event::JobCancelled(JobId::new(id)));
+    rig.pass(200);
+    assert!(batches(&mut rig).is_empty(), "the second record overtakes");
+    rig.tell(Event::Stored { batch: first[0].0 });
+    rig.pass(20);
+    assert_eq!(jobs_of(&batches(&mut rig)), [&JobId::new(id)]);
+}
+
+/// Guards against an end that its worker forgets while an earlier batch, which may hold its effect, is open.
+#[test]
+fn verify_an_end_is_forgotten_only_after_all_earlier_batches() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1")];
+    let mut rig = Rig::new(&workers);
+    rig.hand_in("00000000000000a1", "middle", step(1, 8));
+    rig.hand_in("00000000000000a2", "middle", step(1, 8));
+    let starts = rig.start_all();
+    assert_eq!(starts.len(), 2);
+    let end = |start| ended(1, start, EndKind::Done);
+    let mut open = Vec::new();
+    for start in &starts {
+        rig.look(start.0.as_str(), Vec::new(), vec![end(start)]);
+        rig.pass(30);
+        open.extend(batches(&mut rig));
+    }
+    assert_eq!(open.len(), 2);
+    let noted = |rig: &mut Rig| -> u64 {
+        rig.pass(1_500);
+        let looks = rig.take(|action| match action {
+            Action::Look { noted, .. } => Some(*noted),
+            _ => None,
+        });
+        looks.into_iter().max().unwrap_or(0)
+    };
+    rig.tell(Event::Stored { batch: open[1].0 });
+    assert_eq!(noted(&mut rig), 0);
+    rig.tell(Event::Stored { batch: open[0].0 });
+    assert_eq!(noted(&mut rig), 1);
+}
--- a/ragwortwick-daemon/src/area/job_store.rs
+++ b/ragwortwick-daemon/src/area/job_store.rs
@@ -1,6 +1,7 @@
 //! The coordinator's writes: fenced by its own key, repeated until their outcome is certain.
 
 use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ragwortwick_adapter::{Expectation, Item, StoreClient, StoreFailure, Txn, TxnReply, WriteItem};
 use ragwortwick_area::StoredProgress;
@@ -17,18 +18,39 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Deposed;
 
-/// `JobStore` writes the progress of jobs in one term.
-#[derive(Debug)]
+/// `JobStore` writes the progress of jobs in one term; clones share the revisions.
+#[derive(Clone, Debug)]
 pub(super) struct JobStore {
-    pub(super) store: StoreClient,
-    pub(super) health: StoreHealth,
+    store: StoreClient,
+    health: StoreHealth,
     /// Revision of the coordinator's key: it changes as soon as anybody else holds it.
-    pub(super) term: Revision,
+    term: Revision,
     /// Revision of each job's progress.
-    pub(super) revisions: HashMap<JobId, Revision>,
+    revisions: Arc<Mutex<HashMap<JobId, Revision>>>,
 }
 
 impl JobStore {
+    /// `open` writes in the term that the key's revision begins, from the given revisions on.
+    pub(super) fn open(
+        store: StoreClient,
+        health: StoreHealth,
+        term: Revision,
+        revisions: HashMap<JobId, Revision>,
+    ) -> Self {
+        Self {
+            store,
+            health,
+            term,
+            revisions: Arc::new(Mutex::new(revisions)),
+        }
+    }
+
+    fn revisions(&self) -> MutexGuard<'_, HashMap<JobId, Revision>> {
+        self.revisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Stores a batch; returns only once it is certain that it is stored.
     ///
     /// The same transaction is sent again after an unknown outcome. If the first one took effect, its
@@ -37,15 +59,16 @@
     /// # Errors
     ///
     /// Fails if the term is over.
-    pub(super) async fn store(&mut self, records: &[StoredProgress]) -> Result<(), Deposed> {
+    pub(super) async fn store(&self, records: &[StoredProgress]) -> Result<(), Deposed> {
         let txn = self.txn(records);
         loop {
             let reply = self.store.change(&txn).await;
             self.health.note(&reply);
             match reply {
                 Ok(TxnReply::Done(revision)) => {
+                    let mut revisions = self.revisions();
                     for record in records {
-                        self.revisions.insert(record.job_id.clone(), revision);
+                        revisions.insert(record.job_id.clone(), revision);
                     }
                     return Ok(());
                 }
@@ -72,9 +95,10 @@
             }],
             ..Txn::default()
         };
+        let revisions = self.revisions();
         for record in records {
             let key = progress_key(&record.job_id);
-            let revision = self.revisions.get(&record.job_id).copied();
+            let revision = revisions.get(&record.job_id).copied();
             txn.expect.push(Expectation {
                 key: key.clone(),
                 revision: revision.unwrap_or_default(),
@@ -89,7 +113,7 @@
     }
 
     fn compare(
-        &mut self,
+        &self,
         txn: &Txn,
         items: &[Item],
         records: &[StoredProgress],
@@ -108,13 +132,14 @@
                 log_event!(Error, "progress_conflict", key = key);
                 return Err(Deposed);
             };
-            self.revisions.insert(record.job_id.clone(), item.revision);
+            self.revisions()
+                .insert(record.job_id.clone(), item.revision);
         }
         Ok(())
     }
 
     /// Removes all keys of a job that ended long ago; a failure is tried again by a later term.
-    pub(super) async fn forget(&mut self, job_id: &JobId) {
+    pub(super) async fn forget(&self, job_id: &JobId) {
         let mut removes: Vec<String> = JobKey::ALL.iter().map(|part| part.of(job_id)).collect();
         removes.push(progress_key(job_id));
         let txn = Txn {
@@ -130,7 +155,7 @@
         if let Err(error) = reply {
             log_event!(Warn, "job_not_forgotten", job_id = job_id, cause = error);
         }
-        self.revisions.remove(job_id);
+        self.revisions().remove(job_id);
     }
 }
 
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -17,7 +17,7 @@
 use super::replica::Replica;
 use super::replica_feed::{Attach, CoordinatorKey, ends_left};
 use super::store_health::StoreHealth;
-use super::term_writes::{EndedJobs, write_batches};
+use super::term_writes::{BatchWriter, EndedJobs};
 use super::unstored_ends::{self, UnstoredEnds};
 use super::worker_feed::{WorkerFeed, read_workers};
 use crate::{Clock, Duty, unix_now};
@@ -153,32 +153,25 @@
         clock: parts.clock,
         metrics: parts.metrics.clone(),
     };
-    let job_store = JobStore {
-        store: parts.store.clone(),
-        health: parts.health.clone(),
-        term: won.revision,
+    let job_store = JobStore::open(
+        parts.store.clone(),
+        parts.health.clone(),
+        won.revision,
         revisions,
-    };
+    );
     let (writes, write_feed) = mpsc::unbounded_channel();
     let (end, ended) = mpsc::channel(4);
     let mut tasks = JoinSet::new();
     tasks.spawn(feed.run(Some(workers_as_of)));
     tasks.spawn(follow_desired(parts.desired.clone(), events.clone()));
-    let ends = EndedJobs {
-        replica: parts.replica.clone(),
-        metrics: parts.metrics.clone(),
-        told,
-    };
     let unstored = UnstoredEnds::default();
-    let writing = write_batches(
+    let batch_writer = BatchWriter {
         job_store,
-        write_feed,
-        events.clone(),
-        end.clone(),
-        ends,
-        unstored.clone(),
-    );
-    tasks.spawn(writing);
+        events: events.clone(),
+        ends: EndedJobs::open(parts.replica.clone(), parts.metrics.clone(), told),
+        unstored: unstored.clone(),
+    };
+    tasks.spawn(batch_writer.run(write_feed, end.clone()));
     tasks.spawn(renew(parts.clone(), won, events.clone(), end));
     let advice_address = parts.advice_address.as_deref();
     let sender = OrderSender::open(parts.clock, advice_address, term, events);
--- a/ragwortwick-daemon/src/area/term_writes.rs
+++ b/ragwortwick-daemon/src/area/term_writes.rs
@@ -1,14 +1,16 @@
-//! What a term writes: batches of progress, in order, and the removal of old jobs.
+//! What a term writes: batches of progress, and the removal of old jobs.
 
 use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use ragwortwick_area::{Event, StoredProgress};
 use ragwortwick_core::{JobId, log_event};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use super::coordination::EventSender;
-use super::job_store::JobStore;
+use super::job_store::{Deposed, JobStore};
 use super::metrics::AreaMetrics;
 use super::replica::Replica;
 use super::unstored_ends::UnstoredEnds;
@@ -25,23 +27,41 @@
     Forget(JobId),
 }
 
-/// `EndedJobs` tells of jobs that came to their end, once that is stored.
+/// `EndedJobs` tells of jobs that came to their end, once that is stored; clones share what was told.
+#[derive(Clone)]
 pub(super) struct EndedJobs {
-    pub(super) replica: Replica,
-    pub(super) metrics: AreaMetrics,
+    replica: Replica,
+    metrics: AreaMetrics,
     /// Jobs whose end was told, by this term or before it.
-    pub(super) told: HashSet<JobId>,
+    told: Arc<Mutex<HashSet<JobId>>>,
 }
 
 impl EndedJobs {
-    pub(super) fn tell(&mut self, stored: &StoredProgress) {
+    /// `told` are the jobs whose end was told before this term.
+    pub(super) fn open(replica: Replica, metrics: AreaMetrics, told: HashSet<JobId>) -> Self {
+        Self {
+            replica,
+            metrics,
+            told: Arc::new(Mutex::new(told)),
+        }
+    }
+
+    fn told(&self) -> MutexGuard<'_, HashSet<JobId>> {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn forget(&self, job_id: &JobId) {
+        self.told().remove(job_id);
+    }
+
+    pub(super) fn tell(&self, stored: &StoredProgress) {
         let phase = stored.progress.phase;
         if !phase.is_final() {
             return;
         }
         // A record is stored again while runs of an ended job still stop; that is no second end. The
         // replica can't tell: its watch may have shown the stored end before this is reached.
-        if !self.told.insert(stored.job_id.clone()) {
+        if !self.told().insert(stored.job_id.clone()) {
             return;
         }
         let view = self.replica.view(&stored.job_id);
@@ -56,32 +76,54 @@
     }
 }
 
-/// Writes batch after batch until the key is lost.
-pub(super) async fn write_batches(
-    mut job_store: JobStore,
-    mut batches: mpsc::UnboundedReceiver<Write>,
-    events: EventSender,
-    end: mpsc::Sender<&'static str>,
-    mut ends: EndedJobs,
-    unstored: UnstoredEnds,
-) {
-    while let Some(write) = batches.recv().await {
-        match write {
-            Write::Batch { batch, records } => {
-                if job_store.store(&records).await.is_err() {
-                    let _ = end.send("the key is lost").await;
-                    return;
-                }
-                unstored.stored(batch);
-                for record in &records {
-                    ends.tell(record);
+/// `BatchWriter` writes a term's batches, several side by side: they hold records of different jobs.
+#[derive(Clone)]
+pub(super) struct BatchWriter {
+    pub(super) job_store: JobStore,
+    pub(super) events: EventSender,
+    pub(super) ends: EndedJobs,
+    pub(super) unstored: UnstoredEnds,
+}
+
+impl BatchWriter {
+    /// Writes what comes until the key is lost; tells then.
+    pub(super) async fn run(
+        self,
+        mut writes: mpsc::UnboundedReceiver<Write>,
+        end: mpsc::Sender<&'static str>,
+    ) {
+        let mut batches = JoinSet::new();
+        loop {
+            tokio::select! {
+                write = writes.recv() => match write {
+                    None => return,
+                    Some(Write::Batch { batch, records }) => {
+                        batches.spawn(self.clone().store(batch, records));
+                    }
+                    Some(Write::Forget(job_id)) => self.forget(&job_id).await,
+                },
+                Some(written) = batches.join_next() => {
+                    if !matches!(written, Ok(Ok(()))) {
+                        let _ = end.send("the key is lost").await;
+                        return;
+                    }
                 }
-                events.send(Event::Stored { batch }).await;
-            }
-            Write::Forget(job_id) => {
-                job_store.forget(&job_id).await;
-                ends.told.remove(&job_id);
             }
         }
     }
+
+    async fn store(self, batch: u64, records: Vec<StoredProgress>) -> Result<(), Deposed> {
+        self.job_store.store(&records).await?;
+        self.unstored.stored(batch);
+        for record in &records {
+            self.ends.tell(record);
+        }
+        self.events.send(Event::Stored { batch }).await;
+        Ok(())
+    }
+
+    async fn forget(&self, job_id: &JobId) {
+        self.job_store.forget(job_id).await;
+        self.ends.forget(job_id);
+    }
 }
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -98,11 +98,7 @@
         revision: Revision(6),
     }));
     let metrics = AreaMetrics::open(StoreClient::open("127.0.0.1:1").counts()).expect("metrics");
-    let mut ends = EndedJobs {
-        replica,
-        metrics: metrics.clone(),
-        told: HashSet::new(),
-    };
+    let ends = EndedJobs::open(replica, metrics.clone(), HashSet::new());
     let stored = StoredProgress {
         job_id: record.job_id.clone(),
         progress,
