Let no urgent job take back the room that it gave up for another

Two urgent jobs could keep each other from starting for 0.6 s and more: one had others stopped for it and goes first for 1.5 s; another, covered by its customer's guarantee, then displaces it before its start is sent; in the next pass the first one takes the cleared room again, and is displaced again.

Cause: a job that is displaced kept its place at the head of the order. It now loses it. Ruled out: the reservation of cleared room (it holds within a pass; the order between passes is what failed).

--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -110,6 +110,8 @@
             }
             self.cleared_for.entry(candidate.step_id()).or_insert(now);
             for victim in &plan.stopped {
+                // It would go first in the next pass, into the very room that it gave up.
+                self.cleared_for.remove(&victim.group.step);
                 self.stop_victim(now, victim);
                 for &(index, need) in &victim.frees {
                     future[index].free = future[index].free.plus(need);
--- a/ragwortwick-area/tests/displacement.rs
+++ b/ragwortwick-area/tests/displacement.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use ragwortwick_area::{Action, EndKind, StepSpec};
-use ragwortwick_core::DurationMs;
+use ragwortwick_core::{DurationMs, JobId};
 use rig::{Rig, ended, gang, step, worker};
 
 const FOUR_WORKERS: [&str; 4] = ["w1", "w2", "w3", "w4"];
@@ -122,3 +122,37 @@
         "room is cleared for the second"
     );
 }
+
+/// Guards against two urgent jobs that take the same room from each other pass after pass, so that
+/// neither begins.
+#[test]
+fn verify_room_cleared_for_a_promise_does_not_go_back_to_whoever_gave_way() {
+    let entries: Vec<_> = ["w1", "w2", "w3"]
+        .iter()
+        .map(|name| worker(name, "r1"))
+        .collect();
+    let mut rig = Rig::new(&entries);
+    rig.hand_in_for("00000000000000e0", "c", "urgent", gang(2, 8));
+    rig.hand_in("00000000000000e1", "patient", step(8, 1));
+    assert_eq!(rig.start_all().len(), 10);
+    let borrower = "00000000000000e2";
+    rig.hand_in_for(borrower, "c", "urgent", gang(1, 8));
+    rig.pass(20);
+    let stops = rig.stops();
+    assert_eq!(stops.len(), 8);
+    let ends = (1..).zip(&stops);
+    let ends = ends.map(|(number, stop)| ended(number, stop, EndKind::Stopped));
+    let ends = ends.collect();
+    rig.look(stops[0].0.as_str(), Vec::new(), ends);
+    rig.pass(20);
+    let owed = "00000000000000e3";
+    rig.hand_in_for(owed, "d", "urgent", gang(1, 8));
+    rig.pass(100);
+    rig.store();
+    let started: Vec<_> = rig
+        .starts()
+        .into_iter()
+        .map(|start| start.1.job_id)
+        .collect();
+    assert_eq!(started, [JobId::new(owed)]);
+}
