Leave headroom to urgent gangs, and learn which workers are fast

conflict-check jobs of the larger fleet came late by some tenths of a second, and a tenth of all core-seconds was thrown away. A third of the workers takes 1.2 to 1.3 times as long (bimodal means of some 420 workers), so nearly each urgent gang had a slow member and half a second to spare instead of one and a half.

Change: racks with three times the recent peak of urgent demand are headroom while half of the pool or more is in use. Single tasks and wide gangs that save no checkpoints keep out of it; work that saves uses it, since its stop costs a restore. Workers' speeds are learned from what alike tasks take, by progress and ends. Urgent work prefers fast workers, other work the slow ones, nobody those that are several times slower.

--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    fn waiting_accelerators(&self, candidate: &Candidate) -> Option<u64> {
+    pub(crate) fn waiting_accelerators(&self, candidate: &Candidate) -> Option<u64> {
         let job = self.jobs.get(&candidate.job_id)?;
         let count = job.step(candidate.occurrence, candidate.step)?.waiting();
         Some(job.spec(candidate.step)?.need.accelerators * count as u64)
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -7,6 +7,7 @@
 
 use crate::advice::Advice;
 use crate::desired::DesiredState;
+use crate::headroom::UrgentPeak;
 use crate::job::{JobRecord, QueueTerms, StepId};
 use crate::job_state::JobState;
 use crate::limits::Limits;
@@ -102,6 +103,8 @@
     pub(crate) work_seen: BTreeMap<ClassName, (f64, u32)>,
     /// Workers on which the last pass kept room.
     pub(crate) kept_workers: BTreeSet<WorkerName>,
+    /// Recent peak of urgent demand.
+    pub(crate) urgent_peak: UrgentPeak,
     /// Steps for which others were stopped, and when that was.
     pub(crate) cleared_for: BTreeMap<StepId, TimeMs>,
 }
@@ -140,6 +143,7 @@
             next_due_at: None,
             work_seen: BTreeMap::new(),
             kept_workers: BTreeSet::new(),
+            urgent_peak: UrgentPeak::default(),
             cleared_for: BTreeMap::new(),
         };
         for entry in entries {
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -82,6 +82,9 @@
             }
             Outcome::Void => {}
         }
+        if outcome == Outcome::Done {
+            self.compare_duration_at_end(now, worker_name, task, &held);
+        }
         let attempts = self.attempts_of(&task.job_id);
         let Some(job) = self.jobs.get_mut(&task.job_id) else {
             return;
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -121,7 +121,6 @@
             estimate_ms: DurationMs(0),
             after: Vec::new(),
             count: 0,
-            saves_checkpoints: false,
             ..self.clone()
         }
     }
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -7,6 +7,7 @@
 use crate::job::{JobRecord, StepSpec, TaskId};
 use crate::progress::{GangProgress, JobPhase, Progress, TaskProgress};
 use crate::settle::{Outcome, Settled, settle_member, settle_single};
+use crate::speed::AlikeDurations;
 
 /// `TaskState` is where one task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +41,8 @@
     /// Whether the gang's run is ending and its members are waited for.
     pub(crate) gang_ending: bool,
     pub(crate) gang_failed: bool,
+    /// What its tasks took so far.
+    pub(crate) durations: AlikeDurations,
 }
 
 impl StepState {
@@ -57,6 +60,7 @@
             gang_failures: 0,
             gang_ending: false,
             gang_failed: false,
+            durations: AlikeDurations::default(),
         }
     }
 
--- a/ragwortwick-area/src/keeping.rs
+++ b/ragwortwick-area/src/keeping.rs
@@ -11,8 +11,10 @@
 
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
+use crate::headroom;
 use crate::job::{Resources, StepSpec};
 use crate::packing::{Bounds, Slot, racks};
+use crate::schedule::Room;
 use crate::worker::Held;
 
 /// Share of the pool's workers, in per cent, on which room is kept at a time.
@@ -117,7 +119,7 @@
         &self,
         now: TimeMs,
         candidate: &Candidate,
-        slots: &mut [Slot],
+        room: &mut Room,
         keeping: &mut Keeping,
     ) {
         let Some(job) = self.jobs.get(&candidate.job_id) else {
@@ -132,11 +134,16 @@
         if !is_wanted || keeping.gangs_left == 0 || count > keeping.workers_left {
             return;
         }
+        let bounds = Bounds {
+            spares_headroom: headroom::is_spared_by(candidate, spec, room),
+            ..Bounds::default()
+        };
+        let slots = &mut room.slots;
         let outlooks = keeping
             .outlooks
             .get_or_insert_with(|| self.outlooks(now, slots));
         keeping.gangs_left -= 1;
-        let Some(kept) = soonest(slots, outlooks, spec, count) else {
+        let Some(kept) = soonest(slots, outlooks, spec, count, &bounds) else {
             return;
         };
         for index in kept.places {
@@ -190,11 +197,17 @@
 }
 
 /// The room that is free soonest for all members of a gang.
-fn soonest(slots: &[Slot], outlooks: &[Outlook], spec: &StepSpec, count: usize) -> Option<Kept> {
+fn soonest(
+    slots: &[Slot],
+    outlooks: &[Outlook],
+    spec: &StepSpec,
+    count: usize,
+    bounds: &Bounds,
+) -> Option<Kept> {
     let fits: Vec<Vec<DurationMs>> = slots
         .iter()
         .zip(outlooks)
-        .map(|(slot, outlook)| fit_times(slot, outlook, spec, count))
+        .map(|(slot, outlook)| fit_times(slot, outlook, spec, count, bounds))
         .collect();
     if !spec.wants_same_rack {
         return pick(&fits, 0..slots.len(), count);
@@ -220,13 +233,19 @@
 }
 
 /// When a slot takes one task, two, and so on.
-fn fit_times(slot: &Slot, outlook: &Outlook, spec: &StepSpec, count: usize) -> Vec<DurationMs> {
+fn fit_times(
+    slot: &Slot,
+    outlook: &Outlook,
+    spec: &StepSpec,
+    count: usize,
+    bounds: &Bounds,
+) -> Vec<DurationMs> {
     let mut slot = slot.clone();
     let mut times = Vec::new();
     let mut at = DurationMs(0);
     let mut ends = outlook.iter();
     loop {
-        while times.len() < count && slot.room(spec, &Bounds::default()) > 0 {
+        while times.len() < count && slot.room(spec, bounds) > 0 {
             slot.free = slot.free.minus(spec.reserved());
             times.push(at);
         }
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -7,6 +7,7 @@
 use ragwortwick_core::{LabelName, RackName, WorkerName};
 
 use crate::job::{Resources, StepSpec};
+use crate::speed::Speed;
 
 /// `Slot` is what a worker has left during one pass of placement.
 #[derive(Clone, Debug)]
@@ -17,8 +18,14 @@
     pub(crate) rack_number: u32,
     pub(crate) labels: Arc<[LabelName]>,
     pub(crate) free: Resources,
+    /// Accelerators of the worker in all.
+    pub(crate) capacity_accelerators: u64,
     /// Evidence against the worker; slots with less of it are taken first.
     pub(crate) doubt: u32,
+    /// How fast the worker is.
+    pub(crate) speed: Speed,
+    /// Whether it is left to urgent work and to what is cheap to stop.
+    pub(crate) is_headroom: bool,
 }
 
 impl Slot {
@@ -29,7 +36,7 @@
 
     /// Counts how many tasks of the step it takes within the bounds.
     pub(crate) fn room(&self, spec: &StepSpec, bounds: &Bounds) -> u64 {
-        if !self.has_label(spec) || !bounds.permits(&self.worker) {
+        if !self.has_label(spec) || !bounds.permits(self) {
             return 0;
         }
         let fits = self.fits(spec);
@@ -76,6 +83,10 @@
     pub(crate) taken: BTreeMap<WorkerName, u32>,
     /// The only workers that may run the step; none if any may.
     pub(crate) allowed: Option<BTreeSet<WorkerName>>,
+    /// Whether the step rather goes to fast workers; if not, it leaves them to others.
+    pub(crate) wants_fast: bool,
+    /// Whether the headroom is left to others.
+    pub(crate) spares_headroom: bool,
 }
 
 impl Bounds {
@@ -84,10 +95,44 @@
         *self.taken.entry(worker.clone()).or_insert(0) += 1;
     }
 
-    fn permits(&self, worker: &WorkerName) -> bool {
-        self.allowed
-            .as_ref()
-            .is_none_or(|allowed| allowed.contains(worker))
+    fn permits(&self, slot: &Slot) -> bool {
+        let is_spared = self.spares_headroom && slot.is_headroom;
+        let allowed = self.allowed.as_ref();
+        !is_spared && allowed.is_none_or(|allowed| allowed.contains(&slot.worker))
+    }
+
+    /// Ranks a worker by its speed, the wanted ones first.
+    fn speed_rank(&self, speed: Speed) -> u8 {
+        match speed {
+            Speed::Crawling => 2,
+            Speed::Slow => u8::from(self.wants_fast),
+            Speed::Usual => u8::from(!self.wants_fast),
+        }
+    }
+}
+
+/// `PlaceRank` orders places for a task, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PlaceRank {
+    is_far: bool,
+    doubt: u32,
+    speed: u8,
+    /// What may use the headroom goes there first and leaves the rest to others.
+    is_outside_headroom: bool,
+    free_accelerators: u64,
+    free_cpu_millis: u64,
+}
+
+impl PlaceRank {
+    fn of(slot: &Slot, spec: &StepSpec, bounds: &Bounds) -> Self {
+        Self {
+            is_far: slot.is_far(spec),
+            doubt: slot.doubt,
+            speed: bounds.speed_rank(slot.speed),
+            is_outside_headroom: !slot.is_headroom,
+            free_accelerators: slot.free.accelerators,
+            free_cpu_millis: slot.free.cpu_millis,
+        }
     }
 }
 
@@ -122,27 +167,41 @@
 }
 
 fn best_rack(slots: &[Slot], spec: &StepSpec, count: usize, bounds: &Bounds) -> Option<Vec<usize>> {
-    let mut best: Option<(bool, u32, u64, Vec<usize>)> = None;
+    let mut best: Option<(PlaceRank, Vec<usize>)> = None;
     for within in racks(slots) {
-        let is_far = slots[within.start].is_far(spec);
         let members: Vec<usize> = within.collect();
         let Some(places) = fill(slots, &members, spec, count, bounds) else {
             continue;
         };
-        let free: u64 = members
-            .iter()
-            .map(|&index| slots[index].free.accelerators)
-            .sum();
-        let doubt = places.iter().map(|&index| slots[index].doubt).max();
-        let doubt = doubt.unwrap_or(0);
-        let is_better = best
-            .as_ref()
-            .is_none_or(|(far, least, left, _)| (is_far, doubt, free) < (*far, *least, *left));
-        if is_better {
-            best = Some((is_far, doubt, free, places));
+        let rank = rank_of_rack(slots, &members, &places, spec, bounds);
+        if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+            best = Some((rank, places));
         }
     }
-    best.map(|(_, _, _, places)| places)
+    best.map(|(_, places)| places)
+}
+
+/// A gang is as badly off as its worst member; of the rack counts what is free in all of it.
+fn rank_of_rack(
+    slots: &[Slot],
+    members: &[usize],
+    places: &[usize],
+    spec: &StepSpec,
+    bounds: &Bounds,
+) -> PlaceRank {
+    let first = PlaceRank::of(&slots[members[0]], spec, bounds);
+    let taken = places.iter().map(|&index| &slots[index]);
+    let free = members.iter().map(|&index| slots[index].free.accelerators);
+    PlaceRank {
+        doubt: taken.clone().map(|slot| slot.doubt).max().unwrap_or(0),
+        speed: taken
+            .map(|slot| bounds.speed_rank(slot.speed))
+            .max()
+            .unwrap_or(0),
+        free_accelerators: free.sum(),
+        free_cpu_millis: 0,
+        ..first
+    }
 }
 
 /// Fills the fullest slots first; what stays whole can take large tasks later.
@@ -160,24 +219,18 @@
     if whole < count as u64 {
         return None;
     }
-    let mut ranked: Vec<(bool, u32, u64, usize, u64)> = members
+    let mut ranked: Vec<(PlaceRank, usize, u64)> = members
         .iter()
         .map(|&index| {
             let slot = &slots[index];
-            let fits = slot.room(spec, bounds);
-            (
-                slot.is_far(spec),
-                slot.doubt,
-                slot.free.accelerators,
-                index,
-                fits,
-            )
+            let rank = PlaceRank::of(slot, spec, bounds);
+            (rank, index, slot.room(spec, bounds))
         })
-        .filter(|entry| entry.4 > 0)
+        .filter(|(_, _, fits)| *fits > 0)
         .collect();
     ranked.sort_unstable();
     let mut places = Vec::with_capacity(count);
-    for (_, _, _, index, fits) in ranked {
+    for (_, index, fits) in ranked {
         for _ in 0..fits {
             if places.len() == count {
                 return Some(places);
@@ -195,21 +248,15 @@
     bounds: &Bounds,
     reach: Reach,
 ) -> Option<usize> {
-    let mut best: Option<((bool, u32, u64, u64), usize)> = None;
+    let mut best: Option<(PlaceRank, usize)> = None;
     for (index, slot) in slots.iter().enumerate() {
-        let is_far = slot.is_far(spec);
-        if is_far && reach == Reach::Near {
+        let rank = PlaceRank::of(slot, spec, bounds);
+        if rank.is_far && reach == Reach::Near {
             continue;
         }
         if slot.room(spec, bounds) == 0 {
             continue;
         }
-        let rank = (
-            is_far,
-            slot.doubt,
-            slot.free.accelerators,
-            slot.free.cpu_millis,
-        );
         if best.as_ref().is_none_or(|(least, _)| rank < *least) {
             best = Some((rank, index));
         }
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -78,6 +78,7 @@
             self.want_advice(now, candidate, &room.slots);
             let bounds = Bounds {
                 allowed: self.advised(candidate),
+                wants_fast: true,
                 ..Bounds::default()
             };
             let shape = (spec.shape(), count);
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -7,6 +7,7 @@
 
 use crate::candidates::{Candidate, order};
 use crate::coordinator::{Coordinator, Now};
+use crate::headroom;
 use crate::job::{Resources, StepSpec};
 use crate::job_state::{JobState, TaskState};
 use crate::keeping::Keeping;
@@ -32,7 +33,7 @@
 }
 
 impl Room {
-    fn is_spare(&self) -> bool {
+    pub(crate) fn is_spare(&self) -> bool {
         self.used * 100 < self.capacity * SPARE_SHARE_PERCENT
     }
 
@@ -65,6 +66,7 @@
         for pool in pools {
             let mut room = self.room(now.steady, &pool);
             let of_pool: Vec<&Candidate> = candidates.iter().filter(|c| c.pool == pool).collect();
+            self.mark_headroom(now.steady, &of_pool, &mut room);
             let (urgent, others): (Vec<_>, Vec<_>) =
                 of_pool.into_iter().partition(|c| c.may_displace());
             self.place_urgent(now.steady, &urgent, &mut room);
@@ -92,7 +94,7 @@
                 self.place_step(now, candidate, room);
             } else if candidate.has_hope && !room.is_spare() {
                 // With half of the pool idle, what finds no place has other reasons than small tasks.
-                self.keep_room(now, candidate, &mut room.slots, &mut keeping);
+                self.keep_room(now, candidate, room, &mut keeping);
             }
         }
         keeping.workers
@@ -156,7 +158,10 @@
                     rack_number: 0,
                     labels: Arc::clone(&worker.entry.labels),
                     free,
+                    capacity_accelerators: worker.entry.capacity.accelerators,
                     doubt: worker.failures_in_row,
+                    speed: worker.speed.speed(),
+                    is_headroom: false,
                 });
             }
         }
@@ -191,6 +196,8 @@
         };
         let mut bounds = Bounds {
             allowed: self.ticketed(now, candidate),
+            wants_fast: candidate.priority == 0,
+            spares_headroom: headroom::is_spared_by(candidate, &spec, room),
             ..Bounds::default()
         };
         take_placed(&mut bounds, job, candidate);
--- a/ragwortwick-area/src/stalls.rs
+++ b/ragwortwick-area/src/stalls.rs
@@ -93,6 +93,7 @@
             return;
         };
         let stalled = worker.hear_progress(now, look);
+        self.compare_durations(worker_name);
         if may_order {
             for (task, still_ms) in stalled {
                 self.move_stalled(now, &task, still_ms);
--- a/ragwortwick-area/src/watch.rs
+++ b/ragwortwick-area/src/watch.rs
@@ -75,6 +75,11 @@
         DurationMs(self.last.clock_ms.saturating_sub(self.moved_clock_ms))
     }
 
+    /// Share of its work that was seen to be done, in per cent.
+    pub(crate) fn seen_percent(&self) -> u32 {
+        self.last.percent.saturating_sub(self.first.percent)
+    }
+
     /// How long its whole work takes at the speed seen so far; none before it has moved.
     pub(crate) fn whole_ms(&self) -> Option<DurationMs> {
         let moved = u64::from(self.last.percent.saturating_sub(self.first.percent));
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -9,6 +9,7 @@
 use crate::limits::Limits;
 use crate::messages::WorkerEntry;
 use crate::sharing::Role;
+use crate::speed::SpeedRecord;
 use crate::watch::Watch;
 
 /// Margin on the computed end of a worker's lease, for timers and scheduling delays.
@@ -89,6 +90,8 @@
     pub(crate) is_watched: bool,
     /// Its progress as last told.
     pub(crate) watch: Option<Watch>,
+    /// Its whole duration, once it was compared with others.
+    pub(crate) compared_ms: Option<DurationMs>,
     /// The load that its worker told last.
     pub(crate) load: u32,
     /// The pace that its worker knows of; none if that is in doubt.
@@ -113,6 +116,7 @@
             expected_ms: spec.estimate_ms,
             is_watched: !spec.is_long_running && !spec.is_filler,
             watch: None,
+            compared_ms: None,
             load: 0,
             pace_told: Some(100),
         }
@@ -163,6 +167,8 @@
     pub(crate) avoid_until: TimeMs,
     /// Its runs hardly moved on when last seen: no new work goes there before.
     pub(crate) stalled_until: TimeMs,
+    /// How fast it is against others.
+    pub(crate) speed: SpeedRecord,
     /// Pace of the fillers here.
     pub(crate) filler_percent: u32,
     /// When that changed last; none while nothing serves here.
@@ -188,6 +194,7 @@
             failures_in_row: 0,
             avoid_until: TimeMs(0),
             stalled_until: TimeMs(0),
+            speed: SpeedRecord::default(),
             filler_percent: 100,
             paced_at: None,
         };
--- /dev/null
+++ b/ragwortwick-area/tests/headroom.rs
@@ -0,0 +1,91 @@
+//! Which work may use the racks that are left to urgent gangs.
+
+mod rig;
+
+use ragwortwick_area::{EndKind, StepSpec, TaskId};
+use ragwortwick_core::{JobId, WorkerName};
+use rig::{Rig, ended, gang, step, worker};
+
+type Start = (WorkerName, TaskId, u32);
+
+/// Four racks of two workers.
+fn pool() -> Rig {
+    let entries: Vec<_> = (0..8)
+        .map(|number| worker(&format!("w{number}"), &format!("r{}", number / 2)))
+        .collect();
+    Rig::new(&entries)
+}
+
+fn saving(count: u32) -> StepSpec {
+    StepSpec {
+        saves_checkpoints: true,
+        ..step(count, 1)
+    }
+}
+
+fn count_of(starts: &[Start], id: &str) -> usize {
+    let job_id = JobId::new(id);
+    starts
+        .iter()
+        .filter(|start| start.1.job_id == job_id)
+        .count()
+}
+
+/// An urgent gang takes a quarter of the pool, and work that saves takes another.
+fn with_urgent_gang(rig: &mut Rig) -> Vec<Start> {
+    rig.hand_in_for("00000000000000a0", "c", "urgent", gang(2, 8));
+    rig.hand_in("00000000000000a1", "patient", saving(16));
+    let starts = rig.start_all();
+    assert_eq!(starts.len(), 18);
+    starts
+}
+
+/// Guards against work without checkpoints that is begun over and over in room that urgent gangs take.
+#[test]
+fn verify_work_that_saves_nothing_leaves_headroom_to_urgent_gangs() {
+    let mut rig = pool();
+    with_urgent_gang(&mut rig);
+    let losing = "00000000000000b0";
+    rig.hand_in(losing, "patient", step(32, 1));
+    let begun = count_of(&rig.start_all(), losing);
+    assert!(begun <= 16, "{begun} of 32 begun");
+    let wide = "00000000000000b1";
+    rig.hand_in(wide, "middle", gang(9, 1));
+    assert_eq!(count_of(&rig.start_all(), wide), 0);
+    rig.hand_in_for("00000000000000b2", "d", "urgent", gang(2, 8));
+    let urgent = rig.start_all();
+    assert_eq!(count_of(&urgent, "00000000000000b2"), 2);
+    assert!(rig.stops().is_empty(), "others are stopped for it");
+}
+
+/// Guards against headroom that stands idle while work waits that a stop costs nothing.
+#[test]
+fn verify_work_that_saves_uses_the_headroom() {
+    let mut rig = pool();
+    with_urgent_gang(&mut rig);
+    rig.hand_in("00000000000000c0", "patient", saving(32));
+    assert_eq!(rig.start_all().len(), 32);
+    let narrow = "00000000000000c1";
+    let mut rig = pool();
+    with_urgent_gang(&mut rig);
+    rig.hand_in("00000000000000c2", "patient", step(16, 1));
+    rig.start_all();
+    rig.hand_in(narrow, "middle", gang(4, 4));
+    assert_eq!(count_of(&rig.start_all(), narrow), 4);
+}
+
+/// Guards against jobs that nothing runs of while most of the pool is idle.
+#[test]
+fn verify_headroom_is_given_up_while_most_of_the_pool_is_idle() {
+    let mut rig = pool();
+    let starts = with_urgent_gang(&mut rig);
+    for (number, start) in (1..).zip(&starts) {
+        let end = ended(number, start, EndKind::Done);
+        rig.look(start.0.as_str(), Vec::new(), vec![end]);
+    }
+    rig.pass(20);
+    rig.store();
+    let wide = "00000000000000d0";
+    rig.hand_in(wide, "middle", gang(64, 1));
+    assert_eq!(count_of(&rig.start_all(), wide), 64);
+}
--- /dev/null
+++ b/ragwortwick-area/tests/speed.rs
@@ -0,0 +1,59 @@
+//! How workers of different speed are told apart, and what goes to which.
+
+mod rig;
+
+use std::collections::BTreeSet;
+
+use ragwortwick_area::{EndKind, StepSpec};
+use rig::{Rig, ended, gang, step, worker};
+
+const SLOW: &str = "w2";
+
+/// Lets each of four workers do a task of a few steps; the slow one takes half as long again.
+fn pool_that_has_worked() -> Rig {
+    let entries: Vec<_> = ["w1", "w2", "w3", "w4"]
+        .iter()
+        .map(|name| worker(name, "r1"))
+        .collect();
+    let mut rig = Rig::new(&entries);
+    for round in 1..=3 {
+        let one_each = StepSpec {
+            max_per_worker: Some(1),
+            ..step(4, 8)
+        };
+        rig.hand_in(&format!("{round:016x}"), "middle", one_each);
+        let starts = rig.start_all();
+        assert_eq!(starts.len(), 4);
+        for is_slow in [false, true] {
+            rig.pass(if is_slow { 1_000 } else { 2_000 });
+            for start in &starts {
+                if (start.0.as_str() == SLOW) == is_slow {
+                    let end = ended(round, start, EndKind::Done);
+                    rig.look(start.0.as_str(), Vec::new(), vec![end]);
+                }
+            }
+        }
+        rig.pass(20);
+        rig.store();
+    }
+    rig
+}
+
+/// Guards against an urgent gang that is late for one member on a slow worker while fast ones are free.
+#[test]
+fn verify_an_urgent_gang_goes_to_fast_workers() {
+    let mut rig = pool_that_has_worked();
+    rig.hand_in_for("00000000000000a0", "c", "urgent", gang(3, 8));
+    let starts = rig.start_all();
+    let on: BTreeSet<_> = starts.iter().map(|start| start.0.as_str()).collect();
+    assert_eq!(on, BTreeSet::from(["w1", "w3", "w4"]));
+}
+
+/// Guards against work with time to spare that takes the fast workers from urgent work.
+#[test]
+fn verify_other_work_goes_to_slow_workers() {
+    let mut rig = pool_that_has_worked();
+    rig.hand_in("00000000000000a0", "middle", gang(1, 8));
+    let starts = rig.start_all();
+    assert_eq!(starts[0].0.as_str(), SLOW);
+}
