--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -33,16 +33,14 @@
 
 /// How many times as long as a pass took the next one is put off, counted from its end.
 ///
-/// On a full host a pass of 8 ms takes 150. Counted from its beginning, the next one was due with the
-/// very next event: thousands of answers then waited for a pass each, and guaranteed work began 5 s
-/// late at 350 workers.
+/// On a busy host a pass takes many times as long as on an idle one. Counted from its beginning, the next
+/// one would be due with the very next event, and answers of workers would wait for a pass each.
 const PAUSE_PER_PASS: u64 = 3;
 
 /// Longest pause between two passes; urgent work has to start within a second or two.
 const MOST_PASS_PAUSE_MS: DurationMs = DurationMs(200);
 
-/// Pause between two rounds of looks. Each goes through all workers: with one for every event, looking
-/// for due looks took a fifth of the decisions' time at 350 workers.
+/// Pause between two rounds of looks: each goes through all workers, which is too dear for every event.
 const LOOKS_INTERVAL_MS: DurationMs = DurationMs(5);
 
 /// How often leases that ran out, orders without an answer and old jobs are looked for.
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// What an accelerator counts for in cores when work is weighed, as the users price it.
+/// What an accelerator counts for in cores when work is weighed.
 pub const CORES_PER_ACCELERATOR: u64 = 8;
 
 /// `StepSpec` declares one step: a number of alike tasks.
--- a/ragwortwick-area/src/keeping.rs
+++ b/ragwortwick-area/src/keeping.rs
@@ -17,10 +17,7 @@
 use crate::schedule::Room;
 use crate::worker::Held;
 
-/// Share of the pool's workers, in per cent, on which room is kept at a time.
-///
-/// On 80 seeds of two loads a third served callers best: 0.004 to 0.012 more of what they are owed than
-/// none at all, and the worst-served customer 0.012 to 0.019 more. A sixth gave half of that.
+/// Share of the pool's workers, in per cent, on which room is kept at a time: what is kept stands idle.
 const KEPT_SHARE_PERCENT: usize = 35;
 
 /// Time left on a worker on which room was kept already counts for so much, in per cent. Where many end
@@ -30,7 +27,7 @@
 /// How long a job may have nothing running before it gets room that is kept for others.
 ///
 /// Callers take a job for lost that has nothing running for 3 s while most of the workers are idle; the
-/// start itself takes a few tenths. At 1 s a third of what kept room brings was gone.
+/// start itself takes a few tenths of that.
 const IDLE_MS: DurationMs = DurationMs(2_000);
 
 /// Gangs in one pass that room is kept for; each looks through the whole pool.
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -22,8 +22,8 @@
 /// Least wait where urgent work runs: that it stands still has to show while starting it elsewhere helps.
 const URGENT_LOOK_WAIT_MS: DurationMs = DurationMs(500);
 
-/// What each worker of the area adds to that. With half a second for each of 350 workers, a host of
-/// 0.12 cores spent a quarter more processor time, and decisions came late.
+/// What each worker of the area adds to that: the answers of many workers would else hold up decisions
+/// on a small host.
 const URGENT_LOOK_MS_PER_WORKER: u64 = 5;
 
 /// Pause between looks at a worker that does not answer.
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -102,9 +102,8 @@
                 continue;
             };
             // Others are stopped only if what the caller gains by an answer in time is worth more than
-            // what the room would have been used for. A fixed bound of 500 core-seconds kept large urgent
-            // jobs waiting that are worth many times as much: 0.011 to 0.018 of all that callers are owed,
-            // on 60 seeds of two loads.
+            // what the room would have been used for. A bound that is the same for all would keep large
+            // urgent jobs waiting, which are worth many times as much.
             let gain = candidate.worth * (1.0 - self.limits.weights.late_share);
             if !candidate.is_guaranteed && plan.waste * worth_of_core_second > gain {
                 continue;
--- a/ragwortwick-area/src/stalls.rs
+++ b/ragwortwick-area/src/stalls.rs
@@ -22,7 +22,7 @@
 const AGAIN_MS: DurationMs = DurationMs(500);
 
 /// A run that has not moved for longer is taken as one whose estimate is wrong by far: its worker gets
-/// new work again. Troubles of some ten seconds were played.
+/// new work again.
 const LONGEST_STALL_MS: DurationMs = DurationMs(15_000);
 
 /// How often a job's runs are started elsewhere for standing still. One whose estimate is wrong by far
