--- a/ragwortwick-daemon/src/area/keys.rs
+++ b/ragwortwick-daemon/src/area/keys.rs
@@ -9,7 +9,7 @@
 const JOBS: &str = "ragwortwick/jobs/";
 
 /// Prefix of the jobs' progress. It changes with each run and grows with a job's tasks, and only a
-/// coordinator needs it: under the prefix that all hosts watch, the narrow ones fell seconds behind.
+/// coordinator needs it: a watch that brought it would keep hosts on narrow links seconds behind.
 pub(super) const PROGRESS: &str = "ragwortwick-progress/";
 
 /// Key of the coordinator, under its lease; its revision is the term's fencing token.
