Give each pool a headroom of its own

With several pools, urgent work of one would have kept work without checkpoints of the others waiting: the peak of urgent demand was one for the whole area, and marked racks of every pool.

The peak is kept by pool, and counts what that pool's workers hold and what waits for them. The test fails before: sixteen tasks of another pool wait while half of it is idle.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use ragwortwick_core::{ClassName, DurationMs, JobId, TimeMs, WorkerName};
+use ragwortwick_core::{ClassName, DurationMs, JobId, PoolName, TimeMs, WorkerName};
 
 use crate::advice::Advice;
 use crate::desired::DesiredState;
@@ -101,8 +101,8 @@
     pub(crate) work_seen: BTreeMap<ClassName, (f64, u32)>,
     /// Workers on which the last pass kept room.
     pub(crate) kept_workers: BTreeSet<WorkerName>,
-    /// Recent peak of urgent demand.
-    pub(crate) urgent_peak: UrgentPeak,
+    /// Recent peak of urgent demand in each pool.
+    pub(crate) urgent_peaks: BTreeMap<PoolName, UrgentPeak>,
     /// Steps for which others were stopped, and when that was.
     pub(crate) cleared_for: BTreeMap<StepId, TimeMs>,
 }
@@ -141,7 +141,7 @@
             next_due_at: None,
             work_seen: BTreeMap::new(),
             kept_workers: BTreeSet::new(),
-            urgent_peak: UrgentPeak::default(),
+            urgent_peaks: BTreeMap::new(),
             cleared_for: BTreeMap::new(),
         };
         for entry in entries {
--- a/ragwortwick-area/src/headroom.rs
+++ b/ragwortwick-area/src/headroom.rs
@@ -7,7 +7,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use ragwortwick_core::{DurationMs, TimeMs};
+use ragwortwick_core::{DurationMs, PoolName, TimeMs};
 
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
@@ -44,26 +44,29 @@
 }
 
 impl Coordinator {
-    /// Marks the racks that are headroom in this pass.
+    /// Marks the racks of a pool that are headroom in this pass.
     pub(crate) fn mark_headroom(
         &mut self,
         now: TimeMs,
+        pool: &PoolName,
         candidates: &[&Candidate],
         room: &mut Room,
     ) {
-        let demand = self.urgent_demand(candidates);
-        let accelerators = self.urgent_peak.observe(now, demand) * HEADROOM_PER_PEAK;
-        mark(&mut room.slots, accelerators);
+        let demand = self.urgent_demand(pool, candidates);
+        let peak = self.urgent_peaks.entry(pool.clone()).or_default();
+        mark(
+            &mut room.slots,
+            peak.observe(now, demand) * HEADROOM_PER_PEAK,
+        );
     }
 
-    /// Accelerators that urgent work uses or waits for.
-    fn urgent_demand(&self, candidates: &[&Candidate]) -> u64 {
+    /// Accelerators of a pool that urgent work uses or waits for.
+    fn urgent_demand(&self, pool: &PoolName, candidates: &[&Candidate]) -> u64 {
         let waiting = candidates.iter().filter(|c| c.may_displace());
         let waiting: u64 = waiting.filter_map(|c| self.waiting_accelerators(c)).sum();
-        let held = self
-            .workers
-            .values()
-            .flat_map(|worker| worker.held.values());
+        let workers = self.workers.values();
+        let of_pool = workers.filter(|worker| worker.entry.pool == *pool);
+        let held = of_pool.flat_map(|worker| worker.held.values());
         let urgent = held.filter(|held| held.priority == 0 && !held.is_stopping());
         let used: u64 = urgent.map(|held| held.need.accelerators).sum();
         waiting + used
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -66,7 +66,7 @@
         for pool in pools {
             let mut room = self.room(now.steady, &pool);
             let of_pool: Vec<&Candidate> = candidates.iter().filter(|c| c.pool == pool).collect();
-            self.mark_headroom(now.steady, &of_pool, &mut room);
+            self.mark_headroom(now.steady, &pool, &of_pool, &mut room);
             let (urgent, others): (Vec<_>, Vec<_>) =
                 of_pool.into_iter().partition(|c| c.may_displace());
             self.place_urgent(now.steady, &urgent, &mut room);
--- a/ragwortwick-area/tests/headroom.rs
+++ b/ragwortwick-area/tests/headroom.rs
@@ -2,9 +2,11 @@
 
 mod rig;
 
-use ragwortwick_area::{EndKind, StepSpec, TaskId};
+use std::sync::Arc;
+
+use ragwortwick_area::{EndKind, Event, JobRecord, QueueTerms, StepSpec, TaskId, WorkerEntry};
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{Rig, ended, gang, step, worker};
+use rig::{Rig, ended, gang, job, step, worker};
 
 type Start = (WorkerName, TaskId, u32);
 
@@ -58,6 +60,36 @@
     assert!(rig.stops().is_empty(), "others are stopped for it");
 }
 
+/// Guards against work of one pool that waits for the sake of another pool's urgent work.
+#[test]
+fn verify_urgent_work_of_another_pool_takes_no_headroom() {
+    let entries: Vec<_> = (0..8)
+        .map(|number| {
+            let pool = if number < 4 { "booking" } else { "other" };
+            WorkerEntry {
+                pool: pool.into(),
+                ..worker(&format!("w{number}"), &format!("r{}", number / 2))
+            }
+        })
+        .collect();
+    let mut rig = Rig::new(&entries);
+    rig.hand_in_for("00000000000000e0", "c", "urgent", gang(2, 8));
+    assert_eq!(rig.start_all().len(), 2);
+    for id in ["00000000000000e1", "00000000000000e2"] {
+        let record = job(id, "elsewhere", vec![step(16, 1)]);
+        let terms = QueueTerms {
+            pool: "other".into(),
+            ..record.terms.clone()
+        };
+        let record = JobRecord {
+            terms,
+            ..(*record).clone()
+        };
+        rig.tell(Event::JobAccepted(Arc::new(record)));
+        assert_eq!(rig.start_all().len(), 16, "{id}");
+    }
+}
+
 /// Guards against headroom that stands idle while work waits that a stop costs nothing.
 #[test]
 fn verify_work_that_saves_uses_the_headroom() {
