Lay homes anew when covered work ends or loses its guarantee, and book no home's accelerators away from later work

In the worst case a customer's guarantee counts as unused while its work runs on it, or as short while room for it is there, until the next change of workers or table.

Cause, three of them, each traced in a replayed case: - A worker that was unlisted during a cancel shows its member to the next owner, which takes the whole gang over and books the accelerators of the other members too, although these have gone to later work by then. When it ends they are freed in the later work's home. - Homes are laid around covered work. Work that they turn out not to hold becomes borrowed, but the homes stayed as they were laid around it. - A home that found no place because of covered work stayed short after this work had ended.

Change: what a gang gives back leaves out what other covered work holds; homes are laid until they hold all covered work that they were laid around; the end of covered work lays them anew while one is short.

Why it holds: the covered set shrinks with every round of laying, so it ends; an end frees only what nobody else holds.

--- a/ragwortwick-policy/src/zone/claims.rs
+++ b/ragwortwick-policy/src/zone/claims.rs
@@ -78,11 +78,26 @@
             return;
         };
         if parts.iter().any(|part| overlaps(taken, *part)) {
-            self.homes.unmark(&parts);
+            self.unmark_homes(gang_id, parts);
             self.set_borrowed(gang_id, true);
         }
     }
 
+    /// Gives a gang's accelerators back to their homes, but for those that other covered work holds.
+    ///
+    /// A worker that comes back may show a gang of which another worker's accelerators have gone to
+    /// later work.
+    pub(super) fn unmark_homes(&mut self, gang_id: &GangId, mut parts: Vec<Part>) {
+        for (_, other) in self.gangs.iter().filter(|(id, _)| *id != gang_id) {
+            for held in other.parts().iter().filter(|_| !other.is_borrowed) {
+                for part in parts.iter_mut().filter(|p| p.worker == held.worker) {
+                    part.mask &= !held.mask;
+                }
+            }
+        }
+        self.homes.unmark(&parts);
+    }
+
     pub(super) fn set_borrowed(&mut self, gang_id: &GangId, is_borrowed: bool) {
         let Some(gang) = self.gangs.get_mut(gang_id) else {
             return;
--- a/ragwortwick-policy/src/zone/settle.rs
+++ b/ragwortwick-policy/src/zone/settle.rs
@@ -4,6 +4,7 @@
 use ragwortwick_core::{DurationMs, GangId, JobId, TimeMs};
 
 use super::gang::{EndCause, Gang, MemberState};
+use super::homes::Home;
 use super::{ZoneNotice, ZonePlacer};
 
 /// Wait after a refusal before the job is tried again.
@@ -18,7 +19,9 @@
             self.ledger.release(member.part.worker, gang_id);
         }
         if !gang.is_borrowed {
-            self.homes.unmark(&gang.parts());
+            self.unmark_homes(gang_id, gang.parts());
+            // Homes lie around covered work, so one that was short may find its place now.
+            self.is_assign_due |= self.homes.list.iter().any(Home::is_short);
         }
         self.is_place_due = true;
         let cause = gang.cause.clone().unwrap_or(EndCause::Finished);
--- a/ragwortwick-policy/src/zone/workers.rs
+++ b/ragwortwick-policy/src/zone/workers.rs
@@ -7,6 +7,7 @@
 use super::homes::{Covered, assign};
 use super::ledger::{Listing, WorkerEntry};
 use super::placer::Ownership;
+use super::pool::Pool;
 use super::{WorkerInfo, ZoneNotice, ZonePlacer};
 
 impl ZonePlacer {
@@ -41,6 +42,15 @@
             .iter()
             .filter(|row| row.zone == self.zone)
             .collect();
+        let mut usable = self.ledger.usable_pool();
+        // Homes were laid around work that turned out to be uncovered: they are laid anew without it.
+        while !self.lay_homes(now, &rows, &mut usable) {}
+        self.is_place_due = true;
+        self.tell_short(now);
+    }
+
+    /// Lays the homes once; tells whether they hold all covered work that they were laid around.
+    fn lay_homes(&mut self, now: TimeMs, rows: &[&GuaranteeRow], usable: &mut Pool) -> bool {
         let mut gang_ids = Vec::new();
         let mut covered = Vec::new();
         for (gang_id, gang) in &self.gangs {
@@ -52,7 +62,6 @@
                 });
             }
         }
-        let mut usable = self.ledger.usable_pool();
         usable.avoid = self
             .ledger
             .workers
@@ -60,17 +69,17 @@
             .map(WorkerEntry::borrowed)
             .collect();
         let steps = self.homes.steps;
-        let (homes, fits) = assign(&rows, &usable, &covered);
+        let (homes, fits) = assign(rows, usable, &covered);
         self.homes = homes;
         self.homes.steps += steps;
+        let holds_all = fits.iter().all(|is_covered| *is_covered);
         for (gang_id, is_covered) in gang_ids.iter().zip(fits) {
             if !is_covered {
                 self.set_borrowed(gang_id, true);
                 self.drop_claim(now, gang_id);
             }
         }
-        self.is_place_due = true;
-        self.tell_short(now);
+        holds_all
     }
 
     /// Only a guarantee may claim what borrowed work holds.
--- a/ragwortwick-policy/tests/zone_guarantees.rs
+++ b/ragwortwick-policy/tests/zone_guarantees.rs
@@ -321,3 +321,206 @@
         Step::Wait(118),
     ]);
 }
+
+/// A worker unlisted during a cancel showed its member to the next owner, which freed another's home.
+#[test]
+fn verify_gang_of_a_cancelled_job_shown_late_frees_no_home_of_a_later_one() {
+    run(&[
+        Step::Unlist(91),
+        Step::Submit {
+            customer: 36,
+            urgent: false,
+            cells: 134,
+            size: 235,
+            run_s: 196,
+        },
+        Step::Submit {
+            customer: 193,
+            urgent: true,
+            cells: 104,
+            size: 1,
+            run_s: 158,
+        },
+        Step::Unlist(165),
+        Step::CancelWave { keep: 145 },
+        Step::Wait(237),
+        Step::Submit {
+            customer: 75,
+            urgent: true,
+            cells: 168,
+            size: 172,
+            run_s: 97,
+        },
+        Step::Wait(229),
+        Step::TakeOver,
+    ]);
+}
+
+/// A home that had to lie around covered work stayed short after this work had ended.
+#[test]
+fn verify_short_home_is_laid_anew_once_covered_work_ends() {
+    run(&[
+        Step::Submit {
+            customer: 160,
+            urgent: false,
+            cells: 196,
+            size: 51,
+            run_s: 220,
+        },
+        Step::Submit {
+            customer: 166,
+            urgent: false,
+            cells: 205,
+            size: 61,
+            run_s: 250,
+        },
+        Step::Submit {
+            customer: 138,
+            urgent: true,
+            cells: 1,
+            size: 25,
+            run_s: 160,
+        },
+        Step::Burst {
+            customer: 157,
+            size: 177,
+        },
+        Step::Submit {
+            customer: 76,
+            urgent: true,
+            cells: 104,
+            size: 160,
+            run_s: 137,
+        },
+        Step::Kill(52),
+        Step::Submit {
+            customer: 161,
+            urgent: true,
+            cells: 214,
+            size: 241,
+            run_s: 162,
+        },
+        Step::Burst {
+            customer: 115,
+            size: 168,
+        },
+        Step::Wait(105),
+        Step::LoseRack(1),
+        Step::Submit {
+            customer: 189,
+            urgent: true,
+            cells: 186,
+            size: 0,
+            run_s: 217,
+        },
+        Step::Submit {
+            customer: 223,
+            urgent: false,
+            cells: 40,
+            size: 5,
+            run_s: 88,
+        },
+        Step::Wait(193),
+    ]);
+}
+
+/// A home stayed short after the rack that covered work had kept from it was free again.
+#[test]
+fn verify_short_home_is_laid_anew_once_a_rack_is_free() {
+    run(&[
+        Step::Submit {
+            customer: 27,
+            urgent: true,
+            cells: 120,
+            size: 0,
+            run_s: 3,
+        },
+        Step::LoseRack(12),
+        Step::Submit {
+            customer: 199,
+            urgent: false,
+            cells: 126,
+            size: 226,
+            run_s: 79,
+        },
+        Step::Submit {
+            customer: 147,
+            urgent: false,
+            cells: 11,
+            size: 81,
+            run_s: 194,
+        },
+        Step::LoseRack(101),
+        Step::Submit {
+            customer: 243,
+            urgent: true,
+            cells: 18,
+            size: 108,
+            run_s: 209,
+        },
+        Step::Revive(255),
+        Step::TakeOver,
+        Step::Submit {
+            customer: 255,
+            urgent: true,
+            cells: 198,
+            size: 91,
+            run_s: 117,
+        },
+        Step::Revive(0),
+        Step::Wait(107),
+        Step::Unlist(21),
+        Step::Wait(255),
+        Step::Revive(127),
+        Step::Wait(11),
+    ]);
+}
+
+/// Work that the homes no longer held kept another customer's home short.
+#[test]
+fn verify_work_without_its_guarantee_keeps_no_home_short() {
+    run(&[
+        Step::EditTable(139),
+        Step::Submit {
+            customer: 131,
+            urgent: false,
+            cells: 89,
+            size: 203,
+            run_s: 37,
+        },
+        Step::Unlist(191),
+        Step::CancelWave { keep: 184 },
+        Step::Wait(91),
+        Step::Wait(253),
+        Step::TakeOver,
+        Step::Submit {
+            customer: 255,
+            urgent: true,
+            cells: 42,
+            size: 101,
+            run_s: 200,
+        },
+        Step::Submit {
+            customer: 239,
+            urgent: true,
+            cells: 62,
+            size: 196,
+            run_s: 94,
+        },
+        Step::EditTable(193),
+        Step::Submit {
+            customer: 255,
+            urgent: true,
+            cells: 75,
+            size: 204,
+            run_s: 183,
+        },
+        Step::Submit {
+            customer: 190,
+            urgent: false,
+            cells: 116,
+            size: 20,
+            run_s: 209,
+        },
+    ]);
+}
