Tell at each job's end how it spent its time and what its stops cost, and sum the lines up

Change: the coordinator keeps an account of each job (account.rs): wait for the first room, later waits, time until a worker confirmed a start, time at work, runs, and per cause the runs that were over in vain with the work that has to be done again; also the job that took its room last. It comes with the record of the end and makes one line that no budget leaves out, histograms by customer, queue and part, and a counter of lost core-seconds by cause. Stops carry their cause: displaced, leaving worker, stalled, gang, job over, start in doubt. `ragwortwick ends FILE…` sums the lines up by queue and cause. `objective_ms` stands with the terms now; spans are scaled in one place.

Measured: tests of the coordinator, the hosts and the command line pass; no decision depends on the account.

Why it holds: the spans follow one another, a test adds them up to the job's life; work that saves counts its resuming only; a record stored again for a stopping run carries no account, so an end is told once.

--- /dev/null
+++ b/ragwortwick-area/src/account.rs
@@ -0,0 +1,163 @@
+//! What became of a job under one coordinator: what it waited for, and what its stops cost.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use ragwortwick_core::{DurationMs, JobId, TimeMs, common};
+
+/// `OverWhy` is how a run came to be over.
+#[common(key)]
+pub enum OverWhy {
+    /// It did its work.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was told to stop: its room goes to other work.
+    Displaced,
+    /// It was told to stop: its worker leaves.
+    WorkerLeaves,
+    /// It was told to stop: it stood still.
+    Stalled,
+    /// It was told to stop: another member of its gang has ended.
+    GangEnded,
+    /// It was told to stop: its job is over.
+    JobOver,
+    /// It was told to stop: whether it ever began was in doubt.
+    StartInDoubt,
+    /// Its worker no longer answers, and every lease there has run out.
+    WorkerSilent,
+    /// It never began, or its worker no longer has it.
+    NotThere,
+}
+
+impl fmt::Display for OverWhy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// `Loss` is what runs that were over without having done their work had taken.
+#[common]
+#[derive(Copy, Default)]
+pub struct Loss {
+    /// Number of runs.
+    pub runs: u32,
+    /// Work that has to be done again, in core-equivalents times milliseconds.
+    pub core_ms: u64,
+}
+
+/// What a job is doing, for the account of its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing of it is placed, and nothing ever was.
+    New,
+    /// Nothing of it is placed any more.
+    Again,
+    /// Something is placed, and no worker has confirmed it.
+    Beginning,
+    /// A worker has confirmed a run.
+    Running,
+    /// It is over.
+    Over,
+}
+
+/// `JobAccount` tells how a job spent its time under one coordinator.
+///
+/// The four spans follow one another and add up to the time from acceptance, or from the beginning of the
+/// term, to the end. A job with set times also spends the time between them as `again_ms`.
+#[common]
+pub struct JobAccount {
+    /// Whether this coordinator knew the job from its acceptance.
+    pub is_whole: bool,
+    /// Time before its first run was placed.
+    pub room_ms: DurationMs,
+    /// Later time in which nothing of it was placed.
+    pub again_ms: DurationMs,
+    /// Time in which something was placed and no worker had confirmed it.
+    pub begin_ms: DurationMs,
+    /// Time from the first run that a worker confirmed until nothing was placed any more.
+    pub run_ms: DurationMs,
+    /// Runs that were placed.
+    pub starts: u32,
+    /// Runs over without having done their work, by cause.
+    pub losses: BTreeMap<OverWhy, Loss>,
+    /// The job that took its room last.
+    pub displaced_by: Option<JobId>,
+    stage: Stage,
+    since: TimeMs,
+}
+
+impl JobAccount {
+    /// `begin` opens the account of a job that may start at the given time.
+    pub(crate) fn begin(since: TimeMs) -> Self {
+        Self {
+            is_whole: true,
+            room_ms: DurationMs(0),
+            again_ms: DurationMs(0),
+            begin_ms: DurationMs(0),
+            run_ms: DurationMs(0),
+            starts: 0,
+            losses: BTreeMap::new(),
+            displaced_by: None,
+            stage: Stage::New,
+            since,
+        }
+    }
+
+    /// `inherit` opens the account of a job that an earlier coordinator accounted for until now.
+    pub(crate) fn inherit(now: TimeMs, has_run: bool) -> Self {
+        Self {
+            is_whole: false,
+            stage: if has_run { Stage::Running } else { Stage::New },
+            ..Self::begin(now)
+        }
+    }
+
+    fn enter(&mut self, now: TimeMs, stage: Stage) {
+        let spent_ms = now.since(self.since);
+        let total = match self.stage {
+            Stage::New => &mut self.room_ms,
+            Stage::Again => &mut self.again_ms,
+            Stage::Beginning => &mut self.begin_ms,
+            Stage::Running => &mut self.run_ms,
+            Stage::Over => return,
+        };
+        *total = *total + spent_ms;
+        self.stage = stage;
+        self.since = self.since.max(now);
+    }
+
+    /// `placed` notes that a run was placed.
+    pub(crate) fn placed(&mut self, now: TimeMs) {
+        self.starts += 1;
+        if matches!(self.stage, Stage::New | Stage::Again) {
+            self.enter(now, Stage::Beginning);
+        }
+    }
+
+    /// `confirmed` notes that a worker confirmed a run.
+    pub(crate) fn confirmed(&mut self, now: TimeMs) {
+        if self.stage == Stage::Beginning {
+            self.enter(now, Stage::Running);
+        }
+    }
+
+    /// `lost` notes a run that is over without having done its work.
+    pub(crate) fn lost(&mut self, why: OverWhy, core_ms: u64) {
+        let loss = self.losses.entry(why).or_default();
+        loss.runs += 1;
+        loss.core_ms += core_ms;
+    }
+
+    /// `idle` notes that nothing of the job is placed any more.
+    pub(crate) fn idle(&mut self, now: TimeMs) {
+        if matches!(self.stage, Stage::Beginning | Stage::Running) {
+            self.enter(now, Stage::Again);
+        }
+    }
+
+    /// `close` notes that the job is over.
+    pub(crate) fn close(&mut self, now: TimeMs) {
+        self.enter(now, Stage::Over);
+    }
+}
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -5,6 +5,7 @@
 
 use ragwortwick_core::{ClassName, DurationMs, JobId, PoolName, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::advice::Advice;
 use crate::desired::DesiredState;
 use crate::headroom::UrgentPeak;
@@ -355,13 +356,14 @@
     pub(crate) fn job_over(&mut self, now: TimeMs, job_id: &JobId) {
         if let Some(job) = self.jobs.get_mut(job_id) {
             job.ended_at = Some(now);
+            job.account.close(now);
         }
         self.open_jobs.remove(job_id);
         self.advice.forget(job_id);
         self.records.mark(job_id);
         let is_completed = self.phase(job_id) == Some(JobPhase::Completed);
         if !is_completed {
-            self.stop_where(now, |task| task.job_id == *job_id);
+            self.stop_where(now, OverWhy::JobOver, |task| task.job_id == *job_id);
         }
     }
 }
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -4,10 +4,11 @@
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::job_state::TaskState;
-use crate::messages::{Action, EndKind, EndedTask, Look, OverWhy, RunOver};
+use crate::messages::{Action, EndKind, EndedTask, Look, RunOver};
 use crate::settle::{Outcome, Settled};
 use crate::worker::{HeldPhase, LookState};
 
@@ -62,15 +63,22 @@
         let why = match outcome {
             Outcome::Done => OverWhy::Done,
             Outcome::Failed => OverWhy::Failed,
-            Outcome::Void if held.is_stopping() => OverWhy::Stopped,
-            Outcome::Void if worker.is_silent => OverWhy::WorkerSilent,
-            Outcome::Void => OverWhy::NotThere,
+            Outcome::Void => match held.phase {
+                HeldPhase::Stopping { why, .. } => why,
+                _ if worker.is_silent => OverWhy::WorkerSilent,
+                _ => OverWhy::NotThere,
+            },
+        };
+        let lost_core_ms = match why {
+            OverWhy::Done => 0,
+            _ => held.lost_core_ms(now, self.limits.restore_ms),
         };
         self.actions.push(Action::Report(RunOver {
             worker: worker_name.clone(),
             task: task.clone(),
             run,
             why,
+            lost_core_ms,
         }));
         match outcome {
             Outcome::Done => worker.failures_in_row = 0,
@@ -91,11 +99,17 @@
         };
         let settled = job.settle(task, run, outcome, &held.checkpoint, attempts);
         job.last_over_at = now;
+        if why != OverWhy::Done {
+            job.account.lost(why, lost_core_ms);
+        }
+        if job.is_idle() {
+            job.account.idle(now);
+        }
         self.records.mark(&task.job_id);
         self.wants_pass = true;
         match settled {
             Settled::Nothing => {}
-            Settled::StopGang => self.stop_group(now, task),
+            Settled::StopGang => self.stop_group(now, task, OverWhy::GangEnded),
             Settled::JobOver => self.job_over(now, &task.job_id.clone()),
         }
     }
--- a/ragwortwick-area/src/inherit.rs
+++ b/ragwortwick-area/src/inherit.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::account::OverWhy;
 use crate::coordinator::{Coordinator, KnownJob, Now, RENEWAL_AFTER_TENURE_MS, steady_of};
 use crate::job_state::JobState;
 use crate::worker::{Held, HeldPhase, Worker, longest_lease};
@@ -28,7 +29,7 @@
             let priority = self.terms_of(&job).priority;
             let held = Held {
                 phase: if is_over {
-                    HeldPhase::TO_STOP
+                    HeldPhase::to_stop(OverWhy::JobOver)
                 } else {
                     HeldPhase::Inherited
                 },
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -198,6 +198,14 @@
     pub advice: Option<AdviceTerms>,
 }
 
+impl QueueTerms {
+    /// `objective_ms` is the time that a job may take whose longest chain of steps takes `chain_ms`.
+    #[must_use]
+    pub fn objective_ms(&self, chain_ms: DurationMs) -> DurationMs {
+        chain_ms.scaled(self.stretch) + self.target_latency_ms
+    }
+}
+
 /// `AdviceTerms` tells how long the advisor takes and how long its tickets hold.
 #[common(wire)]
 #[derive(Eq)]
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -4,6 +4,7 @@
 
 use ragwortwick_core::{TimeMs, WorkerName};
 
+use crate::account::JobAccount;
 use crate::job::{JobRecord, StepSpec, TaskId};
 use crate::progress::{GangProgress, JobPhase, Progress, TaskProgress};
 use crate::settle::{Outcome, Settled, settle_member, settle_single};
@@ -92,6 +93,7 @@
     pub(crate) last_over_at: TimeMs,
     /// How often its runs were started elsewhere because they stood still.
     pub(crate) moves: u32,
+    pub(crate) account: JobAccount,
 }
 
 impl JobState {
@@ -106,6 +108,7 @@
             ended_at: None,
             last_over_at: accepted_at,
             moves: 0,
+            account: JobAccount::begin(accepted_at),
         }
     }
 
@@ -145,6 +148,7 @@
             }
         }
         self.mend_partial_gangs();
+        self.account = JobAccount::inherit(now, !inherited.is_empty());
         inherited
     }
 
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -3,6 +3,7 @@
 //! The coordinator learns by events and asks for actions; the present time is an argument. What it
 //! promises and why each safeguard is enough stands in docs/design/0050-platform.md.
 
+mod account;
 mod advice;
 mod candidates;
 mod check;
@@ -33,14 +34,15 @@
 mod watch;
 mod worker;
 
+pub use account::{JobAccount, Loss, OverWhy};
 pub use check::JobProblem;
 pub use coordinator::{Coordinator, KnownJob, Now};
 pub use desired::{Customer, DesiredState, Queue};
 pub use job::{AdviceTerms, JobRecord, QueueTerms, Resources, Schedule, StepId, StepSpec, TaskId};
 pub use limits::{Limits, Weights};
 pub use messages::{
-    Action, AdviceReply, EndKind, EndedTask, Event, Look, OrderReply, OverWhy, RefusalCause,
-    RunOver, RunningTask, StoredProgress, WorkerEntry,
+    Action, AdviceReply, EndKind, EndedTask, Event, Look, OrderReply, RefusalCause, RunOver,
+    RunningTask, StoredProgress, WorkerEntry,
 };
 pub use progress::{GangProgress, JobPhase, Progress, TaskProgress};
 pub use records::MAX_BATCH_RECORDS;
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -160,7 +160,12 @@
         let mut orphans = Vec::new();
         for row in running {
             match worker.held.get_mut(&row.task) {
-                Some(held) if held.run == row.run => confirm(now, held, row),
+                Some(held) if held.run == row.run => {
+                    confirm(now, held, row);
+                    if let Some(job) = self.jobs.get_mut(&row.task.job_id) {
+                        job.account.confirmed(now);
+                    }
+                }
                 _ => orphans.push(row),
             }
         }
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -6,6 +6,7 @@
     DurationMs, JobId, LabelName, PoolName, RackName, TimeMs, WorkerName, ZoneName,
 };
 
+use crate::account::{JobAccount, OverWhy};
 use crate::desired::DesiredState;
 use crate::job::{JobRecord, Resources, StepId, TaskId};
 use crate::progress::Progress;
@@ -244,6 +245,8 @@
     pub progress: Progress,
     /// Whether callers see another phase than the last record told.
     pub has_new_phase: bool,
+    /// How the job spent its time, with the record of its end; it isn't stored.
+    pub account: Option<JobAccount>,
 }
 
 /// `RunOver` tells that a run is over, for the log.
@@ -257,21 +260,8 @@
     pub run: u32,
     /// How it is over.
     pub why: OverWhy,
-}
-
-/// `OverWhy` is how a run came to be over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OverWhy {
-    /// It did its work.
-    Done,
-    /// It failed.
-    Failed,
-    /// It was told to stop, for other work, its gang, a cancel, or its leaving worker.
-    Stopped,
-    /// Its worker no longer answers, and every lease there has run out.
-    WorkerSilent,
-    /// It never began, or its worker no longer has it.
-    NotThere,
+    /// Work that it had done and that has to be done again, in core-equivalents times milliseconds.
+    pub lost_core_ms: u64,
 }
 
 /// `Action` is what the coordinator asks for.
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -4,6 +4,7 @@
 
 use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
@@ -100,6 +101,7 @@
                         sent_at,
                         in_flight: false,
                         confirmed_at: None,
+                        ..
                     } if sent_at.is_none_or(|at| now.since(at) >= RESEND_MS)
                         && !worker.entry.address.is_empty() =>
                     {
@@ -128,7 +130,7 @@
             .get(worker)
             .is_some_and(|worker| worker.entry.is_draining || !worker.is_listed);
         if is_leaving || self.ticket_for(now, worker, task).is_err() {
-            self.stop_group(now, task);
+            self.stop_group(now, task, OverWhy::StartInDoubt);
         } else {
             self.send_start(now, worker, task);
         }
@@ -183,6 +185,9 @@
                 held.phase = HeldPhase::Running { since: now };
                 held.started_at = Some(now);
                 worker.look_by(now);
+                if let Some(job) = self.jobs.get_mut(&task.job_id) {
+                    job.account.confirmed(now);
+                }
                 self.share(now, worker_name);
             }
             OrderReply::Unknown => {
@@ -208,7 +213,7 @@
                     self.resolve(now, worker_name, task, run, Outcome::Void);
                 } else {
                     // An earlier try may still be carried out late; a stop rules that out.
-                    self.stop_group(now, task);
+                    self.stop_group(now, task, OverWhy::StartInDoubt);
                 }
             }
             OrderReply::WrongLife => {}
@@ -239,6 +244,7 @@
             ..Held::intended(now, spec, run, priority)
         };
         job.place(task, worker_name, run);
+        job.account.placed(now);
         self.records.intend(worker_name, task, run);
         if let Some(worker) = self.workers.get_mut(worker_name) {
             worker.hold(task.clone(), held);
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use ragwortwick_core::{CustomerName, TimeMs, WorkerName};
+use ragwortwick_core::{CustomerName, JobId, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
 use crate::displacement::{Plan, cheapest, find};
@@ -112,7 +113,7 @@
             for victim in &plan.stopped {
                 // It would go first in the next pass, into the very room that it gave up.
                 self.cleared_for.remove(&victim.group.step);
-                self.stop_victim(now, victim);
+                self.stop_victim(now, victim, &candidate.job_id);
                 for &(index, need) in &victim.frees {
                     future[index].free = future[index].free.plus(need);
                 }
@@ -243,10 +244,13 @@
         groups.into_values().collect()
     }
 
-    fn stop_victim(&mut self, now: TimeMs, victim: &Victim) {
+    fn stop_victim(&mut self, now: TimeMs, victim: &Victim, taker: &JobId) {
         let group = &victim.group;
+        if let Some(job) = self.jobs.get_mut(&group.step.job_id) {
+            job.account.displaced_by = Some(taker.clone());
+        }
         for worker in &victim.on {
-            self.stop_on(now, worker, |task| group.holds(task));
+            self.stop_on(now, worker, OverWhy::Displaced, |task| group.holds(task));
         }
     }
 }
--- a/ragwortwick-area/src/records.rs
+++ b/ragwortwick-area/src/records.rs
@@ -163,11 +163,13 @@
                 continue;
             };
             let has_new_phase = job.has_new_phase();
+            let has_ended = has_new_phase && job.phase.is_final();
             job.recorded_phase = job.phase;
             records.push(StoredProgress {
                 job_id: job_id.clone(),
                 progress: job.progress(),
                 has_new_phase,
+                account: has_ended.then(|| job.account.clone()),
             });
         }
         self.records.last_batch += 1;
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -5,6 +5,7 @@
 
 use ragwortwick_core::{DurationMs, PoolName, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::candidates::{Candidate, order};
 use crate::coordinator::{Coordinator, Now};
 use crate::headroom;
@@ -316,7 +317,7 @@
             }
         }
         for task in leaving {
-            self.stop_group(now, &task);
+            self.stop_group(now, &task, OverWhy::WorkerLeaves);
         }
     }
 }
--- a/ragwortwick-area/src/stalls.rs
+++ b/ragwortwick-area/src/stalls.rs
@@ -8,6 +8,7 @@
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::job_state::TaskState;
@@ -111,7 +112,7 @@
         };
         if still_ms.0 >= lost_ms.0 + AGAIN_MS.0 && job.moves < MOST_MOVES {
             job.moves += 1;
-            self.stop_group(now, task);
+            self.stop_group(now, task, OverWhy::Stalled);
         }
     }
 
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -4,6 +4,7 @@
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
@@ -22,7 +23,11 @@
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
+        let HeldPhase::Stopping { why, .. } = held.phase else {
+            return;
+        };
         held.phase = HeldPhase::Stopping {
+            why,
             sent_at: Some(now),
             in_flight: true,
             confirmed_at: None,
@@ -53,7 +58,7 @@
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
-        let HeldPhase::Stopping { sent_at, .. } = held.phase else {
+        let HeldPhase::Stopping { why, sent_at, .. } = held.phase else {
             return;
         };
         if held.run != run {
@@ -62,6 +67,7 @@
         // A worker that refuses the stop as stale has nothing of that run any more.
         let is_settled = !matches!(reply, OrderReply::Unknown);
         held.phase = HeldPhase::Stopping {
+            why,
             sent_at,
             in_flight: false,
             confirmed_at: is_settled.then_some(now),
@@ -70,7 +76,12 @@
     }
 
     /// Tells all runs that match to stop, on every worker.
-    pub(crate) fn stop_where(&mut self, now: TimeMs, matches: impl Fn(&TaskId) -> bool) {
+    pub(crate) fn stop_where(
+        &mut self,
+        now: TimeMs,
+        why: OverWhy,
+        matches: impl Fn(&TaskId) -> bool,
+    ) {
         let names: Vec<WorkerName> = self
             .workers
             .iter()
@@ -78,7 +89,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in names {
-            self.stop_on(now, &name, &matches);
+            self.stop_on(now, &name, why, &matches);
         }
     }
 
@@ -87,6 +98,7 @@
         &mut self,
         now: TimeMs,
         name: &WorkerName,
+        why: OverWhy,
         matches: impl Fn(&TaskId) -> bool,
     ) {
         let Some(worker) = self.workers.get_mut(name) else {
@@ -100,9 +112,8 @@
             }
             if held.phase == HeldPhase::Intended {
                 never_sent.push((task.clone(), held.run));
-                continue;
             }
-            held.phase = HeldPhase::TO_STOP;
+            held.phase = HeldPhase::to_stop(why);
         }
         for (task, run) in never_sent {
             self.resolve(now, name, &task, run, Outcome::Void);
@@ -110,7 +121,7 @@
     }
 
     /// Stops a task, and with it the whole gang that it is a member of.
-    pub(crate) fn stop_group(&mut self, now: TimeMs, task: &TaskId) {
+    pub(crate) fn stop_group(&mut self, now: TimeMs, task: &TaskId, why: OverWhy) {
         let is_gang = self
             .jobs
             .get(&task.job_id)
@@ -118,9 +129,9 @@
             .is_some_and(|spec| spec.is_gang);
         if is_gang {
             let step = task.step_id();
-            self.stop_where(now, |other| other.is_of(&step));
+            self.stop_where(now, why, |other| other.is_of(&step));
         } else {
-            self.stop_where(now, |other| other == task);
+            self.stop_where(now, why, |other| other == task);
         }
     }
 }
--- a/ragwortwick-area/src/value.rs
+++ b/ragwortwick-area/src/value.rs
@@ -3,7 +3,7 @@
 use ragwortwick_core::{DurationMs, TimeMs};
 
 use crate::coordinator::Coordinator;
-use crate::job::{CORES_PER_ACCELERATOR, QueueTerms};
+use crate::job::CORES_PER_ACCELERATOR;
 use crate::job_state::{JobState, StepState, TaskState};
 
 /// Past this many times the objective a job is worth nothing more.
@@ -44,9 +44,9 @@
         let terms = self.terms_of(job);
         let steps = &job.occurrences[occurrence];
         let rest_ms = rest_of_chain_ms(job, steps);
-        let objective_ms = objective_ms(job, terms);
+        let objective_ms = terms.objective_ms(job.record.chain_ms());
         let ready_at = now + rest_ms;
-        let late_at = due_at + DurationMs(scaled(objective_ms, LATE_LIMIT));
+        let late_at = due_at + objective_ms.scaled(LATE_LIMIT);
         let is_in_time = ready_at <= due_at + objective_ms;
         let has_hope = ready_at <= late_at;
         let weights = &self.limits.weights;
@@ -94,22 +94,6 @@
     }
 }
 
-/// Time from the due time to the objective.
-pub(crate) fn objective_ms(job: &JobState, terms: &QueueTerms) -> DurationMs {
-    let chain_ms = job.record.chain_ms();
-    DurationMs(scaled(chain_ms, terms.stretch) + terms.target_latency_ms.0)
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    clippy::cast_precision_loss,
-    reason = "spans of hours in milliseconds are exact in a float, and factors are positive"
-)]
-fn scaled(span_ms: DurationMs, factor: f64) -> u64 {
-    (span_ms.0 as f64 * factor.max(0.0)) as u64
-}
-
 /// Estimated time of the longest chain of steps that are not done.
 fn rest_of_chain_ms(job: &JobState, steps: &[StepState]) -> DurationMs {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -5,6 +5,7 @@
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
+use crate::account::OverWhy;
 use crate::job::{Resources, StepSpec, TaskId};
 use crate::limits::Limits;
 use crate::messages::WorkerEntry;
@@ -44,6 +45,8 @@
     },
     /// It has to stop.
     Stopping {
+        /// Why.
+        why: OverWhy,
         /// When the stop was last sent; none before the first.
         sent_at: Option<TimeMs>,
         /// Whether an answer is still awaited.
@@ -55,11 +58,14 @@
 
 impl HeldPhase {
     /// A stop that was not sent yet.
-    pub(crate) const TO_STOP: Self = Self::Stopping {
-        sent_at: None,
-        in_flight: false,
-        confirmed_at: None,
-    };
+    pub(crate) fn to_stop(why: OverWhy) -> Self {
+        Self::Stopping {
+            why,
+            sent_at: None,
+            in_flight: false,
+            confirmed_at: None,
+        }
+    }
 }
 
 /// `Held` is one run that takes room on a worker.
@@ -125,6 +131,17 @@
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, HeldPhase::Stopping { .. })
     }
+
+    /// Work that is lost if it is over now without having done it, in core-equivalents times milliseconds.
+    pub(crate) fn lost_core_ms(&self, now: TimeMs, restore_ms: DurationMs) -> u64 {
+        let ran_ms = self.started_at.map_or(DurationMs(0), |at| now.since(at));
+        let lost_ms = if self.saves_checkpoints {
+            ran_ms.min(restore_ms)
+        } else {
+            ran_ms
+        };
+        self.need.core_equivalents().max(1) * lost_ms.0
+    }
 }
 
 /// `LookState` tells whether a look is under way.
--- /dev/null
+++ b/ragwortwick-area/tests/account.rs
@@ -0,0 +1,122 @@
+//! What the record of a job's end tells of its time and of work that was lost.
+
+mod rig;
+
+use ragwortwick_area::{Action, EndKind, Event, JobAccount, OverWhy};
+use ragwortwick_core::{DurationMs, JobId};
+use rig::{Rig, ended, gang, step, worker};
+
+/// Takes and confirms the batches that wait; gives the accounts of the jobs that ended in them.
+fn accounts(rig: &mut Rig) -> Vec<(JobId, JobAccount)> {
+    let batches = rig.take(|action| match action {
+        Action::Store { batch, records } => Some((*batch, records.clone())),
+        _ => None,
+    });
+    let mut accounts = Vec::new();
+    for (batch, records) in batches {
+        let ended = records.into_iter();
+        accounts.extend(ended.filter_map(|record| Some((record.job_id, record.account?))));
+        rig.tell(Event::Stored { batch });
+    }
+    accounts
+}
+
+fn whole_ms(account: &JobAccount) -> u64 {
+    [
+        account.room_ms,
+        account.again_ms,
+        account.begin_ms,
+        account.run_ms,
+    ]
+    .iter()
+    .map(|span_ms| span_ms.0)
+    .sum()
+}
+
+/// Guards against a late job whose line names another cause than the stop that made it late.
+#[test]
+fn verify_a_displaced_job_tells_what_it_lost_and_for_whom() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let (patient, urgent) = ("00000000000000a0", "00000000000000a1");
+    rig.hand_in_for(patient, "c", "patient", step(1, 8));
+    let first = rig.start_all();
+    rig.pass(1_000);
+    rig.hand_in_for(urgent, "d", "urgent", gang(1, 8));
+    rig.pass(200);
+    assert_eq!(rig.stops().len(), 1);
+    rig.look(
+        "w1",
+        Vec::new(),
+        vec![ended(1, &first[0], EndKind::Stopped)],
+    );
+    let second = rig.start_all();
+    rig.pass(500);
+    rig.look("w1", Vec::new(), vec![ended(2, &second[0], EndKind::Done)]);
+    let third = rig.start_all();
+    rig.pass(300);
+    rig.look("w1", Vec::new(), vec![ended(3, &third[0], EndKind::Done)]);
+    rig.pass(20);
+    let accounts = accounts(&mut rig);
+    let account = &accounts
+        .iter()
+        .find(|(job_id, _)| job_id.as_str() == patient)
+        .expect("the end is told with its account")
+        .1;
+    let lost = &account.losses[&OverWhy::Displaced];
+    assert_eq!((account.starts, lost.runs), (2, 1));
+    assert!(
+        lost.core_ms >= 1_000 * 64,
+        "a second of 8 accelerators: {lost:?}"
+    );
+    assert_eq!(account.displaced_by, Some(JobId::new(urgent)));
+    assert!(account.again_ms >= DurationMs(500), "{account:?}");
+    assert!(account.is_whole);
+    let lived_ms = 20 + 1_000 + 200 + 20 + 500 + 20 + 300;
+    assert_eq!(whole_ms(account), lived_ms, "{account:?}");
+}
+
+/// Guards against work that is told as lost though its checkpoint keeps it.
+#[test]
+fn verify_a_stop_of_work_that_saves_loses_no_more_than_its_resuming() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let id = "00000000000000b0";
+    let saving = ragwortwick_area::StepSpec {
+        saves_checkpoints: true,
+        ..step(1, 8)
+    };
+    rig.hand_in(id, "patient", saving);
+    let start = rig.start_all();
+    rig.pass(5_000);
+    rig.tell(Event::JobCancelled(JobId::new(id)));
+    rig.look(
+        "w1",
+        Vec::new(),
+        vec![ended(1, &start[0], EndKind::Stopped)],
+    );
+    let lost: Vec<u64> = rig.take(|action| match action {
+        Action::Report(over) if over.why == OverWhy::JobOver => Some(over.lost_core_ms),
+        _ => None,
+    });
+    assert_eq!(lost.len(), 1);
+    assert!(lost[0] < 5_000 * 64 / 2, "{lost:?}");
+}
+
+/// Guards against an account that counts a job's end twice, or tells it before the end.
+#[test]
+fn verify_an_account_is_told_once_with_the_end() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let id = "00000000000000c0";
+    rig.hand_in(id, "middle", step(1, 1));
+    rig.pass(20);
+    assert!(accounts(&mut rig).is_empty(), "it has only begun");
+    for start in rig.starts() {
+        rig.accept(&start);
+    }
+    rig.tell(Event::JobCancelled(JobId::new(id)));
+    rig.pass(20);
+    let told = accounts(&mut rig);
+    assert_eq!(told.len(), 1);
+    assert!(!told[0].1.losses.contains_key(&OverWhy::Done));
+    rig.pass(500);
+    assert!(accounts(&mut rig).is_empty());
+}
--- a/ragwortwick-cli/src/arguments/command.rs
+++ b/ragwortwick-cli/src/arguments/command.rs
@@ -31,6 +31,11 @@
     Table(TableCommand),
     /// Something about jobs.
     Job(JobCommand),
+    /// Tell from hosts' logs how jobs fared.
+    Ends {
+        /// The log files.
+        files: Vec<PathBuf>,
+    },
 }
 
 /// `TableCommand` is a command about the table.
@@ -125,6 +130,9 @@
         }),
         Some("table") => table(arguments, environment).map(Command::Table),
         Some("job") => job(arguments).map(Command::Job),
+        Some("ends") => Ok(Command::Ends {
+            files: files(arguments)?,
+        }),
         Some(other) => Err(CliError::usage(format!("unknown command {other}"))),
         None => Err(CliError::usage("a command is missing")),
     }
@@ -203,6 +211,14 @@
     free(arguments, "a FILE").map(PathBuf::from)
 }
 
+fn files(arguments: &mut Arguments) -> Result<Vec<PathBuf>, CliError> {
+    let mut files = vec![file(arguments)?];
+    while let Ok(file) = file(arguments) {
+        files.push(file);
+    }
+    Ok(files)
+}
+
 fn edits(arguments: &mut Arguments) -> Result<Vec<Edit>, CliError> {
     let adds = values(arguments, "--add")?;
     let sets = values(arguments, "--set")?;
--- a/ragwortwick-cli/src/arguments/help.rs
+++ b/ragwortwick-cli/src/arguments/help.rs
@@ -33,6 +33,9 @@
   job why ID                  why it waits or where it runs, in words
   job cancel ID               cancel it; repeats are harmless
 
+  ends FILE...                how the jobs fared whose ends are in hosts' logs: waits, what made them
+                              late, work to do again; asks no entry host
+
 options:
   --entry ADDRESS[,ADDRESS]   entry hosts to ask, tried in order (or RAGWORTWICK_ENTRY)
   --timeout-ms N              longest wait for one host's answer, 10000 if not given
--- a/ragwortwick-cli/src/arguments/mod.rs
+++ b/ragwortwick-cli/src/arguments/mod.rs
@@ -55,8 +55,12 @@
         )));
     }
     let entry = entry.or_else(|| environment.entry.clone());
+    let entry = match command {
+        Command::Ends { .. } => Vec::new(),
+        _ => addresses(entry.as_deref().unwrap_or_default())?,
+    };
     Ok(Invocation {
-        entry: addresses(entry.as_deref().unwrap_or_default())?,
+        entry,
         timeout_ms,
         json,
         command,
--- a/ragwortwick-cli/src/lib.rs
+++ b/ragwortwick-cli/src/lib.rs
@@ -1,6 +1,8 @@
-//! The operators' command line: status, the table and jobs, against any entry host.
+//! The operators' command line: status, the table and jobs, against any entry host, and what
+//! the hosts' logs tell of jobs that ended.
 
 mod arguments;
+mod ends;
 mod entry;
 mod error;
 mod grid;
--- a/ragwortwick-cli/src/run.rs
+++ b/ragwortwick-cli/src/run.rs
@@ -8,7 +8,7 @@
 use crate::arguments::{Command, HELP, Invocation, parse};
 use crate::entry::EntryHosts;
 use crate::shown::Shown;
-use crate::{CliError, Environment, ExitClass, job, status, table};
+use crate::{CliError, Environment, ExitClass, ends, job, status, table};
 
 /// `Outcome` is all that a command leaves behind.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,5 +91,6 @@
         }
         Command::Table(command) => table::run(&hosts, command, invocation.json).await,
         Command::Job(command) => job::run(&hosts, command).await,
+        Command::Ends { files } => ends::run(&files),
     }
 }
--- a/ragwortwick-cli/tests/commands/docs.rs
+++ b/ragwortwick-cli/tests/commands/docs.rs
@@ -19,7 +19,7 @@
     let help = run(&["--help"]).await.stdout;
     let commands = help.lines().filter_map(|line| {
         let words = line.strip_prefix("  ")?;
-        let is_command = ["status", "table ", "job "]
+        let is_command = ["status", "table ", "job ", "ends "]
             .iter()
             .any(|w| words.starts_with(w));
         is_command.then_some(words)
@@ -27,13 +27,13 @@
     let mut count = 0;
     for line in commands {
         let words: Vec<&str> = line.split_whitespace().collect();
-        let name = if words[0] == "status" {
-            "ragwortwick status".to_owned()
+        let name = if ["status", "ends"].contains(&words[0]) {
+            format!("ragwortwick {}", words[0])
         } else {
             format!("{} {}", words[0], words[1])
         };
         assert!(PAGE.contains(&name), "docs/OPERATIONS.md lacks {name}");
         count += 1;
     }
-    assert_eq!(count, 13);
+    assert_eq!(count, 14);
 }
--- a/ragwortwick-cli/tests/commands/main.rs
+++ b/ragwortwick-cli/tests/commands/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod docs;
+mod ends;
 mod entry_hosts;
 mod job;
 mod table;
--- a/ragwortwick-core/src/units.rs
+++ b/ragwortwick-core/src/units.rs
@@ -57,6 +57,34 @@
     }
 }
 
+impl Add for DurationMs {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl DurationMs {
+    /// `as_secs_f64` gives the span in seconds.
+    #[must_use]
+    pub fn as_secs_f64(self) -> f64 {
+        std::time::Duration::from(self).as_secs_f64()
+    }
+
+    /// `scaled` multiplies the span; a negative factor gives zero.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "spans of hours in milliseconds are exact in a float, and the factor is cut to positive"
+    )]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self((self.0 as f64 * factor.max(0.0)) as u64)
+    }
+}
+
 impl From<DurationMs> for std::time::Duration {
     fn from(span: DurationMs) -> Self {
         Self::from_millis(span.0)
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -14,8 +14,8 @@
 use gotham::state::State;
 use http::StatusCode;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    CounterVec, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use ragwortwick_adapter::StoreCall;
 
@@ -27,6 +27,9 @@
     1.0, 2.5, 5.0, 10.0, 20.0, 60.0, 300.0, 1_800.0, 7_200.0, 28_800.0,
 ];
 
+/// Bounds of the parts of a job's way: from a round trip to a worker to hours.
+const PART_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 20.0, 300.0, 7_200.0];
+
 /// `AreaMetrics` is what one host counts; clones share it.
 #[derive(Clone, Debug)]
 pub(super) struct AreaMetrics {
@@ -37,8 +40,12 @@
     pub(super) accept_seconds: HistogramVec,
     /// Time from acceptance to the end, by customer and phase; counted by the coordinator.
     pub(super) end_seconds: HistogramVec,
+    /// Parts of a job's time, by customer, queue and part; counted by the coordinator.
+    pub(super) part_seconds: HistogramVec,
     /// Runs that are over, by cause; counted by the coordinator.
     pub(super) runs_over: IntCounterVec,
+    /// Work that has to be done again, by cause; counted by the coordinator.
+    pub(super) lost_core_seconds: CounterVec,
     /// Calls of a reader of the store without a usable answer, by reader.
     pub(super) feed_failures: IntCounterVec,
     /// Version of the desired state in force here; zero before the first.
@@ -78,6 +85,12 @@
             "Runs that are over, by this host as coordinator",
             &["cause"],
         )?;
+        let options = Opts::new(
+            "ragwortwick_area_lost_core_seconds_total",
+            "Core-equivalent seconds of work to do again, by this host as coordinator",
+        );
+        let lost_core_seconds = CounterVec::new(options, &["cause"])?;
+        registry.register(Box::new(lost_core_seconds.clone()))?;
         let feed_failures = counter(
             "ragwortwick_area_feed_failures_total",
             "Calls of a reader of the store without a usable answer",
@@ -95,6 +108,12 @@
             &["customer", "phase"],
             &END_BUCKETS_S,
         )?;
+        let part_seconds = histogram(
+            "ragwortwick_area_job_part_seconds",
+            "Time that a job spent in a part of its way, by this host as coordinator",
+            &["customer", "queue", "part"],
+            &PART_BUCKETS_S,
+        )?;
         let desired_version = IntGauge::new(
             "ragwortwick_area_desired_version",
             "Version of the desired state in force here",
@@ -113,7 +132,9 @@
             answers,
             accept_seconds,
             end_seconds,
+            part_seconds,
             runs_over,
+            lost_core_seconds,
             feed_failures,
             desired_version,
             is_coordinator,
--- a/ragwortwick-daemon/src/area/outlets.rs
+++ b/ragwortwick-daemon/src/area/outlets.rs
@@ -1,7 +1,7 @@
 //! Where the actions of a term's coordinator go: the store, the workers, logs and metrics.
 
 use ragwortwick_area::{Action, OverWhy, RunOver};
-use ragwortwick_core::log_event;
+use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -64,9 +64,14 @@
         if over.why == OverWhy::Done {
             self.unstored.heard(&over.task, over.run);
         }
-        let cause = format!("{:?}", over.why);
+        let cause = over.why.to_string();
         let counted = self.metrics.runs_over.with_label_values(&[cause.as_str()]);
         counted.inc();
+        let lost = self
+            .metrics
+            .lost_core_seconds
+            .with_label_values(&[cause.as_str()]);
+        lost.inc_by(DurationMs(over.lost_core_ms).as_secs_f64());
         if self.over_lines.admit(self.sender.clock.now()) {
             log_event!(
                 Info,
--- a/ragwortwick-daemon/src/area/term_writes.rs
+++ b/ragwortwick-daemon/src/area/term_writes.rs
@@ -2,10 +2,9 @@
 
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use ragwortwick_area::{Event, StoredProgress};
-use ragwortwick_core::{JobId, log_event};
+use ragwortwick_area::{Event, JobAccount, JobRecord, StoredProgress};
+use ragwortwick_core::{DurationMs, JobId, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -66,16 +65,71 @@
         }
         let view = self.replica.view(&stored.job_id);
         let phase = format!("{phase:?}");
-        log_event!(Info, "job_over", job_id = stored.job_id, phase = phase);
-        if let Some(record) = view.and_then(|view| view.record) {
-            let taken = Duration::from(unix_now().since(record.accepted_unix_ms));
-            let labels = [record.customer.as_str(), phase.as_str()];
-            let timed = self.metrics.end_seconds.with_label_values(&labels);
-            timed.observe(taken.as_secs_f64());
+        let Some(record) = view.and_then(|view| view.record) else {
+            log_event!(Info, "job_over", job_id = stored.job_id, phase = phase);
+            return;
+        };
+        let took_ms = unix_now().since(record.accepted_unix_ms);
+        let labels = [record.customer.as_str(), phase.as_str()];
+        let timed = self.metrics.end_seconds.with_label_values(&labels);
+        timed.observe(took_ms.as_secs_f64());
+        if let Some(account) = &stored.account {
+            log_account(&record, &phase, took_ms, account);
+            self.time_parts(&record, account);
+        } else {
+            log_event!(Info, "job_over", job_id = stored.job_id, phase = phase);
+        }
+    }
+
+    fn time_parts(&self, record: &JobRecord, account: &JobAccount) {
+        // What an earlier coordinator saw of the job is missing in the others.
+        if !account.is_whole {
+            return;
+        }
+        let parts = [
+            ("room", account.room_ms),
+            ("again", account.again_ms),
+            ("begin", account.begin_ms),
+            ("run", account.run_ms),
+        ];
+        for (part, spent_ms) in parts {
+            let labels = [record.customer.as_str(), record.queue.as_str(), part];
+            let timed = self.metrics.part_seconds.with_label_values(&labels);
+            timed.observe(spent_ms.as_secs_f64());
         }
     }
 }
 
+/// One line for each job, whatever else is left out: what `ragwortwick job ends` reads.
+fn log_account(record: &JobRecord, phase: &str, took_ms: DurationMs, account: &JobAccount) {
+    let losses: Vec<String> = account
+        .losses
+        .iter()
+        .map(|(why, loss)| format!("{why}:{}:{}", loss.runs, loss.core_ms))
+        .collect();
+    let displaced_by = account.displaced_by.as_ref().map_or("-", JobId::as_str);
+    log_event!(
+        Info,
+        "job_over",
+        job_id = record.job_id,
+        phase = phase,
+        customer = record.customer,
+        queue = record.queue,
+        took_ms = took_ms,
+        chain_ms = record.chain_ms(),
+        objective_ms = record.terms.objective_ms(record.chain_ms()),
+        has_set_times = record.schedule.is_some(),
+        is_whole = account.is_whole,
+        room_ms = account.room_ms,
+        again_ms = account.again_ms,
+        begin_ms = account.begin_ms,
+        run_ms = account.run_ms,
+        starts = account.starts,
+        losses = losses.join(","),
+        displaced_by = displaced_by
+    );
+}
+
 /// `BatchWriter` writes a term's batches, several side by side: they hold records of different jobs.
 #[derive(Clone)]
 pub(super) struct BatchWriter {
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -103,6 +103,7 @@
         job_id: record.job_id.clone(),
         progress,
         has_new_phase: true,
+        account: None,
     };
     ends.tell(&stored);
     ends.tell(&stored);
@@ -125,6 +126,7 @@
         job_id: JobId::new(job_id),
         progress: Progress::default(),
         has_new_phase: false,
+        account: None,
     };
     unstored.heard(&task("a", 0), 1);
     unstored.batched(1, &[record_of("a")]);
