Store the record of the job that changed first, first; walk what runs once a pass for urgent use

What callers saw: under a load that keeps more jobs changing than the batches under way hold, a job with a high id waits for its record, and so for its start, as long as jobs with lower ids keep changing. Ids are the callers' choice, so who waited was chance.

Cause: what has changed was kept in a set by id. Seen by reading; a test with eight batches under way, one late job and more with lower ids fails on the code before. Change: changed jobs keep the place that they had when they changed.

The guarantees' and the headroom's sums of urgent use came from two walks over all that runs, with nearly the same loop; one walk by pool and customer serves both. No decision changes by that. Tests of the coordinator pass.

--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -44,6 +44,13 @@
     }
 }
 
+/// `UrgentUse` is what urgent work uses now, in accelerators.
+#[derive(Debug, Default)]
+pub(crate) struct UrgentUse {
+    pub(crate) by_customer: BTreeMap<CustomerName, u64>,
+    pub(crate) by_pool: BTreeMap<PoolName, u64>,
+}
+
 /// How long a job that others were stopped for goes first: a stop takes a few tenths of a second, and
 /// what it freed went to each later job that was worth more by the second. The job then had others
 /// stopped again, up to four times, and its room stood idle meanwhile.
@@ -51,7 +58,7 @@
 
 impl Coordinator {
     /// All steps that could start now.
-    pub(crate) fn candidates(&mut self, now: Now) -> Vec<Candidate> {
+    pub(crate) fn candidates(&mut self, now: Now, urgent_use: &UrgentUse) -> Vec<Candidate> {
         let mut found = Vec::new();
         let mut next_due: Option<TimeMs> = None;
         for job_id in &self.open_jobs {
@@ -100,13 +107,13 @@
         for candidate in &mut found {
             candidate.cleared_at = self.cleared_for.get(&candidate.step_id()).copied();
         }
-        self.mark_guaranteed(&mut found);
+        self.mark_guaranteed(&mut found, urgent_use);
         found
     }
 
     /// Marks urgent steps as guaranteed, oldest first, while their customer's share covers them.
-    fn mark_guaranteed(&self, candidates: &mut [Candidate]) {
-        let mut used = self.guaranteed_use();
+    fn mark_guaranteed(&self, candidates: &mut [Candidate], urgent_use: &UrgentUse) {
+        let mut used = urgent_use.by_customer.clone();
         let mut order: Vec<usize> = (0..candidates.len())
             .filter(|&index| candidates[index].priority == 0)
             .collect();
@@ -133,16 +140,18 @@
         Some(job.spec(candidate.step)?.need.accelerators * count as u64)
     }
 
-    /// Accelerators that urgent work of each customer uses now.
-    fn guaranteed_use(&self) -> BTreeMap<CustomerName, u64> {
-        let mut used = BTreeMap::new();
+    pub(crate) fn urgent_use(&self) -> UrgentUse {
+        let mut used = UrgentUse::default();
         for worker in self.workers.values() {
             for (task, held) in &worker.held {
                 if held.priority != 0 || held.is_stopping() {
                     continue;
                 }
+                let accelerators = held.need.accelerators;
+                *used.by_pool.entry(worker.entry.pool.clone()).or_insert(0) += accelerators;
                 if let Some(job) = self.jobs.get(&task.job_id) {
-                    *used.entry(job.record.customer.clone()).or_insert(0) += held.need.accelerators;
+                    let customer = job.record.customer.clone();
+                    *used.by_customer.entry(customer).or_insert(0) += accelerators;
                 }
             }
         }
--- a/ragwortwick-area/src/headroom.rs
+++ b/ragwortwick-area/src/headroom.rs
@@ -44,33 +44,23 @@
 }
 
 impl Coordinator {
-    /// Marks the racks of a pool that are headroom in this pass.
+    /// Marks the racks of a pool that are headroom in this pass, `used` accelerators being in urgent use.
     pub(crate) fn mark_headroom(
         &mut self,
         now: TimeMs,
         pool: &PoolName,
         candidates: &[&Candidate],
+        used: u64,
         room: &mut Room,
     ) {
-        let demand = self.urgent_demand(pool, candidates);
+        let waiting = candidates.iter().filter(|c| c.may_displace());
+        let waiting: u64 = waiting.filter_map(|c| self.waiting_accelerators(c)).sum();
         let peak = self.urgent_peaks.entry(pool.clone()).or_default();
         mark(
             &mut room.slots,
-            peak.observe(now, demand) * HEADROOM_PER_PEAK,
+            peak.observe(now, waiting + used) * HEADROOM_PER_PEAK,
         );
     }
-
-    /// Accelerators of a pool that urgent work uses or waits for.
-    fn urgent_demand(&self, pool: &PoolName, candidates: &[&Candidate]) -> u64 {
-        let waiting = candidates.iter().filter(|c| c.may_displace());
-        let waiting: u64 = waiting.filter_map(|c| self.waiting_accelerators(c)).sum();
-        let workers = self.workers.values();
-        let of_pool = workers.filter(|worker| worker.entry.pool == *pool);
-        let held = of_pool.flat_map(|worker| worker.held.values());
-        let urgent = held.filter(|held| held.priority == 0 && !held.is_stopping());
-        let used: u64 = urgent.map(|held| held.need.accelerators).sum();
-        waiting + used
-    }
 }
 
 /// Whether a step's tasks keep out of the headroom: their stop would throw their work away. While most of
--- a/ragwortwick-area/src/records.rs
+++ b/ragwortwick-area/src/records.rs
@@ -3,7 +3,7 @@
 //! Answers the load in which far more jobs change than one transaction holds while each answer of the
 //! store takes long: batches of different jobs then go out side by side.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
 
@@ -38,7 +38,7 @@
 /// `Records` tracks what is not stored yet.
 #[derive(Debug, Default)]
 pub(crate) struct Records {
-    dirty: BTreeSet<JobId>,
+    dirty: Dirty,
     /// Starts that wait for the record of their job.
     intents: BTreeMap<JobId, Vec<Intent>>,
     /// Ends taken in, whose effect is not in a batch yet.
@@ -60,13 +60,38 @@
 
 #[derive(Debug)]
 struct InFlight {
+    /// Sorted.
     jobs: Vec<JobId>,
     intents: Vec<Intent>,
 }
 
+/// `Dirty` is the jobs that have changed since their last record, first changed first.
+#[derive(Debug, Default)]
+struct Dirty {
+    places: BTreeMap<JobId, u64>,
+    order: BTreeMap<u64, JobId>,
+    last_place: u64,
+}
+
+impl Dirty {
+    fn insert(&mut self, job_id: &JobId) {
+        if !self.places.contains_key(job_id) {
+            self.last_place += 1;
+            self.places.insert(job_id.clone(), self.last_place);
+            self.order.insert(self.last_place, job_id.clone());
+        }
+    }
+
+    fn remove(&mut self, job_id: &JobId) {
+        if let Some(place) = self.places.remove(job_id) {
+            self.order.remove(&place);
+        }
+    }
+}
+
 impl Records {
     pub(crate) fn mark(&mut self, job_id: &JobId) {
-        self.dirty.insert(job_id.clone());
+        self.dirty.insert(job_id);
     }
 
     pub(crate) fn note(&mut self, worker: &WorkerName, number: u64) {
@@ -85,7 +110,7 @@
     }
 
     pub(crate) fn is_waiting(&self) -> bool {
-        !self.in_flight.is_empty() || !self.dirty.is_empty() || !self.notes.is_empty()
+        !self.in_flight.is_empty() || !self.dirty.order.is_empty() || !self.notes.is_empty()
     }
 
     /// Jobs whose record can go out: of a job that is under way the next one waits.
@@ -94,7 +119,7 @@
             let mut in_flight = self.in_flight.values();
             !in_flight.any(|batch| batch.jobs.binary_search(job_id).is_ok())
         };
-        self.dirty.iter().filter(is_free)
+        self.dirty.order.values().filter(is_free)
     }
 
     /// Whether another batch may follow now.
@@ -128,7 +153,7 @@
             self.send_batch(now, jobs);
         }
         // An end may concern any changed job, so ends wait until all are in a batch.
-        if self.records.dirty.is_empty() && !self.records.notes.is_empty() {
+        if self.records.dirty.order.is_empty() && !self.records.notes.is_empty() {
             let notes = std::mem::take(&mut self.records.notes);
             let of_last_batch = self.records.noted.entry(self.records.last_batch);
             of_last_batch.or_default().extend(notes);
@@ -150,6 +175,7 @@
             }
             jobs.push(job_id.clone());
         }
+        jobs.sort_unstable();
         (!jobs.is_empty() && self.records.may_send(now, is_full)).then_some(jobs)
     }
 
@@ -208,7 +234,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| job.ended_at.is_some_and(|at| now.since(at) > keep_ms))
-            .filter(|(job_id, _)| !self.records.dirty.contains(*job_id))
+            .filter(|(job_id, _)| !self.records.dirty.places.contains_key(*job_id))
             .map(|(job_id, _)| job_id.clone())
             .collect();
         for job_id in old {
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -60,14 +60,16 @@
             self.next_due_at = None;
             return;
         }
-        let mut candidates = self.candidates(now);
+        let urgent_use = self.urgent_use();
+        let mut candidates = self.candidates(now, &urgent_use);
         order(&mut candidates);
         let mut kept_workers = BTreeSet::new();
         let pools: BTreeSet<PoolName> = candidates.iter().map(|c| c.pool.clone()).collect();
         for pool in pools {
             let mut room = self.room(now.steady, &pool);
             let of_pool: Vec<&Candidate> = candidates.iter().filter(|c| c.pool == pool).collect();
-            self.mark_headroom(now.steady, &pool, &of_pool, &mut room);
+            let used = urgent_use.by_pool.get(&pool).copied().unwrap_or(0);
+            self.mark_headroom(now.steady, &pool, &of_pool, used, &mut room);
             let (urgent, others): (Vec<_>, Vec<_>) =
                 of_pool.into_iter().partition(|c| c.may_displace());
             self.place_urgent(now.steady, &urgent, &mut room);
--- a/ragwortwick-area/tests/records.rs
+++ b/ragwortwick-area/tests/records.rs
@@ -91,3 +91,30 @@
     rig.tell(Event::Stored { batch: open[0].0 });
     assert_eq!(noted(&mut rig), 1);
 }
+
+/// Guards against a job that waits for its record as long as jobs with lower ids keep changing.
+#[test]
+fn verify_the_job_that_changed_first_is_stored_first() {
+    // Eight batches; a record with a new phase is three entries, so ten go into one.
+    const FULL: u64 = 8 * 10;
+    let workers: Vec<_> = (0..64).map(|n| worker(&format!("w{n}"), "r1")).collect();
+    let mut rig = Rig::new(&workers);
+    for number in 0..FULL {
+        rig.hand_in(&format!("00000000000a{number:04x}"), "middle", step(1, 1));
+    }
+    rig.pass(100);
+    let first = batches(&mut rig);
+    assert_eq!((first.len(), jobs_of(&first).len() as u64), (8, FULL));
+    let late = "ffffffffffffffff";
+    rig.hand_in(late, "middle", step(1, 1));
+    rig.pass(20);
+    for number in 0..FULL {
+        rig.hand_in(&format!("0000000000000{number:03x}"), "middle", step(1, 1));
+    }
+    rig.pass(20);
+    assert!(batches(&mut rig).is_empty(), "too many batches at a time");
+    rig.tell(Event::Stored { batch: first[0].0 });
+    rig.pass(20);
+    let next = batches(&mut rig);
+    assert!(jobs_of(&next).contains(&&JobId::new(late)), "{next:?}");
+}
