Tell what each run that is over had done in vain, and judge lateness by what the work took

The line of an end has the queue's terms and the time lost in vain in place of the objective by the estimate; the table takes what the work took in the end.

--- a/ragwortwick-area/src/account.rs
+++ b/ragwortwick-area/src/account.rs
@@ -77,12 +77,16 @@
     pub begin_ms: DurationMs,
     /// Time from the first run that a worker confirmed until nothing was placed any more.
     pub run_ms: DurationMs,
+    /// Part of `run_ms` after which nothing was placed and work had to be done again.
+    pub lost_ms: DurationMs,
     /// Runs that were placed.
     pub starts: u32,
     /// Runs over without having done their work, by cause.
     pub losses: BTreeMap<OverWhy, Loss>,
     /// The job that took its room last.
     pub displaced_by: Option<JobId>,
+    /// Whether work was lost since something was placed last.
+    has_lost: bool,
     stage: Stage,
     since: TimeMs,
 }
@@ -96,9 +100,11 @@
             again_ms: DurationMs(0),
             begin_ms: DurationMs(0),
             run_ms: DurationMs(0),
+            lost_ms: DurationMs(0),
             starts: 0,
             losses: BTreeMap::new(),
             displaced_by: None,
+            has_lost: false,
             stage: Stage::New,
             since,
         }
@@ -147,10 +153,15 @@
         let loss = self.losses.entry(why).or_default();
         loss.runs += 1;
         loss.core_ms += core_ms;
+        self.has_lost |= core_ms > 0;
     }
 
     /// `idle` notes that nothing of the job is placed any more.
     pub(crate) fn idle(&mut self, now: TimeMs) {
+        let had_lost = std::mem::take(&mut self.has_lost);
+        if self.stage == Stage::Running && had_lost {
+            self.lost_ms = self.lost_ms + now.since(self.since);
+        }
         if matches!(self.stage, Stage::Beginning | Stage::Running) {
             self.enter(now, Stage::Again);
         }
--- a/ragwortwick-area/tests/account.rs
+++ b/ragwortwick-area/tests/account.rs
@@ -70,6 +70,7 @@
     );
     assert_eq!(account.displaced_by, Some(JobId::new(urgent)));
     assert!(account.again_ms >= DurationMs(500), "{account:?}");
+    assert!(account.lost_ms >= DurationMs(1_000), "{account:?}");
     assert!(account.is_whole);
     let lived_ms = 20 + 1_000 + 200 + 20 + 500 + 20 + 300;
     assert_eq!(whole_ms(account), lived_ms, "{account:?}");
--- a/ragwortwick-cli/src/ends.rs
+++ b/ragwortwick-cli/src/ends.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::path::PathBuf;
 
-use ragwortwick_core::common;
+use ragwortwick_core::{DurationMs, common};
 use serde::Serialize;
 
 use crate::grid::Grid;
@@ -30,7 +30,7 @@
     Shown::new(ends.show(), &ends)
 }
 
-/// `LateBy` is what took a late job the longest, beside the time that its work takes.
+/// `LateBy` is what took a late job the longest, beside the time that its work took.
 #[common(key)]
 #[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -41,12 +41,10 @@
     Stops,
     /// Its starts took long to be confirmed.
     Begin,
-    /// Its runs took longer than estimated.
-    Slow,
 }
 
 impl LateBy {
-    const ALL: [Self; 4] = [Self::Room, Self::Stops, Self::Begin, Self::Slow];
+    const ALL: [Self; 3] = [Self::Room, Self::Stops, Self::Begin];
 }
 
 /// `Row` sums up the jobs of one queue.
@@ -102,21 +100,18 @@
         let number = |key: &str| pairs.get(key)?.parse::<u64>().ok();
         let queue = *pairs.get("queue")?;
         let took_ms = number("took_ms")?;
-        let objective_ms = number("objective_ms")?;
+        let stretch = pairs.get("stretch")?.parse::<f64>().ok()?;
+        let target_ms = DurationMs(number("target_ms")?);
         let losses: Vec<(&str, u64, u64)> =
             pairs.get("losses")?.split(',').filter_map(loss).collect();
-        let stopped_ms = number("again_ms")?;
-        let slow_ms = number("run_ms")?.saturating_sub(number("chain_ms")?);
-        let (stops_ms, slow_ms) = if losses.is_empty() {
-            (stopped_ms, slow_ms)
-        } else {
-            (stopped_ms + slow_ms, 0)
-        };
+        let lost_ms = number("lost_ms")?;
+        // What its work took in the end, without what had to be done again.
+        let work_ms = DurationMs(number("run_ms")?.saturating_sub(lost_ms));
+        let objective_ms = work_ms.scaled(stretch) + target_ms;
         let parts = [
             (LateBy::Room, number("room_ms")?),
-            (LateBy::Stops, stops_ms),
+            (LateBy::Stops, number("again_ms")? + lost_ms),
             (LateBy::Begin, number("begin_ms")?),
-            (LateBy::Slow, slow_ms),
         ];
         for (cause, runs, core_ms) in losses {
             let lost = self.lost.entry(cause.to_owned()).or_default();
@@ -131,7 +126,7 @@
             "Completed" if is_partial => {}
             "Completed" => {
                 row.room_ms.push(parts[0].1);
-                if took_ms <= objective_ms {
+                if took_ms <= objective_ms.0 {
                     row.in_time += 1;
                 } else {
                     row.late += 1;
@@ -156,7 +151,6 @@
                 "room",
                 "stops",
                 "begin",
-                "slow",
                 "failed",
                 "cancelled",
                 "partial",
@@ -175,7 +169,6 @@
                 late_by[0].to_string(),
                 late_by[1].to_string(),
                 late_by[2].to_string(),
-                late_by[3].to_string(),
                 row.failed.to_string(),
                 row.cancelled.to_string(),
                 row.partial.to_string(),
--- a/ragwortwick-daemon/src/area/outlets.rs
+++ b/ragwortwick-daemon/src/area/outlets.rs
@@ -80,7 +80,8 @@
                 run = over.run,
                 worker = over.worker,
                 term = self.sender.term,
-                cause = cause
+                cause = cause,
+                lost_core_ms = over.lost_core_ms
             );
         }
     }
