Let a zone's owner start what its own host accepted without reading it back

Cause: caught in the eighth of eight plays beside eight busy processes, with the hosts' lines kept: `waiting-8` is accepted at 08.677 by the host that owns its zone, the store answers 503 from 08.679, and no gang of it ever starts. A hint of an accepted job made the owner read the record back, and the watch was between two polls.

Ruled out: slowness.

Change: what this host wrote under the epoch that it owns the zone with goes to the placer as it was written. Hints of other hosts stay a reason to look: they may come late, and a new owner would start an ended job again.

Why it holds: under one epoch a job can end only through this placer, whose ledger then holds a higher revision than the hint.

--- a/ragwortwick-daemon/src/jobs/accept.rs
+++ b/ragwortwick-daemon/src/jobs/accept.rs
@@ -29,8 +29,8 @@
             value: serde_json::to_string(&record).ok(),
             lease_id: None,
         };
-        match self.store.write(&write).await {
-            Ok(WriteOutcome::Written(_)) => self.doubts.remove(&job_id),
+        let revision = match self.store.write(&write).await {
+            Ok(WriteOutcome::Written(revision)) => revision,
             Ok(WriteOutcome::Conflict { found, .. }) => {
                 return self.settle_repeat(&record, found.as_ref());
             }
@@ -40,7 +40,8 @@
                 }
                 return Err(self.refuse(&job_id, &error));
             }
-        }
+        };
+        self.doubts.remove(&job_id);
         log_event!(
             Info,
             "job_accepted",
@@ -55,7 +56,7 @@
             job_id: record.job_id.clone(),
             zone: record.zone.clone(),
         };
-        self.hint_new(record);
+        self.hint_new(record, Some(revision));
         Ok(accepted)
     }
 
@@ -144,7 +145,7 @@
             return Err(JobError::invalid("job_id", text));
         }
         self.doubts.remove(&earlier.job_id);
-        self.hint_new(earlier.clone());
+        self.hint_new(earlier.clone(), None);
         Ok(JobAccepted {
             job_id: earlier.job_id,
             zone: earlier.zone,
--- a/ragwortwick-daemon/src/jobs/hint.rs
+++ b/ragwortwick-daemon/src/jobs/hint.rs
@@ -1,7 +1,7 @@
 //! Hints to the owner of a job's zone, so that it need not wait for the store's watch.
 
 use ragwortwick_border::{HostKind, JobCall, JobRecord, PeerCall, PeerReply};
-use ragwortwick_core::{DurationMs, HostName, JobId, ZoneName};
+use ragwortwick_core::{DurationMs, HostName, JobId, Revision, ZoneName};
 
 use super::JobsHandle;
 
@@ -10,9 +10,14 @@
 
 impl JobsHandle {
     /// `hint_new` tells the owner of a new record; a lost hint costs only time.
-    pub(super) fn hint_new(&self, record: JobRecord) {
+    ///
+    /// The revision is given by who wrote the record just now.
+    pub(super) fn hint_new(&self, record: JobRecord, written: Option<Revision>) {
         if self.owns(&record.zone) {
-            self.zone.new_job(record);
+            match written {
+                Some(revision) => self.zone.own_job(record, revision),
+                None => self.zone.new_job(record),
+            }
             return;
         }
         for host in self.hosts_of(&record.zone) {
--- a/ragwortwick-daemon/src/zone/handle.rs
+++ b/ragwortwick-daemon/src/zone/handle.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use ragwortwick_border::{HostList, JobRecord, Shape, ZoneStatus};
-use ragwortwick_core::{Epoch, HostName, JobId, ZoneName, log_event};
+use ragwortwick_core::{Epoch, HostName, JobId, Revision, ZoneName, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::Tenure;
 use super::capacity::fits_listed;
+use super::job_hints::JobHint;
+use super::job_ledger::StoredJob;
 use super::zone_event::ZoneDutyEvent;
 use crate::{Clock, Ring};
 
@@ -16,7 +18,7 @@
 pub struct ZoneHandle {
     pub(super) zone: ZoneName,
     pub(super) ring: Ring<ZoneDutyEvent>,
-    pub(super) hints: mpsc::Sender<JobId>,
+    pub(super) hints: mpsc::Sender<JobHint>,
     pub(super) tenure: Tenure,
     pub(super) clock: Clock,
     pub(super) owner: watch::Receiver<Option<HostName>>,
@@ -60,7 +62,25 @@
 
     /// `new_job` tells the owner of a record that was just written; the watch would tell it later.
     pub fn new_job(&self, record: JobRecord) {
-        if record.zone == self.zone && self.hints.try_send(record.job_id).is_err() {
+        if record.zone == self.zone {
+            self.hint(JobHint::Look(record.job_id));
+        }
+    }
+
+    /// `own_job` tells the owner on this host of a record that this host has just written.
+    pub fn own_job(&self, record: JobRecord, revision: Revision) {
+        let Some(epoch) = self.owned_epoch() else {
+            self.new_job(record);
+            return;
+        };
+        if record.zone == self.zone {
+            let stored = Box::new(StoredJob { revision, record });
+            self.hint(JobHint::Written { epoch, stored });
+        }
+    }
+
+    fn hint(&self, hint: JobHint) {
+        if self.hints.try_send(hint).is_err() {
             self.log_lost_hint();
         }
     }
--- a/ragwortwick-daemon/src/zone/runtime.rs
+++ b/ragwortwick-daemon/src/zone/runtime.rs
@@ -5,7 +5,7 @@
 
 use displaydoc::Display;
 use ragwortwick_border::{AcceptedTable, CustomerJobs, HostList};
-use ragwortwick_core::{Epoch, JobId};
+use ragwortwick_core::Epoch;
 use ragwortwick_platform::StoreClient;
 use ragwortwick_policy::{ZoneOptions, ZonePlacer};
 use tokio::sync::{mpsc, watch};
@@ -13,7 +13,7 @@
 
 use super::caretaker::Caretaker;
 use super::job_feed::JobFeed;
-use super::job_hints::{HINTS_LENGTH, JobHints};
+use super::job_hints::{HINTS_LENGTH, JobHint, JobHints};
 use super::job_ledger::JobLedger;
 use super::job_retention::KEEP_MS;
 use super::job_writer::{JobWriter, RecordOrder};
@@ -199,7 +199,7 @@
     ring: &Ring<ZoneDutyEvent>,
     tenure: &Tenure,
     records: mpsc::Receiver<RecordOrder>,
-    hints: mpsc::Receiver<JobId>,
+    hints: mpsc::Receiver<JobHint>,
 ) -> Vec<JoinHandle<()>> {
     let ledger = JobLedger::default();
     let owned = parts.owned_epoch.subscribe();
--- a/ragwortwick-daemon/tests/e2e_store_jobs.rs
+++ b/ragwortwick-daemon/tests/e2e_store_jobs.rs
@@ -76,6 +76,28 @@
     fleet.close().await;
 }
 
+/// Guards against an accepted job that its own host, the zone's owner, can't read before an outage begins.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_owner_starts_what_its_host_accepted_though_no_read_is_answered() {
+    let fleet = open_fleet().await;
+    accept(&fleet, 1, "first", 100).await;
+    fleet.wait_for_phase("first", JobPhase::Finished).await;
+    fleet.store.set_faults(Faults {
+        only: vec!["get".to_owned(), "list".to_owned(), "watch".to_owned()],
+        delay_ms: DurationMs(600_000),
+        ..Faults::default()
+    });
+    accept(&fleet, 1, "own", 100).await;
+    wait_until("the job starts without a read", async || {
+        fleet.gang_events("own", LogEvent::Started).len() == 2
+    })
+    .await;
+    fleet.store.set_faults(Faults::default());
+    fleet.wait_for_phase("own", JobPhase::Finished).await;
+    assert_eq!(fleet.gang_events("own", LogEvent::Started).len(), 2);
+    fleet.close().await;
+}
+
 // The caller sees 202 or is told that the job may be accepted, never "not run" for a job that is
 // in the store; a repeat with the same id gets 202 and the job is started once.
 // Answers to writes are lost after the effect, one after another.
