Give work on leaving workers a module and tests of its own

Tried and taken out: stopping a gang that saves nothing at the notice when its progress shows that it can't end in time.

No decision changes.

--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -16,6 +16,7 @@
 mod job;
 mod job_state;
 mod keeping;
+mod leaving;
 mod limits;
 mod looks;
 mod messages;
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -5,7 +5,6 @@
 
 use ragwortwick_core::{DurationMs, PoolName, TimeMs, WorkerName};
 
-use crate::account::OverWhy;
 use crate::candidates::{Candidate, order};
 use crate::coordinator::{Coordinator, Now};
 use crate::headroom;
@@ -13,7 +12,6 @@
 use crate::job_state::{JobState, TaskState};
 use crate::keeping::Keeping;
 use crate::packing::{Bounds, Reach, Slot, pack_gang, pack_single};
-use crate::worker::HeldPhase;
 
 /// Below this share of accelerators in use, work also goes where it runs slower.
 ///
@@ -300,33 +298,8 @@
         room.take(slot, spec.reserved());
         self.place(now, &worker, &task, run, candidate.priority);
     }
-
-    /// Stops what a leaving worker has no time to finish, while its checkpoint can still be kept.
-    pub(crate) fn evacuate(&mut self, now: TimeMs) {
-        let mut leaving = Vec::new();
-        for worker in self.workers.values() {
-            let Some(leaves_at) = worker.leaves_at else {
-                continue;
-            };
-            let last_call = leaves_at - DurationMs(self.limits.stop_ms.0 + EVACUATION_MARGIN_MS.0);
-            if now < last_call {
-                continue;
-            }
-            for (task, held) in &worker.held {
-                if matches!(held.phase, HeldPhase::Running { .. }) {
-                    leaving.push(task.clone());
-                }
-            }
-        }
-        for task in leaving {
-            self.stop_group(now, &task, OverWhy::WorkerLeaves);
-        }
-    }
 }
 
-/// Time for a stop to reach a leaving worker and its end to be listed, before the worker is gone.
-const EVACUATION_MARGIN_MS: DurationMs = DurationMs(500);
-
 /// Notes the tasks of the same step that workers have already, for the bound on one worker.
 fn take_placed(bounds: &mut Bounds, job: &JobState, candidate: &Candidate) {
     let step = job.step(candidate.occurrence, candidate.step);
--- /dev/null
+++ b/ragwortwick-area/tests/leaving.rs
@@ -0,0 +1,58 @@
+//! What becomes of work on workers that are about to leave.
+
+mod rig;
+
+use ragwortwick_area::{Event, StepSpec, WorkerEntry};
+use ragwortwick_core::DurationMs;
+use rig::{Rig, gang, worker};
+
+const NOTICE_MS: DurationMs = DurationMs(5_500);
+
+type Run = (ragwortwick_core::WorkerName, ragwortwick_area::TaskId, u32);
+
+/// A gang on both workers that needs ten seconds has run for so long; then one of them tells that it leaves.
+fn leave_after(step: StepSpec, ran_ms: u64) -> (Rig, Vec<Run>) {
+    let mut rig = Rig::new(&[worker("w1", "r1"), worker("w2", "r1")]);
+    rig.hand_in("00000000000000a0", "middle", step);
+    let runs = rig.start_all();
+    assert_eq!(runs.len(), 2);
+    for second in 1..=ran_ms / 1_000 {
+        rig.pass(1_000);
+        let percent = u32::try_from(second * 10).expect("a share");
+        for name in ["w1", "w2"] {
+            rig.tell_progress(name, &runs, percent);
+        }
+    }
+    rig.stops();
+    rig.tell(Event::WorkerSeen(WorkerEntry {
+        is_draining: true,
+        remaining_ms: Some(NOTICE_MS),
+        ..worker("w1", "r1")
+    }));
+    rig.pass(100);
+    (rig, runs)
+}
+
+fn wide(saves_checkpoints: bool) -> StepSpec {
+    StepSpec {
+        estimate_ms: DurationMs(10_000),
+        saves_checkpoints,
+        ..gang(2, 8)
+    }
+}
+
+/// Guards against a gang that is stopped although it ends before its worker leaves.
+#[test]
+fn verify_a_gang_that_ends_before_its_worker_leaves_goes_on() {
+    let (mut rig, _) = leave_after(wide(false), 7_000);
+    assert!(rig.stops().is_empty());
+}
+
+/// Guards against work that saves and is stopped earlier than it has to be.
+#[test]
+fn verify_a_gang_that_saves_goes_on_to_the_last_moment() {
+    let (mut rig, runs) = leave_after(wide(true), 2_000);
+    assert!(rig.stops().is_empty());
+    rig.pass(NOTICE_MS.0);
+    assert!(rig.stops().len() >= runs.len());
+}
