--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -51,9 +51,8 @@
     pub(crate) by_pool: BTreeMap<PoolName, u64>,
 }
 
-/// How long a job that others were stopped for goes first: a stop takes a few tenths of a second, and
-/// what it freed went to each later job that was worth more by the second. The job then had others
-/// stopped again, up to four times, and its room stood idle meanwhile.
+/// How long a job that others were stopped for goes first: until the stops are over. What they free would
+/// else go to each later job that is worth more by the second, and the job would have others stopped again.
 const CLEARED_MS: DurationMs = DurationMs(1_500);
 
 impl Coordinator {
--- a/ragwortwick-area/src/displacement.rs
+++ b/ragwortwick-area/src/displacement.rs
@@ -1,8 +1,8 @@
 //! Which runs have to stop for a job: the set whose stop costs the least.
 //!
 //! Answers the load in which small tasks of others lie on all workers when a gang of large ones is owed
-//! its room. Workers are cleared one at a time, the cheapest next. Taking the cheapest runs of the whole
-//! pool first stopped runs on many workers until one of them happened to have room.
+//! its room. Workers are cleared one at a time, the cheapest next: the cheapest runs of the whole pool lie
+//! on many workers, and stopping them gives none of those room.
 
 use std::ops::Range;
 
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -38,7 +38,7 @@
 ///
 /// Past their lease they don't run any more, but may have come to their end before that. A worker that
 /// was only out of reach lists those ends when it is back: a booking started again meanwhile would be
-/// made twice. Cuts last up to 8.5 s, and a lease of 6 s alone is over before.
+/// made twice. A lease alone is over before many a cut is.
 const HEARD_WITHIN_MS: DurationMs = DurationMs(13_100);
 
 impl Coordinator {
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -13,7 +13,7 @@
 
 /// How long a worker may wait for an end before it answers a look.
 ///
-/// The platform takes at most 2,000 ms, and each look is charged, so it is as long as can be.
+/// The platform takes at most 2,000 ms, and looks cost their worker something, so it is as long as can be.
 const LOOK_WAIT_MS: DurationMs = DurationMs(2_000);
 
 /// The same where fillers may disturb users: what the worker tells covers the last half second.
