Count as in vain only what a job has to do again, and name what held late jobs up

A job that saves and is displaced has a loss (it resumes), and the whole time until then counted as in vain, so its work looked ten times shorter.

Change: what a run was in vain counts, its resuming alone for work that saves; of the runs that end together the longest. A test displaces saving work after five seconds. The table names the cause of the stop that held a late job up most.

--- a/ragwortwick-area/src/account.rs
+++ b/ragwortwick-area/src/account.rs
@@ -77,7 +77,7 @@
     pub begin_ms: DurationMs,
     /// Time from the first run that a worker confirmed until nothing was placed any more.
     pub run_ms: DurationMs,
-    /// Part of `run_ms` after which nothing was placed and work had to be done again.
+    /// Part of `run_ms` whose work had to be done again by the whole job.
     pub lost_ms: DurationMs,
     /// Runs that were placed.
     pub starts: u32,
@@ -85,8 +85,8 @@
     pub losses: BTreeMap<OverWhy, Loss>,
     /// The job that took its room last.
     pub displaced_by: Option<JobId>,
-    /// Whether work was lost since something was placed last.
-    has_lost: bool,
+    /// The longest that a run was in vain since something was placed last.
+    vain_ms: DurationMs,
     stage: Stage,
     since: TimeMs,
 }
@@ -104,7 +104,7 @@
             starts: 0,
             losses: BTreeMap::new(),
             displaced_by: None,
-            has_lost: false,
+            vain_ms: DurationMs(0),
             stage: Stage::New,
             since,
         }
@@ -148,20 +148,17 @@
         }
     }
 
-    /// `lost` notes a run that is over without having done its work.
-    pub(crate) fn lost(&mut self, why: OverWhy, core_ms: u64) {
+    /// `lost` notes a run that is over without having done its work, after so long in vain.
+    pub(crate) fn lost(&mut self, why: OverWhy, vain_ms: DurationMs, core_ms: u64) {
         let loss = self.losses.entry(why).or_default();
         loss.runs += 1;
         loss.core_ms += core_ms;
-        self.has_lost |= core_ms > 0;
+        self.vain_ms = self.vain_ms.max(vain_ms);
     }
 
     /// `idle` notes that nothing of the job is placed any more.
     pub(crate) fn idle(&mut self, now: TimeMs) {
-        let had_lost = std::mem::take(&mut self.has_lost);
-        if self.stage == Stage::Running && had_lost {
-            self.lost_ms = self.lost_ms + now.since(self.since);
-        }
+        self.lost_ms = self.lost_ms + std::mem::take(&mut self.vain_ms);
         if matches!(self.stage, Stage::Beginning | Stage::Running) {
             self.enter(now, Stage::Again);
         }
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -69,10 +69,11 @@
                 _ => OverWhy::NotThere,
             },
         };
-        let lost_core_ms = match why {
-            OverWhy::Done => 0,
-            _ => held.lost_core_ms(now, self.limits.restore_ms),
+        let vain_ms = match why {
+            OverWhy::Done => DurationMs(0),
+            _ => held.vain_ms(now, self.limits.restore_ms),
         };
+        let lost_core_ms = held.need.core_equivalents().max(1) * vain_ms.0;
         self.actions.push(Action::Report(RunOver {
             worker: worker_name.clone(),
             task: task.clone(),
@@ -100,7 +101,7 @@
         let settled = job.settle(task, run, outcome, &held.checkpoint, attempts);
         job.last_over_at = now;
         if why != OverWhy::Done {
-            job.account.lost(why, lost_core_ms);
+            job.account.lost(why, vain_ms, lost_core_ms);
         }
         if job.is_idle() {
             job.account.idle(now);
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -132,15 +132,14 @@
         matches!(self.phase, HeldPhase::Stopping { .. })
     }
 
-    /// Work that is lost if it is over now without having done it, in core-equivalents times milliseconds.
-    pub(crate) fn lost_core_ms(&self, now: TimeMs, restore_ms: DurationMs) -> u64 {
+    /// How long it has run in vain if it is over now without having done its work.
+    pub(crate) fn vain_ms(&self, now: TimeMs, restore_ms: DurationMs) -> DurationMs {
         let ran_ms = self.started_at.map_or(DurationMs(0), |at| now.since(at));
-        let lost_ms = if self.saves_checkpoints {
+        if self.saves_checkpoints {
             ran_ms.min(restore_ms)
         } else {
             ran_ms
-        };
-        self.need.core_equivalents().max(1) * lost_ms.0
+        }
     }
 }
 
--- a/ragwortwick-area/tests/account.rs
+++ b/ragwortwick-area/tests/account.rs
@@ -102,6 +102,38 @@
     assert!(lost[0] < 5_000 * 64 / 2, "{lost:?}");
 }
 
+/// Guards against a job that saves and looks as if all its work had been in vain, so that it counts as late.
+#[test]
+fn verify_time_whose_work_was_saved_is_not_in_vain() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let id = "00000000000000b1";
+    let saving = ragwortwick_area::StepSpec {
+        saves_checkpoints: true,
+        ..step(1, 8)
+    };
+    rig.hand_in_for(id, "c", "patient", saving);
+    let first = rig.start_all();
+    rig.pass(5_000);
+    rig.hand_in_for("00000000000000b2", "d", "urgent", gang(1, 8));
+    rig.pass(200);
+    rig.look(
+        "w1",
+        Vec::new(),
+        vec![ended(1, &first[0], EndKind::Stopped)],
+    );
+    let second = rig.start_all();
+    rig.pass(100);
+    rig.look("w1", Vec::new(), vec![ended(2, &second[0], EndKind::Done)]);
+    let third = rig.start_all();
+    rig.look("w1", Vec::new(), vec![ended(3, &third[0], EndKind::Done)]);
+    rig.pass(20);
+    let accounts = accounts(&mut rig);
+    let of_job = accounts.iter().find(|(job_id, _)| job_id.as_str() == id);
+    let account = &of_job.expect("the end is told").1;
+    assert!(account.run_ms >= DurationMs(5_000), "{account:?}");
+    assert!(account.lost_ms < DurationMs(500), "{account:?}");
+}
+
 /// Guards against an account that counts a job's end twice, or tells it before the end.
 #[test]
 fn verify_an_account_is_told_once_with_the_end() {
--- a/ragwortwick-cli/src/ends.rs
+++ b/ragwortwick-cli/src/ends.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::path::PathBuf;
 
-use ragwortwick_core::{DurationMs, common};
+use ragwortwick_core::DurationMs;
 use serde::Serialize;
 
 use crate::grid::Grid;
@@ -30,23 +30,6 @@
     Shown::new(ends.show(), &ends)
 }
 
-/// `LateBy` is what took a late job the longest, beside the time that its work took.
-#[common(key)]
-#[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
-enum LateBy {
-    /// It waited for its first room.
-    Room,
-    /// A run of it was over without having done its work.
-    Stops,
-    /// Its starts took long to be confirmed.
-    Begin,
-}
-
-impl LateBy {
-    const ALL: [Self; 3] = [Self::Room, Self::Stops, Self::Begin];
-}
-
 /// `Row` sums up the jobs of one queue.
 #[derive(Clone, Debug, Default, Serialize)]
 struct Row {
@@ -54,8 +37,8 @@
     late: u32,
     failed: u32,
     cancelled: u32,
-    /// Late jobs by what took the longest.
-    late_by: BTreeMap<LateBy, u32>,
+    /// Late jobs by what took the longest, beside the time that their work took.
+    late_by: BTreeMap<String, u32>,
     /// Waits for the first room, in milliseconds.
     #[serde(skip)]
     room_ms: Vec<u64>,
@@ -108,12 +91,17 @@
         // What its work took in the end, without what had to be done again.
         let work_ms = DurationMs(number("run_ms")?.saturating_sub(lost_ms));
         let objective_ms = work_ms.scaled(stretch) + target_ms;
+        // Work lost for the same job by several causes is put down to the one that cost the most.
+        let stopped_by = losses.iter().max_by_key(|(_, _, core_ms)| *core_ms);
+        let stopped_by = stopped_by.map_or("between its runs", |(cause, _, _)| *cause);
+        let room_ms = number("room_ms")?;
         let parts = [
-            (LateBy::Room, number("room_ms")?),
-            (LateBy::Stops, number("again_ms")? + lost_ms),
-            (LateBy::Begin, number("begin_ms")?),
+            ("room", room_ms),
+            ("begin", number("begin_ms")?),
+            (stopped_by, number("again_ms")? + lost_ms),
         ];
-        for (cause, runs, core_ms) in losses {
+        let held_up_by = parts.iter().max_by_key(|(_, span_ms)| *span_ms)?.0;
+        for &(cause, runs, core_ms) in &losses {
             let lost = self.lost.entry(cause.to_owned()).or_default();
             lost.runs += runs;
             lost.core_ms += core_ms;
@@ -125,13 +113,12 @@
         match *pairs.get("phase")? {
             "Completed" if is_partial => {}
             "Completed" => {
-                row.room_ms.push(parts[0].1);
+                row.room_ms.push(room_ms);
                 if took_ms <= objective_ms.0 {
                     row.in_time += 1;
                 } else {
                     row.late += 1;
-                    let longest = parts.iter().max_by_key(|(_, span_ms)| *span_ms)?;
-                    *row.late_by.entry(longest.0).or_default() += 1;
+                    *row.late_by.entry(held_up_by.to_owned()).or_default() += 1;
                 }
             }
             "Cancelled" => row.cancelled += 1,
@@ -142,33 +129,45 @@
 
     fn show(&self) -> String {
         let mut text = String::new();
-        let mut jobs = Grid::new(
-            "jobs that ended",
-            &[
-                "queue",
-                "in time",
-                "late",
-                "room",
-                "stops",
-                "begin",
-                "failed",
-                "cancelled",
-                "partial",
-                "half waited ms",
-                "95 of 100 ms",
-            ],
-        );
+        self.show_jobs(&mut text);
+        self.show_late(&mut text);
+        let mut lost = Grid::new("work to do again", &["cause", "runs", "core-seconds"]);
+        for (cause, sum) in &self.lost {
+            lost.row([
+                cause.clone(),
+                sum.runs.to_string(),
+                (sum.core_ms / 1_000).to_string(),
+            ]);
+        }
+        lost.write(&mut text);
+        if self.unaccounted > 0 {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "{} ends without an account", self.unaccounted);
+        }
+        text
+    }
+}
+
+impl Ends {
+    fn show_jobs(&self, text: &mut String) {
+        let columns = [
+            "queue",
+            "in time",
+            "late",
+            "failed",
+            "cancelled",
+            "partial",
+            "half waited ms",
+            "95 of 100 ms",
+        ];
+        let mut jobs = Grid::new("jobs that ended", &columns);
         for (queue, row) in &self.queues {
-            let late_by = LateBy::ALL.map(|cause| row.late_by.get(&cause).copied().unwrap_or(0));
             let mut room_ms = row.room_ms.clone();
             room_ms.sort_unstable();
             jobs.row([
                 queue.clone(),
                 row.in_time.to_string(),
                 row.late.to_string(),
-                late_by[0].to_string(),
-                late_by[1].to_string(),
-                late_by[2].to_string(),
                 row.failed.to_string(),
                 row.cancelled.to_string(),
                 row.partial.to_string(),
@@ -176,21 +175,17 @@
                 percentile(&room_ms, 95),
             ]);
         }
-        jobs.write(&mut text);
-        let mut lost = Grid::new("work to do again", &["cause", "runs", "core-seconds"]);
-        for (cause, sum) in &self.lost {
-            lost.row([
-                cause.clone(),
-                sum.runs.to_string(),
-                (sum.core_ms / 1_000).to_string(),
-            ]);
-        }
-        lost.write(&mut text);
-        if self.unaccounted > 0 {
-            // Writing to a string cannot fail.
-            let _ = writeln!(text, "{} ends without an account", self.unaccounted);
+        jobs.write(text);
+    }
+
+    fn show_late(&self, text: &mut String) {
+        let mut late = Grid::new("late jobs", &["queue", "held up most by", "jobs"]);
+        for (queue, row) in &self.queues {
+            for (cause, jobs) in &row.late_by {
+                late.row([queue.clone(), cause.clone(), jobs.to_string()]);
+            }
         }
-        text
+        late.write(text);
     }
 }
 
--- a/ragwortwick-cli/tests/commands/ends.rs
+++ b/ragwortwick-cli/tests/commands/ends.rs
@@ -32,7 +32,10 @@
     let told: serde_json::Value = serde_json::from_str(&outcome.stdout).expect("JSON");
     let plan = &told["queues"]["plan"];
     assert_eq!((&plan["in_time"], &plan["late"]), (&1.into(), &2.into()));
-    assert_eq!(plan["late_by"], serde_json::json!({"room": 1, "stops": 1}));
+    assert_eq!(
+        plan["late_by"],
+        serde_json::json!({"room": 1, "Displaced": 1})
+    );
     let check = &told["queues"]["check"];
     assert_eq!(check["late_by"], serde_json::json!({"begin": 1}));
     assert_eq!(
