--- a/ragwortwick-daemon/src/area/term_writes.rs
+++ b/ragwortwick-daemon/src/area/term_writes.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// One line for each job, whatever else is left out: what `ragwortwick job ends` reads.
+/// One line for each job, whatever else is left out: what `ragwortwick ends` reads.
 fn log_account(record: &JobRecord, phase: &str, took_ms: DurationMs, account: &JobAccount) {
     let losses: Vec<String> = account
         .losses
