Let one piece serve where two stood, and do less in the pass and the looks

- The formula of a job's objective stood in the emulator as well: it calls `QueueTerms::objective_ms`.
- `keep_room` and `place_step` made the same part of `Bounds`: `headroom::bounds_of`.
- Hints of jobs had three entries that checked the same; `new_job` takes the revision if this host wrote the record.
- `Held::compared_ms` was only asked for being set; whether a run was compared stands in its watch.
- A stop changes its phase in place, so its cause is not copied on.
- A look asked for the job of each running row; now of those that were in doubt.
- A batch was gathered and sorted before it was known whether one may follow; ranks were made of workers without room; racks were hashed at each comparison.
- The places of changed jobs are asked through `Dirty`; homes take the usable workers where they are laid; `Ends` has one block.
The values of all cases and the assertions are the same; the saved job's test has 500 and 300 ms after its stop in place of 100 and 0.

Ruled out: `vain_ms` beside the cost of a stop in preempt.rs. One tells what was lost, the other what a stop would cost, with another beginning; one function would change decisions.

--- a/ragwortwick-area/src/headroom.rs
+++ b/ragwortwick-area/src/headroom.rs
@@ -12,7 +12,7 @@
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
 use crate::job::StepSpec;
-use crate::packing::{Slot, racks};
+use crate::packing::{Bounds, Slot, racks};
 use crate::schedule::Room;
 
 /// How many times the recent peak of urgent demand is left. A gang takes whole workers, often of one rack,
@@ -63,9 +63,18 @@
     }
 }
 
+/// Which workers a step's tasks may go to, and rather go to, by its queue and kind.
+pub(crate) fn bounds_of(candidate: &Candidate, spec: &StepSpec, room: &Room) -> Bounds {
+    Bounds {
+        wants_fast: candidate.priority == 0,
+        spares_headroom: is_spared_by(candidate, spec, room),
+        ..Bounds::default()
+    }
+}
+
 /// Whether a step's tasks keep out of the headroom: their stop would throw their work away. While most of
 /// the pool is idle nobody needs it.
-pub(crate) fn is_spared_by(candidate: &Candidate, spec: &StepSpec, room: &Room) -> bool {
+fn is_spared_by(candidate: &Candidate, spec: &StepSpec, room: &Room) -> bool {
     let is_narrow_gang = spec.is_gang && spec.count <= NARROW_GANG;
     candidate.priority > 0 && !spec.saves_checkpoints && !is_narrow_gang && !room.is_spare()
 }
@@ -76,7 +85,7 @@
 /// from one coordinator to the next, and lie in all zones.
 fn mark(slots: &mut [Slot], accelerators: f64) {
     let mut ranges: Vec<_> = racks(slots).collect();
-    ranges.sort_by_key(|range| order_of(&slots[range.start]));
+    ranges.sort_by_cached_key(|range| order_of(&slots[range.start]));
     let mut left = accelerators;
     for range in ranges {
         if left <= 0.0 {
--- a/ragwortwick-area/src/keeping.rs
+++ b/ragwortwick-area/src/keeping.rs
@@ -131,10 +131,7 @@
         if !is_wanted || keeping.gangs_left == 0 || count > keeping.workers_left {
             return;
         }
-        let bounds = Bounds {
-            spares_headroom: headroom::is_spared_by(candidate, spec, room),
-            ..Bounds::default()
-        };
+        let bounds = headroom::bounds_of(candidate, spec, room);
         let slots = &mut room.slots;
         let outlooks = keeping
             .outlooks
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -161,8 +161,9 @@
         for row in running {
             match worker.held.get_mut(&row.task) {
                 Some(held) if held.run == row.run => {
-                    confirm(now, held, row);
-                    if let Some(job) = self.jobs.get_mut(&row.task.job_id) {
+                    if confirm(now, held, row)
+                        && let Some(job) = self.jobs.get_mut(&row.task.job_id)
+                    {
                         job.account.confirmed(now);
                     }
                 }
@@ -185,14 +186,16 @@
     }
 }
 
-/// A run is seen on its worker.
-fn confirm(now: TimeMs, held: &mut Held, row: &RunningTask) {
+/// A run is seen on its worker; tells whether it was in doubt until now.
+fn confirm(now: TimeMs, held: &mut Held, row: &RunningTask) -> bool {
     held.load = row.load;
     if !row.checkpoint.is_empty() {
         held.checkpoint = Arc::clone(&row.checkpoint);
     }
-    if matches!(held.phase, HeldPhase::Inherited | HeldPhase::Ordered { .. }) {
+    let was_in_doubt = matches!(held.phase, HeldPhase::Inherited | HeldPhase::Ordered { .. });
+    if was_in_doubt {
         held.phase = HeldPhase::Running { since: now };
         held.started_at.get_or_insert(now);
     }
+    was_in_doubt
 }
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -221,12 +221,9 @@
     }
     let mut ranked: Vec<(PlaceRank, usize, u64)> = members
         .iter()
-        .map(|&index| {
-            let slot = &slots[index];
-            let rank = PlaceRank::of(slot, spec, bounds);
-            (rank, index, slot.room(spec, bounds))
-        })
-        .filter(|(_, _, fits)| *fits > 0)
+        .map(|&index| (index, slots[index].room(spec, bounds)))
+        .filter(|(_, fits)| *fits > 0)
+        .map(|(index, fits)| (PlaceRank::of(&slots[index], spec, bounds), index, fits))
         .collect();
     ranked.sort_unstable();
     let mut places = Vec::with_capacity(count);
@@ -250,11 +247,11 @@
 ) -> Option<usize> {
     let mut best: Option<(PlaceRank, usize)> = None;
     for (index, slot) in slots.iter().enumerate() {
-        let rank = PlaceRank::of(slot, spec, bounds);
-        if rank.is_far && reach == Reach::Near {
+        if slot.room(spec, bounds) == 0 {
             continue;
         }
-        if slot.room(spec, bounds) == 0 {
+        let rank = PlaceRank::of(slot, spec, bounds);
+        if rank.is_far && reach == Reach::Near {
             continue;
         }
         if best.as_ref().is_none_or(|(least, _)| rank < *least) {
--- a/ragwortwick-area/src/records.rs
+++ b/ragwortwick-area/src/records.rs
@@ -87,6 +87,14 @@
             self.order.remove(&place);
         }
     }
+
+    fn contains(&self, job_id: &JobId) -> bool {
+        self.places.contains_key(job_id)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
 }
 
 impl Records {
@@ -110,7 +118,7 @@
     }
 
     pub(crate) fn is_waiting(&self) -> bool {
-        !self.in_flight.is_empty() || !self.dirty.order.is_empty() || !self.notes.is_empty()
+        !self.in_flight.is_empty() || !self.dirty.is_empty() || !self.notes.is_empty()
     }
 
     /// Jobs whose record can go out: of a job that is under way the next one waits.
@@ -122,10 +130,10 @@
         self.dirty.order.values().filter(is_free)
     }
 
-    /// Whether another batch may follow now.
+    /// Whether another batch may follow now, if there may be one more.
     fn may_send(&self, now: TimeMs, is_full: bool) -> bool {
         let is_slow = now.since(self.last_sent_at) >= NEXT_BATCH_MS;
-        self.in_flight.is_empty() || (self.in_flight.len() < MAX_BATCHES && (is_full || is_slow))
+        self.in_flight.is_empty() || is_full || is_slow
     }
 
     /// Ends whose effect is stored by now: every batch up to theirs is.
@@ -153,7 +161,7 @@
             self.send_batch(now, jobs);
         }
         // An end may concern any changed job, so ends wait until all are in a batch.
-        if self.records.dirty.order.is_empty() && !self.records.notes.is_empty() {
+        if self.records.dirty.is_empty() && !self.records.notes.is_empty() {
             let notes = std::mem::take(&mut self.records.notes);
             let of_last_batch = self.records.noted.entry(self.records.last_batch);
             of_last_batch.or_default().extend(notes);
@@ -163,6 +171,9 @@
 
     /// As many changed jobs as one transaction of the store holds, if a batch may follow now.
     fn next_batch(&self, now: TimeMs) -> Option<Vec<JobId>> {
+        if self.records.in_flight.len() >= MAX_BATCHES {
+            return None;
+        }
         let mut entries = 0;
         let mut is_full = false;
         let mut jobs = Vec::new();
@@ -175,8 +186,11 @@
             }
             jobs.push(job_id.clone());
         }
+        if jobs.is_empty() || !self.records.may_send(now, is_full) {
+            return None;
+        }
         jobs.sort_unstable();
-        (!jobs.is_empty() && self.records.may_send(now, is_full)).then_some(jobs)
+        Some(jobs)
     }
 
     fn send_batch(&mut self, now: TimeMs, jobs: Vec<JobId>) {
@@ -234,7 +248,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| job.ended_at.is_some_and(|at| now.since(at) > keep_ms))
-            .filter(|(job_id, _)| !self.records.dirty.places.contains_key(*job_id))
+            .filter(|(job_id, _)| !self.records.dirty.contains(job_id))
             .map(|(job_id, _)| job_id.clone())
             .collect();
         for job_id in old {
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -197,9 +197,7 @@
         };
         let mut bounds = Bounds {
             allowed: self.ticketed(now, candidate),
-            wants_fast: candidate.priority == 0,
-            spares_headroom: headroom::is_spared_by(candidate, &spec, room),
-            ..Bounds::default()
+            ..headroom::bounds_of(candidate, &spec, room)
         };
         take_placed(&mut bounds, job, candidate);
         if spec.is_gang {
--- a/ragwortwick-area/src/speed.rs
+++ b/ragwortwick-area/src/speed.rs
@@ -8,6 +8,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
+use crate::watch::Watch;
 use crate::worker::Held;
 
 /// Least share of a run, in per cent, that its whole duration is told from.
@@ -93,15 +94,14 @@
     }
 }
 
-impl Held {
+impl Watch {
     /// The whole duration of the run once enough of it was seen; none a second time.
     fn take_duration(&mut self) -> Option<DurationMs> {
-        let watch = self.watch.filter(|_| self.compared_ms.is_none())?;
-        if watch.seen_percent() < LEAST_SEEN_PERCENT {
+        if self.is_compared || self.seen_percent() < LEAST_SEEN_PERCENT {
             return None;
         }
-        let whole_ms = watch.whole_ms()?;
-        self.compared_ms = Some(whole_ms);
+        let whole_ms = self.whole_ms()?;
+        self.is_compared = true;
         Some(whole_ms)
     }
 }
@@ -114,7 +114,7 @@
         };
         let held = worker.held.iter_mut();
         let durations: Vec<(TaskId, DurationMs)> = held
-            .filter_map(|(task, held)| Some((task.clone(), held.take_duration()?)))
+            .filter_map(|(task, held)| Some((task.clone(), held.watch.as_mut()?.take_duration()?)))
             .collect();
         for (task, duration_ms) in durations {
             self.hear_duration(worker_name, &task, duration_ms);
@@ -133,7 +133,8 @@
         let job = self.jobs.get(&task.job_id);
         let spec = job.and_then(|job| job.spec(task.step));
         let is_gang = spec.is_none_or(|spec| spec.is_gang);
-        let is_whole = !held.is_resumed && held.compared_ms.is_none() && !is_gang;
+        let is_compared = held.watch.is_some_and(|watch| watch.is_compared);
+        let is_whole = !held.is_resumed && !is_compared && !is_gang;
         if let Some(started_at) = held.started_at.filter(|_| is_whole) {
             self.hear_duration(worker_name, task, now.since(started_at));
         }
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -23,15 +23,18 @@
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
-        let HeldPhase::Stopping { why, .. } = held.phase else {
+        let HeldPhase::Stopping {
+            sent_at,
+            in_flight,
+            confirmed_at,
+            ..
+        } = &mut held.phase
+        else {
             return;
         };
-        held.phase = HeldPhase::Stopping {
-            why,
-            sent_at: Some(now),
-            in_flight: true,
-            confirmed_at: None,
-        };
+        *sent_at = Some(now);
+        *in_flight = true;
+        *confirmed_at = None;
         self.actions.push(Action::Stop {
             worker: worker_name.clone(),
             address,
@@ -58,20 +61,21 @@
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
-        let HeldPhase::Stopping { why, sent_at, .. } = held.phase else {
-            return;
-        };
         if held.run != run {
             return;
         }
+        let HeldPhase::Stopping {
+            in_flight,
+            confirmed_at,
+            ..
+        } = &mut held.phase
+        else {
+            return;
+        };
         // A worker that refuses the stop as stale has nothing of that run any more.
         let is_settled = !matches!(reply, OrderReply::Unknown);
-        held.phase = HeldPhase::Stopping {
-            why,
-            sent_at,
-            in_flight: false,
-            confirmed_at: is_settled.then_some(now),
-        };
+        *in_flight = false;
+        *confirmed_at = is_settled.then_some(now);
         worker.look_by(now + STOP_LISTED_MS);
     }
 
--- a/ragwortwick-area/src/watch.rs
+++ b/ragwortwick-area/src/watch.rs
@@ -24,6 +24,8 @@
     last: Told,
     /// When the run was last known to move on.
     moved_clock_ms: u64,
+    /// Whether its duration was compared with others.
+    pub(crate) is_compared: bool,
 }
 
 /// `Movement` is what two figures of a run's progress show.
@@ -45,6 +47,7 @@
             first: told,
             last: told,
             moved_clock_ms: clock_ms,
+            is_compared: false,
         }
     }
 
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -96,8 +96,6 @@
     pub(crate) is_watched: bool,
     /// Its progress as last told.
     pub(crate) watch: Option<Watch>,
-    /// Its whole duration, once it was compared with others.
-    pub(crate) compared_ms: Option<DurationMs>,
     /// The load that its worker told last.
     pub(crate) load: u32,
     /// The pace that its worker knows of; none if that is in doubt.
@@ -122,7 +120,6 @@
             expected_ms: spec.estimate_ms,
             is_watched: !spec.is_long_running && !spec.is_filler,
             watch: None,
-            compared_ms: None,
             load: 0,
             pace_told: Some(100),
         }
--- a/ragwortwick-area/tests/account.rs
+++ b/ragwortwick-area/tests/account.rs
@@ -2,18 +2,14 @@
 
 mod rig;
 
-use ragwortwick_area::{Action, EndKind, Event, JobAccount, OverWhy};
+use ragwortwick_area::{Action, EndKind, Event, JobAccount, OverWhy, StepSpec};
 use ragwortwick_core::{DurationMs, JobId};
 use rig::{Rig, ended, gang, step, worker};
 
 /// Takes and confirms the batches that wait; gives the accounts of the jobs that ended in them.
 fn accounts(rig: &mut Rig) -> Vec<(JobId, JobAccount)> {
-    let batches = rig.take(|action| match action {
-        Action::Store { batch, records } => Some((*batch, records.clone())),
-        _ => None,
-    });
     let mut accounts = Vec::new();
-    for (batch, records) in batches {
+    for (batch, records) in rig.batches() {
         let ended = records.into_iter();
         accounts.extend(ended.filter_map(|record| Some((record.job_id, record.account?))));
         rig.tell(Event::Stored { batch });
@@ -33,15 +29,16 @@
     .sum()
 }
 
-/// Guards against a late job whose line names another cause than the stop that made it late.
-#[test]
-fn verify_a_displaced_job_tells_what_it_lost_and_for_whom() {
+const PATIENT: &str = "00000000000000a0";
+const URGENT: &str = "00000000000000a1";
+
+/// The account of a job that has run for so long, gives way to another for half a second, and is done later.
+fn displaced(step: StepSpec, ran_ms: u64) -> JobAccount {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
-    let (patient, urgent) = ("00000000000000a0", "00000000000000a1");
-    rig.hand_in_for(patient, "c", "patient", step(1, 8));
+    rig.hand_in_for(PATIENT, "c", "patient", step);
     let first = rig.start_all();
-    rig.pass(1_000);
-    rig.hand_in_for(urgent, "d", "urgent", gang(1, 8));
+    rig.pass(ran_ms);
+    rig.hand_in_for(URGENT, "d", "urgent", gang(1, 8));
     rig.pass(200);
     assert_eq!(rig.stops().len(), 1);
     rig.look(
@@ -56,24 +53,34 @@
     rig.pass(300);
     rig.look("w1", Vec::new(), vec![ended(3, &third[0], EndKind::Done)]);
     rig.pass(20);
-    let accounts = accounts(&mut rig);
-    let account = &accounts
-        .iter()
-        .find(|(job_id, _)| job_id.as_str() == patient)
-        .expect("the end is told with its account")
-        .1;
+    let mut accounts = accounts(&mut rig).into_iter();
+    let of_job = accounts.find(|(job_id, _)| job_id.as_str() == PATIENT);
+    of_job.expect("the end is told with its account").1
+}
+
+fn saving() -> StepSpec {
+    StepSpec {
+        saves_checkpoints: true,
+        ..step(1, 8)
+    }
+}
+
+/// Guards against a late job whose line names another cause than the stop that made it late.
+#[test]
+fn verify_a_displaced_job_tells_what_it_lost_and_for_whom() {
+    let account = displaced(step(1, 8), 1_000);
     let lost = &account.losses[&OverWhy::Displaced];
     assert_eq!((account.starts, lost.runs), (2, 1));
     assert!(
         lost.core_ms >= 1_000 * 64,
         "a second of 8 accelerators: {lost:?}"
     );
-    assert_eq!(account.displaced_by, Some(JobId::new(urgent)));
+    assert_eq!(account.displaced_by, Some(JobId::new(URGENT)));
     assert!(account.again_ms >= DurationMs(500), "{account:?}");
     assert!(account.lost_ms >= DurationMs(1_000), "{account:?}");
     assert!(account.is_whole);
     let lived_ms = 20 + 1_000 + 200 + 20 + 500 + 20 + 300;
-    assert_eq!(whole_ms(account), lived_ms, "{account:?}");
+    assert_eq!(whole_ms(&account), lived_ms, "{account:?}");
 }
 
 /// Guards against work that is told as lost though its checkpoint keeps it.
@@ -81,11 +88,7 @@
 fn verify_a_stop_of_work_that_saves_loses_no_more_than_its_resuming() {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
     let id = "00000000000000b0";
-    let saving = ragwortwick_area::StepSpec {
-        saves_checkpoints: true,
-        ..step(1, 8)
-    };
-    rig.hand_in(id, "patient", saving);
+    rig.hand_in(id, "patient", saving());
     let start = rig.start_all();
     rig.pass(5_000);
     rig.tell(Event::JobCancelled(JobId::new(id)));
@@ -105,31 +108,7 @@
 /// Guards against a job that saves and looks as if all its work had been in vain, so that it counts as late.
 #[test]
 fn verify_time_whose_work_was_saved_is_not_in_vain() {
-    let mut rig = Rig::new(&[worker("w1", "r1")]);
-    let id = "00000000000000b1";
-    let saving = ragwortwick_area::StepSpec {
-        saves_checkpoints: true,
-        ..step(1, 8)
-    };
-    rig.hand_in_for(id, "c", "patient", saving);
-    let first = rig.start_all();
-    rig.pass(5_000);
-    rig.hand_in_for("00000000000000b2", "d", "urgent", gang(1, 8));
-    rig.pass(200);
-    rig.look(
-        "w1",
-        Vec::new(),
-        vec![ended(1, &first[0], EndKind::Stopped)],
-    );
-    let second = rig.start_all();
-    rig.pass(100);
-    rig.look("w1", Vec::new(), vec![ended(2, &second[0], EndKind::Done)]);
-    let third = rig.start_all();
-    rig.look("w1", Vec::new(), vec![ended(3, &third[0], EndKind::Done)]);
-    rig.pass(20);
-    let accounts = accounts(&mut rig);
-    let of_job = accounts.iter().find(|(job_id, _)| job_id.as_str() == id);
-    let account = &of_job.expect("the end is told").1;
+    let account = displaced(saving(), 5_000);
     assert!(account.run_ms >= DurationMs(5_000), "{account:?}");
     assert!(account.lost_ms < DurationMs(500), "{account:?}");
 }
--- a/ragwortwick-area/tests/records.rs
+++ b/ragwortwick-area/tests/records.rs
@@ -10,13 +10,6 @@
 
 type Batch = (u64, Vec<StoredProgress>);
 
-fn batches(rig: &mut Rig) -> Vec<Batch> {
-    rig.take(|action| match action {
-        Action::Store { batch, records } => Some((*batch, records.clone())),
-        _ => None,
-    })
-}
-
 fn jobs_of(batches: &[Batch]) -> Vec<&JobId> {
     let records = batches.iter().flat_map(|(_, records)| records);
     records.map(|record| &record.job_id).collect()
@@ -32,7 +25,7 @@
         rig.hand_in(&format!("{number:016x}"), "middle", step(1, 1));
     }
     rig.pass(200);
-    let waiting = batches(&mut rig);
+    let waiting = rig.batches();
     let jobs = jobs_of(&waiting);
     let distinct: BTreeSet<_> = jobs.iter().collect();
     assert_eq!(distinct.len() as u64, JOBS);
@@ -51,14 +44,14 @@
     let id = "00000000000000aa";
     rig.hand_in(id, "middle", step(2, 1));
     rig.pass(20);
-    let first = batches(&mut rig);
+    let first = rig.batches();
     assert_eq!(jobs_of(&first), [&JobId::new(id)]);
     rig.tell(Event::JobCancelled(JobId::new(id)));
     rig.pass(200);
-    assert!(batches(&mut rig).is_empty(), "the second record overtakes");
+    assert!(rig.batches().is_empty(), "the second record overtakes");
     rig.tell(Event::Stored { batch: first[0].0 });
     rig.pass(20);
-    assert_eq!(jobs_of(&batches(&mut rig)), [&JobId::new(id)]);
+    assert_eq!(jobs_of(&rig.batches()), [&JobId::new(id)]);
 }
 
 /// Guards against an end that its worker forgets while an earlier batch, which may hold its effect, is open.
@@ -75,7 +68,7 @@
     for start in &starts {
         rig.look(start.0.as_str(), Vec::new(), vec![end(start)]);
         rig.pass(30);
-        open.extend(batches(&mut rig));
+        open.extend(rig.batches());
     }
     assert_eq!(open.len(), 2);
     let noted = |rig: &mut Rig| -> u64 {
@@ -103,7 +96,7 @@
         rig.hand_in(&format!("00000000000a{number:04x}"), "middle", step(1, 1));
     }
     rig.pass(100);
-    let first = batches(&mut rig);
+    let first = rig.batches();
     assert_eq!((first.len(), jobs_of(&first).len() as u64), (8, FULL));
     let late = "ffffffffffffffff";
     rig.hand_in(late, "middle", step(1, 1));
@@ -112,9 +105,9 @@
         rig.hand_in(&format!("0000000000000{number:03x}"), "middle", step(1, 1));
     }
     rig.pass(20);
-    assert!(batches(&mut rig).is_empty(), "too many batches at a time");
+    assert!(rig.batches().is_empty(), "too many batches at a time");
     rig.tell(Event::Stored { batch: first[0].0 });
     rig.pass(20);
-    let next = batches(&mut rig);
+    let next = rig.batches();
     assert!(jobs_of(&next).contains(&&JobId::new(late)), "{next:?}");
 }
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -6,7 +6,7 @@
 use ragwortwick_area::{
     Action, Coordinator, Customer, DesiredState, EndKind, EndedTask, Event, JobRecord, KnownJob,
     Limits, Look, Now, OrderReply, Progress, Queue, QueueTerms, Resources, RunningTask, StepSpec,
-    TaskId, WorkerEntry,
+    StoredProgress, TaskId, WorkerEntry,
 };
 use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, PoolName, TimeMs, WorkerName};
 
@@ -154,14 +154,19 @@
         }
     }
 
+    /// Takes the batches that wait.
+    pub fn batches(&mut self) -> Vec<(u64, Vec<StoredProgress>)> {
+        self.take(|action| match action {
+            Action::Store { batch, records } => Some((*batch, records.clone())),
+            _ => None,
+        })
+    }
+
     /// Takes the batches that wait and confirms them; gives their records.
     pub fn store(&mut self) -> Vec<(JobId, Progress)> {
         let mut stored = Vec::new();
         loop {
-            let batches = self.take(|action| match action {
-                Action::Store { batch, records } => Some((*batch, records.clone())),
-                _ => None,
-            });
+            let batches = self.batches();
             if batches.is_empty() {
                 return stored;
             }
--- a/ragwortwick-cli/src/ends.rs
+++ b/ragwortwick-cli/src/ends.rs
@@ -146,9 +146,7 @@
         }
         text
     }
-}
 
-impl Ends {
     fn show_jobs(&self, text: &mut String) {
         let columns = [
             "queue",
--- a/ragwortwick-daemon/src/area/outlets.rs
+++ b/ragwortwick-daemon/src/area/outlets.rs
@@ -65,12 +65,9 @@
             self.unstored.heard(&over.task, over.run);
         }
         let cause = over.why.to_string();
-        let counted = self.metrics.runs_over.with_label_values(&[cause.as_str()]);
-        counted.inc();
-        let lost = self
-            .metrics
-            .lost_core_seconds
-            .with_label_values(&[cause.as_str()]);
+        let labels = [cause.as_str()];
+        self.metrics.runs_over.with_label_values(&labels).inc();
+        let lost = self.metrics.lost_core_seconds.with_label_values(&labels);
         lost.inc_by(DurationMs(over.lost_core_ms).as_secs_f64());
         if self.over_lines.admit(self.sender.clock.now()) {
             log_event!(
--- a/ragwortwick-daemon/src/jobs/hint.rs
+++ b/ragwortwick-daemon/src/jobs/hint.rs
@@ -11,13 +11,10 @@
 impl JobsHandle {
     /// `hint_new` tells the owner of a new record; a lost hint costs only time.
     ///
-    /// The revision is given by who wrote the record just now.
+    /// The revision is given if this host wrote the record.
     pub(super) fn hint_new(&self, record: JobRecord, written: Option<Revision>) {
         if self.owns(&record.zone) {
-            match written {
-                Some(revision) => self.zone.own_job(record, revision),
-                None => self.zone.new_job(record),
-            }
+            self.zone.new_job(record, written);
             return;
         }
         for host in self.hosts_of(&record.zone) {
--- a/ragwortwick-daemon/src/peers/server.rs
+++ b/ragwortwick-daemon/src/peers/server.rs
@@ -188,7 +188,7 @@
         }
         PeerCall::Job(call) => job(app, call).await,
         PeerCall::NewJob(record) => {
-            app.zone.new_job(record);
+            app.zone.new_job(record, None);
             PeerReply::Done
         }
         PeerCall::Seen(seen) => PeerReply::Seen(SeenReply {
--- a/ragwortwick-daemon/src/zone/handle.rs
+++ b/ragwortwick-daemon/src/zone/handle.rs
@@ -61,25 +61,19 @@
     }
 
     /// `new_job` tells the owner of a record that was just written; the watch would tell it later.
-    pub fn new_job(&self, record: JobRecord) {
-        if record.zone == self.zone {
-            self.hint(JobHint::Look(record.job_id));
-        }
-    }
-
-    /// `own_job` tells the owner on this host of a record that this host has just written.
-    pub fn own_job(&self, record: JobRecord, revision: Revision) {
-        let Some(epoch) = self.owned_epoch() else {
-            self.new_job(record);
+    ///
+    /// The revision is given if this host wrote the record.
+    pub fn new_job(&self, record: JobRecord, written: Option<Revision>) {
+        if record.zone != self.zone {
             return;
-        };
-        if record.zone == self.zone {
-            let stored = Box::new(StoredJob { revision, record });
-            self.hint(JobHint::Written { epoch, stored });
         }
-    }
-
-    fn hint(&self, hint: JobHint) {
+        let hint = match written.zip(self.owned_epoch()) {
+            Some((revision, epoch)) => JobHint::Written {
+                epoch,
+                stored: Box::new(StoredJob { revision, record }),
+            },
+            None => JobHint::Look(record.job_id),
+        };
         if self.hints.try_send(hint).is_err() {
             self.log_lost_hint();
         }
--- a/ragwortwick-emulator/src/world.rs
+++ b/ragwortwick-emulator/src/world.rs
@@ -324,8 +324,7 @@
     /// The objective by the true work, as callers feel it.
     pub(crate) fn objective_ms(&self, job_id: &JobId) -> u64 {
         let terms = &self.arrivals[self.by_job[job_id]].record.terms;
-        let chain_ms = crate::arrivals::as_float(self.chain_ms(job_id));
-        crate::arrivals::whole(chain_ms * terms.stretch) + terms.target_latency_ms.0
+        terms.objective_ms(DurationMs(self.chain_ms(job_id))).0
     }
 
     /// True duration of all steps, each of which waits for the one before.
--- a/ragwortwick-policy/src/zone/claims.rs
+++ b/ragwortwick-policy/src/zone/claims.rs
@@ -88,8 +88,9 @@
     /// A worker that comes back may show a gang of which another worker's accelerators have gone to
     /// later work.
     pub(super) fn unmark_homes(&mut self, gang_id: &GangId, mut parts: Vec<Part>) {
-        for (_, other) in self.gangs.iter().filter(|(id, _)| *id != gang_id) {
-            for held in other.parts().iter().filter(|_| !other.is_borrowed) {
+        let others = self.gangs.iter().filter(|(id, _)| *id != gang_id);
+        for (_, other) in others.filter(|(_, other)| !other.is_borrowed) {
+            for held in other.parts() {
                 for part in parts.iter_mut().filter(|p| p.worker == held.worker) {
                     part.mask &= !held.mask;
                 }
--- a/ragwortwick-policy/src/zone/workers.rs
+++ b/ragwortwick-policy/src/zone/workers.rs
@@ -7,7 +7,6 @@
 use super::homes::{Covered, assign};
 use super::ledger::{Listing, WorkerEntry};
 use super::placer::Ownership;
-use super::pool::Pool;
 use super::{WorkerInfo, ZoneNotice, ZonePlacer};
 
 impl ZonePlacer {
@@ -42,15 +41,14 @@
             .iter()
             .filter(|row| row.zone == self.zone)
             .collect();
-        let mut usable = self.ledger.usable_pool();
         // Homes were laid around work that turned out to be uncovered: they are laid anew without it.
-        while !self.lay_homes(now, &rows, &mut usable) {}
+        while !self.lay_homes(now, &rows) {}
         self.is_place_due = true;
         self.tell_short(now);
     }
 
     /// Lays the homes once; tells whether they hold all covered work that they were laid around.
-    fn lay_homes(&mut self, now: TimeMs, rows: &[&GuaranteeRow], usable: &mut Pool) -> bool {
+    fn lay_homes(&mut self, now: TimeMs, rows: &[&GuaranteeRow]) -> bool {
         let mut gang_ids = Vec::new();
         let mut covered = Vec::new();
         for (gang_id, gang) in &self.gangs {
@@ -62,6 +60,7 @@
                 });
             }
         }
+        let mut usable = self.ledger.usable_pool();
         usable.avoid = self
             .ledger
             .workers
@@ -69,7 +68,7 @@
             .map(WorkerEntry::borrowed)
             .collect();
         let steps = self.homes.steps;
-        let (homes, fits) = assign(rows, usable, &covered);
+        let (homes, fits) = assign(rows, &usable, &covered);
         self.homes = homes;
         self.homes.steps += steps;
         let holds_all = fits.iter().all(|is_covered| *is_covered);
--- a/ragwortwick-policy/tests/zone_guarantees.rs
+++ b/ragwortwick-policy/tests/zone_guarantees.rs
@@ -228,6 +228,16 @@
         .quickcheck(holds as fn(Vec<Step>) -> bool);
 }
 
+fn submit(customer: u8, urgent: bool, cells: u8, size: u8, run_s: u8) -> Step {
+    Step::Submit {
+        customer,
+        urgent,
+        cells,
+        size,
+        run_s,
+    }
+}
+
 fn run(steps: &[Step]) {
     let mut zone = FakeZone::started(RACKS, table(GUARANTEES[0]));
     zone.after_event = Some(check);
@@ -268,55 +278,19 @@
     // Found by quickcheck. Racks and workers are lost around covered work, a table edit moves the
     // guarantees, and the end of one gang un-books accelerators that a later gang holds.
     run(&[
-        Step::Submit {
-            customer: 201,
-            urgent: true,
-            cells: 3,
-            size: 131,
-            run_s: 190,
-        },
+        submit(201, true, 3, 131, 190),
         Step::TakeOver,
-        Step::Submit {
-            customer: 22,
-            urgent: true,
-            cells: 0,
-            size: 219,
-            run_s: 238,
-        },
+        submit(22, true, 0, 219, 238),
         Step::LoseRack(1),
-        Step::Submit {
-            customer: 0,
-            urgent: false,
-            cells: 1,
-            size: 136,
-            run_s: 26,
-        },
+        submit(0, false, 1, 136, 26),
         Step::Wait(70),
         Step::Unlist(182),
         Step::Wait(160),
         Step::EditTable(189),
-        Step::Submit {
-            customer: 120,
-            urgent: true,
-            cells: 36,
-            size: 0,
-            run_s: 81,
-        },
-        Step::Submit {
-            customer: 22,
-            urgent: false,
-            cells: 33,
-            size: 1,
-            run_s: 17,
-        },
+        submit(120, true, 36, 0, 81),
+        submit(22, false, 33, 1, 17),
         Step::Unlist(144),
-        Step::Submit {
-            customer: 84,
-            urgent: false,
-            cells: 45,
-            size: 122,
-            run_s: 104,
-        },
+        submit(84, false, 45, 122, 104),
         Step::Wait(20),
         Step::Wait(118),
     ]);
@@ -327,30 +301,12 @@
 fn verify_gang_of_a_cancelled_job_shown_late_frees_no_home_of_a_later_one() {
     run(&[
         Step::Unlist(91),
-        Step::Submit {
-            customer: 36,
-            urgent: false,
-            cells: 134,
-            size: 235,
-            run_s: 196,
-        },
-        Step::Submit {
-            customer: 193,
-            urgent: true,
-            cells: 104,
-            size: 1,
-            run_s: 158,
-        },
+        submit(36, false, 134, 235, 196),
+        submit(193, true, 104, 1, 158),
         Step::Unlist(165),
         Step::CancelWave { keep: 145 },
         Step::Wait(237),
-        Step::Submit {
-            customer: 75,
-            urgent: true,
-            cells: 168,
-            size: 172,
-            run_s: 97,
-        },
+        submit(75, true, 168, 172, 97),
         Step::Wait(229),
         Step::TakeOver,
     ]);
@@ -360,66 +316,24 @@
 #[test]
 fn verify_short_home_is_laid_anew_once_covered_work_ends() {
     run(&[
-        Step::Submit {
-            customer: 160,
-            urgent: false,
-            cells: 196,
-            size: 51,
-            run_s: 220,
-        },
-        Step::Submit {
-            customer: 166,
-            urgent: false,
-            cells: 205,
-            size: 61,
-            run_s: 250,
-        },
-        Step::Submit {
-            customer: 138,
-            urgent: true,
-            cells: 1,
-            size: 25,
-            run_s: 160,
-        },
+        submit(160, false, 196, 51, 220),
+        submit(166, false, 205, 61, 250),
+        submit(138, true, 1, 25, 160),
         Step::Burst {
             customer: 157,
             size: 177,
         },
-        Step::Submit {
-            customer: 76,
-            urgent: true,
-            cells: 104,
-            size: 160,
-            run_s: 137,
-        },
+        submit(76, true, 104, 160, 137),
         Step::Kill(52),
-        Step::Submit {
-            customer: 161,
-            urgent: true,
-            cells: 214,
-            size: 241,
-            run_s: 162,
-        },
+        submit(161, true, 214, 241, 162),
         Step::Burst {
             customer: 115,
             size: 168,
         },
         Step::Wait(105),
         Step::LoseRack(1),
-        Step::Submit {
-            customer: 189,
-            urgent: true,
-            cells: 186,
-            size: 0,
-            run_s: 217,
-        },
-        Step::Submit {
-            customer: 223,
-            urgent: false,
-            cells: 40,
-            size: 5,
-            run_s: 88,
-        },
+        submit(189, true, 186, 0, 217),
+        submit(223, false, 40, 5, 88),
         Step::Wait(193),
     ]);
 }
@@ -428,45 +342,15 @@
 #[test]
 fn verify_short_home_is_laid_anew_once_a_rack_is_free() {
     run(&[
-        Step::Submit {
-            customer: 27,
-            urgent: true,
-            cells: 120,
-            size: 0,
-            run_s: 3,
-        },
+        submit(27, true, 120, 0, 3),
         Step::LoseRack(12),
-        Step::Submit {
-            customer: 199,
-            urgent: false,
-            cells: 126,
-            size: 226,
-            run_s: 79,
-        },
-        Step::Submit {
-            customer: 147,
-            urgent: false,
-            cells: 11,
-            size: 81,
-            run_s: 194,
-        },
+        submit(199, false, 126, 226, 79),
+        submit(147, false, 11, 81, 194),
         Step::LoseRack(101),
-        Step::Submit {
-            customer: 243,
-            urgent: true,
-            cells: 18,
-            size: 108,
-            run_s: 209,
-        },
+        submit(243, true, 18, 108, 209),
         Step::Revive(255),
         Step::TakeOver,
-        Step::Submit {
-            customer: 255,
-            urgent: true,
-            cells: 198,
-            size: 91,
-            run_s: 117,
-        },
+        submit(255, true, 198, 91, 117),
         Step::Revive(0),
         Step::Wait(107),
         Step::Unlist(21),
@@ -481,46 +365,16 @@
 fn verify_work_without_its_guarantee_keeps_no_home_short() {
     run(&[
         Step::EditTable(139),
-        Step::Submit {
-            customer: 131,
-            urgent: false,
-            cells: 89,
-            size: 203,
-            run_s: 37,
-        },
+        submit(131, false, 89, 203, 37),
         Step::Unlist(191),
         Step::CancelWave { keep: 184 },
         Step::Wait(91),
         Step::Wait(253),
         Step::TakeOver,
-        Step::Submit {
-            customer: 255,
-            urgent: true,
-            cells: 42,
-            size: 101,
-            run_s: 200,
-        },
-        Step::Submit {
-            customer: 239,
-            urgent: true,
-            cells: 62,
-            size: 196,
-            run_s: 94,
-        },
+        submit(255, true, 42, 101, 200),
+        submit(239, true, 62, 196, 94),
         Step::EditTable(193),
-        Step::Submit {
-            customer: 255,
-            urgent: true,
-            cells: 75,
-            size: 204,
-            run_s: 183,
-        },
-        Step::Submit {
-            customer: 190,
-            urgent: false,
-            cells: 116,
-            size: 20,
-            run_s: 209,
-        },
+        submit(255, true, 75, 204, 183),
+        submit(190, false, 116, 20, 209),
     ]);
 }
