--- a/ragwortwick-area/src/account.rs
+++ b/ragwortwick-area/src/account.rs
@@ -5,6 +5,8 @@
 
 use ragwortwick_core::{DurationMs, JobId, TimeMs, common};
 
+use crate::losses::WorkerLoss;
+
 /// `OverWhy` is how a run came to be over.
 #[common(key)]
 pub enum OverWhy {
@@ -24,12 +26,26 @@
     JobOver,
     /// It was told to stop: whether it ever began was in doubt.
     StartInDoubt,
+    /// Its worker's address answers as another life, and the worker had not said that it would leave.
+    WorkerCrashed,
+    /// Its worker had said that it would leave, and is gone.
+    WorkerLeft,
     /// Its worker no longer answers, and every lease there has run out.
     WorkerSilent,
     /// It never began, or its worker no longer has it.
     NotThere,
 }
 
+impl From<WorkerLoss> for OverWhy {
+    fn from(loss: WorkerLoss) -> Self {
+        match loss {
+            WorkerLoss::Crashed => Self::WorkerCrashed,
+            WorkerLoss::Left => Self::WorkerLeft,
+            WorkerLoss::OutOfReach => Self::WorkerSilent,
+        }
+    }
+}
+
 impl fmt::Display for OverWhy {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{self:?}")
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -12,6 +12,7 @@
 use crate::job::{JobRecord, QueueTerms, StepId};
 use crate::job_state::JobState;
 use crate::limits::Limits;
+use crate::losses::PastLoss;
 use crate::messages::{Action, Event, WorkerEntry};
 use crate::progress::{JobPhase, Progress};
 use crate::records::Records;
@@ -104,6 +105,8 @@
     pub(crate) kept_workers: BTreeSet<WorkerName>,
     /// Recent peak of urgent demand in each pool.
     pub(crate) urgent_peaks: BTreeMap<PoolName, UrgentPeak>,
+    /// Workers that were lost lately.
+    pub(crate) past_losses: Vec<PastLoss>,
     /// Steps for which others were stopped, and when that was.
     pub(crate) cleared_for: BTreeMap<StepId, TimeMs>,
 }
@@ -143,6 +146,7 @@
             work_seen: BTreeMap::new(),
             kept_workers: BTreeSet::new(),
             urgent_peaks: BTreeMap::new(),
+            past_losses: Vec::new(),
             cleared_for: BTreeMap::new(),
         };
         for entry in entries {
@@ -185,11 +189,7 @@
                 sent_at,
                 look,
             } => self.looked(now.steady, &worker, sent_at, &look),
-            Event::LookFailed {
-                worker,
-                is_wrong_life,
-                is_fenced,
-            } => self.look_failed(now.steady, &worker, is_wrong_life, is_fenced),
+            Event::LookFailed { worker, failure } => self.look_failed(now.steady, &worker, failure),
             Event::PaceFailed { worker, task, run } => self.pace_failed(&worker, &task, run),
             Event::Advised { step, asked, reply } => {
                 self.advice_came(now.steady, step, asked, reply);
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -8,6 +8,7 @@
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::job_state::TaskState;
+use crate::losses::WorkerLoss;
 use crate::messages::{Action, EndKind, EndedTask, Look, RunOver};
 use crate::settle::{Outcome, Settled};
 use crate::worker::{HeldPhase, LookState};
@@ -63,9 +64,9 @@
         let why = match outcome {
             Outcome::Done => OverWhy::Done,
             Outcome::Failed => OverWhy::Failed,
-            Outcome::Void => match held.phase {
-                HeldPhase::Stopping { why, .. } => why,
-                _ if worker.is_silent => OverWhy::WorkerSilent,
+            Outcome::Void | Outcome::Lost(_) => match (held.phase, outcome) {
+                (HeldPhase::Stopping { why, .. }, _) => why,
+                (_, Outcome::Lost(loss)) => loss.into(),
                 _ => OverWhy::NotThere,
             },
         };
@@ -79,6 +80,7 @@
             task: task.clone(),
             run,
             why,
+            ran_ms: held.started_at.map(|at| now.since(at)),
             lost_core_ms,
         }));
         match outcome {
@@ -89,7 +91,7 @@
                     worker.avoid_until = now + SUSPECT_MS;
                 }
             }
-            Outcome::Void => {}
+            Outcome::Void | Outcome::Lost(_) => {}
         }
         if outcome == Outcome::Done {
             self.compare_duration_at_end(now, worker_name, task, &held);
@@ -160,20 +162,7 @@
             worker.stored = worker.told;
             worker.taken_in = worker.told;
         }
-        self.lose_all(now, worker_name);
-    }
-
-    fn lose_all(&mut self, now: TimeMs, worker_name: &WorkerName) {
-        for (task, run) in self.jobs_on(worker_name) {
-            self.resolve(now, worker_name, &task, run, Outcome::Void);
-        }
-        if self
-            .workers
-            .get(worker_name)
-            .is_some_and(crate::worker::Worker::is_forgettable)
-        {
-            self.workers.remove(worker_name);
-        }
+        self.worker_lost(now, worker_name, WorkerLoss::Crashed);
     }
 
     /// Gives up runs on silent workers whose lease must have run out by now.
@@ -185,7 +174,7 @@
             .workers
             .iter()
             .filter(|(_, worker)| {
-                let is_silent = worker.is_silent || worker.entry.address.is_empty();
+                let is_silent = worker.is_silent() || worker.entry.address.is_empty();
                 // The two times run side by side: a new coordinator's bound on leases is long, and callers
                 // would wait for a worker that has left for as long again.
                 let given_up_at = worker.lease_bound.max(worker.leased_at + HEARD_WITHIN_MS);
@@ -194,7 +183,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
-            self.lose_all(now, &name);
+            self.worker_lost(now, &name, WorkerLoss::OutOfReach);
         }
     }
 
@@ -211,7 +200,7 @@
             return;
         };
         worker.hear_clock(now, look.clock_ms);
-        worker.is_silent = false;
+        worker.silence = None;
         let pause_ms = if look.ended.is_empty() {
             AFTER_LOOK_MS
         } else {
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -247,10 +247,9 @@
             task.checkpoint = Arc::clone(checkpoint);
         }
         // What has to last starts again however it ended.
-        let outcome = if spec.is_long_running && outcome != Outcome::Void {
-            Outcome::Void
-        } else {
-            outcome
+        let outcome = match outcome {
+            Outcome::Done | Outcome::Failed if spec.is_long_running => Outcome::Void,
+            outcome => outcome,
         };
         let settled = if spec.is_gang {
             settle_member(step, id.index as usize, outcome, checkpoint, attempts)
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -19,6 +19,7 @@
 mod leaving;
 mod limits;
 mod looks;
+mod losses;
 mod messages;
 mod orders;
 mod packing;
@@ -41,9 +42,10 @@
 pub use desired::{Customer, DesiredState, Queue};
 pub use job::{AdviceTerms, JobRecord, QueueTerms, Resources, Schedule, StepId, StepSpec, TaskId};
 pub use limits::{Limits, Weights};
+pub use losses::{Silence, WorkerLoss, WorkerLost};
 pub use messages::{
-    Action, AdviceReply, EndKind, EndedTask, Event, Look, OrderReply, RefusalCause, RunOver,
-    RunningTask, StoredProgress, WorkerEntry,
+    Action, AdviceReply, EndKind, EndedTask, Event, Look, LookFailure, OrderReply, RefusalCause,
+    RunOver, RunningTask, StoredProgress, WorkerEntry,
 };
 pub use progress::{GangProgress, JobPhase, Progress, TaskProgress};
 pub use records::MAX_BATCH_RECORDS;
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -7,7 +7,7 @@
 
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_TENURE_MS};
 use crate::job::TaskId;
-use crate::messages::{Action, RunningTask};
+use crate::messages::{Action, LookFailure, RunningTask};
 use crate::settle::Outcome;
 use crate::worker::{Held, HeldPhase, LookState};
 
@@ -54,7 +54,7 @@
                 next_look_at = Some(next_look_at.map_or(due_at, |at| at.min(due_at)));
                 continue;
             }
-            let is_unsure = worker.is_silent
+            let is_unsure = worker.is_silent()
                 || worker.held.values().any(|held| {
                     matches!(
                         held.phase,
@@ -77,7 +77,7 @@
             };
             // A lease sent to a silent worker may arrive although no answer does. It would put off,
             // again and again, the moment from which its runs can be given up.
-            let lease_until_ms = if worker.is_silent || !has_runs {
+            let lease_until_ms = if worker.is_silent() || !has_runs {
                 None
             } else {
                 worker.lease_until(now, &self.limits)
@@ -102,19 +102,22 @@
         &mut self,
         now: TimeMs,
         worker_name: &WorkerName,
-        is_wrong_life: bool,
-        is_fenced: bool,
+        failure: LookFailure,
     ) {
-        if is_fenced {
-            self.actions.push(Action::Resign);
-            return;
-        }
-        if is_wrong_life {
-            self.life_over(now, worker_name);
-            return;
-        }
+        let is_closed = match failure {
+            LookFailure::Fenced => {
+                self.actions.push(Action::Resign);
+                return;
+            }
+            LookFailure::WrongLife => {
+                self.life_over(now, worker_name);
+                return;
+            }
+            LookFailure::Closed => true,
+            LookFailure::NoAnswer => false,
+        };
         if let Some(worker) = self.workers.get_mut(worker_name) {
-            worker.is_silent = true;
+            worker.fall_silent(now, is_closed);
             let pause_ms = if worker.held.is_empty() {
                 SILENT_IDLE_LOOK_MS
             } else {
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -9,6 +9,7 @@
 use crate::account::{JobAccount, OverWhy};
 use crate::desired::DesiredState;
 use crate::job::{JobRecord, Resources, StepId, TaskId};
+use crate::losses::WorkerLost;
 use crate::progress::Progress;
 
 /// `WorkerEntry` is what a worker tells of itself in the store.
@@ -95,6 +96,19 @@
     pub ended: Vec<EndedTask>,
 }
 
+/// `LookFailure` is why a look told nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LookFailure {
+    /// The address answered that this life of the worker is over.
+    WrongLife,
+    /// The worker knows a coordinator of a later term.
+    Fenced,
+    /// The other end refused or closed the connection.
+    Closed,
+    /// There was no answer in time, or none that could be read.
+    NoAnswer,
+}
+
 /// `OrderReply` is how an order to a worker went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderReply {
@@ -206,10 +220,8 @@
     LookFailed {
         /// The worker.
         worker: WorkerName,
-        /// Whether the address answered that this life of the worker is over.
-        is_wrong_life: bool,
-        /// Whether the worker knows a coordinator of a later term.
-        is_fenced: bool,
+        /// Why it told nothing.
+        failure: LookFailure,
     },
     /// A worker did not confirm the pace of a run.
     PaceFailed {
@@ -260,6 +272,8 @@
     pub run: u32,
     /// How it is over.
     pub why: OverWhy,
+    /// How long it ran, if its worker had confirmed it.
+    pub ran_ms: Option<DurationMs>,
     /// Work that it had done and that has to be done again, in core-equivalents times milliseconds.
     pub lost_core_ms: u64,
 }
@@ -341,6 +355,8 @@
     },
     /// Log that a run is over.
     Report(RunOver),
+    /// Log that a worker is lost, with runs.
+    ReportLoss(WorkerLost),
     /// A worker knows a coordinator of a later term: stop coordinating.
     Resign,
     /// Forget the records of a job that ended long ago.
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -166,7 +166,7 @@
             return;
         };
         if matches!(reply, OrderReply::Accepted { .. }) {
-            worker.is_silent = false;
+            worker.silence = None;
         }
         let Some(held) = worker.held.get_mut(task) else {
             return;
--- a/ragwortwick-area/src/settle.rs
+++ b/ragwortwick-area/src/settle.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::job_state::{StepState, TaskState};
+use crate::losses::WorkerLoss;
 
 /// `Outcome` is how a run is over for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,8 +12,10 @@
     Done,
     /// It failed.
     Failed,
-    /// It ended without a verdict on the task: stopped, lapsed, lost or never begun.
+    /// It ended without a verdict on the task: stopped, lapsed or never begun.
     Void,
+    /// It was lost with its worker.
+    Lost(WorkerLoss),
 }
 
 /// `Settled` tells what a run's outcome means for the rest of the job.
@@ -49,7 +52,7 @@
                 Settled::Nothing
             }
         }
-        Outcome::Void => {
+        Outcome::Void | Outcome::Lost(_) => {
             task.state = TaskState::Waiting;
             Settled::Nothing
         }
@@ -86,7 +89,7 @@
             return Settled::Nothing;
         }
         Outcome::Failed => step.gang_failed = true,
-        Outcome::Void => {}
+        Outcome::Void | Outcome::Lost(_) => {}
     }
     let is_first = !step.gang_ending;
     step.gang_ending = true;
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::account::OverWhy;
 use crate::job::{Resources, StepSpec, TaskId};
 use crate::limits::Limits;
+use crate::losses::Silence;
 use crate::messages::WorkerEntry;
 use crate::sharing::Role;
 use crate::speed::SpeedRecord;
@@ -166,8 +167,8 @@
     /// When this coordinator sent a lease there last, or took the worker over.
     pub(crate) leased_at: TimeMs,
     pub(crate) look: LookState,
-    /// Whether the last look failed.
-    pub(crate) is_silent: bool,
+    /// Since when looks fail; none if the last one was answered.
+    pub(crate) silence: Option<Silence>,
     /// Highest number of an end that was taken in.
     pub(crate) taken_in: u64,
     /// Highest number of an end whose effect is stored.
@@ -200,7 +201,7 @@
             lease_bound: now,
             leased_at: now,
             look: LookState::Idle { next_at: now },
-            is_silent: false,
+            silence: None,
             taken_in: 0,
             stored: 0,
             told: 0,
@@ -253,6 +254,24 @@
         self.clock = Some((clock_ms, now));
     }
 
+    /// When it answered last; when it became known before any answer.
+    pub(crate) fn heard_at(&self) -> TimeMs {
+        self.clock.map_or(self.leased_at, |(_, heard_at)| heard_at)
+    }
+
+    /// Whether the last look failed.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.silence.is_some()
+    }
+
+    /// Notes that a look failed; the silence goes on since the first.
+    pub(crate) fn fall_silent(&mut self, now: TimeMs, is_closed: bool) {
+        self.silence.get_or_insert(Silence {
+            since: now,
+            is_closed,
+        });
+    }
+
     /// What its clock shows now, as far as it was told.
     pub(crate) fn clock_at(&self, now: TimeMs) -> Option<u64> {
         let (clock_ms, heard_at) = self.clock?;
@@ -296,7 +315,7 @@
     pub(crate) fn takes_work(&self, now: TimeMs) -> bool {
         self.is_listed
             && !self.entry.is_draining
-            && !self.is_silent
+            && !self.is_silent()
             && self.clock.is_some()
             && now >= self.avoid_until
             && now >= self.stalled_until
@@ -310,7 +329,7 @@
             .held
             .values()
             .any(|held| !matches!(held.phase, HeldPhase::Intended));
-        has_run || self.stored > self.told || (self.is_silent && self.is_listed)
+        has_run || self.stored > self.told || (self.is_silent() && self.is_listed)
     }
 
     /// Ends that are taken in but not stored would be listed again at once; a look waits for them.
--- /dev/null
+++ b/ragwortwick-area/tests/losses.rs
@@ -0,0 +1,56 @@
+//! What is told of a worker that is lost with runs.
+
+mod rig;
+
+use ragwortwick_area::{Event, LookFailure, WorkerEntry, WorkerLoss};
+use ragwortwick_core::{DurationMs, WorkerName};
+use rig::{Rig, running, step, worker};
+
+/// A log that calls every lost worker silent can't tell a task that crashes workers from a cut.
+#[test]
+fn verify_a_crash_is_told_from_a_cut_and_from_a_leave() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r1")];
+    let mut rig = Rig::new(&workers);
+    for id in ["00000000000000c1", "00000000000000c2", "00000000000000c3"] {
+        rig.hand_in(id, "middle", step(1, 8));
+    }
+    let starts = rig.start_all();
+    assert_eq!(starts.len(), 3);
+    let [crashed, cut, leaving] = [&starts[0].0, &starts[1].0, &starts[2].0];
+    rig.pass(300);
+    for start in &starts {
+        rig.look(start.0.as_str(), vec![running(start)], vec![]);
+    }
+    let entry = workers.iter().find(|entry| entry.name == *leaving);
+    rig.tell(Event::WorkerSeen(WorkerEntry {
+        is_draining: true,
+        remaining_ms: Some(DurationMs(30_000)),
+        ..entry.expect("it is one of them").clone()
+    }));
+    rig.look_fails_by(crashed, LookFailure::Closed);
+    rig.look_fails_by(leaving, LookFailure::Closed);
+    rig.pass(2_000);
+    rig.look_fails_by(crashed, LookFailure::WrongLife);
+    rig.look_fails_by(leaving, LookFailure::WrongLife);
+    for _ in 0..20 {
+        rig.look_fails(cut);
+        rig.pass(1_000);
+    }
+    let told = rig.losses();
+    let loss_of = |name: &WorkerName| told.iter().find(|lost| lost.worker == *name);
+    let crash = loss_of(crashed).expect("the crash is told");
+    assert_eq!(crash.loss, WorkerLoss::Crashed);
+    assert!(crash.silence.is_some_and(|silence| silence.is_closed));
+    assert_eq!(
+        crash.runs,
+        vec![(starts[0].1.clone(), Some(DurationMs(300)))]
+    );
+    assert_eq!(crash.lost_together, 1, "the leaving one");
+    assert_eq!(
+        loss_of(leaving).map(|lost| lost.loss),
+        Some(WorkerLoss::Left)
+    );
+    let gone = loss_of(cut).expect("the cut is told");
+    assert_eq!(gone.loss, WorkerLoss::OutOfReach);
+    assert!(gone.silence.is_some_and(|silence| !silence.is_closed));
+}
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -5,8 +5,8 @@
 
 use ragwortwick_area::{
     Action, Coordinator, Customer, DesiredState, EndKind, EndedTask, Event, JobRecord, KnownJob,
-    Limits, Look, Now, OrderReply, Progress, Queue, QueueTerms, Resources, RunningTask, StepSpec,
-    StoredProgress, TaskId, WorkerEntry,
+    Limits, Look, LookFailure, Now, OrderReply, Progress, Queue, QueueTerms, Resources,
+    RunningTask, StepSpec, StoredProgress, TaskId, WorkerEntry, WorkerLost,
 };
 use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, PoolName, TimeMs, WorkerName};
 
@@ -253,13 +253,24 @@
 
     /// A look at the worker gets no answer.
     pub fn look_fails(&mut self, worker: &WorkerName) {
+        self.look_fails_by(worker, LookFailure::NoAnswer);
+    }
+
+    pub fn look_fails_by(&mut self, worker: &WorkerName, failure: LookFailure) {
         self.tell(Event::LookFailed {
             worker: worker.clone(),
-            is_wrong_life: false,
-            is_fenced: false,
+            failure,
         });
     }
 
+    /// Takes what was told of lost workers.
+    pub fn losses(&mut self) -> Vec<WorkerLost> {
+        self.take(|action| match action {
+            Action::ReportLoss(lost) => Some(lost.clone()),
+            _ => None,
+        })
+    }
+
     pub fn reply(&mut self, start: &(WorkerName, TaskId, u32), reply: OrderReply) {
         self.tell(Event::StartReplied {
             worker: start.0.clone(),
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Action, EndKind, Event, KnownJob, OrderReply, RefusalCause, TaskId, WorkerEntry,
+    Action, EndKind, Event, KnownJob, LookFailure, OrderReply, RefusalCause, TaskId, WorkerEntry,
 };
 use ragwortwick_core::{JobId, WorkerName};
 use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
@@ -218,8 +218,7 @@
     rig.accept(&start);
     rig.tell(Event::LookFailed {
         worker: start.0.clone(),
-        is_wrong_life: true,
-        is_fenced: false,
+        failure: LookFailure::WrongLife,
     });
     rig.pass(30);
     rig.store();
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -44,6 +44,8 @@
     pub(super) part_seconds: HistogramVec,
     /// Runs that are over, by cause; counted by the coordinator.
     pub(super) runs_over: IntCounterVec,
+    /// Workers that were lost with runs, by cause; counted by the coordinator.
+    pub(super) workers_lost: IntCounterVec,
     /// Work that has to be done again, by cause; counted by the coordinator.
     pub(super) lost_core_seconds: CounterVec,
     /// Calls of a reader of the store without a usable answer, by reader.
@@ -85,6 +87,11 @@
             "Runs that are over, by this host as coordinator",
             &["cause"],
         )?;
+        let workers_lost = counter(
+            "ragwortwick_area_workers_lost_total",
+            "Workers that were lost with runs, by this host as coordinator",
+            &["cause"],
+        )?;
         let options = Opts::new(
             "ragwortwick_area_lost_core_seconds_total",
             "Core-equivalent seconds of work to do again, by this host as coordinator",
@@ -134,6 +141,7 @@
             end_seconds,
             part_seconds,
             runs_over,
+            workers_lost,
             lost_core_seconds,
             feed_failures,
             desired_version,
--- a/ragwortwick-daemon/src/area/orders.rs
+++ b/ragwortwick-daemon/src/area/orders.rs
@@ -6,7 +6,7 @@
 use ragwortwick_adapter::{
     AdvisorClient, LookOrder, LookReply, PaceOrder, StartOrder, WorkerClient,
 };
-use ragwortwick_area::{Action, AdviceReply, Event, OrderReply, StepId, TaskId};
+use ragwortwick_area::{Action, AdviceReply, Event, LookFailure, OrderReply, StepId, TaskId};
 use ragwortwick_core::{DurationMs, Epoch, WorkerName, log_event};
 
 use tokio::sync::Mutex as AsyncMutex;
@@ -136,7 +136,11 @@
                 workers,
                 answer_ms,
             } => self.ask(step, workers, answer_ms).await,
-            Action::Store { .. } | Action::Resign | Action::Forget(_) | Action::Report(_) => return,
+            Action::Store { .. }
+            | Action::Resign
+            | Action::Forget(_)
+            | Action::Report(_)
+            | Action::ReportLoss(_) => return,
         };
         self.events.send(event).await;
     }
@@ -269,13 +273,19 @@
     async fn look(&self, worker: WorkerName, address: &str, order: &LookOrder) -> Event {
         let sent_at = self.clock.now();
         let reply = self.workers.look(&worker, address, self.term, order).await;
-        if let LookReply::Seen(look) = reply {
-            return Event::Looked {
-                worker,
-                sent_at,
-                look,
-            };
-        }
+        let failure = match reply {
+            LookReply::Seen(look) => {
+                return Event::Looked {
+                    worker,
+                    sent_at,
+                    look,
+                };
+            }
+            LookReply::WrongLife => LookFailure::WrongLife,
+            LookReply::Fenced => LookFailure::Fenced,
+            LookReply::Closed(_) => LookFailure::Closed,
+            LookReply::Failed(_) => LookFailure::NoAnswer,
+        };
         log_event!(
             Info,
             "look_failed",
@@ -283,10 +293,6 @@
             term = self.term,
             reply = format!("{reply:?}")
         );
-        Event::LookFailed {
-            worker,
-            is_wrong_life: matches!(reply, LookReply::WrongLife),
-            is_fenced: matches!(reply, LookReply::Fenced),
-        }
+        Event::LookFailed { worker, failure }
     }
 }
--- a/ragwortwick-daemon/src/area/outlets.rs
+++ b/ragwortwick-daemon/src/area/outlets.rs
@@ -1,6 +1,6 @@
 //! Where the actions of a term's coordinator go: the store, the workers, logs and metrics.
 
-use ragwortwick_area::{Action, OverWhy, RunOver};
+use ragwortwick_area::{Action, OverWhy, RunOver, WorkerLost};
 use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -47,6 +47,7 @@
                 Action::Forget(job_id) => self.write(Write::Forget(job_id)),
                 Action::Resign => return false,
                 Action::Report(over) => self.report(&over),
+                Action::ReportLoss(lost) => self.report_loss(&lost),
                 order => {
                     orders.spawn(self.sender.clone().carry_out(order));
                 }
@@ -78,8 +79,36 @@
                 worker = over.worker,
                 term = self.sender.term,
                 cause = cause,
+                ran_ms = shown(over.ran_ms),
                 lost_core_ms = over.lost_core_ms
             );
         }
     }
+
+    /// Tells what operators need to see whether the task or the worker was at fault.
+    fn report_loss(&self, lost: &WorkerLost) {
+        let cause = lost.loss.to_string();
+        let labels = [cause.as_str()];
+        self.metrics.workers_lost.with_label_values(&labels).inc();
+        let ages = lost.runs.iter().map(|(_, age_ms)| *age_ms);
+        let youngest = lost.runs.iter().min_by_key(|(_, age_ms)| *age_ms);
+        log_event!(
+            Info,
+            "worker_lost",
+            worker = lost.worker,
+            rack = lost.rack,
+            term = self.sender.term,
+            cause = cause,
+            is_closed = lost.silence.is_some_and(|silence| silence.is_closed),
+            runs = lost.runs.len(),
+            youngest = youngest.map_or_else(String::new, |(task, _)| task.to_string()),
+            youngest_ms = shown(ages.min().flatten()),
+            lost_together = lost.lost_together
+        );
+    }
+}
+
+/// A span as logs show it; `unknown` for none.
+fn shown(span_ms: Option<DurationMs>) -> String {
+    span_ms.map_or_else(|| "unknown".to_owned(), |span_ms| span_ms.to_string())
 }
--- a/ragwortwick-daemon/src/requests/claims.rs
+++ b/ragwortwick-daemon/src/requests/claims.rs
@@ -161,6 +161,7 @@
         .map_err(|e| HttpError::NotSent {
             address: self.address.clone(),
             cause: e.to_string(),
+            is_closed: false,
         })?;
         let create = StoreCas {
             key: key(id),
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -61,7 +61,7 @@
                     };
                     self.after(5, commit);
                 }
-                Action::Report(_) => {}
+                Action::Report(_) | Action::ReportLoss(_) => {}
                 Action::Resign => self.hosts[host].term = None,
                 Action::Forget(job_id) => {
                     self.store.jobs.remove(&job_id);
--- a/ragwortwick-emulator/src/network.rs
+++ b/ragwortwick-emulator/src/network.rs
@@ -1,6 +1,6 @@
 //! The network of the world: orders and answers that are delayed, lost or cut.
 
-use ragwortwick_area::{Action, Event, OrderReply};
+use ragwortwick_area::{Action, Event, LookFailure, OrderReply};
 use ragwortwick_core::WorkerName;
 use rand::Rng;
 
@@ -67,8 +67,7 @@
             } => {
                 let event = Event::LookFailed {
                     worker: worker.clone(),
-                    is_wrong_life: false,
-                    is_fenced: false,
+                    failure: LookFailure::NoAnswer,
                 };
                 (event, 700 + wait_ms.0)
             }
@@ -110,8 +109,7 @@
         },
         Event::Looked { worker, .. } | Event::LookFailed { worker, .. } => Event::LookFailed {
             worker,
-            is_wrong_life: false,
-            is_fenced: false,
+            failure: LookFailure::NoAnswer,
         },
         event => event,
     }
--- a/ragwortwick-emulator/src/pool.rs
+++ b/ragwortwick-emulator/src/pool.rs
@@ -1,6 +1,6 @@
 //! Workers in the world: orders that arrive, and the runs that they begin.
 
-use ragwortwick_area::{Action, EndKind, Event, OrderReply, RefusalCause, TaskId};
+use ragwortwick_area::{Action, EndKind, Event, LookFailure, OrderReply, RefusalCause, TaskId};
 use ragwortwick_core::DurationMs;
 use rand::Rng;
 
@@ -99,8 +99,7 @@
                 if is_wrong_life {
                     Event::LookFailed {
                         worker,
-                        is_wrong_life: true,
-                        is_fenced: false,
+                        failure: LookFailure::WrongLife,
                     }
                 } else {
                     self.look(host, term, index, lease_until_ms, noted, wait_ms);
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use ragwortwick_area::{EndKind, Event, RefusalCause, TaskId};
+use ragwortwick_area::{EndKind, Event, LookFailure, RefusalCause, TaskId};
 use ragwortwick_core::DurationMs;
 
 use crate::worker::WaitingLook;
@@ -169,10 +169,13 @@
         let forgotten = match self.workers[index].look(self.now, term, until, noted, lease_ms) {
             Ok(forgotten) => forgotten,
             Err(cause) => {
+                let failure = match cause {
+                    RefusalCause::Fenced => LookFailure::Fenced,
+                    _ => LookFailure::NoAnswer,
+                };
                 let event = Event::LookFailed {
                     worker: name.clone(),
-                    is_wrong_life: false,
-                    is_fenced: cause == RefusalCause::Fenced,
+                    failure,
                 };
                 self.reply(host, term, &name, event);
                 return;
@@ -249,8 +252,7 @@
         if let Some(waiting) = self.workers[index].waiting_look.take() {
             let event = Event::LookFailed {
                 worker: self.workers[index].name.clone(),
-                is_wrong_life: false,
-                is_fenced: false,
+                failure: LookFailure::NoAnswer,
             };
             let hear = Happening::Hear {
                 host: waiting.host,
--- a/ragwortwick-http/src/client.rs
+++ b/ragwortwick-http/src/client.rs
@@ -1,5 +1,7 @@
 //! A client that sends JSON and says whether a failed request may have reached the other end.
 
+use std::io::ErrorKind;
+
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{Method, Request, StatusCode, header};
@@ -44,6 +46,8 @@
         address: String,
         /// What failed.
         cause: String,
+        /// Whether the other end refused the connection: its machine answers, and nobody listens.
+        is_closed: bool,
     },
     /// no whole answer from {address}: {cause}
     NoAnswer {
@@ -51,6 +55,8 @@
         address: String,
         /// What failed.
         cause: String,
+        /// Whether the other end closed the connection; if not, it was silent for too long.
+        is_closed: bool,
     },
     /// {address} answered {status}: {body}
     Status {
@@ -85,6 +91,15 @@
     pub fn may_have_arrived(&self) -> bool {
         !matches!(self, Self::NotSent { .. })
     }
+
+    /// `is_closed` tells whether the other end refused or closed the connection.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        match self {
+            Self::NotSent { is_closed, .. } | Self::NoAnswer { is_closed, .. } => *is_closed,
+            Self::Status { .. } | Self::TooLong { .. } | Self::Malformed { .. } => false,
+        }
+    }
 }
 
 /// `HttpReply` is a whole answer.
@@ -191,12 +206,15 @@
             .map_err(|e| HttpError::NotSent {
                 address: address.to_owned(),
                 cause: e.to_string(),
+                is_closed: false,
             })?;
-        let no_answer = |cause: String| HttpError::NoAnswer {
+        let no_answer = |cause: String, is_closed: bool| HttpError::NoAnswer {
             address: address.to_owned(),
             cause,
+            is_closed,
         };
-        let late = |limit_ms: DurationMs| no_answer(format!("no answer within {limit_ms} ms"));
+        let late =
+            |limit_ms: DurationMs| no_answer(format!("no answer within {limit_ms} ms"), false);
         let exchange = async {
             let response = timeout(limits.head_ms.into(), self.inner.request(request));
             let Ok(response) = response.await else {
@@ -207,9 +225,10 @@
                     HttpError::NotSent {
                         address: address.to_owned(),
                         cause: describe(&e),
+                        is_closed: is_closed_by_peer(&e),
                     }
                 } else {
-                    no_answer(describe(&e))
+                    no_answer(describe(&e), is_closed_by_peer(&e))
                 }
             })?;
             let (head, body) = response.into_parts();
@@ -219,7 +238,7 @@
                     address: address.to_owned(),
                     cause: failure.to_string(),
                 },
-                _ => no_answer(failure.to_string()),
+                _ => no_answer(failure.to_string(), false),
             })?;
             Ok(HttpReply {
                 status: head.status,
@@ -247,6 +266,7 @@
         let bytes = serde_json::to_vec(body).map_err(|e| HttpError::NotSent {
             address: address.to_owned(),
             cause: e.to_string(),
+            is_closed: false,
         })?;
         let reply = self
             .send(Method::POST, address, path, Some(bytes.into()), timeout_ms)
@@ -319,6 +339,30 @@
     })
 }
 
+/// Whether the other end's system closed or refused the connection, by the chain of causes.
+fn is_closed_by_peer(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut next = Some(error);
+    while let Some(error) = next {
+        let is_cut_short = error
+            .downcast_ref::<hyper::Error>()
+            .is_some_and(|error| error.is_incomplete_message() || error.is_closed());
+        let is_refused = error.downcast_ref::<std::io::Error>().is_some_and(|error| {
+            matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused
+                    | ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+            )
+        });
+        if is_cut_short || is_refused {
+            return true;
+        }
+        next = error.source();
+    }
+    false
+}
+
 /// The chain of causes, since the outermost one only says that something failed.
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/ragwortwick-http/tests/http_bounds.rs
+++ b/ragwortwick-http/tests/http_bounds.rs
@@ -91,6 +91,7 @@
         .await
         .expect_err("nobody listens");
     assert!(!error.may_have_arrived(), "{error}");
+    assert!(error.is_closed(), "{error}");
 }
 
 #[tokio::test]
@@ -117,6 +118,25 @@
     other_end.await.expect("the other end ended");
 }
 
+#[tokio::test]
+async fn verify_connection_that_is_closed_before_the_answer_is_told_from_silence() {
+    // A worker whose process has crashed is told by this from one whose path is cut.
+    let listener = TcpListener::bind(ANY_PORT).await.expect("loopback binds");
+    let address = listener.local_addr().expect("bound").to_string();
+    let other_end = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.expect("the client connects");
+        let mut head = [0; 1_024];
+        let _ = socket.read(&mut head).await.expect("a request arrives");
+    });
+    let client = HttpClient::new(&HttpClientOptions::default());
+    let error = client
+        .get::<Shape>(&address, "/", TIMEOUT_MS)
+        .await
+        .expect_err("there is no answer");
+    assert!(error.may_have_arrived() && error.is_closed(), "{error}");
+    other_end.await.expect("the other end ended");
+}
+
 /// Answers one request with these bytes, and then keeps the connection open and says nothing more.
 async fn answers_and_falls_silent(bytes: &'static [u8]) -> (String, tokio::task::JoinHandle<()>) {
     let listener = TcpListener::bind(ANY_PORT).await.expect("loopback binds");
@@ -150,6 +170,7 @@
         .expect_err("the answer stops");
     assert!(matches!(error, HttpError::NoAnswer { .. }), "{error}");
     assert!(error.to_string().contains("nothing more came"), "{error}");
+    assert!(!error.is_closed(), "{error}");
     drop(client);
     other_end.await.expect("the other end ended");
 }
--- a/ragwortwick-standin/src/fleet/caller.rs
+++ b/ragwortwick-standin/src/fleet/caller.rs
@@ -132,6 +132,7 @@
         let body = serde_json::to_vec(body).map_err(|e| HttpError::NotSent {
             address: address.to_owned(),
             cause: e.to_string(),
+            is_closed: false,
         })?;
         let body = Some(Bytes::from(body));
         self.http
