--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -146,8 +146,7 @@
     /// Takes in an end that an earlier coordinator heard: final, whatever became of its worker.
     pub(crate) fn end_left(&mut self, now: TimeMs, task: &TaskId, run: u32) {
         let job = self.jobs.get(&task.job_id);
-        let step = job.and_then(|job| job.step(task.occurrence, task.step));
-        let state = step.and_then(|step| step.tasks.get(task.index as usize));
+        let state = job.and_then(|job| job.task(task));
         let Some(TaskState::Placed(worker)) = state.map(|state| &state.state) else {
             return;
         };
--- a/ragwortwick-area/src/inherit.rs
+++ b/ragwortwick-area/src/inherit.rs
@@ -20,10 +20,7 @@
         self.count_work(&job);
         let is_over = job.phase.is_final();
         for (task, worker_name) in inherited {
-            let state = job
-                .step(task.occurrence, task.step)
-                .and_then(|step| step.tasks.get(task.index as usize));
-            let (Some(spec), Some(state)) = (job.spec(task.step), state) else {
+            let (Some(spec), Some(state)) = (job.spec(task.step), job.task(&task)) else {
                 continue;
             };
             let priority = self.terms_of(&job).priority;
@@ -36,6 +33,7 @@
                 checkpoint: Arc::clone(&state.checkpoint),
                 is_resumed: true,
                 tries: 1,
+                crashes: state.crashes,
                 pace_told: None,
                 ..Held::intended(now.steady, spec, state.last_run, priority)
             };
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use ragwortwick_core::{TimeMs, WorkerName};
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::account::JobAccount;
+use crate::crashes::CrashRecord;
 use crate::job::{JobRecord, StepSpec, TaskId};
 use crate::progress::{GangProgress, JobPhase, Progress, TaskProgress};
 use crate::settle::{Outcome, Settled, settle_member, settle_single};
@@ -28,6 +29,7 @@
     pub(crate) state: TaskState,
     pub(crate) last_run: u32,
     pub(crate) failures: u32,
+    pub(crate) crashes: CrashRecord,
     pub(crate) checkpoint: Arc<str>,
 }
 
@@ -52,6 +54,7 @@
             state: TaskState::Waiting,
             last_run: 0,
             failures: 0,
+            crashes: CrashRecord::default(),
             checkpoint: "".into(),
         };
         Self {
@@ -134,6 +137,10 @@
             };
             state.last_run = task.last_run;
             state.failures = task.failures;
+            state.crashes = CrashRecord {
+                count: task.crashes,
+                age_ms: task.crash_age_ms,
+            };
             state.checkpoint = Arc::clone(&task.checkpoint);
             if task.is_done {
                 state.state = TaskState::Done;
@@ -272,6 +279,29 @@
         }
     }
 
+    pub(crate) fn task(&self, id: &TaskId) -> Option<&Task> {
+        self.step(id.occurrence, id.step)?
+            .tasks
+            .get(id.index as usize)
+    }
+
+    /// Takes in a crash that counts against a task; tells whether the job has come to its end by it.
+    pub(crate) fn blame(&mut self, id: &TaskId, age_ms: Option<DurationMs>) -> bool {
+        let is_over = self.phase.is_final();
+        let Some(step) = self.step_mut(id.occurrence, id.step) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get_mut(id.index as usize) else {
+            return false;
+        };
+        task.crashes.note(age_ms);
+        let is_given_up = task.crashes.is_given_up() && !is_over;
+        if is_given_up {
+            self.phase = JobPhase::Failed;
+        }
+        is_given_up
+    }
+
     /// Whether callers have to learn another phase than the last record tells.
     pub(crate) fn has_new_phase(&self) -> bool {
         self.phase != self.recorded_phase
@@ -323,6 +353,8 @@
                         index,
                         last_run: task.last_run,
                         failures: task.failures,
+                        crashes: task.crashes.count,
+                        crash_age_ms: task.crashes.age_ms,
                         is_done,
                         worker,
                         checkpoint: Arc::clone(&task.checkpoint),
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -8,6 +8,7 @@
 mod candidates;
 mod check;
 mod coordinator;
+mod crashes;
 mod desired;
 mod displacement;
 mod ends;
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -1,10 +1,11 @@
-//! Workers that are lost with what ran there.
+//! Workers that are lost with what ran there: how, and what that tells against its tasks.
 
 use std::fmt;
 
 use ragwortwick_core::{DurationMs, RackName, TimeMs, WorkerName, common};
 
 use crate::coordinator::Coordinator;
+use crate::crashes::{RunAtLoss, is_explained, suspects};
 use crate::job::TaskId;
 use crate::messages::Action;
 use crate::settle::Outcome;
@@ -12,9 +13,12 @@
 
 /// How far apart workers may fall silent that were lost together. A closed connection shows at once, a
 /// silent one only when the answer to a look is overdue.
-const TOGETHER_MS: DurationMs = DurationMs(1_000);
+const TOGETHER_CLOSED_MS: DurationMs = DurationMs(250);
 const TOGETHER_UNANSWERED_MS: DurationMs = DurationMs(3_000);
 
+/// Workers lost together with one, for no reason of their own, from which on its tasks are not the reason.
+const COMMON_LOSSES: usize = 2;
+
 /// How long a loss is remembered: its neighbours come back, or don't, within seconds.
 const REMEMBERED_MS: DurationMs = DurationMs(15_000);
 
@@ -47,15 +51,15 @@
 }
 
 impl Silence {
-    /// Whether two workers fell silent at the same time, as far as that can be told.
+    /// Whether two workers fell silent at the same time and in the same way, as far as that can be told.
     fn is_together(self, other: Self) -> bool {
         let (early, late) = (self.since.min(other.since), self.since.max(other.since));
-        let within_ms = if self.is_closed && other.is_closed {
-            TOGETHER_MS
+        let within_ms = if self.is_closed {
+            TOGETHER_CLOSED_MS
         } else {
             TOGETHER_UNANSWERED_MS
         };
-        late.since(early) <= within_ms
+        self.is_closed == other.is_closed && late.since(early) <= within_ms
     }
 }
 
@@ -68,18 +72,21 @@
     pub rack: RackName,
     /// How it came to be lost.
     pub loss: WorkerLoss,
-    /// How it fell silent; none if it answered until then.
+    /// How it fell silent; none if it was lost before any call failed.
     pub silence: Option<Silence>,
     /// Runs that were lost with it, with how long each had been running; none if that is not known.
     pub runs: Vec<(TaskId, Option<DurationMs>)>,
     /// Workers with runs that fell silent at the same time.
     pub lost_together: usize,
+    /// The tasks that its crash counts against, each with the crashes that count by now.
+    pub blamed: Vec<(TaskId, u32)>,
 }
 
 /// `PastLoss` is a loss of which the neighbours are still to be judged.
 #[derive(Clone, Debug)]
 pub(crate) struct PastLoss {
     silence: Silence,
+    is_explained: bool,
 }
 
 impl Worker {
@@ -93,6 +100,18 @@
         }
     }
 
+    /// What was or may have been running there when it was last there.
+    fn runs_at_loss(&self) -> Vec<RunAtLoss> {
+        let held = self.held.iter();
+        let sent = held.filter(|(_, held)| held.phase != HeldPhase::Intended);
+        let runs = sent.map(|(task, held)| RunAtLoss {
+            task: task.clone(),
+            age_ms: self.age_of(held),
+            crashes: held.crashes,
+        });
+        runs.collect()
+    }
+
     /// The last moment at which it was there: a closed connection tells when it ended.
     fn last_there(&self) -> TimeMs {
         match self.silence {
@@ -113,56 +132,87 @@
         };
         let is_leaving = worker.entry.is_draining;
         let loss = if is_leaving { WorkerLoss::Left } else { loss };
-        self.report_loss(now, name, loss);
+        let runs = worker.runs_at_loss();
+        let silence = worker.silence;
+        let rack = worker.entry.rack.clone();
+        let (lost_together, may_be_task) = self.lost_together(name, silence);
         for (task, run) in self.jobs_on(name) {
             self.resolve(now, name, &task, run, Outcome::Lost(loss));
         }
         if self.workers.get(name).is_some_and(Worker::is_forgettable) {
             self.workers.remove(name);
         }
-    }
-
-    fn report_loss(&mut self, now: TimeMs, name: &WorkerName, loss: WorkerLoss) {
-        let Some(worker) = self.workers.get(name) else {
-            return;
-        };
-        if worker.held.is_empty() {
+        if runs.is_empty() {
             return;
         }
-        let silence = worker.silence;
-        let runs = worker.held.iter();
-        let runs = runs.map(|(task, held)| (task.clone(), worker.age_of(held)));
-        let report = WorkerLost {
+        let blamed = match loss {
+            WorkerLoss::Crashed if may_be_task => self.blame(now, &suspects(&runs)),
+            WorkerLoss::Crashed | WorkerLoss::Left | WorkerLoss::OutOfReach => Vec::new(),
+        };
+        self.remember_loss(now, silence, is_explained(&runs));
+        self.actions.push(Action::ReportLoss(WorkerLost {
             worker: name.clone(),
-            rack: worker.entry.rack.clone(),
+            rack,
             loss,
             silence,
-            runs: runs.collect(),
-            lost_together: self.lost_together(name, silence),
-        };
+            runs: runs.into_iter().map(|run| (run.task, run.age_ms)).collect(),
+            lost_together,
+            blamed,
+        }));
+    }
+
+    /// Notes a crash for the tasks that may be the reason; gives them with their counts.
+    fn blame(&mut self, now: TimeMs, suspects: &[&RunAtLoss]) -> Vec<(TaskId, u32)> {
+        let mut counts = Vec::with_capacity(suspects.len());
+        for run in suspects {
+            let Some(job) = self.jobs.get_mut(&run.task.job_id) else {
+                continue;
+            };
+            let is_over = job.blame(&run.task, run.age_ms);
+            let count = job.task(&run.task).map_or(0, |task| task.crashes.count);
+            counts.push((run.task.clone(), count));
+            if is_over {
+                self.job_over(now, &run.task.job_id);
+            }
+        }
+        counts
+    }
+
+    fn remember_loss(&mut self, now: TimeMs, silence: Option<Silence>, is_explained: bool) {
         self.past_losses
             .retain(|past| now.since(past.silence.since) <= REMEMBERED_MS);
-        if let Some(silence) = silence {
-            self.past_losses.push(PastLoss { silence });
-        }
-        self.actions.push(Action::ReportLoss(report));
+        self.past_losses.extend(silence.map(|silence| PastLoss {
+            silence,
+            is_explained,
+        }));
     }
 
     /// Counts the other workers with runs that fell silent at the same time, those that are lost and
-    /// those that may come back.
-    fn lost_together(&self, name: &WorkerName, silence: Option<Silence>) -> usize {
+    /// those that may come back; tells whether a task of the worker may have been the reason.
+    ///
+    /// A task ends the process of its worker, so that the machine closes its connections. A worker that
+    /// does not answer at all has lost its power or its path. Several with closed connections whose own
+    /// tasks are no reason were cut off or ended together.
+    fn lost_together(&self, name: &WorkerName, silence: Option<Silence>) -> (usize, bool) {
         let Some(silence) = silence else {
-            return 0;
+            // Nothing tells when it was lost.
+            return (0, false);
         };
-        let silent = self.workers.iter().filter(|(other, worker)| {
-            *other != name
-                && !worker.held.is_empty()
-                && worker
-                    .silence
-                    .is_some_and(|other| other.is_together(silence))
+        let others = self.workers.iter().filter(|(other, _)| *other != name);
+        let silent = others.filter_map(|(_, worker)| {
+            let silence = worker.silence?;
+            let runs = worker.runs_at_loss();
+            (!runs.is_empty()).then(|| (silence, is_explained(&runs)))
         });
         let lost = self.past_losses.iter();
-        let lost = lost.filter(|past| past.silence.is_together(silence));
-        silent.count() + lost.count()
+        let lost = lost.map(|past| (past.silence, past.is_explained));
+        let together: Vec<bool> = silent
+            .chain(lost)
+            .filter(|(other, _)| other.is_together(silence))
+            .map(|(_, is_explained)| is_explained)
+            .collect();
+        let unexplained = together.iter().filter(|is_explained| !**is_explained);
+        let may_be_task = silence.is_closed && unexplained.count() < COMMON_LOSSES;
+        (together.len(), may_be_task)
     }
 }
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -48,8 +48,7 @@
         };
         let payload = Arc::clone(&job.record.payload);
         let checkpoint = job
-            .step(task.occurrence, task.step)
-            .and_then(|step| step.tasks.get(task.index as usize))
+            .task(task)
             .map(|state| Arc::clone(&state.checkpoint))
             .unwrap_or_default();
         let Ok(ticket) = self.ticket_for(now, worker_name, task) else {
@@ -235,12 +234,10 @@
         let Some(spec) = job.spec(task.step) else {
             return;
         };
-        let is_resumed = job
-            .step(task.occurrence, task.step)
-            .and_then(|step| step.tasks.get(task.index as usize))
-            .is_some_and(|state| !state.checkpoint.is_empty());
+        let state = job.task(task);
         let held = Held {
-            is_resumed,
+            is_resumed: state.is_some_and(|state| !state.checkpoint.is_empty()),
+            crashes: state.map(|state| state.crashes).unwrap_or_default(),
             ..Held::intended(now, spec, run, priority)
         };
         job.place(task, worker_name, run);
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -26,6 +26,8 @@
     pub(crate) speed: Speed,
     /// Whether it is left to urgent work and to what is cheap to stop.
     pub(crate) is_headroom: bool,
+    /// Whether nothing has begun there lately.
+    pub(crate) is_quiet: bool,
 }
 
 impl Slot {
@@ -87,6 +89,8 @@
     pub(crate) wants_fast: bool,
     /// Whether the headroom is left to others.
     pub(crate) spares_headroom: bool,
+    /// Whether the tasks go only where nothing has begun lately.
+    pub(crate) wants_quiet: bool,
 }
 
 impl Bounds {
@@ -98,7 +102,8 @@
     fn permits(&self, slot: &Slot) -> bool {
         let is_spared = self.spares_headroom && slot.is_headroom;
         let allowed = self.allowed.as_ref();
-        !is_spared && allowed.is_none_or(|allowed| allowed.contains(&slot.worker))
+        let is_too_busy = self.wants_quiet && !slot.is_quiet;
+        !is_spared && !is_too_busy && allowed.is_none_or(|allowed| allowed.contains(&slot.worker))
     }
 
     /// Ranks a worker by its speed, the wanted ones first.
--- a/ragwortwick-area/src/progress.rs
+++ b/ragwortwick-area/src/progress.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ragwortwick_core::{WorkerName, common};
+use ragwortwick_core::{DurationMs, WorkerName, common};
 use serde::{Deserialize, Serialize};
 
 /// `JobPhase` is what callers see of a job.
@@ -17,7 +17,7 @@
     Running,
     /// Every task is done.
     Completed,
-    /// A task or gang failed as often as its queue allows.
+    /// A task or gang failed as often as its queue allows, or a task crashed its workers.
     Failed,
     /// A caller cancelled it.
     Cancelled,
@@ -64,6 +64,12 @@
     /// Runs that failed.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// Workers that crashed under it, at the same point of its work.
+    #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// How long its run had been going at the last of these crashes.
+    #[serde(rename = "ka", default, skip_serializing_if = "is_none_ms")]
+    pub crash_age_ms: DurationMs,
     /// Whether a run ended well.
     #[serde(rename = "d", default, skip_serializing_if = "is_false")]
     pub is_done: bool,
@@ -106,6 +112,14 @@
     !flag
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_none_ms(span_ms: &DurationMs) -> bool {
+    span_ms.0 == 0
+}
+
 fn is_empty(text: &Arc<str>) -> bool {
     text.is_empty()
 }
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -43,9 +43,15 @@
     fn take(&mut self, index: usize, need: Resources) {
         let slot = &mut self.slots[index];
         slot.free = slot.free.minus(need);
+        slot.is_quiet = false;
         self.used += need.accelerators;
         self.taken.push((index, need));
     }
+
+    /// Lets nothing else begin on a worker in this pass.
+    fn close(&mut self, index: usize) {
+        self.slots[index].free = Resources::default();
+    }
 }
 
 impl Coordinator {
@@ -117,7 +123,9 @@
         }
         // What found no place a moment ago finds none now: the room only shrinks during a pass. It
         // tells nothing of steps that may go to other workers.
-        let is_bound = shape.0.max_per_worker.is_some() || self.advice_terms(candidate).is_some();
+        let is_bound = shape.0.max_per_worker.is_some()
+            || self.advice_terms(candidate).is_some()
+            || self.has_lone_starts(candidate);
         if !is_bound && failed.contains(&shape) {
             return false;
         }
@@ -143,6 +151,14 @@
         Some((spec.shape(), count))
     }
 
+    /// Whether a task of the step is to start with nothing else.
+    fn has_lone_starts(&self, candidate: &Candidate) -> bool {
+        let job = self.jobs.get(&candidate.job_id);
+        let step = job.and_then(|job| job.step(candidate.occurrence, candidate.step));
+        let mut tasks = step.into_iter().flat_map(|step| &step.tasks);
+        tasks.any(|task| task.crashes.starts_alone())
+    }
+
     fn room(&self, now: TimeMs, pool: &PoolName) -> Room {
         let mut room = Room::default();
         for (name, worker) in &self.workers {
@@ -163,6 +179,7 @@
                     doubt: worker.failures_in_row,
                     speed: worker.speed.speed(),
                     is_headroom: false,
+                    is_quiet: worker.is_quiet(now),
                 });
             }
         }
@@ -259,12 +276,15 @@
         else {
             return true;
         };
-        let waiting: Vec<(u32, u32)> = (0..)
+        let mut waiting: Vec<(bool, u32, u32)> = (0..)
             .zip(&step.tasks)
             .filter(|(_, task)| task.state == TaskState::Waiting)
-            .map(|(index, task)| (index, task.last_run + 1))
+            .map(|(index, task)| (task.crashes.starts_alone(), index, task.last_run + 1))
             .collect();
-        for (index, run) in waiting {
+        // Those that start alone find fewer places, and must not hold up the others.
+        waiting.sort_unstable();
+        for (starts_alone, index, run) in waiting {
+            bounds.wants_quiet = starts_alone;
             let Some(slot) = pack_single(&room.slots, spec, &bounds, reach) else {
                 return false;
             };
@@ -294,6 +314,12 @@
         let task = job.task_id(candidate.occurrence, candidate.step, index);
         let worker = room.slots[slot].worker.clone();
         room.take(slot, spec.reserved());
+        if job
+            .task(&task)
+            .is_some_and(|state| state.crashes.starts_alone())
+        {
+            room.close(slot);
+        }
         self.place(now, &worker, &task, run, candidate.priority);
     }
 }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -6,6 +6,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::account::OverWhy;
+use crate::crashes::CrashRecord;
 use crate::job::{Resources, StepSpec, TaskId};
 use crate::limits::Limits;
 use crate::losses::Silence;
@@ -87,6 +88,8 @@
     pub(crate) is_resumed: bool,
     /// How often its start was sent.
     pub(crate) tries: u32,
+    /// Crashes of workers under its task before it began.
+    pub(crate) crashes: CrashRecord,
     /// What it is to others on its worker.
     pub(crate) role: Role,
     /// Whether it goes on from a checkpoint if it is stopped.
@@ -116,6 +119,7 @@
             checkpoint: "".into(),
             is_resumed: false,
             tries: 0,
+            crashes: CrashRecord::default(),
             role: Role::of(spec),
             saves_checkpoints: spec.saves_checkpoints,
             expected_ms: spec.estimate_ms,
@@ -319,6 +323,7 @@
             && self.clock.is_some()
             && now >= self.avoid_until
             && now >= self.stalled_until
+            && !self.is_on_trial(now)
     }
 
     /// Whether a look is wanted: something runs, ends have to be forgotten, or it is not known whether
--- a/ragwortwick-area/tests/crashes.rs
+++ b/ragwortwick-area/tests/crashes.rs
@@ -4,9 +4,11 @@
 
 use std::sync::Arc;
 
-use ragwortwick_area::{Event, JobPhase, JobRecord, KnownJob, LookFailure, Progress, WorkerEntry};
+use ragwortwick_area::{
+    Event, JobPhase, JobRecord, KnownJob, LookFailure, Progress, StepSpec, WorkerEntry,
+};
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{Rig, job, step, worker};
+use rig::{Rig, gang, job, running, step, worker};
 
 /// Starts of a task that are allowed once three workers have crashed under it.
 const MOST_STARTS_AFTER: usize = 2;
@@ -113,3 +115,212 @@
     }
     panic!("the task is never given up");
 }
+
+/// The tasks beside one that crashes its workers lose their runs as often, and have done nothing.
+#[test]
+fn verify_tasks_beside_one_that_crashes_workers_are_not_given_up() {
+    let mut fleet = Fleet::new(3);
+    let mut rig = Rig::new(&fleet.entries);
+    for number in 0..6 {
+        rig.hand_in(&format!("00000000000000e{number}"), "patient", step(3, 1));
+    }
+    rig.hand_in(CRASHER, "patient", step(1, 1));
+    let mut workers_lost = 0;
+    for _ in 0..60 {
+        let starts = rig.start_all();
+        let crasher = starts
+            .iter()
+            .find(|start| start.1.job_id.as_str() == CRASHER);
+        if let Some(start) = crasher {
+            workers_lost += 1;
+            fleet.crash(&mut rig, &start.0);
+        }
+        rig.pass(500);
+    }
+    assert_eq!(phase(&rig, CRASHER), Some(JobPhase::Failed));
+    assert!(
+        workers_lost <= CRASHES_BEFORE + MOST_STARTS_AFTER,
+        "{workers_lost} lost"
+    );
+    for number in 0..6 {
+        let id = format!("00000000000000e{number}");
+        assert_eq!(phase(&rig, &id), Some(JobPhase::Running), "{id}");
+    }
+}
+
+/// A worker that crashes while a suspect and something new begin there would tell against both.
+#[test]
+fn verify_nothing_begins_beside_a_task_that_may_crash_its_worker() {
+    let mut fleet = Fleet::new(1);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "urgent", step(1, 1));
+    let first = rig.start_all();
+    fleet.crash(&mut rig, &first[0].0);
+    assert_eq!(rig.start_all().len(), 1, "the suspect begins again");
+    rig.hand_in("00000000000000e1", "urgent", step(1, 1));
+    assert_eq!(rig.start_all(), vec![]);
+    rig.pass(1_100);
+    assert_eq!(
+        rig.start_all().len(),
+        1,
+        "the suspect has not crashed its worker"
+    );
+}
+
+/// Jobs on a rack that goes out several times lose their workers through no fault of their own.
+#[test]
+fn verify_a_job_on_a_rack_that_goes_out_is_not_given_up() {
+    for failure in [LookFailure::NoAnswer, LookFailure::Closed] {
+        let mut fleet = Fleet::new(4);
+        let mut rig = Rig::new(&fleet.entries);
+        let ids = ["00000000000000f1", "00000000000000f2"];
+        rig.hand_in(ids[0], "urgent", gang(3, 8));
+        rig.hand_in(ids[1], "urgent", step(1, 8));
+        for round in 0..6 {
+            let starts = rig.start_all();
+            assert_eq!(starts.len(), 4, "round {round}");
+            rig.pass(2_000);
+            for start in &starts {
+                rig.look(start.0.as_str(), vec![running(start)], vec![]);
+            }
+            for start in &starts {
+                rig.look_fails_by(&start.0, failure);
+            }
+            rig.pass(AWAY_MS);
+            for start in &starts {
+                rig.look_fails_by(&start.0, LookFailure::WrongLife);
+                fleet.come_back(&mut rig, &start.0);
+            }
+        }
+        for id in ids {
+            assert_ne!(phase(&rig, id), Some(JobPhase::Failed), "{id}, {failure:?}");
+        }
+    }
+}
+
+/// Plays a task that loses a worker after each of these times.
+fn loses_workers_after(spans_ms: &[u64], spec: StepSpec) -> Option<JobPhase> {
+    let mut fleet = Fleet::new(2);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "urgent", spec);
+    for &span_ms in spans_ms {
+        let starts = rig.start_all();
+        let Some(start) = starts.first() else { break };
+        rig.pass(span_ms);
+        fleet.crash(&mut rig, &start.0);
+    }
+    phase(&rig, CRASHER)
+}
+
+/// A task that crashes its workers in the middle of its work takes down as many as one that does at once.
+#[test]
+fn verify_a_task_that_crashes_workers_midway_is_given_up() {
+    let spans_ms = [4_000, 4_300, 3_800];
+    let phase = loses_workers_after(&spans_ms, step(1, 8));
+    assert_eq!(phase, Some(JobPhase::Failed));
+}
+
+/// A task that loses one worker after the other, each at another point of its work, is out of luck.
+#[test]
+fn verify_a_task_that_loses_workers_now_and_then_is_not_given_up() {
+    let spans_ms = [4_000, 9_000, 200, 14_000, 2_500, 7_000];
+    let phase = loses_workers_after(&spans_ms, step(1, 8));
+    assert_eq!(phase, Some(JobPhase::Running));
+}
+
+/// What has to last is started again however it ends, but not on one worker after the other.
+#[test]
+fn verify_a_lasting_task_that_crashes_its_workers_is_given_up() {
+    let spec = StepSpec {
+        is_long_running: true,
+        ..step(1, 8)
+    };
+    let phase = loses_workers_after(&[10, 10, 10], spec);
+    assert_eq!(phase, Some(JobPhase::Failed));
+}
+
+/// A worker that was told that it would leave is gone when it said.
+#[test]
+fn verify_a_job_whose_workers_leave_is_not_given_up() {
+    let mut fleet = Fleet::new(2);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "urgent", step(1, 8));
+    for round in 0..5 {
+        let starts = rig.start_all();
+        assert_eq!(starts.len(), 1, "round {round}");
+        let name = &starts[0].0;
+        let entry = fleet.entries.iter().find(|entry| entry.name == *name);
+        rig.tell(Event::WorkerSeen(WorkerEntry {
+            is_draining: true,
+            ..entry.expect("it is one of them").clone()
+        }));
+        fleet.crash(&mut rig, name);
+    }
+    assert_eq!(phase(&rig, CRASHER), Some(JobPhase::Running));
+}
+
+/// A worker that stops answering has lost its power or its path, which is nothing that a task does.
+#[test]
+fn verify_a_job_whose_workers_lose_power_is_not_given_up() {
+    let mut fleet = Fleet::new(2);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "urgent", step(1, 8));
+    for round in 0..5 {
+        let starts = rig.start_all();
+        assert_eq!(starts.len(), 1, "round {round}");
+        rig.look_fails(&starts[0].0);
+        rig.pass(AWAY_MS);
+        rig.look_fails_by(&starts[0].0, LookFailure::WrongLife);
+        fleet.come_back(&mut rig, &starts[0].0);
+    }
+    assert_eq!(phase(&rig, CRASHER), Some(JobPhase::Running));
+}
+
+/// What begins just before a suspect, on the same worker, would be under the same suspicion.
+#[test]
+fn verify_a_task_that_may_crash_its_worker_begins_where_nothing_else_does() {
+    let mut fleet = Fleet::new(1);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "patient", step(1, 1));
+    let first = rig.start_all();
+    fleet.crash(&mut rig, &first[0].0);
+    rig.hand_in("00000000000000e1", "urgent", step(1, 1));
+    let starts = rig.start_all();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.job_id.as_str(), "00000000000000e1");
+    rig.pass(1_100);
+    assert_eq!(rig.start_all().len(), 1, "the suspect begins");
+}
+
+/// What begins in the same pass as a suspect, on the same worker, would be under the same suspicion.
+#[test]
+fn verify_nothing_begins_at_once_with_a_task_that_may_crash_its_worker() {
+    let mut fleet = Fleet::new(1);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "urgent", step(1, 1));
+    let first = rig.start_all();
+    rig.hand_in("00000000000000e1", "patient", step(1, 1));
+    fleet.crash(&mut rig, &first[0].0);
+    let starts = rig.start_all();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.job_id.as_str(), CRASHER);
+}
+
+/// A crash at the start of a task under which a worker has crashed before tells against that task alone.
+#[test]
+fn verify_tasks_long_at_work_are_not_suspected_beside_a_repeated_crash() {
+    let mut fleet = Fleet::new(1);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "middle", step(1, 1));
+    let first = rig.start_all();
+    fleet.crash(&mut rig, &first[0].0);
+    rig.losses();
+    rig.hand_in("00000000000000e1", "urgent", step(1, 1));
+    assert_eq!(rig.start_all().len(), 1);
+    rig.pass(2_000);
+    let again = rig.start_all();
+    fleet.crash(&mut rig, &again[0].0);
+    let told = rig.losses();
+    assert_eq!(told[0].runs.len(), 2);
+    assert_eq!(told[0].blamed, vec![(first[0].1.clone(), 2)]);
+}
--- a/ragwortwick-daemon/src/area/outlets.rs
+++ b/ragwortwick-daemon/src/area/outlets.rs
@@ -103,11 +103,25 @@
             runs = lost.runs.len(),
             youngest = youngest.map_or_else(String::new, |(task, _)| task.to_string()),
             youngest_ms = shown(ages.min().flatten()),
-            lost_together = lost.lost_together
+            lost_together = lost.lost_together,
+            blamed = blamed(lost)
         );
     }
 }
 
+/// The tasks that a crash counts against, as logs show them; `none` for none.
+fn blamed(lost: &WorkerLost) -> String {
+    let tasks = lost.blamed.iter();
+    let tasks: Vec<String> = tasks
+        .map(|(task, count)| format!("{task}:{count}"))
+        .collect();
+    if tasks.is_empty() {
+        "none".to_owned()
+    } else {
+        tasks.join(",")
+    }
+}
+
 /// A span as logs show it; `unknown` for none.
 fn shown(span_ms: Option<DurationMs>) -> String {
     span_ms.map_or_else(|| "unknown".to_owned(), |span_ms| span_ms.to_string())
--- a/ragwortwick-emulator/examples/emulate.rs
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -1,5 +1,6 @@
 //! Plays seeds of the emulator and prints what they show.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use ragwortwick_area::Limits;
@@ -10,7 +11,7 @@
 emulate: plays an area in virtual time
 
 usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N] [--load PERCENT]
-               [--lease-ms N] [--advised]
+               [--lease-ms N] [--advised] [--load-file FILE]
 
   --seed N      first seed (1)
   --seeds N     how many seeds (100)
@@ -19,6 +20,7 @@
   --load N      per cent of the usual arrivals (100)
   --lease-ms N  longest lease of what runs on a worker (10000)
   --advised     the middle queue's jobs run only where an advisor allows them
+  --load-file F what comes in, in place of the load that is built in
 
 exit codes: 0 every promise held, 1 one was broken, 2 wrong arguments
 ";
@@ -30,6 +32,13 @@
         return ExitCode::SUCCESS;
     }
     let is_advised = arguments.contains("--advised");
+    let base = match read_load(&mut arguments) {
+        Ok(load) => load,
+        Err(error) => {
+            eprintln!("{error}\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
     let mut number = |name, default| -> Result<u64, pico_args::Error> {
         Ok(arguments.opt_value_from_str(name)?.unwrap_or(default))
     };
@@ -57,9 +66,9 @@
         let options = Options {
             seed,
             load: if is_advised {
-                Load::default().scaled(share).advised()
+                base.clone().scaled(share).advised()
             } else {
-                Load::default().scaled(share)
+                base.clone().scaled(share)
             },
             workers: u32::try_from(workers).unwrap_or(24),
             limits: Limits {
@@ -93,3 +102,16 @@
         ExitCode::FAILURE
     }
 }
+
+/// The load of the named file, or the one that is built in.
+fn read_load(arguments: &mut pico_args::Arguments) -> Result<Load, String> {
+    let path: Option<PathBuf> = arguments
+        .opt_value_from_str("--load-file")
+        .map_err(|error| error.to_string())?;
+    let Some(path) = path else {
+        return Ok(Load::default());
+    };
+    let at = |error: String| format!("{}: {error}", path.display());
+    let text = std::fs::read_to_string(&path).map_err(|error| at(error.to_string()))?;
+    serde_json::from_str(&text).map_err(|error| at(error.to_string()))
+}
--- a/ragwortwick-emulator/src/arrivals.rs
+++ b/ragwortwick-emulator/src/arrivals.rs
@@ -29,6 +29,17 @@
     pub(crate) work_ms: Vec<DurationMs>,
     /// Share of runs that fail.
     pub(crate) failing: f64,
+    /// The task that crashes its workers, if one does.
+    pub(crate) crasher: Option<Crasher>,
+}
+
+/// `Crasher` is a task that crashes each worker that starts it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crasher {
+    /// Its number in the first step.
+    pub(crate) index: u32,
+    /// Time from a start to the crash.
+    pub(crate) after_ms: u64,
 }
 
 /// `Arrivals` is all that comes in, in order.
@@ -56,10 +67,28 @@
             }
         }
         jobs.sort_by_key(|job| (job.at, job.record.job_id.clone()));
+        draw_crashers(seed, load.crashing, &mut jobs);
         Self { jobs }
     }
 }
 
+/// Chooses the tasks that crash their workers, by numbers of their own: the jobs stay as they are.
+fn draw_crashers(seed: u64, share: f64, jobs: &mut [Arrival]) {
+    let mut rng = Pcg64Mcg::new(u128::from(seed) << 16 | 0xc4);
+    for job in jobs {
+        let is_crashing = rng.random_bool(share);
+        let tasks = job.record.steps.first().map_or(0, |step| step.count);
+        job.crasher = (is_crashing && tasks > 0).then(|| Crasher {
+            index: rng.random_range(0..tasks),
+            after_ms: if rng.random_bool(0.25) {
+                rng.random_range(10..2_000)
+            } else {
+                10
+            },
+        });
+    }
+}
+
 fn arrival(rng: &mut Pcg64Mcg, queue: &QueueLoad, at: TimeMs, load: &Load, racks: u32) -> Arrival {
     let job_id = JobId::new(format!("{:016x}", rng.random::<u64>()));
     let step_count = 1 + usize::from(rng.random_bool(queue.second_step));
@@ -126,6 +155,7 @@
         } else {
             load.failing
         },
+        crasher: None,
     }
 }
 
--- a/ragwortwick-emulator/src/check.rs
+++ b/ragwortwick-emulator/src/check.rs
@@ -11,6 +11,13 @@
 /// Bound on new work of a cancelled job.
 const CANCEL_MS: DurationMs = DurationMs(3_000);
 
+/// Crashes of workers under one task after which its starts are counted, and starts that break the bound.
+const CRASHES_BORNE: u32 = 3;
+const STARTS_TOO_MANY: u32 = 3;
+
+/// Crashes of workers under one task for which its job may be given up.
+const CRASHES_TO_GIVE_UP: u32 = 2;
+
 /// `Truth` is what really happened, beside what any coordinator believes.
 #[derive(Debug, Default)]
 pub(crate) struct Truth {
@@ -20,6 +27,10 @@
     pub(crate) done: BTreeSet<TaskId>,
     /// Failed runs that are known for good, by task; of a gang, by its first member and run.
     pub(crate) noted_failed: BTreeMap<TaskId, BTreeSet<u32>>,
+    /// Runs that ended failed, by task; of a gang, by its first member.
+    failed: BTreeMap<TaskId, BTreeSet<u32>>,
+    /// Crashes of workers that a task caused, and its starts after as many as are borne.
+    crashes: BTreeMap<TaskId, (u32, u32)>,
     pub(crate) findings: Vec<String>,
     pub(crate) starts: u64,
     pub(crate) stopped: u64,
@@ -110,6 +121,17 @@
         if !seen.is_payload_right || !seen.is_checkpoint_right {
             problems.push("has a payload or checkpoint of another task".to_owned());
         }
+        if !seen.is_late
+            && let Some((crashes, starts)) = self.crashes.get_mut(task)
+            && *crashes >= CRASHES_BORNE
+        {
+            *starts += 1;
+            if *starts >= STARTS_TOO_MANY {
+                problems.push(format!(
+                    "started {starts} times more after {crashes} crashes"
+                ));
+            }
+        }
         if !seen.is_late {
             let is_past =
                 |since: Option<TimeMs>, bound| since.is_some_and(|at| seen.now.since(at) > bound);
@@ -126,7 +148,32 @@
         }
     }
 
-    pub(crate) fn ended(&mut self, task: &TaskId, kind: EndKind) {
+    /// A task crashed its worker.
+    pub(crate) fn crashed(&mut self, task: &TaskId) {
+        self.crashes.entry(task.clone()).or_default().0 += 1;
+    }
+
+    /// A job is shown as failed: a task or gang of it must have failed as often as its queue allows, or
+    /// have crashed workers.
+    pub(crate) fn shown_failed(&mut self, now: TimeMs, job_id: &JobId, attempts: u32) {
+        let of_job = |task: &TaskId| task.job_id == *job_id;
+        let mut failed = self.failed.iter();
+        let has_failed = failed.any(|(task, runs)| of_job(task) && runs.len() >= attempts as usize);
+        let mut crashes = self.crashes.iter();
+        let has_crashed =
+            crashes.any(|(task, (crashes, _))| of_job(task) && *crashes >= CRASHES_TO_GIVE_UP);
+        if !has_failed && !has_crashed {
+            self.find(now, &format!("{job_id} is shown as failed without cause"));
+        }
+    }
+
+    pub(crate) fn ended(&mut self, task: &TaskId, run: u32, kind: EndKind, is_gang: bool) {
+        if kind == EndKind::Failed {
+            self.failed
+                .entry(counted_as(task, is_gang))
+                .or_default()
+                .insert(run);
+        }
         let tally = self.by_job.entry(task.job_id.clone()).or_default();
         match kind {
             EndKind::Stopped => tally.stopped += 1,
@@ -151,14 +198,7 @@
                 self.noted_done.insert(task.clone());
             }
             EndKind::Failed => {
-                let id = if is_gang {
-                    TaskId {
-                        index: 0,
-                        ..task.clone()
-                    }
-                } else {
-                    task.clone()
-                };
+                let id = counted_as(task, is_gang);
                 self.noted_failed.entry(id).or_default().insert(run);
             }
             _ => {}
@@ -184,3 +224,12 @@
         );
     }
 }
+
+/// The task that a run's failure counts for: a gang's members fail as one.
+fn counted_as(task: &TaskId, is_gang: bool) -> TaskId {
+    let index = if is_gang { 0 } else { task.index };
+    TaskId {
+        index,
+        ..task.clone()
+    }
+}
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -142,6 +142,10 @@
         }
         self.truth
             .shown(self.now, job_id, progress.phase, is_all_done);
+        if progress.phase == JobPhase::Failed {
+            let attempts = self.arrivals[self.by_job[job_id]].record.terms.attempts;
+            self.truth.shown_failed(self.now, job_id, attempts);
+        }
         if progress.phase == JobPhase::Completed {
             self.completed_at.insert(job_id.clone(), self.now);
         }
--- a/ragwortwick-emulator/src/faults.rs
+++ b/ragwortwick-emulator/src/faults.rs
@@ -35,6 +35,8 @@
     WorkersFailing,
     /// What runs on some workers stands still; loads name it, it is not drawn.
     WorkersHang,
+    /// All workers of one rack are without power; loads name it, it is not drawn.
+    RackOut,
 }
 
 /// The kinds that are drawn.
--- a/ragwortwick-emulator/src/load.rs
+++ b/ragwortwick-emulator/src/load.rs
@@ -33,6 +33,9 @@
     pub cancelled: f64,
     /// Share of runs that fail, of jobs that can be done.
     pub failing: f64,
+    /// Share of jobs with a task that crashes each worker that starts it.
+    #[serde(default)]
+    pub crashing: f64,
     /// Times at which a queue brings more.
     pub bursts: Vec<Burst>,
     /// Troubles that belong to the load, beside those that are drawn.
--- a/ragwortwick-emulator/src/network.rs
+++ b/ragwortwick-emulator/src/network.rs
@@ -76,6 +76,19 @@
         self.after(delay_ms, Happening::Hear { host, term, event });
     }
 
+    /// The machine of a crashed worker refuses the connection.
+    pub(crate) fn reply_refused(&mut self, host: usize, term: u64, action: &Action) {
+        if let Action::Look { worker, .. } = action {
+            let event = Event::LookFailed {
+                worker: worker.clone(),
+                failure: LookFailure::Closed,
+            };
+            self.reply(host, term, worker, event);
+        } else {
+            self.reply_unknown(host, term, action);
+        }
+    }
+
     /// Sends an answer back, unless answers are cut.
     pub(crate) fn reply(&mut self, host: usize, term: u64, worker: &WorkerName, event: Event) {
         let is_lost = self.hosts[host].loses_answers || !self.hosts[host].reaches(worker);
--- a/ragwortwick-emulator/src/pool.rs
+++ b/ragwortwick-emulator/src/pool.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::check::StartSeen;
-use crate::worker::{Attempt, EmuWorker, read_checkpoint};
+use crate::worker::{Attempt, EmuWorker, Presence, read_checkpoint};
 use crate::world::{Happening, World};
 
 impl World {
@@ -28,8 +28,10 @@
         let Some(index) = self.workers.iter().position(same) else {
             return;
         };
-        if !self.workers[index].is_up {
-            if wants {
+        if !self.workers[index].is_up() {
+            if wants && self.workers[index].presence == Presence::Refusing {
+                self.reply_refused(host, term, &action);
+            } else if wants {
                 self.reply_unknown(host, term, &action);
             }
             return;
@@ -192,11 +194,24 @@
         if is_gang {
             self.join_gang(index, task, run, will_fail);
         }
+        self.plan_crash(index, task);
         OrderReply::Accepted {
             clock_ms: self.workers[index].clock(self.now),
         }
     }
 
+    /// Lets the task crash its worker after a while, if it is one that does.
+    fn plan_crash(&mut self, index: usize, task: &TaskId) {
+        let crasher = self.arrivals[self.by_job[&task.job_id]].crasher;
+        let Some(crasher) = crasher.filter(|crasher| crasher.index == task.index && task.step == 0)
+        else {
+            return;
+        };
+        let name = self.workers[index].name.clone();
+        let crash = Happening::TaskCrashes(index, name, task.clone());
+        self.after(crasher.after_ms, crash);
+    }
+
     pub(crate) fn judge_start(
         &mut self,
         index: usize,
@@ -213,7 +228,7 @@
         let others = self
             .workers
             .iter()
-            .filter(|other| other.is_up && other.running.contains_key(task))
+            .filter(|other| other.is_up() && other.running.contains_key(task))
             .map(|other| other.name.clone())
             .collect();
         let used = worker.used().plus(spec.need);
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeSet;
 
 use ragwortwick_area::{EndKind, Event, LookFailure, RefusalCause, TaskId};
-use ragwortwick_core::DurationMs;
+use ragwortwick_core::{DurationMs, WorkerName};
 
-use crate::worker::WaitingLook;
+use crate::worker::{Presence, WaitingLook};
 use crate::world::{GangKey, Happening, World};
 use crate::worth::WasteCause;
 
+/// How long a worker is away whose process a task has crashed.
+const CRASHED_FOR_MS: u64 = 3_000;
+
 impl World {
     pub(crate) fn join_gang(&mut self, index: usize, task: &TaskId, run: u32, will_fail: bool) {
         let key = (task.job_id.clone(), task.occurrence, task.step, run);
@@ -113,7 +116,8 @@
         let Some(run) = self.workers[index].end(self.now, task, kind) else {
             return;
         };
-        self.truth.ended(task, kind);
+        let is_gang = self.is_gang(task);
+        self.truth.ended(task, run.run, kind, is_gang);
         if kind != EndKind::Done {
             let lost_ms = run.unsaved_ms(self.now, kind, &self.workers[index].saving);
             let is_cancelled = self
@@ -185,8 +189,7 @@
             if self.workers[index].is_lapsed(&end) {
                 continue;
             }
-            let arrival = &self.arrivals[self.by_job[&end.task.job_id]];
-            let is_gang = arrival.record.steps[end.task.step as usize].is_gang;
+            let is_gang = self.is_gang(&end.task);
             self.truth.noted(&end.task, end.run, end.kind, is_gang);
         }
         let waiting = WaitingLook {
@@ -203,15 +206,15 @@
     }
 
     pub(crate) fn tick_worker(&mut self, index: usize) {
-        if !self.workers[index].is_up {
+        if !self.workers[index].is_up() {
             return;
         }
         if self.workers[index]
             .leaves_at
             .is_some_and(|at| self.now >= at)
         {
-            self.workers[index].is_up = false;
-            self.crash(index);
+            self.workers[index].presence = Presence::Silent;
+            self.crash(index, LookFailure::NoAnswer);
             return;
         }
         for task in self.workers[index].lapse(self.now) {
@@ -242,8 +245,26 @@
         }
     }
 
-    /// Everything on the worker ends without a trace; gangs lose a member.
-    pub(crate) fn crash(&mut self, index: usize) {
+    fn is_gang(&self, task: &TaskId) -> bool {
+        let arrival = &self.arrivals[self.by_job[&task.job_id]];
+        arrival.record.steps[task.step as usize].is_gang
+    }
+
+    /// A task crashes the process of its worker, unless it was stopped before.
+    pub(crate) fn task_crashes(&mut self, index: usize, name: &WorkerName, task: &TaskId) {
+        let worker = &mut self.workers[index];
+        if worker.name != *name || !worker.is_up() || !worker.running.contains_key(task) {
+            return;
+        }
+        worker.presence = Presence::Refusing;
+        self.truth.crashed(task);
+        self.crash(index, LookFailure::Closed);
+        self.after(CRASHED_FOR_MS, Happening::Back(index));
+    }
+
+    /// Everything on the worker ends without a trace; gangs lose a member. A look under way fails at once
+    /// if its connection is closed, and else when its answer is overdue.
+    pub(crate) fn crash(&mut self, index: usize, failure: LookFailure) {
         let runs: Vec<(TaskId, u32)> = self.workers[index]
             .running
             .iter()
@@ -252,14 +273,19 @@
         if let Some(waiting) = self.workers[index].waiting_look.take() {
             let event = Event::LookFailed {
                 worker: self.workers[index].name.clone(),
-                failure: LookFailure::NoAnswer,
+                failure,
             };
             let hear = Happening::Hear {
                 host: waiting.host,
                 term: waiting.term,
                 event,
             };
-            self.after(2_700, hear);
+            let delay_ms = if failure == LookFailure::Closed {
+                1
+            } else {
+                2_700
+            };
+            self.after(delay_ms, hear);
         }
         self.workers[index].restart();
         for (task, run) in runs {
--- a/ragwortwick-emulator/src/time.rs
+++ b/ragwortwick-emulator/src/time.rs
@@ -47,7 +47,7 @@
         let entries: Vec<_> = self
             .workers
             .iter()
-            .filter(|worker| worker.is_up)
+            .filter(|worker| worker.is_up())
             .map(|worker| worker.entry(self.now))
             .collect();
         let told_workers = entries.iter().map(|entry| entry.name.clone()).collect();
@@ -114,7 +114,7 @@
             for worker in self
                 .workers
                 .iter()
-                .filter(|worker| worker.is_up && !cut.contains(&worker.name))
+                .filter(|worker| worker.is_up() && !cut.contains(&worker.name))
             {
                 present.insert(worker.name.clone());
                 events.push(Event::WorkerSeen(worker.entry(self.now)));
--- a/ragwortwick-emulator/src/troubles.rs
+++ b/ragwortwick-emulator/src/troubles.rs
@@ -1,7 +1,10 @@
 //! Troubles that begin and end.
 
+use ragwortwick_area::LookFailure;
+
 use crate::faults::FaultKind;
 use crate::host::Host;
+use crate::worker::Presence;
 use crate::world::World;
 
 impl World {
@@ -54,10 +57,24 @@
             FaultKind::WorkersCrash => {
                 for at in few {
                     if is_on {
-                        self.workers[at].is_up = false;
-                        self.crash(at);
+                        self.workers[at].presence = Presence::Silent;
+                        self.crash(at, LookFailure::NoAnswer);
+                    } else {
+                        self.workers[at].come_back();
+                    }
+                }
+            }
+            FaultKind::RackOut => {
+                let first = index * self.options.rack as usize % self.workers.len();
+                let rack = self.workers[first].rack.clone();
+                let of_rack = |at: &usize| self.workers[*at].rack == rack;
+                let lost: Vec<usize> = (0..self.workers.len()).filter(of_rack).collect();
+                for at in lost {
+                    if is_on {
+                        self.workers[at].presence = Presence::Silent;
+                        self.crash(at, LookFailure::NoAnswer);
                     } else {
-                        self.workers[at].is_up = true;
+                        self.workers[at].come_back();
                     }
                 }
             }
@@ -70,10 +87,10 @@
                     } else {
                         self.workers[at].draining_since = None;
                         self.workers[at].leaves_at = None;
-                        if self.workers[at].is_up {
-                            self.crash(at);
+                        if self.workers[at].is_up() {
+                            self.crash(at, LookFailure::NoAnswer);
                         }
-                        self.workers[at].is_up = true;
+                        self.workers[at].come_back();
                     }
                 }
             }
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -107,7 +107,7 @@
     pub(crate) capacity: Resources,
     /// The worker's clock is the world's plus this, and a little slow.
     clock_offset_ms: u64,
-    pub(crate) is_up: bool,
+    pub(crate) presence: Presence,
     pub(crate) draining_since: Option<TimeMs>,
     pub(crate) leaves_at: Option<TimeMs>,
     pub(crate) slowness: u32,
@@ -129,6 +129,17 @@
     pub(crate) waiting_look: Option<WaitingLook>,
 }
 
+/// `Presence` is what a worker's address does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Presence {
+    /// The worker answers.
+    Up,
+    /// Its process has ended, and its machine refuses connections.
+    Refusing,
+    /// Nothing answers.
+    Silent,
+}
+
 /// `WaitingLook` is a look that waits for an end.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingLook {
@@ -154,7 +165,7 @@
             label,
             capacity,
             clock_offset_ms: 100_000 * (number + 1),
-            is_up: true,
+            presence: Presence::Up,
             draining_since: None,
             leaves_at: None,
             slowness: 1,
@@ -193,6 +204,14 @@
         }
     }
 
+    pub(crate) fn is_up(&self) -> bool {
+        self.presence == Presence::Up
+    }
+
+    pub(crate) fn come_back(&mut self) {
+        self.presence = Presence::Up;
+    }
+
     /// A crash: another life begins, which knows nothing.
     pub(crate) fn restart(&mut self) {
         let number = self
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -147,3 +147,22 @@
         assert_held(seed, &faults, &report);
     }
 }
+
+const CRASHERS: &str = include_str!("../loads/crashers.json");
+
+/// Tasks that crash their workers take down no more than a few, and jobs that lose their workers to
+/// them, to racks without power or to other troubles are not given up.
+#[test]
+fn verify_only_tasks_that_crash_their_workers_are_given_up() {
+    let load: Load = serde_json::from_str(CRASHERS).expect("a well-formed load");
+    for (seed, troubles) in (700..716).zip([0, 1, 2].into_iter().cycle()) {
+        let faults = draw_faults(seed, troubles, TimeMs(20_000));
+        let options = Options {
+            seed,
+            load: load.clone(),
+            ..Options::default()
+        };
+        let report = World::new(options, faults.clone()).run();
+        assert_held(seed, &faults, &report);
+    }
+}
