--- a/ragwortwick-area/src/displacement.rs
+++ b/ragwortwick-area/src/displacement.rs
@@ -35,7 +35,7 @@
     for _ in 0..count {
         let index = pack_single(&slots, spec, &bounds, Reach::Anywhere)?;
         bounds.take(&slots[index].worker);
-        slots[index].free = slots[index].free.minus(spec.reserved());
+        slots[index].take(spec.reserved());
         places.push(index);
     }
     Some(places)
@@ -137,7 +137,7 @@
                 }
             }
             let slot = &mut self.slots[index];
-            slot.free = slot.free.minus(self.spec.reserved());
+            slot.take(self.spec.reserved());
             self.bounds.take(&slot.worker);
             places.push(self.within.start + index);
         }
@@ -195,7 +195,7 @@
                 price(a).total_cmp(&price(b))
             });
             for victim in victims {
-                slot.free = slot.free.plus(self.freed_on(victim, index));
+                slot.give_back(self.freed_on(victim, index));
                 stops.push(victim);
                 if has_room(&slot) {
                     break;
@@ -221,13 +221,10 @@
         let mut dearest = stops.clone();
         dearest.sort_by(|&a, &b| self.victims[b].cost.total_cmp(&self.victims[a].cost));
         for victim in dearest {
-            let freed = self.freed_on(victim, index);
-            let free = slot.free;
-            slot.free = free.minus(freed);
-            if has_room(slot) {
+            let without = slot.with_held_again(self.freed_on(victim, index));
+            if has_room(&without) {
+                *slot = without;
                 stops.retain(|&other| other != victim);
-            } else {
-                slot.free = free;
             }
         }
     }
@@ -237,7 +234,7 @@
         for (index, need) in &self.victims[victim].frees {
             if self.within.contains(index) {
                 let slot = &mut self.slots[index - self.within.start];
-                slot.free = slot.free.plus(*need);
+                slot.give_back(*need);
                 self.offers[index - self.within.start] = Offer::Unknown;
             }
         }
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -41,6 +41,22 @@
         }
     }
 
+    /// `least` gives the lesser of two amounts, of each resource.
+    #[must_use]
+    pub fn least(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// `is_nothing` tells whether there is none of any resource.
+    #[must_use]
+    pub fn is_nothing(self) -> bool {
+        self == Self::default()
+    }
+
     /// `times` multiplies the amount.
     #[must_use]
     pub fn times(self, count: u64) -> Self {
--- a/ragwortwick-area/src/keeping.rs
+++ b/ragwortwick-area/src/keeping.rs
@@ -240,13 +240,13 @@
     let mut ends = outlook.iter();
     loop {
         while times.len() < count && slot.room(spec, bounds) > 0 {
-            slot.free = slot.free.minus(spec.reserved());
+            slot.take(spec.reserved());
             times.push(at);
         }
         match ends.next() {
             Some((end, need)) if times.len() < count => {
                 at = *end;
-                slot.free = slot.free.plus(*need);
+                slot.give_back(*need);
             }
             _ => return times,
         }
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -6,7 +6,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_TENURE_MS};
-use crate::job::TaskId;
+use crate::job::{Resources, TaskId};
 use crate::messages::{Action, LookFailure, RunningTask};
 use crate::settle::Outcome;
 use crate::worker::{Held, HeldPhase, LookState};
@@ -174,8 +174,13 @@
             }
         }
         let address = Arc::clone(&worker.entry.address);
+        worker.strays = Resources::default();
         for row in orphans {
-            // Nobody waits for its end; it only takes room.
+            // Nobody waits for its end; it only takes room, until it is gone.
+            let job = self.jobs.get(&row.task.job_id);
+            if let Some(spec) = job.and_then(|job| job.spec(row.task.step)) {
+                worker.strays = worker.strays.plus(spec.reserved());
+            }
             self.actions.push(Action::Stop {
                 worker: worker_name.clone(),
                 address: Arc::clone(&address),
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -23,7 +23,8 @@
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        let takes_work = worker.is_listed && !worker.entry.is_draining && has_ticket;
+        let has_room = worker.excess().is_nothing();
+        let takes_work = worker.is_listed && !worker.entry.is_draining && has_ticket && has_room;
         let Some(held) = worker.held.get_mut(task) else {
             return;
         };
@@ -120,15 +121,15 @@
 
     /// Repeats a start: it is idempotent, and tells whether the first one arrived.
     ///
-    /// A worker that leaves must not be told again to start something: if the first order never
-    /// arrived, the second would begin work there. A stop settles it as well, also where the ticket
-    /// has run out and the repeat would be refused.
+    /// A worker that leaves or has shrunk must not be told again to start something: if the first order
+    /// never arrived, the second would begin work there. A stop settles it as well, also where the
+    /// ticket has run out and the repeat would be refused.
     fn resend_start(&mut self, now: TimeMs, worker: &WorkerName, task: &TaskId) {
-        let is_leaving = self
-            .workers
-            .get(worker)
-            .is_some_and(|worker| worker.entry.is_draining || !worker.is_listed);
-        if is_leaving || self.ticket_for(now, worker, task).is_err() {
+        let must_not_begin = self.workers.get(worker).is_some_and(|worker| {
+            let is_leaving = worker.entry.is_draining || !worker.is_listed;
+            is_leaving || !worker.excess().is_nothing()
+        });
+        if must_not_begin || self.ticket_for(now, worker, task).is_err() {
             self.stop_group(now, task, OverWhy::StartInDoubt);
         } else {
             self.send_start(now, worker, task);
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -18,6 +18,8 @@
     pub(crate) rack_number: u32,
     pub(crate) labels: Arc<[LabelName]>,
     pub(crate) free: Resources,
+    /// What has to end before anything is free: the worker holds more than it has.
+    pub(crate) excess: Resources,
     /// Accelerators of the worker in all.
     pub(crate) capacity_accelerators: u64,
     /// Evidence against the worker; slots with less of it are taken first.
@@ -28,14 +30,44 @@
     pub(crate) is_headroom: bool,
     /// Whether nothing has begun there lately.
     pub(crate) is_quiet: bool,
+    /// Whether nothing else begins there in this pass.
+    pub(crate) is_closed: bool,
 }
 
 impl Slot {
     /// How many tasks it takes, whatever else binds.
     pub(crate) fn fits(&self, spec: &StepSpec) -> u64 {
+        if self.is_closed || !self.excess.is_nothing() {
+            return 0;
+        }
         self.free.fits(spec.reserved()).min(u64::from(u32::MAX))
     }
 
+    /// Takes an amount out of what is free.
+    pub(crate) fn take(&mut self, amount: Resources) {
+        self.free = self.free.minus(amount);
+    }
+
+    /// Adds what is no longer held, as far as it was not in excess.
+    pub(crate) fn give_back(&mut self, amount: Resources) {
+        let paid = self.excess.least(amount);
+        self.excess = self.excess.minus(paid);
+        self.free = self.free.plus(amount.minus(paid));
+    }
+
+    /// Undoes `give_back`.
+    fn hold_again(&mut self, amount: Resources) {
+        self.excess = self.excess.plus(amount.minus(self.free));
+        self.free = self.free.minus(amount);
+    }
+
+    /// The same worker with a run held again that was given back.
+    pub(crate) fn with_held_again(&self, amount: Resources) -> Self {
+        let mut slot = self.clone();
+        slot.hold_again(amount);
+        slot
+    }
+
     /// Counts how many tasks of the step it takes within the bounds.
     pub(crate) fn room(&self, spec: &StepSpec, bounds: &Bounds) -> u64 {
         if !self.has_label(spec) || !bounds.permits(self) {
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -68,7 +68,7 @@
         for candidate in urgent {
             let is_placed = self.place_step(now, candidate, room);
             for (index, need) in room.taken.drain(..) {
-                future[index].free = future[index].free.minus(need);
+                future[index].take(need);
             }
             if is_placed {
                 continue;
@@ -115,7 +115,7 @@
                 self.cleared_for.remove(&victim.group.step);
                 self.stop_victim(now, victim, &candidate.job_id);
                 for &(index, need) in &victim.frees {
-                    future[index].free = future[index].free.plus(need);
+                    future[index].give_back(need);
                 }
             }
             victims.retain(|victim| {
@@ -180,7 +180,7 @@
                 continue;
             };
             for held in worker.held.values().filter(|held| held.is_stopping()) {
-                slot.free = slot.free.plus(held.need);
+                slot.give_back(held.need);
             }
         }
         future
@@ -305,7 +305,7 @@
 fn reserve(future: &mut [Slot], room: &mut Room, places: &[usize], need: Resources) {
     for &index in places {
         for slots in [&mut *future, &mut *room.slots] {
-            slots[index].free = slots[index].free.minus(need);
+            slots[index].take(need);
         }
     }
 }
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -42,7 +42,7 @@
 
     fn take(&mut self, index: usize, need: Resources) {
         let slot = &mut self.slots[index];
-        slot.free = slot.free.minus(need);
+        slot.take(need);
         slot.is_quiet = false;
         self.used += need.accelerators;
         self.taken.push((index, need));
@@ -50,7 +50,7 @@
 
     /// Lets nothing else begin on a worker in this pass.
     fn close(&mut self, index: usize) {
-        self.slots[index].free = Resources::default();
+        self.slots[index].is_closed = true;
     }
 }
 
@@ -175,11 +175,13 @@
                     rack_number: 0,
                     labels: Arc::clone(&worker.entry.labels),
                     free,
+                    excess: worker.excess(),
                     capacity_accelerators: worker.entry.capacity.accelerators,
                     doubt: worker.failures_in_row,
                     speed: worker.speed.speed(),
                     is_headroom: false,
                     is_quiet: worker.is_quiet(now),
+                    is_closed: false,
                 });
             }
         }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -164,6 +164,8 @@
     pub(crate) leaves_at: Option<TimeMs>,
     pub(crate) held: BTreeMap<TaskId, Held>,
     used: Resources,
+    /// What runs that nobody waits for took when the worker was last looked at.
+    pub(crate) strays: Resources,
     /// The worker's clock, as last told, and when that was.
     clock: Option<(u64, TimeMs)>,
     /// No lease that was ever granted there lasts longer.
@@ -201,6 +203,7 @@
             leaves_at: None,
             held: BTreeMap::new(),
             used: Resources::default(),
+            strays: Resources::default(),
             clock: None,
             lease_bound: now,
             leased_at: now,
@@ -312,7 +315,16 @@
     }
 
     pub(crate) fn free(&self) -> Resources {
-        self.entry.capacity.minus(self.used)
+        self.entry.capacity.minus(self.taken())
+    }
+
+    fn taken(&self) -> Resources {
+        self.used.plus(self.strays)
+    }
+
+    /// What is held beyond the capacity, which may have shrunk since; what is stopping counts.
+    pub(crate) fn excess(&self) -> Resources {
+        self.taken().minus(self.entry.capacity)
     }
 
     /// Whether new work may go there.
@@ -326,7 +338,7 @@
             && !self.is_on_trial(now)
     }
 
-    /// Whether a look is wanted: something runs, ends have to be forgotten, or it is not known whether
+    /// Whether a look is wanted: something runs, also for nobody, ends have to be forgotten, or it is not known whether
     /// a listed worker is back in reach. Silence ends with a look alone, and a silent worker gets no
     /// work: after a cut that outlasted all leases no worker would ever get any.
     pub(crate) fn wants_look(&self) -> bool {
@@ -334,7 +346,10 @@
             .held
             .values()
             .any(|held| !matches!(held.phase, HeldPhase::Intended));
-        has_run || self.stored > self.told || (self.is_silent() && self.is_listed)
+        has_run
+            || !self.strays.is_nothing()
+            || self.stored > self.told
+            || (self.is_silent() && self.is_listed)
     }
 
     /// Ends that are taken in but not stored would be listed again at once; a look waits for them.
--- /dev/null
+++ b/ragwortwick-area/tests/capacity.rs
@@ -0,0 +1,94 @@
+//! Workers whose capacity shrinks and grows while they run.
+
+mod rig;
+
+use ragwortwick_area::{EndKind, Event, OrderReply, Resources, WorkerEntry};
+use rig::{Rig, ended, running, step, worker};
+
+/// The worker's entry with fewer accelerators.
+fn shrunk(name: &str, accelerators: u64) -> WorkerEntry {
+    let entry = worker(name, "r1");
+    WorkerEntry {
+        capacity: Resources {
+            accelerators,
+            ..entry.capacity
+        },
+        ..entry
+    }
+}
+
+/// A start that waits for its record would bring a worker over its capacity that shrank meanwhile.
+#[test]
+fn verify_a_start_is_withdrawn_when_its_worker_has_shrunk() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.hand_in("00000000000000a1", "middle", step(1, 8));
+    rig.pass(20);
+    rig.tell(Event::WorkerSeen(shrunk("w1", 4)));
+    rig.store();
+    assert_eq!(rig.starts(), vec![]);
+    rig.tell(Event::WorkerSeen(worker("w1", "r1")));
+    assert_eq!(rig.start_all().len(), 1, "there is room again");
+}
+
+/// A start without an answer may not have arrived: sent again, it would begin on a worker that shrank.
+#[test]
+fn verify_an_unanswered_start_is_not_repeated_on_a_worker_that_has_shrunk() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.hand_in("00000000000000a1", "middle", step(1, 8));
+    rig.pass(20);
+    rig.store();
+    let start = rig.starts().remove(0);
+    rig.tell(Event::WorkerSeen(shrunk("w1", 4)));
+    rig.reply(&start, OrderReply::Unknown);
+    rig.pass(1_000);
+    assert_eq!(rig.starts(), vec![]);
+    assert_eq!(rig.stops().len(), 1, "a stop settles whether it arrived");
+}
+
+/// A worker that holds more than it has would be brought further over by what needs none of that.
+#[test]
+fn verify_nothing_begins_on_a_worker_that_holds_more_than_it_has() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.hand_in("00000000000000a1", "middle", step(1, 8));
+    let first = rig.start_all();
+    rig.tell(Event::WorkerSeen(shrunk("w1", 4)));
+    rig.hand_in("00000000000000a2", "middle", step(1, 0));
+    rig.pass(20);
+    assert!(rig.store().is_empty(), "it is not placed");
+    rig.look("w1", vec![running(&first[0])], vec![]);
+    rig.tell(Event::WorkerSeen(worker("w1", "r1")));
+    assert_eq!(rig.start_all().len(), 1);
+}
+
+/// Stopping less than what a worker holds over its capacity makes no room for anybody.
+#[test]
+fn verify_as_much_is_stopped_as_makes_room_on_a_worker_that_has_shrunk() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.hand_in("00000000000000a1", "patient", step(4, 2));
+    assert_eq!(rig.start_all().len(), 4);
+    rig.tell(Event::WorkerSeen(shrunk("w1", 4)));
+    rig.hand_in("00000000000000a2", "urgent", step(1, 2));
+    rig.pass(20);
+    assert_eq!(
+        rig.stops().len(),
+        3,
+        "two are over its capacity, one makes room"
+    );
+}
+
+/// A run that nobody waits for takes its worker's room until it is gone.
+#[test]
+fn verify_nothing_begins_in_the_room_of_a_run_that_nobody_waits_for() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.hand_in("00000000000000a1", "middle", step(1, 8));
+    let first = rig.start_all();
+    rig.look("w1", vec![], vec![ended(1, &first[0], EndKind::Failed)]);
+    rig.pass(20);
+    let late = (first[0].0.clone(), first[0].1.clone(), 7);
+    rig.look("w1", vec![running(&late)], vec![]);
+    rig.store();
+    assert_eq!(rig.starts(), vec![], "the late run has all accelerators");
+    rig.pass(100);
+    rig.look("w1", vec![], vec![]);
+    assert_eq!(rig.start_all().len(), 1);
+}
--- a/ragwortwick-emulator/src/faults.rs
+++ b/ragwortwick-emulator/src/faults.rs
@@ -37,6 +37,8 @@
     WorkersHang,
     /// All workers of one rack are without power; loads name it, it is not drawn.
     RackOut,
+    /// Some workers have half of their capacity; loads name it, it is not drawn.
+    CapacityShrinks,
 }
 
 /// The kinds that are drawn.
--- a/ragwortwick-emulator/src/pool.rs
+++ b/ragwortwick-emulator/src/pool.rs
@@ -8,6 +8,9 @@
 use crate::worker::{Attempt, EmuWorker, Presence, read_checkpoint};
 use crate::world::{Happening, World};
 
+/// How long after it shrank a worker's capacity still counts as whole for what begins there.
+const SHRUNK_COUNTS_AFTER_MS: DurationMs = DurationMs(4_500);
+
 impl World {
     pub(crate) fn deliver(
         &mut self,
@@ -232,6 +235,15 @@
             .map(|other| other.name.clone())
             .collect();
         let used = worker.used().plus(spec.need);
+        // Coordinators learn of what has shrunk by the worker's entry.
+        let is_just_shrunk = worker
+            .shrunk_at
+            .is_some_and(|at| self.now.since(at) <= SHRUNK_COUNTS_AFTER_MS);
+        let capacity = if is_just_shrunk {
+            self.options.load.capacity
+        } else {
+            worker.capacity
+        };
         let same_step_here = worker
             .running
             .keys()
@@ -268,9 +280,7 @@
             run,
             is_late,
             others,
-            is_over_capacity: used.cpu_millis > worker.capacity.cpu_millis
-                || used.memory_mb > worker.capacity.memory_mb
-                || used.accelerators > worker.capacity.accelerators,
+            is_over_capacity: !used.minus(capacity).is_nothing(),
             has_label: spec
                 .required_label
                 .as_ref()
--- a/ragwortwick-emulator/src/troubles.rs
+++ b/ragwortwick-emulator/src/troubles.rs
@@ -1,6 +1,6 @@
 //! Troubles that begin and end.
 
-use ragwortwick_area::LookFailure;
+use ragwortwick_area::{LookFailure, Resources};
 
 use crate::faults::FaultKind;
 use crate::host::Host;
@@ -54,30 +54,15 @@
             FaultKind::CoordinatorKilled | FaultKind::CoordinatorFrozen => {}
             FaultKind::StoreAway => self.store.is_away = is_on,
             FaultKind::StoreAnswersLost => self.store.loses_answers = is_on,
-            FaultKind::WorkersCrash => {
-                for at in few {
-                    if is_on {
-                        self.workers[at].presence = Presence::Silent;
-                        self.crash(at, LookFailure::NoAnswer);
-                    } else {
-                        self.workers[at].come_back();
-                    }
-                }
-            }
+            FaultKind::WorkersCrash => self.cut_power(&few, is_on),
             FaultKind::RackOut => {
                 let first = index * self.options.rack as usize % self.workers.len();
-                let rack = self.workers[first].rack.clone();
-                let of_rack = |at: &usize| self.workers[*at].rack == rack;
+                let rack = &self.workers[first].rack;
+                let of_rack = |at: &usize| self.workers[*at].rack == *rack;
                 let lost: Vec<usize> = (0..self.workers.len()).filter(of_rack).collect();
-                for at in lost {
-                    if is_on {
-                        self.workers[at].presence = Presence::Silent;
-                        self.crash(at, LookFailure::NoAnswer);
-                    } else {
-                        self.workers[at].come_back();
-                    }
-                }
+                self.cut_power(&lost, is_on);
             }
+            FaultKind::CapacityShrinks => self.shrink(&third, is_on),
             FaultKind::OrdersLate => self.orders_late = is_on,
             FaultKind::WorkersLeave => {
                 for at in few {
@@ -107,4 +92,33 @@
             }
         }
     }
+
+    /// Takes the power of workers away, or gives it back.
+    fn cut_power(&mut self, workers: &[usize], is_on: bool) {
+        for &at in workers {
+            if is_on {
+                self.workers[at].presence = Presence::Silent;
+                self.crash(at, LookFailure::NoAnswer);
+            } else {
+                self.workers[at].come_back();
+            }
+        }
+    }
+
+    /// Halves the capacity of workers, or makes it whole.
+    fn shrink(&mut self, workers: &[usize], is_on: bool) {
+        let whole = self.options.load.capacity;
+        for &at in workers {
+            self.workers[at].capacity = if is_on { halved(whole) } else { whole };
+            self.workers[at].shrunk_at = is_on.then_some(self.now);
+        }
+    }
+}
+
+fn halved(whole: Resources) -> Resources {
+    Resources {
+        cpu_millis: whole.cpu_millis / 2,
+        memory_mb: whole.memory_mb / 2,
+        accelerators: whole.accelerators / 2,
+    }
 }
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -105,6 +105,8 @@
     pub(crate) rack: String,
     pub(crate) label: &'static str,
     pub(crate) capacity: Resources,
+    /// When it shrank; none while it is whole.
+    pub(crate) shrunk_at: Option<TimeMs>,
     /// The worker's clock is the world's plus this, and a little slow.
     clock_offset_ms: u64,
     pub(crate) presence: Presence,
@@ -164,6 +166,7 @@
             rack: format!("r{rack}"),
             label,
             capacity,
+            shrunk_at: None,
             clock_offset_ms: 100_000 * (number + 1),
             presence: Presence::Up,
             draining_since: None,
