--- a/ragwortwick-standin/src/area/worker_routes.rs
+++ b/ragwortwick-standin/src/area/worker_routes.rs
@@ -43,7 +43,11 @@
         drop(timeout(DurationMs(50).into(), changed.changed()).await);
     }
     let meant = HeaderMap::borrow_from(state).get("x-target-instance");
-    if meant.is_some_and(|meant| meant != one.name.as_str()) {
+    let life = one.pool.with(|pool| {
+        let worker = pool.workers.get(&one.name);
+        worker.map_or_else(String::new, |worker| worker.life_name(&one.name))
+    });
+    if meant.is_some_and(|meant| meant != life.as_str()) {
         return Err(json_response(
             state,
             StatusCode::MISDIRECTED_REQUEST,
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -88,9 +88,22 @@
     last_end: u64,
     pub(super) is_silent: bool,
     has_left: bool,
+    /// Whether its process has ended and not begun again.
+    is_down: bool,
+    /// How often its process has ended.
+    life: u32,
 }
 
 impl WorkerState {
+    /// The name of the present life of a worker.
+    pub(super) fn life_name(&self, worker: &str) -> String {
+        if self.life == 0 {
+            worker.to_owned()
+        } else {
+            format!("{worker}-{}", self.life)
+        }
+    }
+
     pub(super) fn end(&mut self, task: &str, how: &'static str) {
         if let Some(run) = self.running.remove(task) {
             self.last_end += 1;
@@ -292,9 +305,14 @@
     pub fn beat(&self, store: &AreaStore) {
         let workers = self.servers.iter().zip(&self.paths);
         for (number, ((name, _), path)) in workers.enumerate() {
-            if self.shared.with(|pool| pool.workers[name].has_left) {
+            let life = self.shared.with(|pool| {
+                let worker = &pool.workers[name];
+                let is_there = !worker.has_left && !worker.is_down;
+                is_there.then(|| worker.life_name(name))
+            });
+            let Some(life) = life else {
                 continue;
-            }
+            };
             let entry = json!({
                 "Service": "booking",
                 "Address": path.address().to_string(),
@@ -308,7 +326,7 @@
                 "ClockMs": now().0,
                 "Sequence": now().0,
             });
-            store.put(&format!("servers/{name}"), entry.to_string());
+            store.put(&format!("servers/{life}"), entry.to_string());
         }
     }
 
@@ -360,20 +378,54 @@
         });
     }
 
-    /// `leave` takes a worker away for good, with all that it ran and listed.
-    pub fn leave(&self, name: &str, store: &AreaStore) {
+    /// `crash` ends the process of a worker, with all that it ran and listed; its machine refuses
+    /// connections until `come_back`. Its entry in the store stays.
+    pub fn crash(&self, name: &str) {
         self.shared.with(|pool| {
             if let Some(worker) = pool.workers.get_mut(name) {
                 *worker = WorkerState {
-                    has_left: true,
+                    is_down: true,
+                    life: worker.life,
                     ..WorkerState::default()
                 };
             }
         });
+        self.set_path_of(name, RelayMode::Cut);
+    }
+
+    /// `come_back` begins another life of a worker that has crashed.
+    pub fn come_back(&self, name: &str, store: &AreaStore) {
+        let earlier = self.shared.with(|pool| {
+            let worker = pool.workers.get_mut(name)?;
+            let earlier = worker.life_name(name);
+            worker.is_down = false;
+            worker.life += 1;
+            Some(earlier)
+        });
+        self.set_path_of(name, RelayMode::Pass);
+        if let Some(earlier) = earlier {
+            store.remove(&format!("servers/{earlier}"));
+        }
+    }
+
+    fn set_path_of(&self, name: &str, mode: RelayMode) {
         let known = self.servers.iter().position(|(other, _)| other == name);
         if let Some(number) = known {
-            self.set_path(number, RelayMode::Cut);
+            self.set_path(number, mode);
         }
+    }
+
+    /// `leave` takes a worker away for good, with all that it ran and listed.
+    pub fn leave(&self, name: &str, store: &AreaStore) {
+        self.shared.with(|pool| {
+            if let Some(worker) = pool.workers.get_mut(name) {
+                *worker = WorkerState {
+                    has_left: true,
+                    ..WorkerState::default()
+                };
+            }
+        });
+        self.set_path_of(name, RelayMode::Cut);
         store.remove(&format!("servers/{name}"));
     }
 
