--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -64,6 +64,10 @@
             let Some(job) = self.jobs.get(job_id) else {
                 continue;
             };
+            if let Some(until) = job.backoff.waits_until(now.steady) {
+                next_due = Some(next_due.map_or(until, |at| at.min(until)));
+                continue;
+            }
             let terms = self.terms_of(job);
             for occurrence in 0..job.record.occurrences() {
                 let due_at = due_at(now, &job.record, job.accepted_at, occurrence);
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -5,6 +5,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::account::JobAccount;
+use crate::backoff::Backoff;
 use crate::crashes::CrashRecord;
 use crate::job::{JobRecord, StepSpec, TaskId};
 use crate::progress::{GangProgress, JobPhase, Progress, TaskProgress};
@@ -94,6 +95,8 @@
     pub(crate) ended_at: Option<TimeMs>,
     /// When a run of it was over last; its acceptance before the first.
     pub(crate) last_over_at: TimeMs,
+    /// Its pause after starts that were refused.
+    pub(crate) backoff: Backoff,
     /// How often its runs were started elsewhere because they stood still.
     pub(crate) moves: u32,
     pub(crate) account: JobAccount,
@@ -110,6 +113,7 @@
             accepted_at,
             ended_at: None,
             last_over_at: accepted_at,
+            backoff: Backoff::default(),
             moves: 0,
             account: JobAccount::begin(accepted_at),
         }
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod account;
 mod advice;
+mod backoff;
 mod candidates;
 mod check;
 mod coordinator;
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -187,6 +187,7 @@
                 worker.look_by(now);
                 if let Some(job) = self.jobs.get_mut(&task.job_id) {
                     job.account.confirmed(now);
+                    job.backoff.accepted();
                 }
                 self.share(now, worker_name);
             }
@@ -206,6 +207,10 @@
                 if cause == RefusalCause::NoRoom || cause == RefusalCause::Unhealthy {
                     worker.avoid_until = now + AVOID_AFTER_REFUSAL_MS;
                 }
+                let is_as_it_is = matches!(cause, RefusalCause::Invalid | RefusalCause::LeaseOver);
+                if is_as_it_is && let Some(job) = self.jobs.get_mut(&task.job_id) {
+                    job.backoff.refused(now);
+                }
                 if cause == RefusalCause::NoTicket {
                     self.advice.drop_ticket(worker_name, task);
                 }
--- a/ragwortwick-area/tests/crashes.rs
+++ b/ragwortwick-area/tests/crashes.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Event, JobPhase, JobRecord, KnownJob, LookFailure, Progress, StepSpec, WorkerEntry,
+    Event, JobPhase, JobRecord, KnownJob, LookFailure, OrderReply, Progress, RefusalCause,
+    StepSpec, WorkerEntry,
 };
 use ragwortwick_core::{JobId, WorkerName};
 use rig::{Rig, gang, job, running, step, worker};
@@ -324,3 +325,27 @@
     assert_eq!(told[0].runs.len(), 2);
     assert_eq!(told[0].blamed, vec![(first[0].1.clone(), 2)]);
 }
+
+/// A start that each worker refuses for good would be sent again with each pass, to one after the other.
+#[test]
+fn verify_a_start_that_every_worker_refuses_is_repeated_ever_later() {
+    let fleet = Fleet::new(4);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, "middle", step(1, 1));
+    let mut starts_by_second = Vec::new();
+    for _ in 0..20 {
+        let mut starts = 0;
+        for _ in 0..100 {
+            rig.pass(10);
+            rig.store();
+            for start in rig.starts() {
+                starts += 1;
+                rig.reply(&start, OrderReply::Refused(RefusalCause::Invalid));
+            }
+        }
+        starts_by_second.push(starts);
+    }
+    let later: u32 = starts_by_second[4..].iter().sum();
+    assert!(starts_by_second[0] <= 4, "{starts_by_second:?}");
+    assert!((1..=4).contains(&later), "{starts_by_second:?}");
+}
