--- a/ragwortwick-area/src/account.rs
+++ b/ragwortwick-area/src/account.rs
@@ -22,6 +22,8 @@
     Stalled,
     /// It was told to stop: another member of its gang has ended.
     GangEnded,
+    /// It was told to stop: an earlier run, given up before, had done the work.
+    DoneBefore,
     /// It was told to stop: its job is over.
     JobOver,
     /// It was told to stop: whether it ever began was in doubt.
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -122,13 +122,15 @@
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        let Some(held) = worker.held.get_mut(&end.task) else {
+        let held = worker.held.get_mut(&end.task);
+        let Some(held) =
+            held.filter(|held| held.run == end.run && held.phase != HeldPhase::Intended)
+        else {
+            if end.kind == EndKind::Done {
+                self.done_late(now, &end.task);
+            }
             return;
         };
-        // A run that never was confirmed here and ends means that its start arrived after all.
-        if held.run != end.run || held.phase == HeldPhase::Intended {
-            return;
-        }
         if !end.checkpoint.is_empty() {
             held.checkpoint = Arc::clone(&end.checkpoint);
         }
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -289,6 +289,27 @@
             .get(id.index as usize)
     }
 
+    /// Takes in that a task, or its whole gang, has done its work, whatever runs of it are placed; tells
+    /// whether the job has come to its end by it.
+    pub(crate) fn complete(&mut self, id: &TaskId) -> bool {
+        let is_gang = self.spec(id.step).is_some_and(|spec| spec.is_gang);
+        let Some(step) = self.step_mut(id.occurrence, id.step) else {
+            return false;
+        };
+        let members = (0..).zip(&mut step.tasks);
+        for (_, task) in members.filter(|(index, _)| is_gang || *index == id.index) {
+            let before = std::mem::replace(&mut task.state, TaskState::Done);
+            step.done += usize::from(before != TaskState::Done);
+            step.placed -= usize::from(matches!(before, TaskState::Placed(_)));
+        }
+        step.gang_ending &= !is_gang;
+        let is_over = !self.phase.is_final() && self.all_done();
+        if is_over {
+            self.phase = JobPhase::Completed;
+        }
+        is_over
+    }
+
     /// Takes in a crash that counts against a task; tells whether the job has come to its end by it.
     pub(crate) fn blame(&mut self, id: &TaskId, age_ms: Option<DurationMs>) -> bool {
         let is_over = self.phase.is_final();
--- /dev/null
+++ b/ragwortwick-area/src/late_ends.rs
@@ -0,0 +1,31 @@
+//! Ends that a worker lists after their runs were given up.
+//!
+//! Answers the load in which a worker is out of reach for longer than a run is waited for: the run may have
+//! done its work before its lease ran out, and its task must not be done again.
+
+use ragwortwick_core::TimeMs;
+
+use crate::account::OverWhy;
+use crate::coordinator::Coordinator;
+use crate::job::TaskId;
+
+impl Coordinator {
+    /// A run that is no longer held has done its work: its task is done, and what was started for it since
+    /// has to stop.
+    pub(crate) fn done_late(&mut self, now: TimeMs, task: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job_id) else {
+            return;
+        };
+        let is_lasting = job.spec(task.step).is_none_or(|spec| spec.is_long_running);
+        if job.phase.is_final() || is_lasting {
+            return;
+        }
+        let is_over = job.complete(task);
+        self.stop_group(now, task, OverWhy::DoneBefore);
+        if is_over {
+            self.job_over(now, &task.job_id);
+        }
+        self.records.mark(&task.job_id);
+        self.wants_pass = true;
+    }
+}
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -18,6 +18,7 @@
 mod job;
 mod job_state;
 mod keeping;
+mod late_ends;
 mod leaving;
 mod limits;
 mod looks;
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -179,3 +179,19 @@
 fn verify_no_start_exceeds_a_capacity_that_has_shrunk() {
     assert_load_holds(SHRINKING, 800);
 }
+
+/// A task that ended on a worker which is out of reach for longer than it is waited for is not started
+/// once more when that is known.
+#[test]
+fn verify_nothing_is_started_after_an_end_that_is_listed_late() {
+    let seed = 10_060;
+    let faults = draw_faults(seed, 3, TimeMs(20_000));
+    let options = Options {
+        seed,
+        workers: 48,
+        load: Load::default().scaled(2.0),
+        ..Options::default()
+    };
+    let report = World::new(options, faults.clone()).run();
+    assert_held(seed, &faults, &report);
+}
