--- a/ragwortwick-area/src/crashes.rs
+++ b/ragwortwick-area/src/crashes.rs
@@ -7,8 +7,9 @@
 
 use ragwortwick_core::{DurationMs, TimeMs};
 
+use crate::held::Held;
 use crate::job::TaskId;
-use crate::worker::{Held, Worker};
+use crate::worker::Worker;
 
 /// Crashes at the same point of its work until a task is given up.
 const MOST_CRASHES: u32 = 3;
--- a/ragwortwick-area/src/ends.rs
+++ b/ragwortwick-area/src/ends.rs
@@ -6,12 +6,13 @@
 
 use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
+use crate::held::HeldPhase;
 use crate::job::TaskId;
 use crate::job_state::TaskState;
 use crate::losses::WorkerLoss;
 use crate::messages::{Action, EndKind, EndedTask, Look, RunOver};
 use crate::settle::{Outcome, Settled};
-use crate::worker::{HeldPhase, LookState};
+use crate::worker::LookState;
 
 /// Failed runs in a row, of any jobs, after which a worker is suspected.
 const SUSPECT_FAILURES: u32 = 2;
--- a/ragwortwick-area/src/inherit.rs
+++ b/ragwortwick-area/src/inherit.rs
@@ -4,8 +4,9 @@
 
 use crate::account::OverWhy;
 use crate::coordinator::{Coordinator, KnownJob, Now, RENEWAL_AFTER_TENURE_MS, steady_of};
+use crate::held::{Held, HeldPhase};
 use crate::job_state::JobState;
-use crate::worker::{Held, HeldPhase, Worker, longest_lease};
+use crate::worker::{Worker, longest_lease};
 
 impl Coordinator {
     /// Takes over one job; its recorded runs count as running until a look, or time, tells.
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -8,7 +8,7 @@
 use crate::backoff::Backoff;
 use crate::crashes::CrashRecord;
 use crate::job::{JobRecord, StepSpec, TaskId};
-use crate::progress::{GangProgress, JobPhase, Progress, TaskProgress};
+use crate::progress::JobPhase;
 use crate::settle::{Outcome, Settled, settle_member, settle_single};
 use crate::speed::AlikeDurations;
 
@@ -119,68 +119,6 @@
         }
     }
 
-    /// Takes in what an earlier coordinator stored; gives the runs that may be on workers.
-    pub(crate) fn restore(&mut self, now: TimeMs, stored: &Progress) -> Vec<(TaskId, WorkerName)> {
-        self.phase = stored.phase;
-        self.recorded_phase = stored.phase;
-        self.ended_at = stored.phase.is_final().then_some(now);
-        for gang in &stored.gangs {
-            if let Some(step) = self.step_mut(gang.occurrence, gang.step) {
-                step.gang_failures = gang.failures;
-                step.gang_failed = gang.is_failing;
-            }
-        }
-        let mut inherited = Vec::new();
-        for task in &stored.tasks {
-            let id = self.task_id(task.occurrence, task.step, task.index);
-            let Some(step) = self.step_mut(task.occurrence, task.step) else {
-                continue;
-            };
-            let Some(state) = step.tasks.get_mut(task.index as usize) else {
-                continue;
-            };
-            state.last_run = task.last_run;
-            state.failures = task.failures;
-            state.crashes = CrashRecord {
-                count: task.crashes,
-                age_ms: task.crash_age_ms,
-            };
-            state.checkpoint = Arc::clone(&task.checkpoint);
-            if task.is_done {
-                state.state = TaskState::Done;
-                step.done += 1;
-            }
-            if let Some(worker) = &task.worker {
-                inherited.push((id, worker.clone()));
-                if !task.is_done {
-                    state.state = TaskState::Placed(worker.clone());
-                    step.placed += 1;
-                }
-            }
-        }
-        self.mend_partial_gangs();
-        self.account = JobAccount::inherit(now, !inherited.is_empty());
-        inherited
-    }
-
-    /// A gang of which only a part is recorded as placed was ending; its rest waits for that.
-    fn mend_partial_gangs(&mut self) {
-        let specs = Arc::clone(&self.record);
-        for occurrence in &mut self.occurrences {
-            for (step, spec) in occurrence.iter_mut().zip(&specs.steps) {
-                if !spec.is_gang || step.placed == 0 || step.placed == step.tasks.len() {
-                    continue;
-                }
-                step.gang_ending = true;
-                for task in &mut step.tasks {
-                    if task.state == TaskState::Waiting {
-                        task.state = TaskState::Left;
-                    }
-                }
-            }
-        }
-    }
-
     pub(crate) fn task_id(&self, occurrence: u32, step: u32, index: u32) -> TaskId {
         TaskId {
             job_id: self.record.job_id.clone(),
@@ -343,50 +281,4 @@
             .iter()
             .all(|steps| steps.iter().all(StepState::is_done))
     }
-
-    /// What the store has to keep, with the worker of each task that may be running.
-    pub(crate) fn progress(&self) -> Progress {
-        let mut progress = Progress {
-            phase: self.phase,
-            ..Progress::default()
-        };
-        for (occurrence, steps) in (0..).zip(&self.occurrences) {
-            for (number, step) in (0..).zip(steps) {
-                let has_failed = step.gang_failures > 0 || step.gang_failed;
-                if has_failed && !self.phase.is_final() {
-                    progress.gangs.push(GangProgress {
-                        occurrence,
-                        step: number,
-                        failures: step.gang_failures,
-                        is_failing: step.gang_failed,
-                    });
-                }
-                for (index, task) in (0..).zip(&step.tasks) {
-                    let worker = match &task.state {
-                        TaskState::Placed(worker) => Some(worker.clone()),
-                        _ => None,
-                    };
-                    let is_done = task.state == TaskState::Done;
-                    let is_new = task.last_run == 0 && task.failures == 0 && !is_done;
-                    // Once a job is over, only runs that still have to stop matter.
-                    if is_new || (self.phase.is_final() && worker.is_none()) {
-                        continue;
-                    }
-                    progress.tasks.push(TaskProgress {
-                        occurrence,
-                        step: number,
-                        index,
-                        last_run: task.last_run,
-                        failures: task.failures,
-                        crashes: task.crashes.count,
-                        crash_age_ms: task.crashes.age_ms,
-                        is_done,
-                        worker,
-                        checkpoint: Arc::clone(&task.checkpoint),
-                    });
-                }
-            }
-        }
-        progress
-    }
 }
--- a/ragwortwick-area/src/keeping.rs
+++ b/ragwortwick-area/src/keeping.rs
@@ -12,10 +12,10 @@
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
 use crate::headroom;
+use crate::held::Held;
 use crate::job::{Resources, StepSpec};
 use crate::packing::{Bounds, Slot, racks};
-use crate::schedule::Room;
-use crate::worker::Held;
+use crate::room::Room;
 
 /// Share of the pool's workers, in per cent, on which room is kept at a time: what is kept stands idle.
 const KEPT_SHARE_PERCENT: usize = 35;
--- a/ragwortwick-area/src/leaving.rs
+++ b/ragwortwick-area/src/leaving.rs
@@ -8,8 +8,8 @@
 
 use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
+use crate::held::HeldPhase;
 use crate::job::TaskId;
-use crate::worker::HeldPhase;
 
 /// Time for a stop to reach a leaving worker and its end to be listed, before the worker is gone.
 const EVACUATION_MARGIN_MS: DurationMs = DurationMs(500);
--- a/ragwortwick-area/src/looks.rs
+++ b/ragwortwick-area/src/looks.rs
@@ -6,10 +6,11 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_TENURE_MS};
+use crate::held::{Held, HeldPhase};
 use crate::job::{Resources, TaskId};
 use crate::messages::{Action, LookFailure, RunningTask};
 use crate::settle::Outcome;
-use crate::worker::{Held, HeldPhase, LookState};
+use crate::worker::LookState;
 
 /// How long a worker may wait for an end before it answers a look.
 ///
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -6,10 +6,11 @@
 
 use crate::coordinator::Coordinator;
 use crate::crashes::{RunAtLoss, is_explained, suspects};
+use crate::held::{Held, HeldPhase};
 use crate::job::TaskId;
 use crate::messages::Action;
 use crate::settle::Outcome;
-use crate::worker::{Held, HeldPhase, Worker};
+use crate::worker::Worker;
 
 /// How far apart workers may fall silent that were lost together. A closed connection shows at once, a
 /// silent one only when the answer to a look is overdue.
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -6,11 +6,12 @@
 
 use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
+use crate::held::{Held, HeldPhase};
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
 use crate::settle::Outcome;
 use crate::watch::Watch;
-use crate::worker::{Held, HeldPhase, Worker};
+use crate::worker::Worker;
 
 /// Pause before an order without an answer is sent again.
 const RESEND_MS: DurationMs = DurationMs(150);
--- a/ragwortwick-area/src/preempt.rs
+++ b/ragwortwick-area/src/preempt.rs
@@ -8,10 +8,10 @@
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
 use crate::displacement::{Plan, cheapest, find};
+use crate::held::Held;
 use crate::job::{Resources, StepId, StepSpec, TaskId};
 use crate::packing::{Bounds, Slot};
-use crate::schedule::Room;
-use crate::worker::Held;
+use crate::room::Room;
 
 /// Work that a stop costs beside what it throws away: the run's room stands empty meanwhile.
 const RESTART_MS: u64 = 500;
--- a/ragwortwick-area/src/schedule.rs
+++ b/ragwortwick-area/src/schedule.rs
@@ -1,59 +1,21 @@
 //! One pass of placement: who is next, and where it goes.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use ragwortwick_core::{DurationMs, PoolName, TimeMs, WorkerName};
 
 use crate::candidates::{Candidate, order};
 use crate::coordinator::{Coordinator, Now};
 use crate::headroom;
-use crate::job::{Resources, StepSpec};
+use crate::job::StepSpec;
 use crate::job_state::{JobState, TaskState};
 use crate::keeping::Keeping;
-use crate::packing::{Bounds, Reach, Slot, pack_gang, pack_single};
-
-/// Below this share of accelerators in use, work also goes where it runs slower.
-///
-/// What is idle serves nobody, and slow work is better than none while room for others is left.
-const SPARE_SHARE_PERCENT: u64 = 50;
+use crate::packing::{Bounds, Reach, pack_gang, pack_single};
+use crate::room::Room;
 
 /// How long before its bound a guaranteed job takes any place, also one where it runs slower.
 const RECLAIM_ANYWHERE_MS: DurationMs = DurationMs(1_000);
 
-/// `Room` is what the workers of one pool have left during a pass.
-#[derive(Debug, Default)]
-pub(crate) struct Room {
-    pub(crate) slots: Vec<Slot>,
-    /// Places taken since this was last emptied.
-    pub(crate) taken: Vec<(usize, Resources)>,
-    capacity: u64,
-    used: u64,
-}
-
-impl Room {
-    pub(crate) fn is_spare(&self) -> bool {
-        self.used * 100 < self.capacity * SPARE_SHARE_PERCENT
-    }
-
-    fn has_accelerators(&self) -> bool {
-        self.slots.iter().any(|slot| slot.free.accelerators > 0)
-    }
-
-    fn take(&mut self, index: usize, need: Resources) {
-        let slot = &mut self.slots[index];
-        slot.take(need);
-        slot.is_quiet = false;
-        self.used += need.accelerators;
-        self.taken.push((index, need));
-    }
-
-    /// Lets nothing else begin on a worker in this pass.
-    fn close(&mut self, index: usize) {
-        self.slots[index].is_closed = true;
-    }
-}
-
 impl Coordinator {
     /// Places what can be placed, the most pressing work first.
     pub(crate) fn pass(&mut self, now: Now) {
@@ -159,42 +121,6 @@
         tasks.any(|task| task.crashes.starts_alone())
     }
 
-    fn room(&self, now: TimeMs, pool: &PoolName) -> Room {
-        let mut room = Room::default();
-        for (name, worker) in &self.workers {
-            if worker.entry.pool != *pool || !worker.is_listed {
-                continue;
-            }
-            let free = worker.free();
-            room.capacity += worker.entry.capacity.accelerators;
-            room.used += worker.entry.capacity.accelerators - free.accelerators;
-            if worker.takes_work(now) {
-                room.slots.push(Slot {
-                    worker: name.clone(),
-                    rack: worker.entry.rack.clone(),
-                    rack_number: 0,
-                    labels: Arc::clone(&worker.entry.labels),
-                    free,
-                    excess: worker.excess(),
-                    capacity_accelerators: worker.entry.capacity.accelerators,
-                    doubt: worker.failures_in_row,
-                    speed: worker.speed.speed(),
-                    is_headroom: false,
-                    is_quiet: worker.is_quiet(now),
-                    is_closed: false,
-                });
-            }
-        }
-        // Racks lie together, so that packing finds them without a map.
-        room.slots.sort_by(|a, b| a.rack.cmp(&b.rack));
-        for (number, rack) in (0..).zip(room.slots.chunk_by_mut(|a, b| a.rack == b.rack)) {
-            for slot in rack {
-                slot.rack_number = number;
-            }
-        }
-        room
-    }
-
     /// Places the tasks of a step that wait; tells whether none is left.
     pub(crate) fn place_step(
         &mut self,
--- a/ragwortwick-area/src/sharing.rs
+++ b/ragwortwick-area/src/sharing.rs
@@ -9,9 +9,10 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::coordinator::Coordinator;
+use crate::held::HeldPhase;
 use crate::job::StepSpec;
 use crate::messages::Action;
-use crate::worker::{HeldPhase, Worker};
+use crate::worker::Worker;
 
 /// Pace of fillers that come to a worker which serves, until its tail latency shows more.
 const FIRST_PERCENT: u32 = 20;
--- a/ragwortwick-area/src/stalls.rs
+++ b/ragwortwick-area/src/stalls.rs
@@ -10,11 +10,12 @@
 
 use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
+use crate::held::{Held, HeldPhase};
 use crate::job::TaskId;
 use crate::job_state::TaskState;
 use crate::messages::Look;
 use crate::watch::{Movement, Watch};
-use crate::worker::{Held, HeldPhase, Worker};
+use crate::worker::Worker;
 
 /// How long a worker with stalled runs gets no new work after the look that showed it.
 const AVOID_MS: DurationMs = DurationMs(2_500);
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -6,10 +6,10 @@
 
 use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
+use crate::held::HeldPhase;
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
 use crate::settle::Outcome;
-use crate::worker::HeldPhase;
 
 /// Pause before a stop that was confirmed, but whose end was never listed, is looked after.
 const STOP_LISTED_MS: DurationMs = DurationMs(150);
--- a/ragwortwick-area/tests/crashes.rs
+++ b/ragwortwick-area/tests/crashes.rs
@@ -6,7 +6,7 @@
 
 use ragwortwick_area::{
     Event, JobPhase, JobRecord, KnownJob, LookFailure, OrderReply, Progress, RefusalCause,
-    StepSpec, WorkerEntry,
+    StepSpec, TaskId, WorkerEntry,
 };
 use ragwortwick_core::{JobId, WorkerName};
 use rig::{Rig, gang, job, running, step, worker};
@@ -57,6 +57,16 @@
     }
 }
 
+/// An area in which one worker has crashed under a task that waits again.
+fn after_a_crash(workers: u32, queue: &str) -> (Fleet, Rig, TaskId) {
+    let mut fleet = Fleet::new(workers);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.hand_in(CRASHER, queue, step(1, 1));
+    let first = rig.start_all();
+    fleet.crash(&mut rig, &first[0].0);
+    (fleet, rig, first[0].1.clone())
+}
+
 fn phase(rig: &Rig, id: &str) -> Option<JobPhase> {
     rig.coordinator.phase(&JobId::new(id))
 }
@@ -152,11 +162,7 @@
 /// A worker that crashes while a suspect and something new begin there would tell against both.
 #[test]
 fn verify_nothing_begins_beside_a_task_that_may_crash_its_worker() {
-    let mut fleet = Fleet::new(1);
-    let mut rig = Rig::new(&fleet.entries);
-    rig.hand_in(CRASHER, "urgent", step(1, 1));
-    let first = rig.start_all();
-    fleet.crash(&mut rig, &first[0].0);
+    let (_, mut rig, _) = after_a_crash(1, "urgent");
     assert_eq!(rig.start_all().len(), 1, "the suspect begins again");
     rig.hand_in("00000000000000e1", "urgent", step(1, 1));
     assert_eq!(rig.start_all(), vec![]);
@@ -280,11 +286,7 @@
 /// What begins just before a suspect, on the same worker, would be under the same suspicion.
 #[test]
 fn verify_a_task_that_may_crash_its_worker_begins_where_nothing_else_does() {
-    let mut fleet = Fleet::new(1);
-    let mut rig = Rig::new(&fleet.entries);
-    rig.hand_in(CRASHER, "patient", step(1, 1));
-    let first = rig.start_all();
-    fleet.crash(&mut rig, &first[0].0);
+    let (_, mut rig, _) = after_a_crash(1, "patient");
     rig.hand_in("00000000000000e1", "urgent", step(1, 1));
     let starts = rig.start_all();
     assert_eq!(starts.len(), 1);
@@ -296,12 +298,8 @@
 /// What begins in the same pass as a suspect, on the same worker, would be under the same suspicion.
 #[test]
 fn verify_nothing_begins_at_once_with_a_task_that_may_crash_its_worker() {
-    let mut fleet = Fleet::new(1);
-    let mut rig = Rig::new(&fleet.entries);
-    rig.hand_in(CRASHER, "urgent", step(1, 1));
-    let first = rig.start_all();
+    let (_, mut rig, _) = after_a_crash(1, "urgent");
     rig.hand_in("00000000000000e1", "patient", step(1, 1));
-    fleet.crash(&mut rig, &first[0].0);
     let starts = rig.start_all();
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].1.job_id.as_str(), CRASHER);
@@ -310,11 +308,7 @@
 /// A crash at the start of a task under which a worker has crashed before tells against that task alone.
 #[test]
 fn verify_tasks_long_at_work_are_not_suspected_beside_a_repeated_crash() {
-    let mut fleet = Fleet::new(1);
-    let mut rig = Rig::new(&fleet.entries);
-    rig.hand_in(CRASHER, "middle", step(1, 1));
-    let first = rig.start_all();
-    fleet.crash(&mut rig, &first[0].0);
+    let (mut fleet, mut rig, task) = after_a_crash(1, "middle");
     rig.losses();
     rig.hand_in("00000000000000e1", "urgent", step(1, 1));
     assert_eq!(rig.start_all().len(), 1);
@@ -323,7 +317,7 @@
     fleet.crash(&mut rig, &again[0].0);
     let told = rig.losses();
     assert_eq!(told[0].runs.len(), 2);
-    assert_eq!(told[0].blamed, vec![(first[0].1.clone(), 2)]);
+    assert_eq!(told[0].blamed, vec![(task, 2)]);
 }
 
 /// A start that each worker refuses for good would be sent again with each pass, to one after the other.
