--- a/ragwortwick-area/src/crashes.rs
+++ b/ragwortwick-area/src/crashes.rs
@@ -23,7 +23,7 @@
 /// `CrashRecord` is the evidence against one task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct CrashRecord {
-    /// Crashes in a row at the same point of its work.
+    /// Crashes at the same point of its work, less those at other points.
     pub(crate) count: u32,
     /// How long its run had been going at the last one.
     pub(crate) age_ms: DurationMs,
--- a/ragwortwick-area/src/late_ends.rs
+++ b/ragwortwick-area/src/late_ends.rs
@@ -8,6 +8,7 @@
 use crate::account::OverWhy;
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
+use crate::job_state::TaskState;
 
 impl Coordinator {
     /// A run that is no longer held has done its work: its task is done, and what was started for it since
@@ -17,7 +18,10 @@
             return;
         };
         let is_lasting = job.spec(task.step).is_none_or(|spec| spec.is_long_running);
-        if job.phase.is_final() || is_lasting {
+        let is_done = job
+            .task(task)
+            .is_none_or(|known| known.state == TaskState::Done);
+        if job.phase.is_final() || is_lasting || is_done {
             return;
         }
         let is_over = job.complete(task);
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -12,10 +12,13 @@
 use crate::settle::Outcome;
 use crate::worker::Worker;
 
-/// How far apart workers may fall silent that were lost together. A closed connection shows at once, a
-/// silent one only when the answer to a look is overdue, and what was lost before with the first looks.
+/// How far apart workers may fall silent that were lost together: a closed connection shows at once.
 const TOGETHER_CLOSED_MS: DurationMs = DurationMs(250);
+
+/// The same where nothing answers, which shows when the answer to a look is overdue.
 const TOGETHER_UNANSWERED_MS: DurationMs = DurationMs(3_000);
+
+/// The same of workers lost before the term, which the first looks show.
 const TOGETHER_UNSEEN_MS: DurationMs = DurationMs(1_000);
 
 /// Workers lost together with one, for no reason of their own, from which on its tasks are not the reason.
@@ -216,9 +219,8 @@
     /// Judges the losses that have waited for others.
     pub(crate) fn judge_losses(&mut self, now: TimeMs) {
         let unjudged = std::mem::take(&mut self.losses.unjudged);
-        let (due, later) = unjudged.into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = unjudged.into_iter().partition(|(at, _)| *at <= now);
         self.losses.unjudged = later;
-        let due: Vec<(TimeMs, LostWorker)> = due;
         for (_, lost) in due {
             self.judge(now, lost);
         }
--- a/ragwortwick-area/src/orders.rs
+++ b/ragwortwick-area/src/orders.rs
@@ -208,8 +208,9 @@
                 if cause == RefusalCause::NoRoom || cause == RefusalCause::Unhealthy {
                     worker.avoid_until = now + AVOID_AFTER_REFUSAL_MS;
                 }
-                let is_as_it_is = matches!(cause, RefusalCause::Invalid | RefusalCause::LeaseOver);
-                if is_as_it_is && let Some(job) = self.jobs.get_mut(&task.job_id) {
+                let is_refused_as_is =
+                    matches!(cause, RefusalCause::Invalid | RefusalCause::LeaseOver);
+                if is_refused_as_is && let Some(job) = self.jobs.get_mut(&task.job_id) {
                     job.backoff.refused(now);
                 }
                 if cause == RefusalCause::NoTicket {
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -55,17 +55,13 @@
         self.free = self.free.plus(amount.minus(paid));
     }
 
-    /// Undoes `give_back`.
-    fn hold_again(&mut self, amount: Resources) {
-        self.excess = self.excess.plus(amount.minus(self.free));
-        self.free = self.free.minus(amount);
-    }
-
-    /// The same worker with a run held again that was given back.
+    /// The same worker with an amount held again that was given back.
     pub(crate) fn with_held_again(&self, amount: Resources) -> Self {
-        let mut slot = self.clone();
-        slot.hold_again(amount);
-        slot
+        Self {
+            excess: self.excess.plus(amount.minus(self.free)),
+            free: self.free.minus(amount),
+            ..self.clone()
+        }
     }
 
     /// Counts how many tasks of the step it takes within the bounds.
--- a/ragwortwick-area/tests/late_ends.rs
+++ b/ragwortwick-area/tests/late_ends.rs
@@ -2,9 +2,9 @@
 
 mod rig;
 
-use ragwortwick_area::{EndKind, JobPhase, StepSpec, TaskId};
+use ragwortwick_area::{EndKind, Event, JobPhase, StepSpec, TaskId};
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{Rig, ended, gang, step, worker};
+use rig::{Rig, ended, gang, job, step, worker};
 
 const ID: &str = "00000000000000b7";
 
@@ -17,9 +17,13 @@
 impl GivenUp {
     /// Lets all workers but the last be out of reach until their runs are given up.
     fn play(workers: &[&str], spec: StepSpec) -> Self {
+        Self::play_steps(workers, vec![spec])
+    }
+
+    fn play_steps(workers: &[&str], steps: Vec<StepSpec>) -> Self {
         let entries: Vec<_> = workers.iter().map(|name| worker(name, "r1")).collect();
         let mut rig = Rig::new(&entries[..1]);
-        rig.hand_in(ID, "middle", spec);
+        rig.tell(Event::JobAccepted(job(ID, "middle", steps)));
         let starts = rig.start_all();
         assert!(!starts.is_empty());
         for _ in 0..15 {
@@ -27,7 +31,7 @@
             rig.pass(1_000);
         }
         for entry in &entries[1..] {
-            rig.tell(ragwortwick_area::Event::WorkerSeen(entry.clone()));
+            rig.tell(Event::WorkerSeen(entry.clone()));
         }
         rig.pass(20);
         Self { rig, starts }
@@ -102,3 +106,24 @@
     assert_eq!(play.rig.stops(), vec![]);
     assert_eq!(play.phase(), Some(JobPhase::Running));
 }
+
+/// An end that is listed once more would store its job again, and stop what runs of its gang.
+#[test]
+fn verify_an_end_that_is_known_stores_and_stops_nothing() {
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 8)
+    };
+    let mut play = GivenUp::play_steps(&["w1", "w2"], vec![gang(2, 4), second]);
+    play.list_ends();
+    assert_eq!(play.rig.start_all().len(), 1, "the next step begins");
+    play.rig.store();
+    let ends = (11..).zip(&play.starts);
+    let ends = ends.map(|(number, start)| ended(number, start, EndKind::Done));
+    let ends = ends.collect();
+    play.rig.stops();
+    play.rig.look("w1", vec![], ends);
+    play.rig.pass(100);
+    assert!(play.rig.batches().is_empty());
+    assert_eq!(play.rig.stops(), vec![]);
+}
