--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -193,3 +193,17 @@
     let report = World::new(options, faults.clone()).run();
     assert_held(seed, &faults, &report);
 }
+
+/// A first crash that its coordinator could not store is counted for nobody, and the task starts once too often.
+#[test]
+fn verify_a_crash_that_could_not_be_stored_still_counts() {
+    let seed = 494;
+    let faults = draw_faults(seed, 3, TimeMs(20_000));
+    let options = Options {
+        seed,
+        load: serde_json::from_str(CRASHERS).expect("a well-formed load"),
+        ..Options::default()
+    };
+    let report = World::new(options, faults.clone()).run();
+    assert_held(seed, &faults, &report);
+}
