area: repeat a stop order that a worker refused without effect

Callers cancelled a job, got their confirmation, and its tasks ran on to their end: `run_stopped reply=Refused(Unhealthy)`, no second stop, and `run_over cause=Done ran_ms=14671`.

Cause: on_stop_replied took each reply but a lost one for the stop's confirmation, also Unhealthy (429, 503: the worker has done nothing), Invalid, and refusals that belong to starts. Only an accepted stop and one refused as stale show that the run is gone. All stops go this way: of cancelled jobs, gang members, preempted runs and starts in doubt. The last could run a task twice: a refused stop settled the start, the task started elsewhere and the first order took effect late.

Ruled out: a stop that is accepted and not carried out (no log line shows one); a poll that ends the run early (the run was still in its reports). Other replies were read: a refused start says that it has not run, failed polls and pace orders are repeated.

Change: confirms_stop names the two replies; the others leave the order to the existing repeat.

--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -14,6 +14,26 @@
 /// Delay of the poll after a stop order, which determines whether the run has ended.
 const POLL_AFTER_STOP_MS: DurationMs = DurationMs(150);
 
+/// Whether a reply to a stop order shows that the run ends, and that no earlier start order can begin it.
+///
+/// A worker that refuses the order as stale no longer has the run. Any other refusal leaves the run as it
+/// was, so the order has to be repeated.
+fn confirms_stop(reply: OrderReply) -> bool {
+    match reply {
+        OrderReply::Accepted { .. } | OrderReply::Refused(RefusalCause::StaleRun) => true,
+        OrderReply::Refused(
+            RefusalCause::Fenced
+            | RefusalCause::LeaseOver
+            | RefusalCause::NoRoom
+            | RefusalCause::Unhealthy
+            | RefusalCause::NoTicket
+            | RefusalCause::Invalid,
+        )
+        | OrderReply::WrongLife
+        | OrderReply::Unknown => false,
+    }
+}
+
 impl Coordinator {
     pub(crate) fn send_stop(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId) {
         let Some(worker) = self.workers.get_mut(worker_name) else {
@@ -72,10 +92,8 @@
         else {
             return;
         };
-        // A refusal counts as confirmed: a worker that refuses the stop as stale no longer has the run.
-        let is_confirmed = !matches!(reply, OrderReply::Unknown);
         *in_flight = false;
-        *confirmed_at = is_confirmed.then_some(now);
+        *confirmed_at = confirms_stop(reply).then_some(now);
         worker.poll_by(now + POLL_AFTER_STOP_MS);
     }
 
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -280,6 +280,15 @@
         });
     }
 
+    pub fn reply_to_stop(&mut self, stop: &(WorkerName, TaskId, u32), reply: OrderReply) {
+        self.send(Event::StopReplied {
+            worker: stop.0.clone(),
+            task: stop.1.clone(),
+            run: stop.2,
+            reply,
+        });
+    }
+
     pub fn accept(&mut self, start: &(WorkerName, TaskId, u32)) {
         let clock_ms = 100_000 + self.now.0;
         self.reply(start, OrderReply::Accepted { clock_ms });
--- a/ragwortwick-emulator/src/fault_injection.rs
+++ b/ragwortwick-emulator/src/fault_injection.rs
@@ -86,6 +86,11 @@
                     self.workers[worker_index].fault_slowdown = if is_active { 5 } else { 1 };
                 }
             }
+            FaultKind::WorkersRefuse => {
+                for worker_index in every_third {
+                    self.workers[worker_index].is_refusing = is_active;
+                }
+            }
             FaultKind::WorkersHang => self.set_hung(&every_eighth, is_active),
             FaultKind::WorkersFailing => {
                 for worker_index in every_eighth {
--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -11,6 +11,9 @@
 /// Time after a job is cancelled in which its runs may still start.
 const MAX_START_AFTER_CANCEL_MS: DurationMs = DurationMs(3_000);
 
+/// Time after a job is cancelled in which its runs may still be in progress: the above and a stop.
+const MAX_RUN_AFTER_CANCEL_MS: DurationMs = DurationMs(3_200);
+
 /// Worker crashes by one task after which its starts are counted, and the count that is a violation.
 const TOLERATED_CRASHES: u32 = 3;
 const EXCESSIVE_STARTS: u32 = 3;
@@ -151,6 +154,19 @@
         }
     }
 
+    /// Checks a run of a cancelled job that is still in progress.
+    pub(crate) fn check_cancelled_run(
+        &mut self,
+        now: TimeMs,
+        (task, run, worker): (&TaskId, u32, &WorkerName),
+        cancelled_at: TimeMs,
+    ) {
+        if now.since(cancelled_at) > MAX_RUN_AFTER_CANCEL_MS {
+            let text = format!("{task} run {run} on {worker}: goes on after its job was cancelled");
+            self.add_violation(now, &text);
+        }
+    }
+
     /// Records that a task crashed its worker.
     pub(crate) fn record_crash(&mut self, task: &TaskId) {
         self.crashes.entry(task.clone()).or_default().0 += 1;
--- a/ragwortwick-emulator/src/network.rs
+++ b/ragwortwick-emulator/src/network.rs
@@ -1,6 +1,6 @@
 //! The simulated network: orders and replies that are delayed or lost.
 
-use ragwortwick_area::{Action, Event, OrderReply, PollFailure};
+use ragwortwick_area::{Action, Event, OrderReply, PollFailure, RefusalCause};
 use ragwortwick_core::WorkerName;
 use rand::Rng;
 
@@ -89,6 +89,44 @@
         }
     }
 
+    /// Replies as an unhealthy worker does, which ignores the request.
+    pub(crate) fn reply_unhealthy(&mut self, host: usize, term: u64, action: &Action) {
+        let reply = OrderReply::Refused(RefusalCause::Unhealthy);
+        let (worker, event) = match action {
+            Action::Start {
+                worker, task, run, ..
+            } => {
+                let event = Event::StartReplied {
+                    worker: worker.clone(),
+                    task: task.clone(),
+                    run: *run,
+                    reply,
+                };
+                (worker, event)
+            }
+            Action::Stop {
+                worker, task, run, ..
+            } => {
+                let event = Event::StopReplied {
+                    worker: worker.clone(),
+                    task: task.clone(),
+                    run: *run,
+                    reply,
+                };
+                (worker, event)
+            }
+            Action::Poll { worker, .. } => {
+                let event = Event::PollFailed {
+                    worker: worker.clone(),
+                    failure: PollFailure::NoAnswer,
+                };
+                (worker, event)
+            }
+            _ => return,
+        };
+        self.reply(host, term, worker, event);
+    }
+
     /// Sends a reply to the coordinator, or a timeout if replies are dropped.
     pub(crate) fn reply(&mut self, host: usize, term: u64, worker: &WorkerName, event: Event) {
         let is_lost = self.hosts[host].loses_replies || !self.hosts[host].reaches(worker);
--- a/ragwortwick-emulator/src/orders.rs
+++ b/ragwortwick-emulator/src/orders.rs
@@ -11,6 +11,9 @@
 /// Time after a capacity has shrunk in which starts are still checked against the full capacity.
 const SHRINK_GRACE_MS: DurationMs = DurationMs(4_500);
 
+/// Share of the requests that an unhealthy worker refuses.
+const REFUSED_SHARE: f64 = 0.65;
+
 impl Simulation {
     pub(crate) fn deliver_to_worker(
         &mut self,
@@ -32,11 +35,9 @@
         let Some(index) = self.workers.iter().position(is_same_machine) else {
             return;
         };
-        if !self.workers[index].is_up() {
-            if wants_reply && self.workers[index].reachability == Reachability::Refusing {
-                self.reply_connection_refused(host, term, &action);
-            } else if wants_reply {
-                self.reply_timeout(host, term, &action);
+        if !self.workers[index].is_up() || self.refuses_request(index) {
+            if wants_reply {
+                self.reply_as_not_handled(host, term, index, &action);
             }
             return;
         }
@@ -121,6 +122,20 @@
         }
     }
 
+    /// Whether the worker refuses the next request as unhealthy.
+    fn refuses_request(&mut self, index: usize) -> bool {
+        self.workers[index].is_refusing && self.rng.random_bool(REFUSED_SHARE)
+    }
+
+    /// Replies to a request that a worker did not handle, because it is down or unhealthy.
+    fn reply_as_not_handled(&mut self, host: usize, term: u64, index: usize, action: &Action) {
+        match self.workers[index].reachability {
+            Reachability::Up => self.reply_unhealthy(host, term, action),
+            Reachability::Refusing => self.reply_connection_refused(host, term, action),
+            Reachability::Unresponsive => self.reply_timeout(host, term, action),
+        }
+    }
+
     fn finish_stop(&mut self, index: usize, task: &TaskId, run: u32) {
         let stop_ms = self.options.workload.stop_ms;
         if stop_ms == 0 {
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -5,6 +5,7 @@
 use ragwortwick_area::{EndKind, Event, PollFailure, RefusalCause, TaskId};
 use ragwortwick_core::{DurationMs, WorkerName};
 
+use crate::faults::{Fault, FaultKind};
 use crate::simulation::{GangKey, SimEvent, Simulation};
 use crate::value::LostWorkCause;
 use crate::worker::{PendingPoll, Reachability};
@@ -12,6 +13,10 @@
 /// How long a worker is down after a task has crashed it.
 const CRASH_OUTAGE_MS: u64 = 3_000;
 
+/// Time after a fault in which its effects may last: late orders arrive up to 12 s after they were sent, and
+/// a new coordinator waits for a worker's lease.
+const CALM_MS: DurationMs = DurationMs(20_000);
+
 impl Simulation {
     pub(crate) fn join_gang(&mut self, index: usize, task: &TaskId, run: u32, will_fail: bool) {
         let key = (task.job_id.clone(), task.occurrence, task.step, run);
@@ -250,6 +255,29 @@
         }
     }
 
+    /// Checks that no run of a cancelled job goes on. A fault may delay its stop order; refusals may not.
+    pub(crate) fn check_cancelled_runs(&mut self) {
+        let is_disturbing = |fault: &&Fault| fault.kind != FaultKind::WorkersRefuse;
+        let disturbances = self.faults.iter().filter(is_disturbing);
+        let mut spans = disturbances.map(|fault| (fault.at, fault.at + fault.for_ms));
+        if spans.any(|(from, until)| from <= self.now && self.now.since(until) <= CALM_MS) {
+            return;
+        }
+        for worker in self.workers.iter().filter(|worker| worker.is_up()) {
+            for (task, active) in &worker.running {
+                let job = self.store.jobs.get(&task.job_id);
+                let Some(cancelled_at) = job.and_then(|job| job.cancelled_at) else {
+                    continue;
+                };
+                self.ground_truth.check_cancelled_run(
+                    self.now,
+                    (task, active.run, &worker.name),
+                    cancelled_at,
+                );
+            }
+        }
+    }
+
     fn is_gang(&self, task: &TaskId) -> bool {
         let arrival = &self.arrivals[self.arrival_by_job[&task.job_id]];
         arrival.record.steps[task.step as usize].is_gang
--- a/ragwortwick-emulator/src/ticks.rs
+++ b/ragwortwick-emulator/src/ticks.rs
@@ -19,6 +19,7 @@
         let is_feed_due = self.now.since(self.last_feed_at) >= FEED_MS;
         if is_feed_due {
             self.last_feed_at = self.now;
+            self.check_cancelled_runs();
         }
         let is_renewal_due = self.now.since(self.last_renewal_at) >= FEED_MS;
         if is_renewal_due {
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -123,6 +123,8 @@
     pub(crate) checkpoint_policy: CheckpointPolicy,
     pub(crate) is_failing: bool,
     pub(crate) is_hung: bool,
+    /// Whether it refuses most requests as unhealthy.
+    pub(crate) is_refusing: bool,
     pub(crate) fencing_token: u64,
     /// When the lease of all runs expires, on the worker's clock.
     lease_until: u64,
@@ -182,6 +184,7 @@
             checkpoint_policy,
             is_failing: false,
             is_hung: false,
+            is_refusing: false,
             fencing_token: 0,
             lease_until: 0,
             expired_through: 0,
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -154,6 +154,8 @@
 
 const SHRINKING: &str = include_str!("../loads/shrinking.json");
 
+const REFUSING: &str = include_str!("../loads/refusing.json");
+
 /// Simulates a workload on sixteen seeds, with none to two faults in addition to its own.
 fn assert_workload_holds(load: &str, first: u64) {
     let workload: Workload = serde_json::from_str(load).expect("a well-formed workload");
@@ -181,6 +183,12 @@
     assert_workload_holds(SHRINKING, 800);
 }
 
+/// Guards against runs of cancelled jobs that go on because an unhealthy worker refused their stop order.
+#[test]
+fn verify_no_run_of_a_cancelled_job_goes_on_after_a_refused_stop() {
+    assert_workload_holds(REFUSING, 900);
+}
+
 /// Guards against another start of a task whose completion on an unreachable worker is reported late.
 #[test]
 fn verify_nothing_is_started_after_an_end_that_is_listed_late() {
