area: hand over every run result that a term could not store

Cause: a coordinator that has lost the store hears its workers for seconds more. Of what it learns then only completions were handed over, by daemon/area alone; the crash of a worker was lost with the term. Its successor found the run on a worker without an entry, waited for the leases and took it for out of reach, so the next two crashes were counted for another such task beside it.

The same elsewhere: failed runs whose worker is gone were lost (one attempt more); a completion that arrived after the successor had abandoned the run was dropped, and the task ran again to its end; a second handover for a job replaced the first; a crash that is attributed a second after the loss was not stored before the job's next change.

Ruled out: that the crash is in a record under way (its batch is never sent without a valid lease); that the successor polls the worker (no entry, so no address).

Change: UnstoredResults in ragwortwick-area keeps each completion, failure and run lost in a crash until a batch with its job is stored.

The test of unstored completions moves to the area with its checks; the one on handed-over ends keeps its checks, its comment said more than run 0.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -175,9 +175,7 @@
             Event::JobAccepted(record) => self.on_job_accepted(now, record),
             Event::JobCancelled(job_id) => self.cancel_job(now.steady, &job_id),
             Event::BatchStored { batch } => self.on_batch_stored(now.steady, batch),
-            Event::CompletionHandedOver { task, run } => {
-                self.on_completion_handed_over(now.steady, &task, run);
-            }
+            Event::ResultHandedOver(result) => self.on_result_handed_over(now.steady, &result),
             Event::StartReplied {
                 worker,
                 task,
--- a/ragwortwick-area/src/crashes.rs
+++ b/ragwortwick-area/src/crashes.rs
@@ -28,6 +28,8 @@
     pub(crate) count: u32,
     /// Age of its run at the last of them.
     pub(crate) run_age_ms: DurationMs,
+    /// Number of the last run whose crash was counted.
+    pub(crate) last_run: u32,
 }
 
 impl CrashHistory {
@@ -51,7 +53,8 @@
     }
 
     /// Counts a crash attributed to the task; one at another point of its work lowers a count above one.
-    pub(crate) fn count_crash(&mut self, age_ms: Option<DurationMs>) {
+    pub(crate) fn count_crash(&mut self, run: u32, age_ms: Option<DurationMs>) {
+        self.last_run = run;
         if self.count > 1 && !self.is_repeated_at(age_ms) {
             self.count -= 1;
             return;
@@ -68,6 +71,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunAtLoss {
     pub(crate) task: TaskId,
+    pub(crate) run: u32,
     /// Age of the run; none if it is unknown.
     pub(crate) age_ms: Option<DurationMs>,
     pub(crate) crash_history: CrashHistory,
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -249,7 +249,12 @@
     }
 
     /// Counts a worker crash that is attributed to the task; returns whether that fails the job.
-    pub(crate) fn count_crash(&mut self, id: &TaskId, run_age_ms: Option<DurationMs>) -> bool {
+    pub(crate) fn count_crash(
+        &mut self,
+        id: &TaskId,
+        run: u32,
+        run_age_ms: Option<DurationMs>,
+    ) -> bool {
         let has_ended = self.phase.is_final();
         let Some(step) = self.step_mut(id.occurrence, id.step) else {
             return false;
@@ -257,7 +262,7 @@
         let Some(task) = step.tasks.get_mut(id.index as usize) else {
             return false;
         };
-        task.crash_history.count_crash(run_age_ms);
+        task.crash_history.count_crash(run, run_age_ms);
         let is_failed = task.crash_history.is_at_limit() && !has_ended;
         if is_failed {
             self.phase = JobPhase::Failed;
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -38,6 +38,7 @@
 mod stalls;
 mod starts;
 mod stops;
+mod unstored_results;
 mod validation;
 mod value;
 mod worker;
@@ -49,11 +50,12 @@
     AdvisorTiming, JobRecord, QueuePolicy, Resources, Schedule, StepId, StepSpec, TaskId,
 };
 pub use limits::{Limits, Weights};
-pub use losses::{ContactLoss, ContactLossKind, WorkerLossCause, WorkerLossReport};
+pub use losses::{ContactLoss, ContactLossKind, LostRun, WorkerLossCause, WorkerLossReport};
 pub use messages::{
     Action, AdviceReply, EndKind, EndedTask, Event, OrderReply, PollFailure, ProgressRecord,
     RefusalCause, RunEnded, RunningTask, WorkerEntry, WorkerReport,
 };
 pub use progress::{GangProgress, JobPhase, JobProgress, TaskProgress};
 pub use record_batches::MAX_BATCH_RECORDS;
+pub use unstored_results::{RunResult, RunResultKind, UnstoredResults};
 pub use validation::JobValidationError;
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -81,7 +81,18 @@
     }
 }
 
-/// `WorkerLossReport` describes a lost worker for the log.
+/// `LostRun` is a run that was lost with its worker.
+#[common]
+pub struct LostRun {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+    /// Age of the run at the loss; none if it is unknown.
+    pub age_ms: Option<DurationMs>,
+}
+
+/// `WorkerLossReport` describes a lost worker, for the log and for the next coordinator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerLossReport {
     /// The worker.
@@ -92,8 +103,8 @@
     pub cause: WorkerLossCause,
     /// When and how contact was lost; none if the worker was lost before any request failed.
     pub contact_loss: Option<ContactLoss>,
-    /// Runs that were lost with it, each with its age; none if the age is unknown.
-    pub runs: Vec<(TaskId, Option<DurationMs>)>,
+    /// Runs that were lost with it.
+    pub runs: Vec<LostRun>,
     /// Number of other workers with runs that became unresponsive in the same event.
     pub lost_together: usize,
     /// Tasks that the crash is attributed to, each with its number of attributed crashes so far.
@@ -157,6 +168,7 @@
             .filter(|(_, allocation)| allocation.phase != AllocationPhase::AwaitingRecord);
         let runs = sent.map(|(task, allocation)| RunAtLoss {
             task: task.clone(),
+            run: allocation.run,
             age_ms: self.run_age_ms(allocation),
             crash_history: allocation.crash_history,
         });
@@ -246,7 +258,11 @@
                 Vec::new()
             }
         };
-        let runs = lost.runs.into_iter().map(|run| (run.task, run.age_ms));
+        let runs = lost.runs.into_iter().map(|run| LostRun {
+            task: run.task,
+            run: run.run,
+            age_ms: run.age_ms,
+        });
         self.actions.push(Action::LogWorkerLoss(WorkerLossReport {
             worker: lost.worker,
             rack: lost.rack,
@@ -261,22 +277,35 @@
     /// Counts a crash for each suspect task; returns the tasks with their counts.
     fn attribute_crash(&mut self, now: TimeMs, suspects: &[&RunAtLoss]) -> Vec<(TaskId, u32)> {
         let mut counts = Vec::with_capacity(suspects.len());
-        for run in suspects {
-            let Some(job) = self.jobs.get_mut(&run.task.job_id) else {
-                continue;
-            };
-            let is_failed = job.count_crash(&run.task, run.age_ms);
-            let count = job
-                .task(&run.task)
-                .map_or(0, |task| task.crash_history.count);
-            counts.push((run.task.clone(), count));
-            if is_failed {
-                self.end_job(now, &run.task.job_id);
-            }
+        for suspect in suspects {
+            let count = self.count_crash(now, &suspect.task, suspect.run, suspect.age_ms);
+            counts.extend(count.map(|count| (suspect.task.clone(), count)));
         }
         counts
     }
 
+    /// Counts a crash for a task and stores it; returns the task's count, or none if its job is unknown or the
+    /// crash of this run was counted before.
+    pub(crate) fn count_crash(
+        &mut self,
+        now: TimeMs,
+        task: &TaskId,
+        run: u32,
+        run_age_ms: Option<DurationMs>,
+    ) -> Option<u32> {
+        let job = self.jobs.get_mut(&task.job_id)?;
+        if run <= job.task(task)?.crash_history.last_run {
+            return None;
+        }
+        let is_failed = job.count_crash(task, run, run_age_ms);
+        let count = job.task(task).map_or(0, |task| task.crash_history.count);
+        self.records.mark_dirty(&task.job_id);
+        if is_failed {
+            self.end_job(now, &task.job_id);
+        }
+        Some(count)
+    }
+
     /// Counts the other workers with runs that became unresponsive in the same event, whether lost by now
     /// or still expected back, and reports whether a task of this worker may have caused the loss.
     ///
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -11,6 +11,7 @@
 use crate::job::{JobRecord, Resources, StepId, TaskId};
 use crate::losses::WorkerLossReport;
 use crate::progress::JobProgress;
+use crate::unstored_results::RunResult;
 
 /// `WorkerEntry` is the entry of a worker in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -178,13 +179,8 @@
         /// Number of the batch.
         batch: u64,
     },
-    /// An earlier coordinator received the completion of a run and could not store it.
-    CompletionHandedOver {
-        /// The task.
-        task: TaskId,
-        /// Its run.
-        run: u32,
-    },
+    /// An earlier coordinator learned how a run ended and could not store it.
+    ResultHandedOver(RunResult),
     /// A worker replied to a start order, or no reply arrived.
     StartReplied {
         /// The worker.
--- a/ragwortwick-area/src/persistence.rs
+++ b/ragwortwick-area/src/persistence.rs
@@ -40,6 +40,7 @@
             state.crash_history = CrashHistory {
                 count: task.crashes,
                 run_age_ms: task.crash_age_ms,
+                last_run: task.crash_run,
             };
             state.checkpoint = Arc::clone(&task.checkpoint);
             if task.is_done {
@@ -116,6 +117,7 @@
                         failures: task.failures,
                         crashes: task.crash_history.count,
                         crash_age_ms: task.crash_history.run_age_ms,
+                        crash_run: task.crash_history.last_run,
                         is_done,
                         worker,
                         checkpoint: Arc::clone(&task.checkpoint),
--- a/ragwortwick-area/src/progress.rs
+++ b/ragwortwick-area/src/progress.rs
@@ -70,6 +70,9 @@
     /// Age of its run at the last of these crashes.
     #[serde(rename = "ka", default, skip_serializing_if = "is_none_ms")]
     pub crash_age_ms: DurationMs,
+    /// Number of the last run whose crash was counted.
+    #[serde(rename = "kr", default, skip_serializing_if = "is_zero")]
+    pub crash_run: u32,
     /// Whether a run has done the work.
     #[serde(rename = "d", default, skip_serializing_if = "is_false")]
     pub is_done: bool,
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -8,7 +8,6 @@
 use crate::allocation::AllocationPhase;
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
-use crate::job_state::TaskState;
 use crate::losses::WorkerLossCause;
 use crate::messages::{Action, EndKind, EndedTask, RunEnded, WorkerReport};
 use crate::outcome::{FollowUp, RunOutcome};
@@ -151,17 +150,6 @@
         self.end_run(now, worker_name, &end.task, end.run, outcome);
     }
 
-    /// Processes a completion that an earlier coordinator received; it is final even if the worker is lost.
-    pub(crate) fn on_completion_handed_over(&mut self, now: TimeMs, task: &TaskId, run: u32) {
-        let job = self.jobs.get(&task.job_id);
-        let state = job.and_then(|job| job.task(task));
-        let Some(TaskState::Placed(worker)) = state.map(|state| &state.state) else {
-            return;
-        };
-        let worker = worker.clone();
-        self.end_run(now, &worker, task, run, RunOutcome::Done);
-    }
-
     /// Handles a reply from another incarnation at a worker's address: the runs of the earlier one are gone.
     pub(crate) fn on_incarnation_ended(&mut self, now: TimeMs, worker_name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(worker_name) {
--- a/ragwortwick-area/tests/losses.rs
+++ b/ragwortwick-area/tests/losses.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use ragwortwick_area::{
-    ContactLossKind, Event, PollFailure, WorkerEntry, WorkerLossCause, WorkerLossReport,
+    ContactLossKind, Event, LostRun, PollFailure, WorkerEntry, WorkerLossCause, WorkerLossReport,
 };
 use ragwortwick_core::{DurationMs, WorkerName};
 use rig::{Rig, running, step, worker};
@@ -46,7 +46,11 @@
     assert_eq!(kind_of(crash), Some(ContactLossKind::Closed));
     assert_eq!(
         crash.runs,
-        vec![(starts[0].1.clone(), Some(DurationMs(300)))]
+        vec![LostRun {
+            task: starts[0].1.clone(),
+            run: starts[0].2,
+            age_ms: Some(DurationMs(300)),
+        }]
     );
     assert_eq!(crash.lost_together, 1, "the leaving worker");
     assert_eq!(
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Action, EndKind, Event, OrderReply, PollFailure, RecoveredJob, RefusalCause, TaskId,
-    WorkerEntry,
+    Action, EndKind, Event, OrderReply, PollFailure, RecoveredJob, RefusalCause, RunResult,
+    RunResultKind, TaskId, WorkerEntry,
 };
 use ragwortwick_core::{JobId, WorkerName};
 use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
@@ -141,7 +141,7 @@
 
 /// A task completed on a worker that then left, and only a coordinator without access to the store received
 /// the completion. Once it is handed over, the next coordinator must not execute the task again. The
-/// completion of an earlier run does not complete the recorded run.
+/// completion of a run that was never started does not complete the task.
 #[test]
 fn verify_end_that_an_earlier_coordinator_left_is_final() {
     let workers = [worker("w1", "r1"), worker("w2", "r1")];
@@ -150,13 +150,17 @@
     let job_id = task.job_id.clone();
     let mut next = Rig::take_over(10_000, vec![recovered], &workers);
     next.send(Event::WorkerRemoved(start.0.clone()));
-    next.send(Event::CompletionHandedOver {
-        task: task.clone(),
-        run: run - 1,
-    });
+    let completion = |run| {
+        Event::ResultHandedOver(RunResult {
+            task: task.clone(),
+            run,
+            kind: RunResultKind::Completed,
+        })
+    };
+    next.send(completion(run - 1));
     let phase = next.coordinator.phase(&job_id);
     assert_ne!(phase, Some(ragwortwick_area::JobPhase::Completed));
-    next.send(Event::CompletionHandedOver { task, run });
+    next.send(completion(run));
     let phase = next.coordinator.phase(&job_id);
     assert_eq!(phase, Some(ragwortwick_area::JobPhase::Completed));
     next.advance(20_000);
--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -1,15 +1,15 @@
 //! Dispatches the actions of a term's coordinator to the store, the workers, the logs and the metrics.
 
-use ragwortwick_area::{Action, RunEndReason, RunEnded, WorkerLossReport};
+use ragwortwick_area::{Action, RunEnded, WorkerLossReport};
 use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
 use super::batch_writer::StoreWrite;
+use super::handover::SharedUnstoredResults;
 use super::log_rate_limiter::LogRateLimiter;
 use super::metrics::AreaMetrics;
 use super::order_sender::OrderSender;
-use super::unstored_completions::UnstoredCompletions;
 
 /// `ActionDispatcher` dispatches the actions of one term.
 pub(super) struct ActionDispatcher {
@@ -17,7 +17,7 @@
     order_sender: OrderSender,
     run_end_log_limiter: LogRateLimiter,
     metrics: AreaMetrics,
-    pub(super) unstored: UnstoredCompletions,
+    pub(super) unstored: SharedUnstoredResults,
 }
 
 impl ActionDispatcher {
@@ -25,7 +25,7 @@
         writes: mpsc::UnboundedSender<StoreWrite>,
         order_sender: OrderSender,
         metrics: AreaMetrics,
-        unstored: UnstoredCompletions,
+        unstored: SharedUnstoredResults,
     ) -> Self {
         Self {
             writes,
@@ -39,9 +39,9 @@
     /// Dispatches a batch of actions; returns whether the term continues.
     pub(super) fn dispatch(&self, batch: Vec<Action>, orders: &mut JoinSet<()>) -> bool {
         for action in batch {
+            self.unstored.lock().record_action(&action);
             match action {
                 Action::Store { batch, records } => {
-                    self.unstored.assign_batch(batch, &records);
                     self.write(StoreWrite::Batch { batch, records });
                 }
                 Action::DeleteJob(job_id) => self.write(StoreWrite::DeleteJob(job_id)),
@@ -62,9 +62,6 @@
     }
 
     fn report_run_end(&self, ended: &RunEnded) {
-        if ended.reason == RunEndReason::Done {
-            self.unstored.add(&ended.task, ended.run);
-        }
         let cause = ended.reason.to_string();
         let labels = [cause.as_str()];
         self.metrics.runs_ended.with_label_values(&labels).inc();
@@ -93,8 +90,7 @@
         let cause = lost.cause.to_string();
         let labels = [cause.as_str()];
         self.metrics.workers_lost.with_label_values(&labels).inc();
-        let ages = lost.runs.iter().map(|(_, age_ms)| *age_ms);
-        let youngest = lost.runs.iter().min_by_key(|(_, age_ms)| *age_ms);
+        let youngest = lost.runs.iter().min_by_key(|run| run.age_ms);
         log_event!(
             Info,
             "worker_lost",
@@ -107,8 +103,8 @@
                 |contact_loss| format!("{:?}", contact_loss.kind)
             ),
             runs = lost.runs.len(),
-            youngest = youngest.map_or_else(String::new, |(task, _)| task.to_string()),
-            youngest_ms = format_ms(ages.min().flatten()),
+            youngest = youngest.map_or_else(String::new, |run| run.task.to_string()),
+            youngest_ms = format_ms(youngest.and_then(|run| run.age_ms)),
             lost_together = lost.lost_together,
             blamed = format_blamed(lost)
         );
--- a/ragwortwick-daemon/src/area/batch_writer.rs
+++ b/ragwortwick-daemon/src/area/batch_writer.rs
@@ -9,10 +9,10 @@
 use tokio::task::JoinSet;
 
 use super::coordinator_handler::EventSender;
+use super::handover::SharedUnstoredResults;
 use super::metrics::AreaMetrics;
 use super::progress_store::{ProgressStore, TermLost};
 use super::replica::JobReplica;
-use super::unstored_completions::UnstoredCompletions;
 use crate::unix_now;
 
 /// `StoreWrite` is a write that a term queues for the store.
@@ -147,7 +147,7 @@
     pub(super) progress_store: ProgressStore,
     pub(super) events: EventSender,
     pub(super) job_ends: JobEndReporter,
-    pub(super) unstored: UnstoredCompletions,
+    pub(super) unstored: SharedUnstoredResults,
 }
 
 impl BatchWriter {
@@ -179,7 +179,7 @@
 
     async fn store(self, batch: u64, records: Vec<ProgressRecord>) -> Result<(), TermLost> {
         self.progress_store.store(&records).await?;
-        self.unstored.remove_batch(batch);
+        self.unstored.lock().remove_batch(batch);
         for record in &records {
             self.job_ends.report(record);
         }
--- a/ragwortwick-daemon/src/area/keys.rs
+++ b/ragwortwick-daemon/src/area/keys.rs
@@ -26,14 +26,17 @@
     Cancel,
     /// Completions that a coordinator received but could not store; written by it after its term.
     HandedOverCompletions,
+    /// Failed runs and runs on crashed workers, handed over likewise.
+    HandedOverResults,
 }
 
 impl JobKeyKind {
-    pub(super) const ALL: [Self; 4] = [
+    pub(super) const ALL: [Self; 5] = [
         Self::Record,
         Self::Phase,
         Self::Cancel,
         Self::HandedOverCompletions,
+        Self::HandedOverResults,
     ];
 
     fn suffix(self) -> &'static str {
@@ -42,6 +45,7 @@
             Self::Phase => "phase",
             Self::Cancel => "cancel",
             Self::HandedOverCompletions => "left-ends",
+            Self::HandedOverResults => "left-results",
         }
     }
 
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -7,6 +7,7 @@
 mod desired_state_feed;
 mod election;
 mod feed_monitor;
+mod handover;
 mod host;
 mod job_api;
 mod job_writer;
@@ -21,7 +22,6 @@
 mod settings;
 mod store_health;
 mod term;
-mod unstored_completions;
 mod worker_feed;
 
 pub use host::{AreaHost, AreaHostError};
--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ragwortwick_adapter::{KeyValue, WatchEvent};
-use ragwortwick_area::{JobPhase, JobProgress, JobRecord, RecoveredJob};
+use ragwortwick_area::{JobPhase, JobProgress, JobRecord, RecoveredJob, RunResult};
 use ragwortwick_core::{ClassName, JobId, Revision, log_event};
 
+use super::handover::{CompletionValue, ResultValue};
 use super::keys::{JobKeyKind, parse_progress_key};
-use super::unstored_completions::HandedOverCompletion;
 
 /// `JobView` is one job in the replica.
 #[derive(Clone, Debug, Default)]
@@ -18,7 +18,8 @@
     pub(super) phase: JobPhase,
     phase_revision: Revision,
     pub(super) is_cancelled: bool,
-    handed_over_completions: Vec<HandedOverCompletion>,
+    handed_over_completions: Vec<CompletionValue>,
+    handed_over_results: Vec<ResultValue>,
 }
 
 impl JobView {
@@ -30,14 +31,24 @@
             self.phase
         }
     }
+
+    /// Results of the job's runs that earlier coordinators handed over.
+    fn handed_over_results(&self, job_id: &JobId) -> Vec<RunResult> {
+        let completions = self.handed_over_completions.iter();
+        let completions = completions.map(|value| value.to_result(job_id));
+        let others = self.handed_over_results.iter();
+        completions
+            .chain(others.map(|value| value.to_result(job_id)))
+            .collect()
+    }
 }
 
 /// `JobChange` is a change of a job that the coordinator has to process.
 #[derive(Clone, Debug)]
 pub(super) enum JobChange {
     Accepted(Arc<JobRecord>),
-    /// A coordinator of an earlier term handed over completions that it could not store.
-    CompletionsHandedOver(JobId, Vec<HandedOverCompletion>),
+    /// A coordinator of an earlier term handed over results that it could not store.
+    ResultsHandedOver(Vec<RunResult>),
     Cancelled(JobId),
 }
 
@@ -47,7 +58,7 @@
     fn rank(&self) -> u8 {
         match self {
             Self::Accepted(_) => 0,
-            Self::CompletionsHandedOver(..) => 1,
+            Self::ResultsHandedOver(_) => 1,
             Self::Cancelled(_) => 2,
         }
     }
@@ -151,15 +162,12 @@
         jobs.views.entry(job_id.clone()).or_default().is_cancelled = true;
     }
 
-    /// Completions that earlier coordinators handed over.
-    pub(super) fn handed_over_completions(&self) -> Vec<(JobId, Vec<HandedOverCompletion>)> {
+    /// Results that earlier coordinators handed over.
+    pub(super) fn handed_over_results(&self) -> Vec<RunResult> {
         let jobs = self.lock();
-        let with_completions = jobs
-            .views
-            .iter()
-            .filter(|(_, view)| !view.handed_over_completions.is_empty());
-        with_completions
-            .map(|(job_id, view)| (job_id.clone(), view.handed_over_completions.clone()))
+        let views = jobs.views.iter();
+        views
+            .flat_map(|(job_id, view)| view.handed_over_results(job_id))
             .collect()
     }
 
@@ -216,9 +224,14 @@
             }
             JobKeyKind::HandedOverCompletions => {
                 view.handed_over_completions = parse_json(item)?;
-                Some(JobChange::CompletionsHandedOver(
-                    job_id,
-                    view.handed_over_completions.clone(),
+                Some(JobChange::ResultsHandedOver(
+                    view.handed_over_results(&job_id),
+                ))
+            }
+            JobKeyKind::HandedOverResults => {
+                view.handed_over_results = parse_json(item)?;
+                Some(JobChange::ResultsHandedOver(
+                    view.handed_over_results(&job_id),
                 ))
             }
             JobKeyKind::Cancel => {
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -2,7 +2,7 @@
 
 use ragwortwick_adapter::{KeyValue, StoreClient, StoreError, WatchEvent, WatchReply};
 use ragwortwick_area::{Event, RecoveredJob};
-use ragwortwick_core::{DurationMs, JobId, Revision, log_event};
+use ragwortwick_core::{DurationMs, Revision, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::coordinator_handler::EventSender;
@@ -11,7 +11,6 @@
 use super::metrics::AreaMetrics;
 use super::replica::{JobChange, JobReplica, parse_progress};
 use super::store_health::StoreHealth;
-use super::unstored_completions::HandedOverCompletion;
 use crate::Clock;
 
 /// Longest wait of one watch. An unresponsive connection is noticed after this time and a margin.
@@ -234,21 +233,9 @@
 fn events_of(change: JobChange) -> Vec<Event> {
     match change {
         JobChange::Accepted(record) => vec![Event::JobAccepted(record)],
-        JobChange::CompletionsHandedOver(job_id, completions) => {
-            completion_events(&job_id, &completions)
+        JobChange::ResultsHandedOver(results) => {
+            results.into_iter().map(Event::ResultHandedOver).collect()
         }
         JobChange::Cancelled(job_id) => vec![Event::JobCancelled(job_id)],
     }
 }
-
-/// Events for a job's completions that an earlier coordinator handed over.
-pub(super) fn completion_events(
-    job_id: &JobId,
-    completions: &[HandedOverCompletion],
-) -> Vec<Event> {
-    let runs = completions
-        .iter()
-        .map(|completion| completion.task_and_run(job_id));
-    runs.map(|(task, run)| Event::CompletionHandedOver { task, run })
-        .collect()
-}
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -12,13 +12,13 @@
 use super::action_dispatcher::ActionDispatcher;
 use super::batch_writer::{BatchWriter, JobEndReporter};
 use super::coordinator_handler::{CoordinatorHandler, EventSender, LoadStats};
+use super::handover::{self, SharedUnstoredResults};
 use super::metrics::AreaMetrics;
 use super::order_sender::OrderSender;
 use super::progress_store::ProgressStore;
 use super::replica::JobReplica;
-use super::replica_feed::{CoordinatorKeyState, SubscribeRequest, completion_events};
+use super::replica_feed::{CoordinatorKeyState, SubscribeRequest};
 use super::store_health::StoreHealth;
-use super::unstored_completions::{self, UnstoredCompletions};
 use super::worker_feed::{WorkerFeed, read_workers};
 use crate::{Clock, EventLoop, unix_now};
 
@@ -147,7 +147,7 @@
     });
     let until = lease.valid_until(lease.granted_at);
     events.send(Event::LeaseExtended { until }).await;
-    send_handed_over_completions(context, &events).await;
+    send_handed_over_results(context, &events).await;
 
     let feed = WorkerFeed {
         store: context.store.clone(),
@@ -171,7 +171,7 @@
         context.desired.clone(),
         events.clone(),
     ));
-    let unstored = UnstoredCompletions::default();
+    let unstored = SharedUnstoredResults::default();
     let batch_writer = BatchWriter {
         progress_store,
         events: events.clone(),
@@ -191,22 +191,20 @@
     Ok(reason)
 }
 
-/// Sends the completions that earlier coordinators handed over.
-async fn send_handed_over_completions(context: &TermContext, events: &EventSender) {
-    for (job_id, completions) in context.replica.handed_over_completions() {
-        for event in completion_events(&job_id, &completions) {
-            events.send(event).await;
-        }
+/// Sends the results that earlier coordinators handed over.
+async fn send_handed_over_results(context: &TermContext, events: &EventSender) {
+    for result in context.replica.handed_over_results() {
+        events.send(Event::ResultHandedOver(result)).await;
     }
 }
 
-/// Hands the unstored completions of this term over to the next one, in a task of its own: the term's end
-/// must not wait for it.
-fn hand_over_unstored(context: &TermContext, unstored: &UnstoredCompletions) {
-    let completions = unstored.take();
-    if !completions.is_empty() {
+/// Hands the unstored results of this term over to the next one, in a task of its own: the term's end must
+/// not wait for it.
+fn hand_over_unstored(context: &TermContext, unstored: &SharedUnstoredResults) {
+    let results = unstored.lock().take();
+    if !results.is_empty() {
         let (store, health) = (context.store.clone(), context.health.clone());
-        tokio::spawn(unstored_completions::hand_over(store, health, completions));
+        tokio::spawn(handover::hand_over(store, health, results));
     }
 }
 
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use ragwortwick_adapter::{KeyValue, StoreClient, WatchEvent};
-use ragwortwick_area::{
-    JobPhase, JobProgress, JobRecord, ProgressRecord, QueuePolicy, StepSpec, TaskId,
-};
+use ragwortwick_area::{JobPhase, JobProgress, JobRecord, ProgressRecord, QueuePolicy, StepSpec};
 use ragwortwick_core::{DurationMs, JobId, Revision, TimeMs};
 
 use super::AreaSettings;
@@ -14,7 +12,6 @@
 use super::keys::JobKeyKind;
 use super::metrics::AreaMetrics;
 use super::replica::{JobChange, JobReplica};
-use super::unstored_completions::UnstoredCompletions;
 
 fn record(id: &str) -> Arc<JobRecord> {
     Arc::new(JobRecord {
@@ -113,42 +110,6 @@
     assert_eq!(histogram.get_sample_count(), 1);
 }
 
-/// A term hands over exactly the completions that no stored batch contains. A missing one makes the task
-/// run again; one that is never removed is handed over by each later term.
-#[test]
-fn verify_a_term_leaves_the_ends_that_no_batch_has_stored() {
-    let unstored = UnstoredCompletions::default();
-    let task = |job_id: &str, index| TaskId {
-        job_id: JobId::new(job_id),
-        occurrence: 0,
-        step: 0,
-        index,
-    };
-    let record_of = |job_id: &str| ProgressRecord {
-        job_id: JobId::new(job_id),
-        progress: JobProgress::default(),
-        has_new_phase: false,
-        accounting: None,
-    };
-    unstored.add(&task("a", 0), 1);
-    unstored.assign_batch(1, &[record_of("a")]);
-    unstored.add(&task("a", 1), 2);
-    unstored.add(&task("b", 0), 3);
-    unstored.assign_batch(2, &[record_of("b")]);
-    unstored.remove_batch(1);
-    let handed_over = unstored.take();
-    let runs = |job_id: &str| -> Vec<(TaskId, u32)> {
-        let job_id = JobId::new(job_id);
-        let completions = handed_over.get(&job_id).into_iter().flatten();
-        completions
-            .map(|completion| completion.task_and_run(&job_id))
-            .collect()
-    };
-    assert_eq!(runs("a"), [(task("a", 1), 2)]);
-    assert_eq!(runs("b"), [(task("b", 0), 3)]);
-    assert!(unstored.take().is_empty());
-}
-
 /// A watch that repeats an older revision yields no change.
 #[test]
 fn verify_older_revision_is_no_news() {
--- a/ragwortwick-emulator/examples/emulate.rs
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -4,14 +4,14 @@
 use std::process::ExitCode;
 
 use ragwortwick_area::Limits;
-use ragwortwick_core::{DurationMs, TimeMs};
+use ragwortwick_core::{DurationMs, JobId, TimeMs};
 use ragwortwick_emulator::{Simulation, SimulationOptions, Workload, draw_faults};
 
 const HELP: &str = "\
 emulate: simulates an area in virtual time
 
 usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N] [--load PERCENT]
-               [--lease-ms N] [--advised] [--load-file FILE]
+               [--lease-ms N] [--advised] [--load-file FILE] [--trace JOB]
 
   --seed N      first seed (1)
   --seeds N     how many seeds (100)
@@ -21,6 +21,7 @@
   --lease-ms N  longest lease of runs on a worker (10000)
   --advised     the middle queue's jobs run only where an advisor allows them
   --load-file F workload file to use in place of the built-in workload
+  --trace JOB   prints what coordinators learn and decide about a job
 
 exit codes: 0 no invariant violated, 1 one was violated, 2 invalid arguments
 ";
@@ -39,6 +40,13 @@
             return ExitCode::from(2);
         }
     };
+    let traced_job: Option<String> = match arguments.opt_value_from_str("--trace") {
+        Ok(job) => job,
+        Err(error) => {
+            eprintln!("{error}\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
     let mut number = |name, default| -> Result<u64, pico_args::Error> {
         Ok(arguments.opt_value_from_str(name)?.unwrap_or(default))
     };
@@ -75,6 +83,7 @@
                 lease_ms: DurationMs(lease_ms),
                 ..Limits::default()
             },
+            traced_job: traced_job.as_deref().map(JobId::new),
             ..SimulationOptions::default()
         };
         let count = usize::try_from(faults).unwrap_or(3);
@@ -84,6 +93,9 @@
         stopped += report.stopped;
         ticket_refusals += report.ticket_refusals;
         jobs += report.jobs;
+        for line in &report.trace {
+            println!("{line}");
+        }
         if !report.violations.is_empty() {
             violated += 1;
             println!("seed={seed} faults={faults:?}");
--- a/ragwortwick-emulator/examples/experiment.rs
+++ b/ragwortwick-emulator/examples/experiment.rs
@@ -94,6 +94,7 @@
             workers_per_rack,
             workload: workload.clone(),
             limits: limits.clone(),
+            ..SimulationOptions::default()
         };
         let until = TimeMs(workload.duration_ms.0);
         let report = Simulation::new(options, draw_faults(seed, faults, until)).run();
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -22,6 +22,18 @@
         if state.number != term {
             return;
         }
+        if let Event::ResultHandedOver(result) = &event
+            && self.trace.is_of_job(&result.task.job_id)
+        {
+            let text = format_args!(
+                "{} run {} handed over: {:?}",
+                result.task, result.run, result.kind
+            );
+            self.trace.add(self.now, term, text);
+        }
+        if let Event::BatchStored { batch } = event {
+            state.unstored.remove_batch(batch);
+        }
         let actions = state.coordinator.on_event(now, event);
         self.perform_actions(host, term, actions);
     }
@@ -51,6 +63,10 @@
 
     pub(crate) fn perform_actions(&mut self, host: usize, term: u64, actions: Vec<Action>) {
         for action in actions {
+            self.trace.record_action(self.now, term, &action);
+            if let Some(state) = &mut self.hosts[host].term {
+                state.unstored.record_action(&action);
+            }
             match action {
                 Action::Store { batch, records } => {
                     let commit = SimEvent::CommitBatch {
@@ -62,7 +78,7 @@
                     self.schedule_after(5, commit);
                 }
                 Action::LogRunEnd(_) | Action::LogWorkerLoss(_) => {}
-                Action::Resign => self.hosts[host].term = None,
+                Action::Resign => self.hosts[host].end_term(),
                 Action::DeleteJob(job_id) => {
                     self.store.jobs.remove(&job_id);
                 }
@@ -121,7 +137,7 @@
             return;
         }
         if self.store.holder(self.now) != Some(term) {
-            self.hosts[host].term = None;
+            self.hosts[host].end_term();
             return;
         }
         for record in &records {
--- a/ragwortwick-emulator/src/host.rs
+++ b/ragwortwick-emulator/src/host.rs
@@ -1,8 +1,8 @@
 //! A host that may coordinate: its coordinator, and which systems it can reach.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use ragwortwick_area::Coordinator;
+use ragwortwick_area::{Coordinator, RunResult, UnstoredResults};
 use ragwortwick_core::{JobId, TimeMs, WorkerName};
 
 /// `Host` is one process that may be elected coordinator.
@@ -20,6 +20,8 @@
     pub(crate) wakeup_at: Option<TimeMs>,
     /// Time at which a killed process restarts.
     pub(crate) down_until: Option<TimeMs>,
+    /// Results of ended terms that wait to be handed over.
+    pub(crate) handover: Vec<(JobId, Vec<RunResult>)>,
 }
 
 /// `Term` is one election term of a coordinator.
@@ -31,9 +33,19 @@
     pub(crate) known_jobs: BTreeSet<JobId>,
     pub(crate) known_cancelled: BTreeSet<JobId>,
     pub(crate) known_workers: BTreeSet<WorkerName>,
+    /// Number of handed-over results of each job that were reported to the coordinator.
+    pub(crate) known_results: BTreeMap<JobId, usize>,
+    pub(crate) unstored: UnstoredResults,
 }
 
 impl Host {
+    /// Ends the term, if there is one; its unstored results are handed over once the store is reachable.
+    pub(crate) fn end_term(&mut self) {
+        if let Some(mut term) = self.term.take() {
+            self.handover.extend(term.unstored.take());
+        }
+    }
+
     pub(crate) fn is_stopped(&self, now: TimeMs) -> bool {
         let is_before = |until: Option<TimeMs>| until.is_some_and(|until| now < until);
         is_before(self.frozen_until) || is_before(self.down_until)
--- a/ragwortwick-emulator/src/lib.rs
+++ b/ragwortwick-emulator/src/lib.rs
@@ -17,6 +17,7 @@
 mod store;
 mod submissions;
 mod ticks;
+mod trace;
 mod value;
 mod worker;
 mod workload;
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -291,6 +291,10 @@
         }
         worker.reachability = Reachability::Refusing;
         self.ground_truth.record_crash(task);
+        if self.trace.is_of_job(&task.job_id) {
+            let text = format_args!("{task} crashes {name}");
+            self.trace.add(self.now, 0, text);
+        }
         self.crash_worker(index, PollFailure::Closed);
         self.schedule_after(CRASH_OUTAGE_MS, SimEvent::RestoreWorker(index));
     }
--- a/ragwortwick-emulator/src/simulation.rs
+++ b/ragwortwick-emulator/src/simulation.rs
@@ -17,6 +17,7 @@
 use crate::host::Host;
 use crate::invariants::GroundTruth;
 use crate::store::{Store, StoredJob};
+use crate::trace::Trace;
 use crate::value::{JobObservation, LostWorkCause, ValueModel, ValueReport};
 use crate::worker::{CheckpointPolicy, SimWorker};
 use crate::workload::Workload;
@@ -43,6 +44,8 @@
     pub workload: Workload,
     /// Limits that the coordinator's decisions depend on.
     pub limits: Limits,
+    /// Job whose events are traced.
+    pub traced_job: Option<JobId>,
 }
 
 impl Default for SimulationOptions {
@@ -53,6 +56,7 @@
             workers_per_rack: 8,
             workload: Workload::default(),
             limits: Limits::default(),
+            traced_job: None,
         }
     }
 }
@@ -78,6 +82,8 @@
     pub lost_core_s: BTreeMap<LostWorkCause, u64>,
     /// Value earned by unscheduled jobs that were not cancelled and could be completed.
     pub value: ValueReport,
+    /// Events of the traced job.
+    pub trace: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -153,6 +159,7 @@
     pub(crate) last_renewal_at: TimeMs,
     pub(crate) completed_at: BTreeMap<JobId, TimeMs>,
     pub(crate) lost_core_ms: BTreeMap<LostWorkCause, u64>,
+    pub(crate) trace: Trace,
 }
 
 impl Simulation {
@@ -213,6 +220,7 @@
             last_renewal_at: TimeMs(0),
             completed_at: BTreeMap::new(),
             lost_core_ms: BTreeMap::new(),
+            trace: Trace::new(options.traced_job.clone()),
             arrivals,
             faults,
             options,
@@ -323,6 +331,7 @@
                 .map(|(&cause, &ms)| (cause, ms / 1_000))
                 .collect(),
             value,
+            trace: self.trace.lines,
         }
     }
 
--- a/ragwortwick-emulator/src/store.rs
+++ b/ragwortwick-emulator/src/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ragwortwick_area::{JobProgress, JobRecord, RecoveredJob};
+use ragwortwick_area::{JobProgress, JobRecord, RecoveredJob, RunResult};
 use ragwortwick_core::{DurationMs, JobId, TimeMs};
 
 /// Time to live of the coordinator's lease.
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     pub(crate) jobs: BTreeMap<JobId, StoredJob>,
+    /// Results that terms handed over, by job.
+    pub(crate) handed_over: BTreeMap<JobId, Vec<RunResult>>,
     pub(crate) revision: u64,
     /// Term of the elected coordinator, and when its lease expires.
     pub(crate) coordinator: Option<(u64, TimeMs)>,
@@ -54,6 +56,16 @@
         true
     }
 
+    /// Adds the results that a term hands over to those of earlier terms.
+    pub(crate) fn add_handed_over(&mut self, job_id: JobId, results: Vec<RunResult>) {
+        let of_job = self.handed_over.entry(job_id).or_default();
+        for result in results {
+            if !of_job.contains(&result) {
+                of_job.push(result);
+            }
+        }
+    }
+
     pub(crate) fn recovered_jobs(&self) -> Vec<RecoveredJob> {
         self.jobs
             .values()
--- a/ragwortwick-emulator/src/ticks.rs
+++ b/ragwortwick-emulator/src/ticks.rs
@@ -1,9 +1,9 @@
 //! Periodic work: ticks, elections, lease renewals and feeds.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use ragwortwick_area::{Coordinator, Event, Now};
+use ragwortwick_area::{Coordinator, Event, Now, UnstoredResults};
 use ragwortwick_core::DurationMs;
 
 use crate::host::Term;
@@ -29,6 +29,7 @@
             if self.hosts[host].is_stopped(self.now) {
                 continue;
             }
+            self.hand_over(host);
             self.try_elect(host);
             if is_renewal_due {
                 self.renew_term(host);
@@ -65,6 +66,7 @@
             self.store.recovered_jobs(),
             entries,
         );
+        self.trace.add(self.now, number, "begins");
         self.hosts[host].wakeup_at = None;
         self.hosts[host].term = Some(Term {
             number,
@@ -72,6 +74,8 @@
             known_jobs,
             known_cancelled,
             known_workers,
+            known_results: BTreeMap::new(),
+            unstored: UnstoredResults::default(),
         });
         let until = self.now + LEASE_TTL_MS - DurationMs(200);
         self.deliver_event(host, number, Event::LeaseExtended { until });
@@ -88,7 +92,17 @@
             let until = self.now + LEASE_TTL_MS - DurationMs(200);
             self.deliver_event(host, number, Event::LeaseExtended { until });
         } else {
-            self.hosts[host].term = None;
+            self.hosts[host].end_term();
+        }
+    }
+
+    /// Hands the results of ended terms over to the next one through the store.
+    fn hand_over(&mut self, host: usize) {
+        if self.store.is_unavailable || !self.hosts[host].reaches_store() {
+            return;
+        }
+        for (job_id, results) in std::mem::take(&mut self.hosts[host].handover) {
+            self.store.add_handed_over(job_id, results);
         }
     }
 
@@ -110,6 +124,12 @@
                 events.push(Event::JobCancelled(job_id.clone()));
             }
         }
+        for (job_id, results) in &self.store.handed_over {
+            let known = term.known_results.entry(job_id.clone()).or_default();
+            let new = results.iter().skip(*known).cloned();
+            events.extend(new.map(Event::ResultHandedOver));
+            *known = results.len();
+        }
         if is_feed_due {
             let mut present = BTreeSet::new();
             for worker in self
