area: compare crashes only at run ages that are known

Ruled out: lost counts (the trace shows each taken over) and the placement of suspects (they started apart where the count was known).

Change: a coordinator notes a gap of 400 ms between its calls as a pause; a loss noticed right after it, and a start confirmed long after its order, have no known age. An unknown age is kept as unknown. A run lost in its first second leaves the count of a task that crashes later. Where a likely cause repeats its point within 50 ms, others that only come near are left out.

Kept out: a list of points for each task (harmless tasks would collect matches).

--- a/ragwortwick-area/src/allocation.rs
+++ b/ragwortwick-area/src/allocation.rs
@@ -64,6 +64,8 @@
     pub(crate) priority: u32,
     /// When the run was placed.
     pub(crate) placed_at: TimeMs,
+    /// When this coordinator first sent the start order; none if it did not.
+    pub(crate) ordered_at: Option<TimeMs>,
     /// When the worker confirmed the start.
     pub(crate) started_at: Option<TimeMs>,
     /// Newest checkpoint that was reported.
@@ -99,6 +101,7 @@
             phase: AllocationPhase::AwaitingRecord,
             priority,
             placed_at: now,
+            ordered_at: None,
             started_at: None,
             checkpoint: "".into(),
             is_resumed: false,
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -51,6 +51,12 @@
 /// Maximum time between wakeups while work is in progress.
 const TICK_MS: DurationMs = DurationMs(100);
 
+/// Minimum time without a call, while work is in progress, after which the process counts as paused.
+const PAUSED_AFTER_MS: DurationMs = DurationMs(400);
+
+/// Time after a pause in which events from before its end are still processed.
+const PAUSE_BACKLOG_MS: DurationMs = DurationMs(300);
+
 /// `Now` is the current time on the two clocks that decisions depend on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Now {
@@ -101,6 +107,10 @@
     /// Whether an order may be due before the next periodic maintenance.
     pub(crate) has_due_orders: bool,
     next_maintenance_at: TimeMs,
+    /// When the coordinator was last called.
+    called_at: TimeMs,
+    /// When the last pause of the process ended; none if there was none.
+    resumed_at: Option<TimeMs>,
     /// When the next scheduled occurrence of a job is due.
     pub(crate) next_scheduled_at: Option<TimeMs>,
     /// Accelerator-seconds and number of the jobs submitted to each queue.
@@ -146,6 +156,8 @@
             next_poll_at: None,
             has_due_orders: true,
             next_maintenance_at: TimeMs(0),
+            called_at: now.steady,
+            resumed_at: None,
             next_scheduled_at: None,
             submitted_work: BTreeMap::new(),
             reserved_workers: BTreeSet::new(),
@@ -167,6 +179,7 @@
 
     /// `on_event` processes one event and returns the resulting actions.
     pub fn on_event(&mut self, now: Now, event: Event) -> Vec<Action> {
+        self.record_call(now.steady);
         match event {
             Event::DesiredState(desired) => self.desired = desired,
             Event::WorkerUpdated(entry) => self.on_worker_updated(now.steady, entry),
@@ -209,6 +222,7 @@
 
     /// `on_wakeup` processes what has become due and returns the resulting actions.
     pub fn on_wakeup(&mut self, now: Now) -> Vec<Action> {
+        self.record_call(now.steady);
         self.process_due(now)
     }
 
@@ -228,6 +242,20 @@
         [tick, pass, scheduled, poll].into_iter().flatten().min()
     }
 
+    /// Records a call, and the end of a pause if the last call is long ago.
+    fn record_call(&mut self, now: TimeMs) {
+        if !self.open_jobs.is_empty() && now.since(self.called_at) >= PAUSED_AFTER_MS {
+            self.resumed_at = Some(now);
+        }
+        self.called_at = now;
+    }
+
+    /// Whether an event that is processed now may have occurred during a pause of the process.
+    pub(crate) fn is_after_pause(&self, now: TimeMs) -> bool {
+        self.resumed_at
+            .is_some_and(|at| now.since(at) <= PAUSE_BACKLOG_MS)
+    }
+
     fn process_due(&mut self, now: Now) -> Vec<Action> {
         let is_maintenance_due = now.steady >= self.next_maintenance_at;
         if is_maintenance_due {
--- a/ragwortwick-area/src/crashes.rs
+++ b/ragwortwick-area/src/crashes.rs
@@ -21,13 +21,16 @@
 /// same point of a task's work.
 const SAME_POINT_TOLERANCE_MS: DurationMs = DurationMs(250);
 
+/// Difference between the run ages of two crashes up to which they are at the same point beyond doubt.
+const CLOSE_MATCH_MS: DurationMs = DurationMs(50);
+
 /// `CrashHistory` holds the worker crashes that are attributed to one task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct CrashHistory {
     /// Crashes at the same point of its work, minus those at other points.
     pub(crate) count: u32,
-    /// Age of its run at the last of them.
-    pub(crate) run_age_ms: DurationMs,
+    /// Age of its run at the last of them with a known age; none if none is known.
+    pub(crate) run_age_ms: Option<DurationMs>,
     /// Number of the last run whose crash was counted.
     pub(crate) last_run: u32,
 }
@@ -36,34 +39,51 @@
     /// Whether no other run may start on the worker together with the task, so that only the task is
     /// starting there.
     pub(crate) fn needs_isolation(self) -> bool {
-        self.count > u32::from(self.run_age_ms >= STARTING_MS)
+        let is_past_start = self.run_age_ms.is_some_and(|age_ms| age_ms >= STARTING_MS);
+        self.count > u32::from(is_past_start)
     }
 
     pub(crate) fn is_at_limit(self) -> bool {
         self.count >= MAX_CRASHES
     }
 
-    /// Whether a crash at the given run age repeats the last one; at an unknown age it may.
+    /// Whether a crash at the given run age repeats the last one; if either age is unknown, it may.
     fn is_repeated_at(self, age_ms: Option<DurationMs>) -> bool {
-        let is_same_point = |age_ms: DurationMs| {
-            let (lower, higher) = (self.run_age_ms.min(age_ms), self.run_age_ms.max(age_ms));
+        let is_same_point = |(point_ms, age_ms): (DurationMs, DurationMs)| {
+            let (lower, higher) = (point_ms.min(age_ms), point_ms.max(age_ms));
             higher < STARTING_MS || higher.0 <= lower.0 + lower.0 / 4 + SAME_POINT_TOLERANCE_MS.0
         };
-        self.count > 0 && age_ms.is_none_or(is_same_point)
+        self.count > 0 && self.run_age_ms.zip(age_ms).is_none_or(is_same_point)
+    }
+
+    /// How much the given run age differs from that of the last crash; the most that counts as the same point
+    /// if either age is unknown.
+    fn distance_ms(self, age_ms: Option<DurationMs>) -> DurationMs {
+        match (self.run_age_ms, age_ms) {
+            (Some(point_ms), Some(age_ms)) => DurationMs(point_ms.0.abs_diff(age_ms.0)),
+            _ => SAME_POINT_TOLERANCE_MS,
+        }
     }
 
-    /// Counts a crash attributed to the task; one at another point of its work lowers a count above one.
+    /// Whether a run of the given age had just started, and the task crashes its workers only later.
+    fn is_before_point(self, age_ms: Option<DurationMs>) -> bool {
+        self.run_age_ms.is_some_and(|point| point >= STARTING_MS)
+            && age_ms.is_some_and(|age_ms| age_ms < STARTING_MS)
+    }
+
+    /// Counts a crash attributed to the task; one at another point of its work lowers a count above one,
+    /// unless the run had not reached the point of the last crash.
     pub(crate) fn count_crash(&mut self, run: u32, age_ms: Option<DurationMs>) {
         self.last_run = run;
         if self.count > 1 && !self.is_repeated_at(age_ms) {
-            self.count -= 1;
+            self.count -= u32::from(!self.is_before_point(age_ms));
             return;
         }
         if !self.is_repeated_at(age_ms) {
             self.count = 0;
         }
         self.count += 1;
-        self.run_age_ms = age_ms.unwrap_or(self.run_age_ms);
+        self.run_age_ms = age_ms.or(self.run_age_ms);
     }
 }
 
@@ -82,6 +102,10 @@
         self.age_ms.is_some_and(|age_ms| age_ms < STARTING_MS)
     }
 
+    fn distance_ms(&self) -> DurationMs {
+        self.crash_history.distance_ms(self.age_ms)
+    }
+
     fn is_repetition(&self) -> bool {
         self.crash_history.is_repeated_at(self.age_ms)
     }
@@ -101,12 +125,19 @@
 }
 
 /// The runs that a crash is attributed to: the likely causes, or all runs if there are none.
+///
+/// A task crashes its workers at the same point within milliseconds. Where the point of one of the likely
+/// causes is met so closely, others that only come near theirs are unlikely.
 pub(crate) fn suspect_runs(runs: &[RunAtLoss]) -> Vec<&RunAtLoss> {
     let likely: Vec<&RunAtLoss> = runs.iter().filter(|run| run.is_likely()).collect();
-    if likely.is_empty() {
-        runs.iter().collect()
-    } else {
-        likely
+    let closest_ms = likely.iter().map(|run| run.distance_ms()).min();
+    match closest_ms {
+        None => runs.iter().collect(),
+        Some(closest_ms) if closest_ms <= CLOSE_MATCH_MS => likely
+            .into_iter()
+            .filter(|run| run.distance_ms() <= closest_ms + CLOSE_MATCH_MS)
+            .collect(),
+        Some(_) => likely,
     }
 }
 
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -8,6 +8,7 @@
 use crate::coordinator::Coordinator;
 use crate::crashes::{RunAtLoss, has_likely_cause, suspect_runs};
 use crate::job::TaskId;
+use crate::job_state::TaskState;
 use crate::messages::Action;
 use crate::outcome::RunOutcome;
 use crate::worker::Worker;
@@ -26,6 +27,10 @@
 /// event is taken to have a common cause: no worker's loss is then attributed to its runs.
 const COMMON_CAUSE_LOSSES: usize = 2;
 
+/// Maximum time between the first order of a start and its confirmation for which the age of the run is known
+/// well enough to compare crashes.
+const MAX_START_UNCERTAINTY_MS: DurationMs = DurationMs(400);
+
 /// How long a loss is kept for comparison: workers lost in the same event come back within seconds, or
 /// not at all.
 const RECENT_LOSS_MS: DurationMs = DurationMs(15_000);
@@ -64,6 +69,8 @@
 pub struct ContactLoss {
     /// When the first request failed.
     pub since: TimeMs,
+    /// Whether the coordinator had been paused right before, so that the worker may have been lost earlier.
+    pub is_noticed_late: bool,
     /// How it was noticed.
     pub kind: ContactLossKind,
 }
@@ -151,14 +158,21 @@
 }
 
 impl Worker {
-    /// Age of a run when the worker was last known to be up; none if its start time is unknown. A start
-    /// without a reply may have been carried out just then.
+    /// Age of a run when the worker was last known to be up; none if it is not known well enough.
+    ///
+    /// A run may have started at any time between its first order and the worker's confirmation, or up to now
+    /// without one.
     fn run_age_ms(&self, allocation: &Allocation) -> Option<DurationMs> {
-        match (allocation.phase, allocation.started_at) {
-            (AllocationPhase::Recovered, _) => None,
-            (_, None) => Some(DurationMs(0)),
-            (_, Some(started_at)) => Some(self.last_up_at().since(started_at)),
+        let ordered_at = allocation.ordered_at?;
+        let last_up_at = self.last_up_at();
+        let started_by = allocation.started_at.unwrap_or(last_up_at);
+        let is_noticed_late = self
+            .contact_loss
+            .is_some_and(|contact_loss| contact_loss.is_noticed_late);
+        if is_noticed_late || started_by.since(ordered_at) > MAX_START_UNCERTAINTY_MS {
+            return None;
         }
+        Some(last_up_at.since(started_by))
     }
 
     /// The runs that were, or may have been, on the worker when it was last up.
@@ -183,6 +197,7 @@
             .all(|allocation| allocation.phase == AllocationPhase::Recovered);
         let unseen = ContactLoss {
             since: now,
+            is_noticed_late: true,
             kind: ContactLossKind::Unseen,
         };
         self.contact_loss.or_else(|| is_unseen.then_some(unseen))
@@ -194,6 +209,7 @@
             Some(ContactLoss {
                 since,
                 kind: ContactLossKind::Closed,
+                ..
             }) => since,
             _ => self.last_reply_at(),
         }
@@ -299,6 +315,16 @@
         }
         let is_failed = job.count_crash(task, run, run_age_ms);
         let count = job.task(task).map_or(0, |task| task.crash_history.count);
+        let placed = job.task(task).and_then(|task| match &task.state {
+            TaskState::Placed(worker) => Some((worker.clone(), task.crash_history)),
+            _ => None,
+        });
+        if let Some((worker, crash_history)) = placed
+            && let Some(worker) = self.workers.get_mut(&worker)
+            && let Some(allocation) = worker.allocations.get_mut(task)
+        {
+            allocation.crash_history = crash_history;
+        }
         self.records.mark_dirty(&task.job_id);
         if is_failed {
             self.end_job(now, &task.job_id);
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -124,8 +124,9 @@
             PollFailure::Closed => ContactLossKind::Closed,
             PollFailure::NoAnswer => ContactLossKind::Unanswered,
         };
+        let is_noticed_late = self.is_after_pause(now);
         if let Some(worker) = self.workers.get_mut(worker_name) {
-            worker.mark_unresponsive(now, kind);
+            worker.mark_unresponsive(now, kind, is_noticed_late);
             let pause_ms = if worker.allocations.is_empty() {
                 UNRESPONSIVE_IDLE_POLL_MS
             } else {
--- a/ragwortwick-area/src/progress.rs
+++ b/ragwortwick-area/src/progress.rs
@@ -67,9 +67,9 @@
     /// Number of worker crashes attributed to the task, at the same point of its work.
     #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
-    /// Age of its run at the last of these crashes.
-    #[serde(rename = "ka", default, skip_serializing_if = "is_none_ms")]
-    pub crash_age_ms: DurationMs,
+    /// Age of its run at the last of these crashes with a known age.
+    #[serde(rename = "ka", default, skip_serializing_if = "Option::is_none")]
+    pub crash_age_ms: Option<DurationMs>,
     /// Number of the last run whose crash was counted.
     #[serde(rename = "kr", default, skip_serializing_if = "is_zero")]
     pub crash_run: u32,
@@ -115,14 +115,6 @@
     !flag
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes the field by reference"
-)]
-fn is_none_ms(duration_ms: &DurationMs) -> bool {
-    duration_ms.0 == 0
-}
-
 fn is_empty(text: &Arc<str>) -> bool {
     text.is_empty()
 }
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -74,6 +74,7 @@
             return;
         };
         allocation.start_attempts += 1;
+        allocation.ordered_at.get_or_insert(now);
         allocation.phase = AllocationPhase::StartSent {
             sent_at: now,
             in_flight: true,
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -153,9 +153,17 @@
     }
 
     /// Records a failed poll; the contact loss dates from the first failure.
-    pub(crate) fn mark_unresponsive(&mut self, now: TimeMs, kind: ContactLossKind) {
-        self.contact_loss
-            .get_or_insert(ContactLoss { since: now, kind });
+    pub(crate) fn mark_unresponsive(
+        &mut self,
+        now: TimeMs,
+        kind: ContactLossKind,
+        is_noticed_late: bool,
+    ) {
+        self.contact_loss.get_or_insert(ContactLoss {
+            since: now,
+            is_noticed_late,
+            kind,
+        });
     }
 
     /// Estimate of the worker's current clock, if the clock is known; apart from drift, it is never ahead.
--- a/ragwortwick-area/tests/crashes.rs
+++ b/ragwortwick-area/tests/crashes.rs
@@ -9,7 +9,7 @@
     Event, JobPhase, JobProgress, JobRecord, OrderReply, PollFailure, RecoveredJob, RefusalCause,
     StepSpec, TaskId, WorkerEntry,
 };
-use ragwortwick_core::{JobId, WorkerName};
+use ragwortwick_core::{DurationMs, JobId, WorkerName};
 use rig::{Rig, gang, job, running, step, worker};
 
 /// Maximum number of further starts of a task once three workers have crashed while running it.
@@ -240,6 +240,30 @@
     assert_eq!(phase, Some(JobPhase::Running));
 }
 
+/// Guards against restarts without end because crashes are noticed only after a pause of the coordinator.
+#[test]
+fn verify_crashes_that_are_noticed_late_count() {
+    let mut fleet = Fleet::new(6);
+    let mut rig = Rig::new(&fleet.entries);
+    rig.submit(CRASHER, "urgent", step(1, 8));
+    for pause_ms in [0, 900, 2_500] {
+        let starts = rig.start_all();
+        let start = starts.first().expect("the task starts");
+        rig.advance(1_300);
+        rig.now = rig.now + DurationMs(pause_ms);
+        fleet.crash(&mut rig, &start.0);
+    }
+    assert_eq!(phase(&rig, CRASHER), Some(JobPhase::Failed));
+}
+
+/// Guards against forgetting crashes of a task because a run of it was lost before it got to their point.
+#[test]
+fn verify_a_run_that_is_lost_at_its_start_speaks_for_no_task() {
+    let run_ages_ms = [4_000, 4_000, 100, 4_000];
+    let phase = phase_after_crashes(&run_ages_ms, step(1, 8));
+    assert_eq!(phase, Some(JobPhase::Failed));
+}
+
 /// Guards against a long-running task, always restarted, that crashes one worker after the other.
 #[test]
 fn verify_a_lasting_task_that_crashes_its_workers_is_given_up() {
