area: record the addresses of the workers that may run a job's tasks

Cause: the record names a run's worker, and its address stood in the worker's entry alone, which is gone once it has crashed. The successor had nothing to ask, waited for every lease there could be, took the worker for out of reach and counted no crash. A worker cut off from the store alone lost its runs likewise: nobody renewed its leases.

Ruled out: the hand-over (a killed coordinator hands nothing over); asking the new entries (which incarnation replaced which is not in them).

Change: the progress of a job holds the addresses of its workers. A coordinator polls a worker without an entry there: another incarnation ends its runs at once and counts as a crash, unless several are found together; the same one goes on with renewed leases. Hosts of earlier versions leave the field out, and then wait as before.

Two tests failed before.

--- a/ragwortwick-area/src/persistence.rs
+++ b/ragwortwick-area/src/persistence.rs
@@ -81,8 +81,11 @@
         }
     }
 
-    /// Returns the progress to store, with the worker of each task that may be running.
-    pub(crate) fn to_progress(&self) -> JobProgress {
+    /// Returns the progress to store, with the worker of each task that may be running and its address.
+    pub(crate) fn to_progress(
+        &self,
+        address_of: impl Fn(&WorkerName) -> Option<Arc<str>>,
+    ) -> JobProgress {
         let mut progress = JobProgress {
             phase: self.phase,
             ..JobProgress::default()
@@ -103,6 +106,12 @@
                         TaskState::Placed(worker) => Some(worker.clone()),
                         _ => None,
                     };
+                    if let Some(worker) = &worker
+                        && !progress.addresses.contains_key(worker)
+                        && let Some(address) = address_of(worker)
+                    {
+                        progress.addresses.insert(worker.clone(), address);
+                    }
                     let is_done = task.state == TaskState::Done;
                     let is_unchanged = task.last_run == 0 && task.failures == 0 && !is_done;
                     // For a job that has ended, only runs that still have to stop are stored.
--- a/ragwortwick-area/src/progress.rs
+++ b/ragwortwick-area/src/progress.rs
@@ -1,5 +1,6 @@
 //! The stored progress of a job: its phase, the state of its tasks and the workers that may run them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use ragwortwick_core::{DurationMs, WorkerName, common};
@@ -43,6 +44,9 @@
     /// Gangs that have failed runs.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub gangs: Vec<GangProgress>,
+    /// Addresses of the workers that may run tasks; a worker that has crashed has no entry to read it from.
+    #[serde(rename = "at", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub addresses: BTreeMap<WorkerName, Arc<str>>,
 }
 
 /// `TaskProgress` is the stored state of one task.
--- a/ragwortwick-area/src/record_batches.rs
+++ b/ragwortwick-area/src/record_batches.rs
@@ -4,6 +4,7 @@
 //! Batches of different jobs are therefore sent in parallel.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
 
@@ -216,7 +217,10 @@
             job.recorded_phase = job.phase;
             records.push(ProgressRecord {
                 job_id: job_id.clone(),
-                progress: job.to_progress(),
+                progress: job.to_progress(|name| {
+                    let worker = self.workers.get(name)?;
+                    Some(Arc::clone(&worker.entry.address)).filter(|address| !address.is_empty())
+                }),
                 has_new_phase,
                 accounting: has_ended.then(|| job.accounting.clone()),
             });
--- a/ragwortwick-area/src/recovery.rs
+++ b/ragwortwick-area/src/recovery.rs
@@ -1,5 +1,6 @@
 //! Recovery of jobs from the store by a new coordinator, with the runs that may still be on workers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::accounting::RunEndReason;
@@ -17,8 +18,10 @@
         let accepted_at = unix_to_steady(now, recovered.record.accepted_unix_ms);
         let mut job = JobState::new(recovered.record, accepted_at);
         let mut recovered_runs = Vec::new();
-        if let Some(progress) = &recovered.progress {
-            recovered_runs = job.restore(now.steady, progress);
+        let mut addresses = BTreeMap::new();
+        if let Some(progress) = recovered.progress {
+            recovered_runs = job.restore(now.steady, &progress);
+            addresses = progress.addresses;
         }
         self.record_submitted_work(&job);
         let is_ended = job.phase.is_final();
@@ -42,10 +45,11 @@
             };
             let lease_expires_by =
                 now.steady + RENEWAL_AFTER_LEASE_LOSS_MS + max_lease_ms(&self.limits);
+            let address = addresses.get(&worker_name).cloned().unwrap_or_default();
             let worker = self
                 .workers
                 .entry(worker_name.clone())
-                .or_insert_with(|| Worker::unlisted(now.steady, worker_name));
+                .or_insert_with(|| Worker::unlisted(now.steady, worker_name, address));
             worker.lease_expires_by = lease_expires_by;
             worker.allocate(task, allocation);
         }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -102,11 +102,11 @@
         worker
     }
 
-    /// A worker of which only the name in a job record is known.
-    pub(crate) fn unlisted(now: TimeMs, name: WorkerName) -> Self {
+    /// A worker without an entry, of which only the name and the address in a job record are known.
+    pub(crate) fn unlisted(now: TimeMs, name: WorkerName, address: Arc<str>) -> Self {
         let entry = WorkerEntry {
             name,
-            address: "".into(),
+            address,
             pool: "".into(),
             zone: "".into(),
             rack: "".into(),
--- a/ragwortwick-area/tests/crashes.rs
+++ b/ragwortwick-area/tests/crashes.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Event, JobPhase, JobProgress, JobRecord, OrderReply, PollFailure, RecoveredJob, RefusalCause,
-    StepSpec, TaskId, WorkerEntry,
+    Action, Event, JobPhase, JobProgress, JobRecord, OrderReply, PollFailure, RecoveredJob,
+    RefusalCause, StepSpec, TaskId, WorkerEntry,
 };
 use ragwortwick_core::{DurationMs, JobId, WorkerName};
 use rig::{Rig, gang, job, running, step, worker};
@@ -446,3 +446,46 @@
         assert_eq!(failed.count(), 0, "term {term}");
     }
 }
+
+/// Guards against a wait for leases on a worker that crashed between two coordinators, and against its crash
+/// not being counted: it has no entry any more, so its address is known from the record alone.
+#[test]
+fn verify_a_worker_that_crashed_between_two_coordinators_is_asked_at_its_recorded_address() {
+    let mut fleet = Fleet::new(6);
+    let record = job(CRASHER, "urgent", vec![step(1, 8)]);
+    let mut progress: Option<JobProgress> = None;
+    for term in 1..=4 {
+        let known = RecoveredJob {
+            record: Arc::clone(&record),
+            progress: progress.clone(),
+            is_cancelled: false,
+        };
+        let mut rig = Rig::take_over(term * 10_000, vec![known], &fleet.entries);
+        rig.advance(20);
+        let placed = progress.iter().flat_map(|progress| &progress.tasks);
+        let lost: Vec<WorkerName> = placed.filter_map(|task| task.worker.clone()).collect();
+        for name in &lost {
+            let polls = rig.take(|action| match action {
+                Action::Poll {
+                    worker, address, ..
+                } if worker == name => Some(address.to_string()),
+                _ => None,
+            });
+            assert!(!polls.is_empty() && !polls[0].is_empty(), "{polls:?}");
+            rig.poll_fails_with(name, PollFailure::WrongLife);
+        }
+        rig.advance(1_200);
+        let stored = rig.store_batches();
+        progress = stored.into_iter().last().map(|(_, stored)| stored);
+        let expected = if term == 4 {
+            JobPhase::Failed
+        } else {
+            JobPhase::Running
+        };
+        assert_eq!(phase(&rig, CRASHER), Some(expected), "term {term}");
+        let restarted = rig.starts();
+        if let [start] = &*restarted {
+            fleet.restart(&mut rig, &start.0);
+        }
+    }
+}
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -296,3 +296,31 @@
     rig.advance(50);
     assert_eq!(acked_end(&rig), Some(7));
 }
+
+/// Guards against killed work on a worker that has lost the store and its entry there, but not its coordinator.
+#[test]
+fn verify_leases_of_a_worker_without_an_entry_are_renewed() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1")];
+    let (recovered, start) = recorded_start("00000000000000b5", &workers);
+    let others: Vec<_> = workers
+        .iter()
+        .filter(|entry| entry.name != start.0)
+        .cloned()
+        .collect();
+    let mut next = Rig::take_over(10_000, vec![recovered], &others);
+    for _ in 0..20 {
+        next.advance(1_000);
+        next.store_batches();
+        next.poll_reply(start.0.as_str(), vec![running(&start)], vec![]);
+    }
+    let renewals = next.take(|action| match action {
+        Action::Poll {
+            worker,
+            lease_until_ms: Some(_),
+            ..
+        } if *worker == start.0 => Some(()),
+        _ => None,
+    });
+    assert!(renewals.len() > 10, "{}", renewals.len());
+    assert_eq!(next.starts(), vec![], "the run goes on");
+}
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -219,13 +219,21 @@
 }
 
 /// Regression seeds: a task that crashes its workers was started too often, or a harmless one given up. In
-/// 111471 the coordinator noticed a crash after a pause, and compared its run's age; in 125325 a harmless task
-/// had been at work beside two that crash their workers.
+/// 100031, 101827 and 102713 a worker crashed between two coordinators; in 102782 and 111471 the coordinator
+/// noticed a crash after a pause, and compared its run's age; in 125325 a harmless task had been at work beside
+/// two that crash their workers.
 #[test]
 fn verify_crashes_are_attributed_to_the_tasks_that_cause_them() {
     let workload: Workload = serde_json::from_str(CRASHERS).expect("a well-formed workload");
     let small = |seed, lease_ms| (seed, 24, 1.0, lease_ms);
-    let cases = [small(111_471, 6_000), (125_325, 48, 2.0, 10_000)];
+    let cases = [
+        small(100_031, 10_000),
+        small(101_827, 10_000),
+        small(102_713, 10_000),
+        small(102_782, 10_000),
+        small(111_471, 6_000),
+        (125_325, 48, 2.0, 10_000),
+    ];
     for (seed, workers, rate_factor, lease_ms) in cases {
         let faults = draw_faults(seed, 3, TimeMs(20_000));
         let options = SimulationOptions {
