daemon tests: a worker that a new term lists has been seen

A run that shows the cause: with the coordinator cut off for 2.5 s longer (a scratch copy) its lease expires, `term_loaded term=2550 workers=3` follows, and no worker_seen, which is logged only for workers that appear within a term. The test waited for a line that can't come. The log of the failed run was not kept, so that its term was lost as well is inferred, not seen.

The check is as strict: the coordinator has to learn of the worker, from its watch or from the list of its next term. The scratch copy passes with it.

--- a/ragwortwick-daemon/tests/area_catch_up.rs
+++ b/ragwortwick-daemon/tests/area_catch_up.rs
@@ -145,11 +145,13 @@
     }
     fleet.set_store_path(0, RelayMode::Narrow);
     fleet.store.set_fault(StoreFault::None);
+    // A coordinator that loses its term under load lists the worker when it begins the next one.
+    let is_seen = |line: &&String| {
+        line.contains("event=worker_seen worker=late")
+            || line.contains("event=term_loaded") && line.contains(" workers=3 ")
+    };
     wait_until("the new worker is seen", async || {
-        let lines = fleet.hosts[0].lines();
-        lines
-            .iter()
-            .any(|line| line.contains("event=worker_seen worker=late"))
+        fleet.hosts[0].lines().iter().any(|line| is_seen(&line))
     })
     .await;
     fleet.close();
