area: leave completed tasks out of crash counts

A crash that is handed over, or attributed a second after the loss, may be that of an earlier run of a task that has completed since; three of them would have failed its job. Found on reading the change of the hand-over again, not seen in a run. The test failed before.

--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -300,8 +300,8 @@
         counts
     }
 
-    /// Counts a crash for a task and stores it; returns the task's count, or none if its job is unknown or the
-    /// crash of this run was counted before.
+    /// Counts a crash for a task and stores it; returns the task's count, or none if the task is unknown or
+    /// done, or the crash of this run was counted before.
     pub(crate) fn count_crash(
         &mut self,
         now: TimeMs,
@@ -310,7 +310,8 @@
         run_age_ms: Option<DurationMs>,
     ) -> Option<u32> {
         let job = self.jobs.get_mut(&task.job_id)?;
-        if run <= job.task(task)?.crash_history.last_run {
+        let state = job.task(task)?;
+        if state.state == TaskState::Done || run <= state.crash_history.last_run {
             return None;
         }
         let is_failed = job.count_crash(task, run, run_age_ms);
--- a/ragwortwick-area/tests/unstored_results.rs
+++ b/ragwortwick-area/tests/unstored_results.rs
@@ -6,7 +6,7 @@
 
 use ragwortwick_area::{
     Action, EndKind, Event, JobPhase, JobProgress, JobRecord, PollFailure, ProgressRecord,
-    RecoveredJob, RunEndReason, RunEnded, RunResult, TaskId, UnstoredResults,
+    RecoveredJob, RunEndReason, RunEnded, RunResult, RunResultKind, TaskId, UnstoredResults,
 };
 use ragwortwick_core::{DurationMs, JobId, WorkerName};
 use rig::{Rig, ended, gang, job, step, worker};
@@ -267,3 +267,29 @@
     assert_eq!(next.start_all().len(), 1);
     assert!(next.now.since(ragwortwick_core::TimeMs(10_000)) < DurationMs(1_000));
 }
+
+/// Guards against a job that fails for crashes of a task that has completed since.
+#[test]
+fn verify_handed_over_crashes_of_a_completed_task_do_not_fail_its_job() {
+    let second = ragwortwick_area::StepSpec {
+        after: vec![0],
+        ..step(1, 8)
+    };
+    let record = job(ID, "middle", vec![step(1, 8), second]);
+    let mut rig = Rig::new(&fleet(&["w1"]));
+    rig.send(Event::JobAccepted(record));
+    let run = rig.start_all().remove(0);
+    let done = vec![ended(1, &run, EndKind::Done)];
+    rig.poll_reply(run.0.as_str(), vec![], done);
+    for number in 1..=4 {
+        rig.send(Event::ResultHandedOver(RunResult {
+            task: run.1.clone(),
+            run: number,
+            kind: RunResultKind::Crashed {
+                is_suspect: true,
+                run_age_ms: None,
+            },
+        }));
+    }
+    assert_eq!(phase(&rig), Some(JobPhase::Running));
+}
