daemon: coordinate only in a layout of the store that the host knows

Cause: nothing in the store tells how its keys are laid out, so a host of another version took the coordinator's key like any other.

Weighed: a prefix for each version (each would coordinate for itself); a field in each record (found only once the term has begun).

Change: ragwortwick/layout holds the version. A host reads it before it takes the coordinator's key, takes the key on condition that the layout is unchanged and raises it in the same transaction. With a later or unreadable one it serves callers, logs layout_unknown and looks again two seconds later.

Protects upgrades from this version on; earlier hosts don't read the key. One read more for each try to take the key.

--- a/ragwortwick-daemon/src/area/election.rs
+++ b/ragwortwick-daemon/src/area/election.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use super::keys::COORDINATOR_KEY;
+use super::layout::read_layout;
 use super::replica_feed::CoordinatorKeyState;
 use super::term::{CoordinatorLease, TermContext, run_term};
 
@@ -80,27 +81,40 @@
     (deficit * DELAY_PER_CPU_DEFICIT_MS).min(MAX_CPU_DELAY_MS) as u64
 }
 
-/// Creates the key if it is free; the revision of that change is the term.
+/// Delay of a host that does not know the layout in the store, until it looks again.
+const UNKNOWN_LAYOUT_DELAY_MS: DurationMs = DurationMs(2_000);
+
+/// Creates the key if it is free and the host knows the store's layout; the revision of that change is the term.
 async fn try_acquire(
     context: &TermContext,
     host: &HostName,
 ) -> Result<Option<CoordinatorLease>, StoreError> {
+    let layout = read_layout(&context.store).await;
+    context.health.record(&layout);
+    let Some(layout) = layout? else {
+        tokio::time::sleep(UNKNOWN_LAYOUT_DELAY_MS.into()).await;
+        return Ok(None);
+    };
     let granted_at = context.clock.now();
     let granted = context.store.grant_lease(LEASE_TTL_MS).await;
     context.health.record(&granted);
     let (lease_id, ttl_ms) = granted?;
     // The lease id makes the value unique, so that after a lost reply a read shows who created the key.
     let value = format!("{{\"host\":\"{host}\",\"lease\":{lease_id}}}").into_bytes();
+    let key = WriteItem {
+        key: COORDINATOR_KEY.to_owned(),
+        value: value.clone(),
+        lease: Some(lease_id),
+    };
     let txn = Txn {
-        preconditions: vec![Precondition {
-            key: COORDINATOR_KEY.to_owned(),
-            revision: Revision(0),
-        }],
-        writes: vec![WriteItem {
-            key: COORDINATOR_KEY.to_owned(),
-            value: value.clone(),
-            lease: Some(lease_id),
-        }],
+        preconditions: vec![
+            Precondition {
+                key: COORDINATOR_KEY.to_owned(),
+                revision: Revision(0),
+            },
+            layout.precondition(),
+        ],
+        writes: layout.upgrade().into_iter().chain([key]).collect(),
         removes: Vec::new(),
     };
     let reply = context.store.commit(&txn).await;
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -12,6 +12,7 @@
 mod job_api;
 mod job_writer;
 mod keys;
+mod layout;
 mod log_rate_limiter;
 mod metrics;
 mod order_sender;
--- a/ragwortwick-daemon/tests/area.rs
+++ b/ragwortwick-daemon/tests/area.rs
@@ -101,6 +101,25 @@
     fleet.close();
 }
 
+/// Guards against open jobs that start from their beginning: a host takes over that looks for their progress
+/// in another layout of the store. It must leave that to a host that knows the layout.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_a_host_does_not_coordinate_in_a_layout_that_it_does_not_know() {
+    let mut fleet = open(2, 4).await;
+    let layout = fleet.store.get("ragwortwick/layout");
+    let layout = layout.expect("the first coordinator writes the layout");
+    fleet.store.put("ragwortwick/layout", r#"{"version":1000}"#);
+    let coordinator = fleet.coordinator().expect("a host coordinates");
+    let mut killed = fleet.hosts.remove(coordinator);
+    killed.kill().expect("the process is killed");
+    let refused = fleet.hosts[0].wait_for_event("layout_unknown").await;
+    refused.expect("the other host reads the layout");
+    assert!(!fleet.coordinates(0), "it coordinates all the same");
+    fleet.store.put("ragwortwick/layout", layout.value);
+    wait_until("the host coordinates", async || fleet.coordinates(0)).await;
+    fleet.close();
+}
+
 /// All hosts are killed at once and replaced by empty ones: accepted jobs still run, once.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_accepted_jobs_survive_the_kill_of_every_host() {
