--- a/ragwortwick-area/src/crashes.rs
+++ b/ragwortwick-area/src/crashes.rs
@@ -8,7 +8,9 @@
 use ragwortwick_core::{DurationMs, TimeMs};
 
 use crate::allocation::Allocation;
+use crate::coordinator::Coordinator;
 use crate::job::TaskId;
+use crate::job_state::TaskState;
 use crate::worker::Worker;
 
 /// Number of crashes at the same point of its work at which a task fails.
@@ -165,3 +167,38 @@
         })
     }
 }
+
+impl Coordinator {
+    /// Counts a crash for a task and stores it; returns the task's count, or none if the task is unknown or
+    /// done, or the crash of this run was counted before.
+    pub(crate) fn count_crash(
+        &mut self,
+        now: TimeMs,
+        task: &TaskId,
+        run: u32,
+        run_age_ms: Option<DurationMs>,
+    ) -> Option<u32> {
+        let job = self.jobs.get_mut(&task.job_id)?;
+        let state = job.task(task)?;
+        if state.state == TaskState::Done || run <= state.crash_history.last_run {
+            return None;
+        }
+        let is_failed = job.count_crash(task, run, run_age_ms);
+        let count = job.task(task).map_or(0, |task| task.crash_history.count);
+        let placed = job.task(task).and_then(|task| match &task.state {
+            TaskState::Placed(worker) => Some((worker.clone(), task.crash_history)),
+            _ => None,
+        });
+        if let Some((worker, crash_history)) = placed
+            && let Some(worker) = self.workers.get_mut(&worker)
+            && let Some(allocation) = worker.allocations.get_mut(task)
+        {
+            allocation.crash_history = crash_history;
+        }
+        self.records.mark_dirty(&task.job_id);
+        if is_failed {
+            self.end_job(now, &task.job_id);
+        }
+        Some(count)
+    }
+}
--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -158,7 +158,9 @@
     pub(crate) fn check_cancelled_run(
         &mut self,
         now: TimeMs,
-        (task, run, worker): (&TaskId, u32, &WorkerName),
+        task: &TaskId,
+        run: u32,
+        worker: &WorkerName,
         cancelled_at: TimeMs,
     ) {
         if now.since(cancelled_at) > MAX_RUN_AFTER_CANCEL_MS {
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -271,7 +271,9 @@
                 };
                 self.ground_truth.check_cancelled_run(
                     self.now,
-                    (task, active.run, &worker.name),
+                    task,
+                    active.run,
+                    &worker.name,
                     cancelled_at,
                 );
             }
