--- a/ragwortwick-area/src/crashes.rs
+++ b/ragwortwick-area/src/crashes.rs
@@ -23,7 +23,7 @@
 /// same point of a task's work.
 const SAME_POINT_TOLERANCE_MS: DurationMs = DurationMs(250);
 
-/// Difference between the run ages of two crashes up to which they are at the same point beyond doubt.
+/// Maximum difference between the run ages of two crashes that makes them a close match.
 const CLOSE_MATCH_MS: DurationMs = DurationMs(50);
 
 /// `CrashHistory` holds the worker crashes that are attributed to one task.
@@ -129,7 +129,7 @@
 /// The runs that a crash is attributed to: the likely causes, or all runs if there are none.
 ///
 /// A task crashes its workers at the same point within milliseconds. Where the point of one of the likely
-/// causes is met so closely, others that only come near theirs are unlikely.
+/// causes is matched closely, those that only match within the tolerance are unlikely.
 pub(crate) fn suspect_runs(runs: &[RunAtLoss]) -> Vec<&RunAtLoss> {
     let likely: Vec<&RunAtLoss> = runs.iter().filter(|run| run.is_likely()).collect();
     let closest_ms = likely.iter().map(|run| run.distance_ms()).min();
--- a/ragwortwick-area/tests/crashes.rs
+++ b/ragwortwick-area/tests/crashes.rs
@@ -258,7 +258,7 @@
 
 /// Guards against forgetting crashes of a task because a run of it was lost before it got to their point.
 #[test]
-fn verify_a_run_that_is_lost_at_its_start_speaks_for_no_task() {
+fn verify_a_run_lost_at_its_start_does_not_lower_the_crash_count() {
     let run_ages_ms = [4_000, 4_000, 100, 4_000];
     let phase = phase_after_crashes(&run_ages_ms, step(1, 8));
     assert_eq!(phase, Some(JobPhase::Failed));
@@ -450,7 +450,7 @@
 /// Guards against a wait for leases on a worker that crashed between two coordinators, and against its crash
 /// not being counted: it has no entry any more, so its address is known from the record alone.
 #[test]
-fn verify_a_worker_that_crashed_between_two_coordinators_is_asked_at_its_recorded_address() {
+fn verify_a_worker_that_crashed_between_two_coordinators_is_polled_at_its_recorded_address() {
     let mut fleet = Fleet::new(6);
     let record = job(CRASHER, "urgent", vec![step(1, 8)]);
     let mut progress: Option<JobProgress> = None;
--- a/ragwortwick-daemon/src/area/handover.rs
+++ b/ragwortwick-daemon/src/area/handover.rs
@@ -12,10 +12,10 @@
 use super::keys::JobKeyKind;
 use super::store_health::StoreHealth;
 
-/// Delay before a failed handover is retried.
+/// Delay before a failed write of the results is retried.
 const RETRY_DELAY_MS: DurationMs = DurationMs(200);
 
-/// Tries of a handover, over half a minute at least: all leases have expired by then.
+/// Tries of a write of the results, over half a minute at least: all leases have expired by then.
 const MAX_TRIES: u32 = 150;
 
 /// Jobs whose results are handed over in one transaction: each has two keys at most, and each key a condition
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -218,10 +218,9 @@
     assert_no_violations(seed, &faults, &report);
 }
 
-/// Regression seeds: a task that crashes its workers was started too often, or a harmless one given up. In
-/// 100031, 101827 and 102713 a worker crashed between two coordinators; in 102782 and 111471 the coordinator
-/// noticed a crash after a pause, and compared its run's age; in 125325 a harmless task had been at work beside
-/// two that crash their workers.
+/// Guards against starting a task that crashes its workers too often, and against failing a harmless one. In
+/// 100031 a worker crashed between two coordinators; in 111471 the coordinator noticed a crash after a pause; in
+/// 125325 a harmless task ran beside two that crash their workers.
 #[test]
 fn verify_crashes_are_attributed_to_the_tasks_that_cause_them() {
     let workload: Workload = serde_json::from_str(CRASHERS).expect("a well-formed workload");
