Start nothing in zones that operators evacuate

Cause: op/evacuate/ZONE was read nowhere. Ruled out: runners that begin late (orders were sent after the key had been acknowledged, by 5 s and more).

Change: each host reads the operators' keys by one watch, the desired state and the evacuated zones, so a new coordinator knows the zones before its term and no further call is made. The coordinator places nothing in such a zone, withdraws starts that wait for their record, settles unanswered ones by a stop, and starts nothing at all once its knowledge is older than the bound less a second. Tasks whose data lies in the zone run elsewhere. Running work goes on. The lease check for records, paces and stalls stays as it was and has its own name, since these must not wait for evacuations. The emulator has zones, the fault and the invariant, the soak evacuates zones.

Why it holds: whatever a coordinator has missed is younger than the bound, as it stops placing before, and an order can't be repeated into the zone.

--- a/ragwortwick-area/src/colocation.rs
+++ b/ragwortwick-area/src/colocation.rs
@@ -133,11 +133,11 @@
 impl Coordinator {
     /// Sets the pace of a worker's fillers from its latest report.
     pub(crate) fn pace_fillers(&mut self, now: TimeMs, worker_name: &WorkerName) {
-        let can_start_work = self.can_start_work(now);
+        let has_valid_lease = self.has_valid_lease(now);
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        if !worker.has_fillers() || !can_start_work {
+        if !worker.has_fillers() || !has_valid_lease {
             return;
         }
         worker.adjust_filler_pace(now);
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -8,6 +8,7 @@
 use crate::accounting::RunEndReason;
 use crate::advice::AdvisorState;
 use crate::desired::DesiredState;
+use crate::evacuation::{EvacuatedZones, EvacuationChange, Evacuations};
 use crate::headroom::UrgentDemandPeak;
 use crate::job::{JobRecord, QueuePolicy, StepId};
 use crate::job_state::JobState;
@@ -91,6 +92,7 @@
     pub(crate) actions: Vec<Action>,
     /// End of the coordinator's own lease.
     pub(crate) lease_valid_until: TimeMs,
+    pub(crate) evacuations: Evacuations,
     /// When the worker list was last confirmed to be complete.
     workers_confirmed_at: Option<TimeMs>,
     /// Whether an event since the last placement pass requires another one.
@@ -147,6 +149,7 @@
             advice: AdvisorState::default(),
             actions: Vec::new(),
             lease_valid_until: now.steady,
+            evacuations: Evacuations::default(),
             workers_confirmed_at: Some(now.steady),
             needs_pass: true,
             next_pass_at: TimeMs(0),
@@ -185,6 +188,9 @@
             Event::WorkerUpdated(entry) => self.on_worker_updated(now.steady, entry),
             Event::WorkerRemoved(name) => self.on_worker_removed(&name),
             Event::WorkersConfirmed => self.workers_confirmed_at = Some(now.steady),
+            Event::EvacuationsConfirmed { zones, as_of } => {
+                self.on_evacuations_confirmed(zones, as_of);
+            }
             Event::JobAccepted(record) => self.on_job_accepted(now, record),
             Event::JobCancelled(job_id) => self.cancel_job(now.steady, &job_id),
             Event::BatchStored { batch } => self.on_batch_stored(now.steady, batch),
@@ -270,7 +276,7 @@
             self.needs_pass = false;
             self.pass_started_at = Some(now.steady);
             self.next_pass_at = now.steady + MIN_PASS_PAUSE_MS;
-            self.evacuate_draining_workers(now.steady);
+            self.clear_draining_workers(now.steady);
             self.run_placement_pass(now);
         }
         self.send_record_batches(now.steady);
@@ -316,11 +322,16 @@
         self.jobs.get(job_id).map(|job| job.phase)
     }
 
-    /// Whether the coordinator's lease is valid, so that new work may be started.
-    pub(crate) fn can_start_work(&self, now: TimeMs) -> bool {
+    /// Whether the coordinator's lease is valid, so that its orders and records are in force.
+    pub(crate) fn has_valid_lease(&self, now: TimeMs) -> bool {
         now < self.lease_valid_until
     }
 
+    /// Whether new work may be started: the lease is valid, and the evacuated zones are known.
+    pub(crate) fn can_start_work(&self, now: TimeMs) -> bool {
+        self.has_valid_lease(now) && self.evacuations.is_fresh(now, &self.limits)
+    }
+
     /// Whether the worker list is recent enough for placement.
     pub(crate) fn has_fresh_workers(&self, now: TimeMs) -> bool {
         self.workers_confirmed_at
@@ -354,6 +365,20 @@
         }
     }
 
+    fn on_evacuations_confirmed(&mut self, zones: EvacuatedZones, as_of: TimeMs) {
+        for (zone, is_evacuated) in self.evacuations.confirm(zones, as_of) {
+            let in_zone = |worker: &&Worker| worker.is_listed && worker.entry.zone == zone;
+            let workers = self.workers.values().filter(in_zone);
+            let runs = workers.clone().map(|worker| worker.allocations.len());
+            self.actions.push(Action::LogEvacuation(EvacuationChange {
+                is_evacuated,
+                workers: workers.clone().count(),
+                runs: runs.sum(),
+                zone: zone.clone(),
+            }));
+        }
+    }
+
     fn on_job_accepted(&mut self, now: Now, record: Arc<JobRecord>) {
         let job_id = record.job_id.clone();
         if self.jobs.contains_key(&job_id) {
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod desired;
 mod draining;
+mod evacuation;
 mod headroom;
 mod job;
 mod job_state;
@@ -46,6 +47,7 @@
 pub use accounting::{JobAccounting, LostWork, RunEndReason};
 pub use coordinator::{Coordinator, Now, RecoveredJob};
 pub use desired::{Customer, DesiredState, Queue};
+pub use evacuation::{EvacuatedZones, EvacuationChange};
 pub use job::{
     AdvisorTiming, JobRecord, QueuePolicy, Resources, Schedule, StepId, StepSpec, TaskId,
 };
--- a/ragwortwick-area/src/limits.rs
+++ b/ragwortwick-area/src/limits.rs
@@ -13,6 +13,8 @@
     pub gang_wait_ms: DurationMs,
     /// Time within which a job inside its guarantee must have started.
     pub reclaim_ms: DurationMs,
+    /// Time after the evacuation of a zone from which no run may start there.
+    pub evacuate_ms: DurationMs,
     /// Factor by which work takes longer on a rack other than its own.
     pub remote_penalty: f64,
     /// Time of work between two checkpoints.
@@ -73,6 +75,7 @@
             stop_ms: DurationMs(200),
             gang_wait_ms: DurationMs(3_000),
             reclaim_ms: DurationMs(2_700),
+            evacuate_ms: DurationMs(5_000),
             remote_penalty: 3.0,
             checkpoint_ms: DurationMs(500),
             restore_ms: DurationMs(100),
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -8,6 +8,7 @@
 
 use crate::accounting::{JobAccounting, RunEndReason};
 use crate::desired::DesiredState;
+use crate::evacuation::{EvacuatedZones, EvacuationChange};
 use crate::job::{JobRecord, Resources, StepId, TaskId};
 use crate::losses::WorkerLossReport;
 use crate::progress::JobProgress;
@@ -170,6 +171,13 @@
     WorkerRemoved(WorkerName),
     /// The list of workers is confirmed to be complete up to now.
     WorkersConfirmed,
+    /// The set of evacuated zones is known to have been complete at a point in time.
+    EvacuationsConfirmed {
+        /// The evacuated zones.
+        zones: EvacuatedZones,
+        /// When the read or watch that returned the set was sent.
+        as_of: TimeMs,
+    },
     /// A job was accepted.
     JobAccepted(Arc<JobRecord>),
     /// A client cancelled a job.
@@ -353,6 +361,8 @@
     LogRunEnd(RunEnded),
     /// Log the loss of a worker that had runs.
     LogWorkerLoss(WorkerLossReport),
+    /// Log that a zone is evacuated, or no longer is.
+    LogEvacuation(EvacuationChange),
     /// Stop coordinating, because a worker has received a fencing token of a later term.
     Resign,
     /// Delete the records of a job whose retention has ended.
--- a/ragwortwick-area/src/placement.rs
+++ b/ragwortwick-area/src/placement.rs
@@ -136,8 +136,9 @@
         let Some(spec) = job.spec(candidate.step).cloned() else {
             return true;
         };
-        let locality = if spec.is_long_running {
-            // Its users need it to run at all; locality to its data matters less.
+        let is_data_unreachable = !spec.is_gang && capacity.has_unreachable_data(&spec);
+        let locality = if spec.is_long_running || is_data_unreachable {
+            // It has to run at all; locality to its data matters less.
             Locality::Relaxed
         } else {
             self.locality(now, candidate, capacity)
--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -1,11 +1,12 @@
 //! Free capacity of a pool's workers during one placement pass.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use ragwortwick_core::{PoolName, TimeMs};
+use ragwortwick_core::{PoolName, RackName, TimeMs};
 
 use crate::coordinator::Coordinator;
-use crate::job::Resources;
+use crate::job::{Resources, StepSpec};
 use crate::packing::Slot;
 
 /// Below this share of accelerators in use, tasks may also be placed where they run slower.
@@ -21,6 +22,8 @@
     pub(crate) allocations: Vec<(usize, Resources)>,
     total_accelerators: u64,
     used_accelerators: u64,
+    /// Racks of evacuated zones.
+    evacuated_racks: BTreeSet<RackName>,
 }
 
 impl PoolCapacity {
@@ -28,6 +31,12 @@
         self.used_accelerators * 100 < self.total_accelerators * MOSTLY_IDLE_PERCENT
     }
 
+    /// Whether no task can run close to the step's data, because the zone with the data is evacuated.
+    pub(crate) fn has_unreachable_data(&self, spec: &StepSpec) -> bool {
+        let data_rack = spec.data_rack.as_ref();
+        data_rack.is_some_and(|rack| self.evacuated_racks.contains(rack))
+    }
+
     pub(crate) fn has_free_accelerators(&self) -> bool {
         self.slots.iter().any(|slot| slot.free.accelerators > 0)
     }
@@ -48,13 +57,19 @@
 }
 
 impl Coordinator {
-    /// Returns the free capacity of a pool; only workers that accept new work have slots.
+    /// Returns the free capacity of a pool; only workers that accept new work have slots, and workers in
+    /// evacuated zones count for nothing.
     pub(crate) fn pool_capacity(&self, now: TimeMs, pool: &PoolName) -> PoolCapacity {
         let mut pool_capacity = PoolCapacity::default();
         for (name, worker) in &self.workers {
             if worker.entry.pool != *pool || !worker.is_listed {
                 continue;
             }
+            if self.evacuations.contains(&worker.entry.zone) {
+                let rack = worker.entry.rack.clone();
+                pool_capacity.evacuated_racks.insert(rack);
+                continue;
+            }
             let free = worker.free();
             pool_capacity.total_accelerators += worker.entry.capacity.accelerators;
             pool_capacity.used_accelerators +=
--- a/ragwortwick-area/src/record_batches.rs
+++ b/ragwortwick-area/src/record_batches.rs
@@ -156,7 +156,7 @@
     /// is acknowledged to the worker. The next coordinator therefore knows of every run that may exist and
     /// misses no run end.
     pub(crate) fn send_record_batches(&mut self, now: TimeMs) {
-        if !self.can_start_work(now) {
+        if !self.has_valid_lease(now) {
             return;
         }
         while let Some(jobs) = self.next_batch(now) {
--- a/ragwortwick-area/src/stalls.rs
+++ b/ragwortwick-area/src/stalls.rs
@@ -96,13 +96,13 @@
         worker_name: &WorkerName,
         report: &WorkerReport,
     ) {
-        let can_start_work = self.can_start_work(now);
+        let has_valid_lease = self.has_valid_lease(now);
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
         let stalled = worker.record_progress(now, report);
         self.compare_durations(worker_name);
-        if can_start_work {
+        if has_valid_lease {
             for (task, stalled_ms) in stalled {
                 self.restart_stalled(now, &task, stalled_ms);
             }
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -30,8 +30,7 @@
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        let has_capacity = worker.overcommitted().is_zero();
-        let can_run = worker.is_listed && !worker.entry.is_draining && has_ticket && has_capacity;
+        let can_run = worker.accepts_starts(&self.evacuations) && has_ticket;
         let Some(allocation) = worker.allocations.get_mut(task) else {
             return;
         };
@@ -129,14 +128,13 @@
 
     /// Repeats a start order, which is idempotent; the reply shows whether the first one arrived.
     ///
-    /// The order must not be repeated to a worker that is leaving or whose capacity has shrunk: if the first
-    /// one never arrived, the second would start work there. A stop order resolves the uncertainty as well,
+    /// The order must not be repeated to a worker that is leaving, whose zone is evacuated or whose capacity has
+    /// shrunk: if the first one never arrived, the second would start work there. A stop order resolves the uncertainty as well,
     /// also where the ticket has expired and the repeated start would be refused.
     fn resend_start(&mut self, now: TimeMs, worker: &WorkerName, task: &TaskId) {
-        let must_not_start = self.workers.get(worker).is_some_and(|worker| {
-            let is_leaving = worker.entry.is_draining || !worker.is_listed;
-            is_leaving || !worker.overcommitted().is_zero()
-        });
+        let worker_state = self.workers.get(worker);
+        let must_not_start =
+            worker_state.is_some_and(|worker| !worker.accepts_starts(&self.evacuations));
         if must_not_start || self.ticket_for(now, worker, task).is_err() {
             self.stop_with_gang(now, task, RunEndReason::StartInDoubt);
         } else {
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -6,6 +6,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::allocation::{Allocation, AllocationPhase};
+use crate::evacuation::Evacuations;
 use crate::job::{Resources, TaskId};
 use crate::limits::Limits;
 use crate::losses::{ContactLoss, ContactLossKind};
@@ -214,6 +215,14 @@
         self.occupied().saturating_sub(self.entry.capacity)
     }
 
+    /// Whether a run that was placed on the worker may still begin there.
+    pub(crate) fn accepts_starts(&self, evacuations: &Evacuations) -> bool {
+        self.is_listed
+            && !self.entry.is_draining
+            && !evacuations.contains(&self.entry.zone)
+            && self.overcommitted().is_zero()
+    }
+
     /// Whether new work may be placed on the worker.
     pub(crate) fn is_schedulable(&self, now: TimeMs) -> bool {
         self.is_listed
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Action, Coordinator, Customer, DesiredState, EndKind, EndedTask, Event, JobProgress, JobRecord,
-    Limits, Now, OrderReply, PollFailure, ProgressRecord, Queue, QueuePolicy, RecoveredJob,
-    Resources, RunningTask, StepSpec, TaskId, WorkerEntry, WorkerLossReport, WorkerReport,
+    Action, Coordinator, Customer, DesiredState, EndKind, EndedTask, EvacuatedZones, Event,
+    JobProgress, JobRecord, Limits, Now, OrderReply, PollFailure, ProgressRecord, Queue,
+    QueuePolicy, RecoveredJob, Resources, RunningTask, StepSpec, TaskId, WorkerEntry,
+    WorkerLossReport, WorkerReport,
+};
+use ragwortwick_core::{
+    ClassName, CustomerName, DurationMs, JobId, PoolName, TimeMs, WorkerName, ZoneName,
 };
-use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, PoolName, TimeMs, WorkerName};
 
 pub const ATTEMPTS: u32 = 3;
 
@@ -17,6 +20,9 @@
     pub coordinator: Coordinator,
     pub now: TimeMs,
     pub actions: Vec<Action>,
+    evacuated: EvacuatedZones,
+    /// Whether the coordinator hears nothing about evacuations.
+    pub is_evacuation_feed_cut: bool,
 }
 
 pub fn at(ms: u64) -> Now {
@@ -132,12 +138,30 @@
             coordinator,
             now: TimeMs(ms),
             actions: Vec::new(),
+            evacuated: Arc::default(),
+            is_evacuation_feed_cut: false,
         };
         let until = TimeMs(ms + 1_000_000);
+        rig.confirm_evacuations();
         rig.send(Event::LeaseExtended { until });
         rig
     }
 
+    /// Evacuates exactly these zones.
+    pub fn evacuate(&mut self, zones: &[&str]) {
+        self.evacuated = Arc::new(zones.iter().map(ZoneName::new).collect());
+        self.confirm_evacuations();
+    }
+
+    fn confirm_evacuations(&mut self) {
+        if self.is_evacuation_feed_cut {
+            return;
+        }
+        let zones = Arc::clone(&self.evacuated);
+        let as_of = self.now;
+        self.send(Event::EvacuationsConfirmed { zones, as_of });
+    }
+
     pub fn send(&mut self, event: Event) {
         let actions = self.coordinator.on_event(at(self.now.0), event);
         self.actions.extend(actions);
@@ -149,6 +173,7 @@
         while self.now.0 < end {
             self.now = TimeMs((self.now.0 + 10).min(end));
             self.send(Event::WorkersConfirmed);
+            self.confirm_evacuations();
             let actions = self.coordinator.on_wakeup(at(self.now.0));
             self.actions.extend(actions);
         }
--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -1,6 +1,6 @@
 //! Dispatches the actions of a term's coordinator to the store, the workers, the logs and the metrics.
 
-use ragwortwick_area::{Action, RunEnded, WorkerLossReport};
+use ragwortwick_area::{Action, EvacuationChange, RunEnded, WorkerLossReport};
 use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -48,6 +48,7 @@
                 Action::Resign => return false,
                 Action::LogRunEnd(ended) => self.report_run_end(&ended),
                 Action::LogWorkerLoss(lost) => self.report_worker_loss(&lost),
+                Action::LogEvacuation(change) => self.report_evacuation(&change),
                 order => {
                     orders.spawn(self.order_sender.clone().execute(order));
                 }
@@ -85,6 +86,19 @@
         }
     }
 
+    /// Logs how many workers get no new runs from now on, or get them again.
+    fn report_evacuation(&self, change: &EvacuationChange) {
+        log_event!(
+            Info,
+            "zone_evacuated",
+            zone = change.zone,
+            is_evacuated = change.is_evacuated,
+            workers = change.workers,
+            runs = change.runs,
+            term = self.order_sender.term
+        );
+    }
+
     /// Logs a lost worker with what operators need to find out whether a task or the worker was at fault.
     fn report_worker_loss(&self, lost: &WorkerLossReport) {
         let cause = lost.cause.to_string();
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -1,22 +1,18 @@
 //! A running entry host of an area: starts all tasks and stops them in order.
 
-use std::sync::Arc;
-
 use displaydoc::Display;
 use ragwortwick_adapter::StoreClient;
-use ragwortwick_area::DesiredState;
 use ragwortwick_core::{DurationMs, log_event};
 use ragwortwick_http::{Server, ServerOptions};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
-use super::desired_state_age::DesiredStateAge;
-use super::desired_state_feed::DesiredStateFeed;
 use super::election;
 use super::job_api::{self, JobApi};
 use super::job_writer::JobWriter;
 use super::log_rate_limiter::LogRateLimiter;
 use super::metrics::{self, AreaMetrics};
+use super::operator_feed::OperatorFeed;
 use super::readiness::{self, Readiness};
 use super::replica::JobReplica;
 use super::replica_feed::{CoordinatorKeyState, ReplicaFeed};
@@ -71,24 +67,16 @@
         let clock = Clock::open();
         let store = StoreClient::open(&settings.store_address);
         let health = StoreHealth::open(clock);
-        let age = DesiredStateAge::default();
         let replica = JobReplica::default();
         let metrics = AreaMetrics::open(store.call_counts()).map_err(AreaHostError::Metrics)?;
         let (stopping, stopping_receiver) = watch::channel(false);
-        let (desired_sender, desired) = watch::channel::<Option<Arc<DesiredState>>>(None);
         let (key_sender, coordinator_key) = watch::channel(CoordinatorKeyState::Unknown);
         let (subscriptions, subscription_requests) = mpsc::channel(1);
 
         let mut feeds = JoinSet::new();
-        let desired_feed = DesiredStateFeed {
-            store: store.clone(),
-            health: health.clone(),
-            desired: desired_sender,
-            age: age.clone(),
-            clock,
-            metrics: metrics.clone(),
-        };
-        feeds.spawn(desired_feed.run());
+        let (operator_feed, intent) =
+            OperatorFeed::open(store.clone(), health.clone(), clock, metrics.clone());
+        feeds.spawn(operator_feed.run());
         let replica_feed = ReplicaFeed {
             store: store.clone(),
             health: health.clone(),
@@ -106,7 +94,8 @@
             clock,
             limits: settings.limits(),
             advice_address: settings.advice_address.clone(),
-            desired: desired.clone(),
+            desired: intent.desired.clone(),
+            evacuations: intent.evacuations,
             subscriptions,
             coordinator_key,
             stopping: stopping_receiver.clone(),
@@ -121,8 +110,8 @@
 
         let api = JobApi {
             clock,
-            desired: desired.clone(),
-            age: age.clone(),
+            desired: intent.desired.clone(),
+            age: intent.age.clone(),
             writer: JobWriter {
                 store,
                 health: health.clone(),
@@ -135,8 +124,8 @@
         };
         let readiness = Readiness {
             clock,
-            desired,
-            age,
+            desired: intent.desired,
+            age: intent.age,
             replica,
             health,
             stopping: stopping_receiver,
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -18,6 +18,7 @@
     Registry, TextEncoder,
 };
 use ragwortwick_adapter::StoreCallCounts;
+use ragwortwick_core::ZoneName;
 
 /// Buckets of the time to accept a job, from a round trip to the store to the client's deadline.
 const ACCEPT_BUCKETS_S: [f64; 8] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.5, 1.0, 3.0];
@@ -54,6 +55,8 @@
     pub(super) feed_failures: IntCounterVec,
     /// Version of the desired state in force on this host; zero before the first.
     pub(super) desired_version: IntGauge,
+    /// Whether a zone is evacuated, as this host knows it, by zone.
+    evacuated_zones: IntGaugeVec,
     /// Whether this host is the coordinator.
     pub(super) is_coordinator: IntGauge,
     store_calls: IntGaugeVec,
@@ -128,6 +131,12 @@
             "Version of the desired state in force here",
         )?;
         registry.register(Box::new(desired_version.clone()))?;
+        let options = Opts::new(
+            "ragwortwick_area_zone_evacuated",
+            "Whether a zone is evacuated, as known here",
+        );
+        let evacuated_zones = IntGaugeVec::new(options, &["zone"])?;
+        registry.register(Box::new(evacuated_zones.clone()))?;
         let is_coordinator = IntGauge::new(
             "ragwortwick_area_is_coordinator",
             "Whether this host coordinates",
@@ -147,12 +156,19 @@
             lost_core_seconds,
             feed_failures,
             desired_version,
+            evacuated_zones,
             is_coordinator,
             store_calls,
             counts,
         })
     }
 
+    pub(super) fn set_evacuated(&self, zone: &ZoneName, is_evacuated: bool) {
+        self.evacuated_zones
+            .with_label_values(&[zone.as_str()])
+            .set(i64::from(is_evacuated));
+    }
+
     fn render(&self) -> prometheus::Result<Vec<u8>> {
         let kinds = [
             ("read", &self.counts.reads),
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -141,7 +141,8 @@
             | Action::Resign
             | Action::DeleteJob(_)
             | Action::LogRunEnd(_)
-            | Action::LogWorkerLoss(_) => return,
+            | Action::LogWorkerLoss(_)
+            | Action::LogEvacuation(_) => return,
         };
         self.events.send(event).await;
     }
--- a/ragwortwick-daemon/src/area/settings.rs
+++ b/ragwortwick-daemon/src/area/settings.rs
@@ -39,6 +39,9 @@
     pub gang_wait_ms: DurationMs,
     /// Time within which a job inside its customer's guaranteed share must have started.
     pub reclaim_ms: DurationMs,
+    /// Time after the evacuation of a zone from which no run may start there.
+    #[serde(default = "default_evacuate_ms")]
+    pub evacuate_ms: DurationMs,
     /// Factor by which work takes longer on a rack other than its own.
     pub remote_penalty: f64,
     /// Interval between two checkpoints, in seconds of work.
@@ -76,6 +79,7 @@
             stop_ms: self.worker_stop_ms,
             gang_wait_ms: self.gang_wait_ms,
             reclaim_ms: self.reclaim_ms,
+            evacuate_ms: self.evacuate_ms,
             remote_penalty: self.remote_penalty,
             checkpoint_ms: seconds_to_ms(self.checkpoint_s),
             restore_ms: self.restore_ms,
@@ -85,6 +89,10 @@
     }
 }
 
+fn default_evacuate_ms() -> DurationMs {
+    Limits::default().evacuate_ms
+}
+
 fn whole_core() -> f64 {
     1.0
 }
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -14,6 +14,7 @@
 use super::coordinator_handler::{CoordinatorHandler, EventSender, LoadStats};
 use super::handover::{self, SharedUnstoredResults};
 use super::metrics::AreaMetrics;
+use super::operator_feed::EvacuationReport;
 use super::order_sender::OrderSender;
 use super::progress_store::ProgressStore;
 use super::replica::JobReplica;
@@ -44,6 +45,7 @@
     /// Address of the advisor, if the installation has one.
     pub(super) advice_address: Option<String>,
     pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    pub(super) evacuations: watch::Receiver<Option<EvacuationReport>>,
     pub(super) subscriptions: mpsc::Sender<SubscribeRequest>,
     pub(super) coordinator_key: watch::Receiver<CoordinatorKeyState>,
     pub(super) stopping: watch::Receiver<bool>,
@@ -171,6 +173,10 @@
         context.desired.clone(),
         events.clone(),
     ));
+    tasks.spawn(forward_evacuations(
+        context.evacuations.clone(),
+        events.clone(),
+    ));
     let unstored = SharedUnstoredResults::default();
     let batch_writer = BatchWriter {
         progress_store,
@@ -324,6 +330,25 @@
     }
 }
 
+async fn forward_evacuations(
+    mut evacuations: watch::Receiver<Option<EvacuationReport>>,
+    events: EventSender,
+) {
+    loop {
+        let report = evacuations.borrow_and_update().clone();
+        if let Some(EvacuationReport { zones, as_of }) = report
+            && !events
+                .send(Event::EvacuationsConfirmed { zones, as_of })
+                .await
+        {
+            return;
+        }
+        if evacuations.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Renews the lease. While the store is unavailable, the term continues but sends no orders. The store may
 /// have paused the lease meanwhile, and then renews it as usual.
 async fn renew(
--- a/ragwortwick-emulator/src/fault_injection.rs
+++ b/ragwortwick-emulator/src/fault_injection.rs
@@ -5,7 +5,7 @@
 use crate::faults::FaultKind;
 use crate::host::Host;
 use crate::simulation::Simulation;
-use crate::worker::Reachability;
+use crate::worker::{Reachability, zone_name};
 
 impl Simulation {
     pub(crate) fn set_fault(&mut self, index: usize, is_active: bool) {
@@ -91,6 +91,14 @@
                     self.workers[worker_index].is_refusing = is_active;
                 }
             }
+            FaultKind::ZoneEvacuated => {
+                let zone = zone_name(index);
+                if is_active {
+                    self.store.evacuated.entry(zone).or_insert(self.now);
+                } else {
+                    self.store.evacuated.remove(&zone);
+                }
+            }
             FaultKind::WorkersHang => self.set_hung(&every_eighth, is_active),
             FaultKind::WorkersFailing => {
                 for worker_index in every_eighth {
--- a/ragwortwick-emulator/src/faults.rs
+++ b/ragwortwick-emulator/src/faults.rs
@@ -39,6 +39,8 @@
     RackOut,
     /// Some workers have half of their capacity; only set by workload files, not drawn.
     CapacityShrinks,
+    /// Operators evacuate one zone; only set by workload files, not drawn.
+    ZoneEvacuated,
     /// Some workers refuse most requests as unhealthy; only set by workload files, not drawn.
     WorkersRefuse,
 }
--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -8,6 +8,9 @@
 /// Time after a worker starts to drain in which runs may still start there.
 const MAX_START_AFTER_DRAIN_MS: DurationMs = DurationMs(2_000);
 
+/// Time after the evacuation of a zone in which runs may still start there.
+const MAX_START_AFTER_EVACUATION_MS: DurationMs = DurationMs(5_000);
+
 /// Time after a job is cancelled in which its runs may still start.
 const MAX_START_AFTER_CANCEL_MS: DurationMs = DurationMs(3_000);
 
@@ -67,6 +70,7 @@
     pub(crate) is_over_capacity: bool,
     pub(crate) has_label: bool,
     pub(crate) draining_since: Option<TimeMs>,
+    pub(crate) evacuated_since: Option<TimeMs>,
     pub(crate) cancelled_at: Option<TimeMs>,
     pub(crate) is_step_ready: bool,
     pub(crate) is_due: bool,
@@ -144,6 +148,9 @@
             if is_overdue(start.draining_since, MAX_START_AFTER_DRAIN_MS) {
                 violations.push("started on a draining worker".to_owned());
             }
+            if is_overdue(start.evacuated_since, MAX_START_AFTER_EVACUATION_MS) {
+                violations.push("started in an evacuated zone".to_owned());
+            }
             if is_overdue(start.cancelled_at, MAX_START_AFTER_CANCEL_MS) {
                 violations.push("started after its job was cancelled".to_owned());
             }
--- a/ragwortwick-emulator/src/orders.rs
+++ b/ragwortwick-emulator/src/orders.rs
@@ -306,6 +306,7 @@
                 .as_ref()
                 .is_none_or(|label| label.as_str() == worker.label),
             draining_since: worker.draining_since,
+            evacuated_since: self.store.evacuated.get(&worker.zone).copied(),
             cancelled_at: stored.and_then(|job| job.cancelled_at),
             is_step_ready,
             is_due,
--- a/ragwortwick-emulator/src/store.rs
+++ b/ragwortwick-emulator/src/store.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ragwortwick_area::{JobProgress, JobRecord, RecoveredJob, RunResult};
-use ragwortwick_core::{DurationMs, JobId, TimeMs};
+use ragwortwick_area::{Event, JobProgress, JobRecord, RecoveredJob, RunResult};
+use ragwortwick_core::{DurationMs, JobId, TimeMs, ZoneName};
 
 /// Time to live of the coordinator's lease.
 pub(crate) const LEASE_TTL_MS: DurationMs = DurationMs(2_000);
@@ -15,6 +15,8 @@
     pub(crate) jobs: BTreeMap<JobId, StoredJob>,
     /// Results that terms handed over, by job.
     pub(crate) handed_over: BTreeMap<JobId, Vec<RunResult>>,
+    /// Evacuated zones, with when the evacuation was acknowledged.
+    pub(crate) evacuated: BTreeMap<ZoneName, TimeMs>,
     pub(crate) revision: u64,
     /// Term of the elected coordinator, and when its lease expires.
     pub(crate) coordinator: Option<(u64, TimeMs)>,
@@ -56,6 +58,14 @@
         true
     }
 
+    /// Returns the set of evacuated zones, as a read at the given time does.
+    pub(crate) fn evacuation_report(&self, now: TimeMs) -> Event {
+        Event::EvacuationsConfirmed {
+            zones: Arc::new(self.evacuated.keys().cloned().collect()),
+            as_of: now,
+        }
+    }
+
     /// Adds the results that a term hands over to those of earlier terms.
     pub(crate) fn add_handed_over(&mut self, job_id: JobId, results: Vec<RunResult>) {
         let of_job = self.handed_over.entry(job_id).or_default();
--- a/ragwortwick-emulator/src/ticks.rs
+++ b/ragwortwick-emulator/src/ticks.rs
@@ -77,6 +77,8 @@
             known_results: BTreeMap::new(),
             unstored: UnstoredResults::default(),
         });
+        let report = self.store.evacuation_report(self.now);
+        self.deliver_event(host, number, report);
         let until = self.now + LEASE_TTL_MS - DurationMs(200);
         self.deliver_event(host, number, Event::LeaseExtended { until });
     }
@@ -144,6 +146,7 @@
             events.extend(removed.into_iter().map(Event::WorkerRemoved));
             term.known_workers = present;
             events.push(Event::WorkersConfirmed);
+            events.push(self.store.evacuation_report(self.now));
         }
         for event in events {
             self.deliver_event(host, number, event);
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -7,7 +7,7 @@
     EndKind, EndedTask, OrderReply, RefusalCause, Resources, RunningTask, TaskId, WorkerEntry,
     WorkerReport,
 };
-use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName, ZoneName};
 
 use crate::arrivals::{as_float, truncate};
 
@@ -109,6 +109,7 @@
     pub(crate) name: WorkerName,
     pub(crate) incarnation: u32,
     pub(crate) rack: String,
+    pub(crate) zone: ZoneName,
     pub(crate) label: &'static str,
     pub(crate) capacity: Resources,
     /// When its capacity shrank; none while it has its full capacity.
@@ -139,6 +140,14 @@
     pub(crate) pending_poll: Option<PendingPoll>,
 }
 
+/// Number of availability zones, over which the racks are spread.
+const ZONES: usize = 3;
+
+/// Returns the zone of a rack, or of a fault, by its number.
+pub(crate) fn zone_name(number: usize) -> ZoneName {
+    ZoneName::new(format!("z{}", number % ZONES))
+}
+
 /// `Reachability` states how a worker's address responds to requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reachability {
@@ -172,6 +181,7 @@
             name: WorkerName::new(format!("w{number}-0")),
             incarnation: 0,
             rack: format!("r{rack}"),
+            zone: zone_name(rack as usize),
             label,
             capacity,
             shrunk_at: None,
@@ -206,7 +216,7 @@
             name: self.name.clone(),
             address: self.name.as_str().into(),
             pool: crate::arrivals::POOL.into(),
-            zone: "z".into(),
+            zone: self.zone.clone(),
             rack: self.rack.as_str().into(),
             labels: Arc::from([self.label.into(), self.rack.as_str().into()]),
             capacity: self.capacity,
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -249,3 +249,22 @@
         assert_no_violations(seed, &faults, &report);
     }
 }
+
+/// Guards against runs that start in an evacuated zone, whichever fault hides the evacuation from the
+/// coordinator, and against jobs that never end because all zones were evacuated at once.
+#[test]
+fn verify_nothing_starts_in_evacuated_zones_under_faults() {
+    let workload: Workload = serde_json::from_str(include_str!("../loads/evacuations.json"))
+        .expect("a well-formed workload");
+    for seed in 700..716 {
+        let faults = draw_faults(seed, 3, TimeMs(20_000));
+        let options = SimulationOptions {
+            seed,
+            workload: workload.clone(),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, faults.clone()).run();
+        assert_no_violations(seed, &faults, &report);
+        assert!(report.completed > 0);
+    }
+}
--- a/ragwortwick-soak/src/play.rs
+++ b/ragwortwick-soak/src/play.rs
@@ -3,16 +3,20 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ragwortwick_core::DurationMs;
 use ragwortwick_standin::AreaFleet;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::callers::{Promises, hand_in};
-use crate::trouble::{bring, draw};
+use crate::trouble::{Evacuation, bring, draw};
 
 /// Outer limit until every accepted job has come to its end once the troubles are over.
 const SETTLE: Duration = Duration::from_secs(60);
 
+/// Time after the evacuation of a zone in which runs may still start there.
+const MAX_START_AFTER_EVACUATION_MS: DurationMs = DurationMs(5_000);
+
 /// Pause between two looks at jobs that are not over.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
@@ -57,6 +61,7 @@
     };
     let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
     let mut told = Promises::default();
+    let mut evacuations = Vec::new();
     for step in draw(&mut rng, plan.steps, plan.hosts, plan.workers) {
         let until = tokio::time::Instant::now() + step.pause;
         while tokio::time::Instant::now() < until {
@@ -64,7 +69,7 @@
             let pause_ms = rng.random_range(10..120);
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
-        bring(&mut fleet, step.trouble).await;
+        bring(&mut fleet, step.trouble, &mut evacuations).await;
     }
     let mut found = Found {
         accepted: told.accepted.len(),
@@ -73,6 +78,7 @@
     };
     settle(&fleet, &told, &mut found).await;
     check_runs(&fleet, &told, &mut found);
+    check_evacuations(&fleet, &evacuations, &mut found);
     fleet.close();
     found
 }
@@ -131,3 +137,19 @@
         }
     }
 }
+
+/// Nothing began in an evacuated zone later than allowed.
+fn check_evacuations(fleet: &AreaFleet, evacuations: &[Evacuation], found: &mut Found) {
+    for start in fleet.workers.starts() {
+        let zone = fleet.workers.zone(&start.worker);
+        let is_forbidden = evacuations.iter().any(|span| {
+            let from = span.began_at + MAX_START_AFTER_EVACUATION_MS;
+            let is_over = span.ended_at.is_some_and(|at| start.started_at >= at);
+            span.zone == zone && start.started_at > from && !is_over
+        });
+        if is_forbidden {
+            let text = format!("{} run {} began in evacuated {zone}", start.task, start.run);
+            found.findings.push(text);
+        }
+    }
+}
--- a/ragwortwick-soak/src/trouble.rs
+++ b/ragwortwick-soak/src/trouble.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use ragwortwick_standin::{AreaFleet, RelayMode, StoreFault, desired};
+use ragwortwick_core::TimeMs;
+use ragwortwick_standin::{AreaFleet, RelayMode, StoreFault, desired, now};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 
@@ -31,6 +32,10 @@
     WorkerPath(usize, RelayMode),
     /// The operators put another version of the desired state in force.
     Change(u64),
+    /// The operators evacuate a zone.
+    Evacuate(&'static str),
+    /// The operators take an evacuated zone back.
+    TakeBack(&'static str),
 }
 
 /// What happens to paths: cut, one way only, silent, slow, or reset.
@@ -44,6 +49,18 @@
     RelayMode::DropAnswers,
 ];
 
+/// Zones of the workers.
+const ZONES: [&str; 2] = ["z-0", "z-1"];
+
+/// `Evacuation` is a span in which a zone was evacuated, from the store's confirmation on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Evacuation {
+    pub(crate) zone: &'static str,
+    pub(crate) began_at: TimeMs,
+    /// When it ended; none while it goes on.
+    pub(crate) ended_at: Option<TimeMs>,
+}
+
 /// `Step` is a trouble after a pause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Step {
@@ -58,7 +75,8 @@
         let host = rng.random_range(0..hosts);
         let worker = rng.random_range(0..workers);
         let path = PATH_TROUBLES[rng.random_range(0..PATH_TROUBLES.len())];
-        let trouble = match rng.random_range(0..15) {
+        let zone = ZONES[rng.random_range(0..ZONES.len())];
+        let trouble = match rng.random_range(0..17) {
             0 => Trouble::Kill(host),
             1 | 2 => Trouble::Freeze(host),
             3 => Trouble::Wake(host),
@@ -70,7 +88,8 @@
             9 => Trouble::Worker(worker, rng.random_bool(0.6)),
             10 | 11 => Trouble::StorePath(host, path),
             12 | 13 => Trouble::WorkerPath(worker, path),
-            _ => Trouble::Change(2 + number as u64),
+            14 => Trouble::Change(2 + number as u64),
+            _ => Trouble::Evacuate(zone),
         };
         series.push(Step {
             pause: Duration::from_millis(rng.random_range(50..1_800)),
@@ -80,12 +99,13 @@
         let undo = match trouble {
             Trouble::Store(_) => Some(Trouble::Store(StoreFault::None)),
             Trouble::Freeze(host) => Some(Trouble::Wake(host)),
+            Trouble::Evacuate(zone) => Some(Trouble::TakeBack(zone)),
             Trouble::StorePath(host, _) => Some(Trouble::StorePath(host, RelayMode::Pass)),
             Trouble::WorkerPath(worker, _) => Some(Trouble::WorkerPath(worker, RelayMode::Pass)),
             _ => None,
         };
         series.extend(undo.map(|trouble| Step {
-            pause: Duration::from_millis(rng.random_range(200..3_500)),
+            pause: undo_pause(rng, trouble),
             trouble,
         }));
     }
@@ -100,8 +120,21 @@
     series
 }
 
+/// Draws how long a trouble lasts. An evacuation has to outlast the time that is allowed for it to be seen.
+fn undo_pause(rng: &mut Pcg64Mcg, trouble: Trouble) -> Duration {
+    let range_ms = match trouble {
+        Trouble::TakeBack(_) => 3_000..9_000,
+        _ => 200..3_500,
+    };
+    Duration::from_millis(rng.random_range(range_ms))
+}
+
 /// Brings a trouble about.
-pub(crate) async fn bring(fleet: &mut AreaFleet, trouble: Trouble) {
+pub(crate) async fn bring(
+    fleet: &mut AreaFleet,
+    trouble: Trouble,
+    evacuations: &mut Vec<Evacuation>,
+) {
     match trouble {
         // A host that has just ended takes no signal, and needs none.
         Trouble::Freeze(host) => drop(fleet.hosts[host].freeze()),
@@ -114,6 +147,21 @@
         Trouble::Change(version) => {
             fleet.store.put("op/config", desired(version).to_string());
         }
+        Trouble::Evacuate(zone) => {
+            fleet.store.put(&format!("op/evacuate/{zone}"), "{}");
+            evacuations.push(Evacuation {
+                zone,
+                began_at: now(),
+                ended_at: None,
+            });
+        }
+        Trouble::TakeBack(zone) => {
+            fleet.store.remove(&format!("op/evacuate/{zone}"));
+            let of_zone = evacuations.iter_mut().filter(|span| span.zone == zone);
+            for span in of_zone {
+                span.ended_at.get_or_insert(now());
+            }
+        }
         Trouble::Worker(worker, is_silent) => fleet.workers.set_unresponsive(worker, is_silent),
         Trouble::Kill(host) => {
             drop(fleet.hosts[host].kill());
--- a/ragwortwick-standin/src/area/worker_routes.rs
+++ b/ragwortwick-standin/src/area/worker_routes.rs
@@ -146,6 +146,7 @@
     };
     worker.running.insert(task.clone(), running);
     pool.starts.push(StartedRun {
+        started_at: now(),
         worker: name.to_owned(),
         task,
         run,
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -64,6 +64,8 @@
     pub task: String,
     /// Number of the run.
     pub run: u64,
+    /// When the worker started it.
+    pub started_at: TimeMs,
     /// Whether another worker was running the same task at that time.
     pub is_duplicate: bool,
 }
@@ -247,6 +249,13 @@
         .to_owned()
 }
 
+/// Number of availability zones that the workers are spread over.
+const ZONES: usize = 2;
+
+fn zone_of(number: usize) -> String {
+    format!("z-{}", number % ZONES)
+}
+
 /// `AreaWorkers` runs a pool of test workers, each on its own address.
 #[derive(Debug)]
 pub struct AreaWorkers {
@@ -319,7 +328,7 @@
             let entry = json!({
                 "Service": "booking",
                 "Address": relay.address().to_string(),
-                "Zone": "z",
+                "Zone": zone_of(number),
                 "Version": "v1",
                 "Slots": 8,
                 "State": "ready",
@@ -333,6 +342,21 @@
         }
     }
 
+    /// `zone` returns the availability zone of a worker, by its name or that of its incarnation.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such worker.
+    #[must_use]
+    pub fn zone(&self, worker: &str) -> String {
+        let is_worker = |name: &str| {
+            let rest = worker.strip_prefix(name);
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('-'))
+        };
+        let number = self.servers.iter().position(|(name, _)| is_worker(name));
+        zone_of(number.expect("a worker of this pool"))
+    }
+
     /// `starts` lists every run that was started.
     #[must_use]
     pub fn starts(&self) -> Vec<StartedRun> {
