daemon: coordinate under a lease of one second, renewed by calls that overlap

Cause: the store gives the key away once the lease of 2 s has run out; the renewals, one after the other with a timeout each, needed as long. Ruled out: the election itself (0.2 to 0.3 s after the key was free, 0.1 s to load) and the first pass.

Change: a lease of 1 s, the least that the store grants, renewed every 250 ms by calls that don't wait for each other, so that one lost reply is no pause. A late reply to an older renewal does not shorten the lease.

Why it holds: the area waits for the lease alone, and the lease covers three renewals in a row without a reply.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -219,7 +219,10 @@
             Event::AdviceReplied { step, asked, reply } => {
                 self.on_advice_replied(now.steady, step, asked, reply);
             }
-            Event::LeaseExtended { until } => self.lease_valid_until = until,
+            // Renewals overlap, so the reply to an earlier one may arrive last.
+            Event::LeaseExtended { until } => {
+                self.lease_valid_until = self.lease_valid_until.max(until);
+            }
         }
         self.needs_pass = true;
         self.needs_poll_round = true;
--- a/ragwortwick-area/tests/records.rs
+++ b/ragwortwick-area/tests/records.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use ragwortwick_area::{Action, EndKind, Event, ProgressRecord};
-use ragwortwick_core::JobId;
+use ragwortwick_core::{JobId, TimeMs};
 use rig::{Rig, ended, step, worker};
 
 type Batch = (u64, Vec<ProgressRecord>);
@@ -121,3 +121,14 @@
     let next = rig.batches();
     assert!(jobs_of(&next).contains(&&JobId::new(late)), "{next:?}");
 }
+
+/// Guards against starts that are held back because the reply to an older renewal arrives last.
+#[test]
+fn verify_a_late_reply_to_an_older_renewal_does_not_shorten_the_lease() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let earlier = TimeMs(rig.now.0 + 50);
+    rig.send(Event::LeaseExtended { until: earlier });
+    rig.advance(100);
+    rig.submit("00000000000000a0", "middle", step(1, 8));
+    assert_eq!(rig.start_all().len(), 1);
+}
--- a/ragwortwick-daemon/src/area/election.rs
+++ b/ragwortwick-daemon/src/area/election.rs
@@ -10,7 +10,7 @@
 use super::term::{CoordinatorLease, TermContext, run_term};
 
 /// Time to live of the coordinator's lease: the longest time without a coordinator after it dies.
-const LEASE_TTL_MS: DurationMs = DurationMs(2_000);
+const LEASE_TTL_MS: DurationMs = DurationMs(1_000);
 
 /// Longest random delay before a try, so that the hosts don't all try at once.
 const MAX_JITTER_MS: u64 = 60;
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -8,6 +8,7 @@
 use ragwortwick_core::{DurationMs, Epoch, JobId, Revision, TimeMs, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 
 use super::action_dispatcher::ActionDispatcher;
 use super::batch_writer::{BatchWriter, JobEndReporter};
@@ -26,8 +27,9 @@
 /// Length of the coordinator's event queue: the events of several placement passes at the planned size.
 const QUEUE_LENGTH: usize = 16_384;
 
-/// Interval between lease renewals; the lease expires only after several of them fail in a row.
-const RENEWAL_INTERVAL_MS: DurationMs = DurationMs(400);
+/// Interval between lease renewals. They overlap, so that one without a reply does not delay the next ones:
+/// the lease expires only after several of them fail in a row.
+const RENEWAL_INTERVAL_MS: DurationMs = DurationMs(250);
 
 /// Timeout of one renewal.
 const RENEWAL_TIMEOUT_MS: DurationMs = DurationMs(600);
@@ -357,26 +359,39 @@
     events: EventSender,
     end_sender: mpsc::Sender<&'static str>,
 ) {
+    let mut renewals = JoinSet::new();
+    let mut interval = tokio::time::interval(RENEWAL_INTERVAL_MS.into());
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::time::sleep(RENEWAL_INTERVAL_MS.into()).await;
-        let sent_at = context.clock.now();
-        let result = context
-            .store
-            .renew_lease(lease.lease_id, RENEWAL_TIMEOUT_MS)
-            .await;
-        context.health.record(&result);
-        match result {
-            Ok(()) => {
-                let until = lease.valid_until(sent_at);
+        let renewed = tokio::select! {
+            _ = interval.tick() => {
+                renewals.spawn(renew_once(context.clone(), lease));
+                continue;
+            }
+            Some(renewed) = renewals.join_next() => renewed,
+        };
+        match renewed {
+            Ok(Ok(until)) => {
                 if !events.send(Event::LeaseExtended { until }).await {
                     return;
                 }
             }
-            Err(StoreError::LeaseNotFound) => {
+            Ok(Err(StoreError::LeaseNotFound)) => {
                 let _ = end_sender.send("the lease has expired").await;
                 return;
             }
-            Err(error) => log_event!(Info, "renewal_failed", cause = error),
+            Ok(Err(error)) => log_event!(Info, "renewal_failed", cause = error),
+            // A panic ends the process; only a shutdown of the runtime cancels the task.
+            Err(_cancelled) => return,
         }
     }
 }
+
+/// Renews the lease once; returns until when it is valid.
+async fn renew_once(context: TermContext, lease: CoordinatorLease) -> Result<TimeMs, StoreError> {
+    let sent_at = context.clock.now();
+    let store = &context.store;
+    let result = store.renew_lease(lease.lease_id, RENEWAL_TIMEOUT_MS).await;
+    context.health.record(&result);
+    result.map(|()| lease.valid_until(sent_at))
+}
