Let orders time out by the reply times that workers show

Callers of urgent gangs were late because one member's start went unanswered: it was repeated 750 ms later, of the 0.25 s and half of its work that a gang has to spare, and each order behind it on the same worker waited as long.

Cause: a fixed timeout of 600 ms and a pause of 150 ms, for replies that take 2 ms.

Ruled out: the record before the start (5 ms) and the queue of orders by worker (300 ms at most).

Change: the timeout follows the smoothed reply time and its deviation, as a retransmission timer does, between 150 and 600 ms; timeouts without any reply between them double it, since the host itself may be slow. Repeats of one start back off.

Why it holds: a start is idempotent by its run number, so that an early repeat costs a call and no more.

--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -13,9 +13,12 @@
 use crate::progress_tracker::ProgressTracker;
 use crate::worker::Worker;
 
-/// Pause before an order without a reply is sent again.
+/// Pause before an order without a reply is sent again, from sending it. It doubles with each repeat.
 const RESEND_MS: DurationMs = DurationMs(150);
 
+/// Largest number of times that the pause doubles.
+const MAX_RESEND_DOUBLINGS: u32 = 2;
+
 impl Coordinator {
     /// Sends the start order of a run whose record is stored, unless the run can no longer start there.
     pub(crate) fn send_recorded_start(
@@ -101,7 +104,9 @@
                     AllocationPhase::StartSent {
                         sent_at,
                         in_flight: false,
-                    } if now.since(sent_at) >= RESEND_MS && can_start_work => {
+                    } if now.since(sent_at) >= resend_pause_ms(allocation.start_attempts)
+                        && can_start_work =>
+                    {
                         starts.push((name.clone(), task.clone()));
                     }
                     AllocationPhase::Stopping {
@@ -281,6 +286,12 @@
     }
 }
 
+/// Pause before a start order is repeated that was sent this many times.
+fn resend_pause_ms(attempts: u32) -> DurationMs {
+    let doublings = attempts.saturating_sub(1).min(MAX_RESEND_DOUBLINGS);
+    DurationMs(RESEND_MS.0 << doublings)
+}
+
 /// How long a worker gets no new work after it refused a start for lack of capacity or health.
 ///
 /// A refusal contradicts the coordinator's view of the worker, which its next entry or poll may correct.
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -20,6 +20,7 @@
 mod readiness;
 mod replica;
 mod replica_feed;
+mod reply_time;
 mod settings;
 mod store_health;
 mod term;
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -1,10 +1,10 @@
 //! Sends the coordinator's orders to workers and reports their outcomes to the coordinator.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ragwortwick_adapter::{
-    AdvisorClient, PaceRequest, PollReply, PollRequest, StartRequest, WorkerClient,
+    AdvisorClient, PaceRequest, PollReply, PollRequest, StartRequest, StopRequest, WorkerClient,
 };
 use ragwortwick_area::{Action, AdviceReply, Event, OrderReply, PollFailure, StepId, TaskId};
 use ragwortwick_core::{DurationMs, Epoch, WorkerName, log_event};
@@ -14,6 +14,7 @@
 
 use super::coordinator_handler::EventSender;
 use super::log_rate_limiter::LogRateLimiter;
+use super::reply_time::ReplyTimeEstimate;
 use crate::Clock;
 
 /// Longest wait of an order for earlier orders to the same worker.
@@ -46,6 +47,7 @@
     pub(super) clock: Clock,
     pub(super) events: EventSender,
     pub(super) order_locks: OrderLocks,
+    reply_times: Arc<Mutex<ReplyTimeEstimate>>,
     pub(super) start_log_limiter: LogRateLimiter,
     pub(super) stop_log_limiter: LogRateLimiter,
     pub(super) pace_log_limiter: LogRateLimiter,
@@ -66,6 +68,7 @@
             clock,
             events,
             order_locks: OrderLocks::default(),
+            reply_times: Arc::default(),
             start_log_limiter: LogRateLimiter::new("run_started"),
             stop_log_limiter: LogRateLimiter::new("run_stopped"),
             pace_log_limiter: LogRateLimiter::new("run_paced"),
@@ -152,15 +155,40 @@
     async fn call_in_order<R>(
         &self,
         worker: &WorkerName,
-        call: impl Future<Output = R>,
+        call: impl AsyncFnOnce(DurationMs) -> R,
     ) -> Option<R> {
         let lock = self.order_locks.lock_of(worker);
         let _guard = timeout(MAX_ORDER_WAIT_MS.into(), lock.lock()).await.ok()?;
-        Some(call.await)
+        let timeout_ms = self.reply_times().timeout_ms();
+        Some(call(timeout_ms).await)
+    }
+
+    /// Records the time until an order is replied to, or that it times out.
+    async fn measured(&self, reply: impl Future<Output = OrderReply>) -> OrderReply {
+        let sent_at = self.clock.now();
+        let reply = reply.await;
+        match reply {
+            OrderReply::Unknown => self.reply_times().record_timeout(),
+            OrderReply::Accepted { .. } | OrderReply::Refused(_) | OrderReply::WrongLife => {
+                let reply_ms = self.clock.now().since(sent_at);
+                self.reply_times().record_reply(reply_ms);
+            }
+        }
+        reply
+    }
+
+    fn reply_times(&self) -> MutexGuard<'_, ReplyTimeEstimate> {
+        self.reply_times
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn start(&self, worker: WorkerName, address: &str, request: StartRequest) -> Event {
-        let call = self.workers.start(&worker, address, self.term, &request);
+        let call = async |timeout_ms| {
+            let workers = &self.workers;
+            let reply = workers.start(&worker, address, self.term, &request, timeout_ms);
+            self.measured(reply).await
+        };
         let reply = self.call_in_order(&worker, call).await;
         let reply = reply.unwrap_or(OrderReply::Unknown);
         if matches!(reply, OrderReply::Accepted { .. }) {
@@ -197,7 +225,11 @@
     /// Sets a run's pace and returns whether the worker confirmed it. Orders to a worker are sent one at a
     /// time, so an earlier pace can't arrive after a later one.
     async fn set_pace(&self, worker: &WorkerName, address: &str, request: &PaceRequest) -> bool {
-        let call = self.workers.set_pace(worker, address, self.term, request);
+        let call = async |timeout_ms| {
+            let workers = &self.workers;
+            let reply = workers.set_pace(worker, address, self.term, request, timeout_ms);
+            reply.await
+        };
         let is_confirmed = self.call_in_order(worker, call).await.unwrap_or(false);
         if self.pace_log_limiter.admit(self.clock.now()) {
             log_event!(
@@ -262,8 +294,14 @@
     }
 
     async fn stop(&self, worker: WorkerName, address: &str, task: TaskId, run: u32) -> Event {
-        let call = self.workers.stop(&worker, address, self.term, &task, run);
+        let request = StopRequest { task, run };
+        let call = async |timeout_ms| {
+            let workers = &self.workers;
+            let reply = workers.stop(&worker, address, self.term, &request, timeout_ms);
+            self.measured(reply).await
+        };
         let reply = self.call_in_order(&worker, call).await;
+        let StopRequest { task, run } = request;
         let reply = reply.unwrap_or(OrderReply::Unknown);
         if self.stop_log_limiter.admit(self.clock.now()) {
             log_event!(
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -12,6 +12,7 @@
 use super::keys::JobKeyKind;
 use super::metrics::AreaMetrics;
 use super::replica::{JobChange, JobReplica};
+use super::reply_time::ReplyTimeEstimate;
 
 fn record(id: &str) -> Arc<JobRecord> {
     Arc::new(JobRecord {
@@ -165,3 +166,35 @@
         assert!(problem.contains(field), "{problem}");
     }
 }
+
+/// Guards against an order that is repeated so late that the gang of its task misses its objective.
+#[test]
+fn verify_orders_time_out_soon_after_the_usual_reply_time() {
+    let mut estimate = ReplyTimeEstimate::default();
+    assert_eq!(estimate.timeout_ms(), DurationMs(600));
+    for _ in 0..50 {
+        estimate.record_reply(DurationMs(3));
+    }
+    assert_eq!(estimate.timeout_ms(), DurationMs(150));
+}
+
+/// Guards against orders that are all repeated because the host is too slow to process replies in time.
+#[test]
+fn verify_a_slow_host_gives_its_orders_more_time() {
+    let mut estimate = ReplyTimeEstimate::default();
+    for number in 0..50 {
+        estimate.record_reply(DurationMs(if number % 2 == 0 { 20 } else { 180 }));
+    }
+    assert!(estimate.timeout_ms() > DurationMs(300));
+    let mut estimate = ReplyTimeEstimate::default();
+    estimate.record_reply(DurationMs(1));
+    for _ in 0..50 {
+        estimate.record_reply(DurationMs(1));
+    }
+    for _ in 0..64 {
+        estimate.record_timeout();
+    }
+    assert_eq!(estimate.timeout_ms(), DurationMs(600));
+    estimate.record_reply(DurationMs(1));
+    assert_eq!(estimate.timeout_ms(), DurationMs(150));
+}
