area: place nothing on workers and zones that do not reply

Cause: an idle worker tells nothing, so that it counted as free until its own poll had failed, 2.7 s after the cut; a coordinator that took over because of the cut placed its backlog there in its first pass.

Ruled out: repeated starts that extend the leases there (the cut ended before any lease did).

Change: a worker whose last order or poll went unanswered gets nothing until it replies, and is polled. Three such workers of one zone without any reply from the zone since the first make the whole zone silent until one of its workers replies. After a takeover with open work, each worker has to reply to a poll before it gets work.

Why it holds: what is excluded replies to its next poll or is out of reach, and an excluded zone comes back with the first reply of any of its workers.

--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -31,6 +31,7 @@
 mod preemption_plan;
 mod progress;
 mod progress_tracker;
+mod reachability;
 mod record_batches;
 mod recovery;
 mod reservation;
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -50,7 +50,8 @@
             let PollState::Idle { next_at } = worker.poll else {
                 continue;
             };
-            if worker.entry.address.is_empty() || !worker.needs_poll() {
+            let needs_poll = worker.needs_poll() || worker.needs_first_poll(self.term_start);
+            if worker.entry.address.is_empty() || !needs_poll {
                 continue;
             }
             let due_at = worker.poll_due_at(next_at);
--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -8,6 +8,7 @@
 use crate::coordinator::Coordinator;
 use crate::job::{Resources, StepSpec};
 use crate::packing::Slot;
+use crate::reachability::silent_zones;
 
 /// Below this share of accelerators in use, tasks may also be placed where they run slower.
 ///
@@ -60,6 +61,9 @@
     /// Returns the free capacity of a pool; only workers that accept new work have slots, and workers in
     /// evacuated zones count for nothing.
     pub(crate) fn pool_capacity(&self, now: TimeMs, pool: &PoolName) -> PoolCapacity {
+        let contacts = self.workers.values().filter(|worker| worker.is_listed);
+        let silent_zones =
+            silent_zones(contacts.map(|worker| (&worker.entry.zone, worker.contact)));
         let mut pool_capacity = PoolCapacity::default();
         for (name, worker) in &self.workers {
             if worker.entry.pool != *pool || !worker.is_listed {
@@ -74,7 +78,9 @@
             pool_capacity.total_accelerators += worker.entry.capacity.accelerators;
             pool_capacity.used_accelerators +=
                 worker.entry.capacity.accelerators - free.accelerators;
-            if worker.is_schedulable(now) {
+            let is_silent = worker.needs_first_poll(self.term_start)
+                || silent_zones.contains(&worker.entry.zone);
+            if worker.is_schedulable(now) && !is_silent {
                 pool_capacity.slots.push(Slot {
                     worker: name.clone(),
                     rack: worker.entry.rack.clone(),
--- /dev/null
+++ b/ragwortwick-area/src/reachability.rs
@@ -0,0 +1,99 @@
+//! Estimate of which workers are out of reach, from requests without a reply.
+//!
+//! This matters when a zone is cut off while urgent gangs keep arriving. Its idle workers look free, and a gang
+//! that is placed on one of them can't start elsewhere until its leases have expired. A single lost reply
+//! tells little about other workers; several workers of one zone without any reply from it tell that the zone
+//! is cut off.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ragwortwick_core::{TimeMs, ZoneName};
+
+/// Number of workers with an unanswered request, without any reply from their zone since, from which the
+/// whole zone counts as silent.
+const MIN_SILENT_WORKERS: usize = 3;
+
+/// `TermStart` is whether a term began with work of an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TermStart {
+    /// There was no open job.
+    Idle,
+    /// Another coordinator is gone. What cut it off may have cut off workers as well, so that each has to reply
+    /// to a poll before it gets work.
+    Takeover,
+}
+
+impl TermStart {
+    pub(crate) fn of(open_jobs: usize) -> Self {
+        if open_jobs > 0 {
+            Self::Takeover
+        } else {
+            Self::Idle
+        }
+    }
+}
+
+/// `Contact` is when a worker last replied, and since when it does not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Contact {
+    last_reply_at: Option<TimeMs>,
+    unanswered_since: Option<TimeMs>,
+}
+
+impl Contact {
+    /// Records a reply of any kind.
+    pub(crate) fn record_reply(&mut self, now: TimeMs) {
+        self.last_reply_at = Some(now);
+        self.unanswered_since = None;
+    }
+
+    /// Records a request that went without a reply.
+    pub(crate) fn record_silence(&mut self, now: TimeMs) {
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// Whether the worker has replied under this coordinator.
+    pub(crate) fn has_replied(&self) -> bool {
+        self.last_reply_at.is_some()
+    }
+
+    /// Whether the last request went without a reply.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.unanswered_since.is_some()
+    }
+}
+
+/// `ZoneContact` sums up the contacts of one zone's workers.
+#[derive(Clone, Copy, Debug, Default)]
+struct ZoneContact {
+    silent_workers: usize,
+    silent_since: Option<TimeMs>,
+    last_reply_at: Option<TimeMs>,
+}
+
+impl ZoneContact {
+    fn add(&mut self, contact: Contact) {
+        self.last_reply_at = self.last_reply_at.max(contact.last_reply_at);
+        if let Some(since) = contact.unanswered_since {
+            self.silent_workers += 1;
+            let earliest = self.silent_since.map_or(since, |at| at.min(since));
+            self.silent_since = Some(earliest);
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent_workers >= MIN_SILENT_WORKERS && self.last_reply_at < self.silent_since
+    }
+}
+
+/// Returns the zones that seem to be cut off from the coordinator.
+pub(crate) fn silent_zones<'a>(
+    contacts: impl Iterator<Item = (&'a ZoneName, Contact)>,
+) -> BTreeSet<&'a ZoneName> {
+    let mut zones: BTreeMap<&ZoneName, ZoneContact> = BTreeMap::new();
+    for (zone, contact) in contacts {
+        zones.entry(zone).or_default().add(contact);
+    }
+    let silent = zones.iter().filter(|(_, contact)| contact.is_silent());
+    silent.map(|(zone, _)| *zone).collect()
+}
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -199,6 +199,7 @@
         };
         worker.record_clock(now, report.clock_ms);
         worker.contact_loss = None;
+        worker.contact.record_reply(now);
         let pause_ms = if report.ended.is_empty() {
             POLL_PAUSE_MS
         } else {
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -159,8 +159,13 @@
             return None;
         }
         let worker = self.workers.get_mut(worker_name)?;
-        if let OrderReply::Accepted { clock_ms } = reply {
-            worker.record_clock(now, clock_ms);
+        match reply {
+            OrderReply::Unknown => worker.contact.record_silence(now),
+            OrderReply::Accepted { clock_ms } => {
+                worker.contact.record_reply(now);
+                worker.record_clock(now, clock_ms);
+            }
+            OrderReply::Refused(_) | OrderReply::WrongLife => worker.contact.record_reply(now),
         }
         Some(worker)
     }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::limits::Limits;
 use crate::losses::{ContactLoss, ContactLossKind};
 use crate::messages::WorkerEntry;
+use crate::reachability::{Contact, TermStart};
 use crate::speed::SpeedEstimate;
 
 /// Margin on the computed end of a worker's lease, for timers and scheduling delays.
@@ -55,6 +56,8 @@
     pub(crate) poll: PollState,
     /// Since when polls fail; none if the last poll succeeded.
     pub(crate) contact_loss: Option<ContactLoss>,
+    /// Whether orders and polls are replied to.
+    pub(crate) contact: Contact,
     /// Highest sequence number of a run end that was processed.
     pub(crate) received_end: u64,
     /// Highest sequence number of a run end whose effect is stored.
@@ -89,6 +92,7 @@
             lease_sent_at: now,
             poll: PollState::Idle { next_at: now },
             contact_loss: None,
+            contact: Contact::default(),
             received_end: 0,
             stored_end: 0,
             acked_end: 0,
@@ -228,12 +232,18 @@
         self.is_listed
             && !self.entry.is_draining
             && !self.is_unresponsive()
+            && !self.contact.is_silent()
             && self.clock.is_some()
             && now >= self.avoid_until
             && now >= self.stalled_until
             && !self.is_isolating_suspect(now)
     }
 
+    /// Whether the worker has to reply to a poll before it can get work.
+    pub(crate) fn needs_first_poll(&self, term_start: TermStart) -> bool {
+        term_start == TermStart::Takeover && self.is_listed && !self.contact.has_replied()
+    }
+
     /// Whether a poll is needed: for tracked or untracked runs, to acknowledge run ends, or to find out
     /// whether a listed worker is reachable again.
     ///
@@ -247,7 +257,7 @@
         has_run
             || !self.untracked.is_zero()
             || self.stored_end > self.acked_end
-            || (self.is_unresponsive() && self.is_listed)
+            || ((self.is_unresponsive() || self.contact.is_silent()) && self.is_listed)
     }
 
     /// Whether processed run ends are not stored yet; a poll would return them again at once.
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -1,6 +1,7 @@
 //! Test rig: a coordinator whose workers, store and clock are simulated by the test.
 #![allow(dead_code, reason = "each test file uses a part of the rig")]
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use ragwortwick_area::{
@@ -126,12 +127,20 @@
     })
 }
 
+/// Workers on which a record of the jobs has runs; the test decides how they reply to their first poll.
+fn workers_with_recorded_runs(jobs: &[RecoveredJob]) -> BTreeSet<WorkerName> {
+    let progress = jobs.iter().filter_map(|job| job.progress.as_ref());
+    let tasks = progress.flat_map(|progress| &progress.tasks);
+    tasks.filter_map(|task| task.worker.clone()).collect()
+}
+
 impl Rig {
     pub fn new(workers: &[WorkerEntry]) -> Self {
         Self::take_over(1_000, Vec::new(), workers)
     }
 
     pub fn take_over(ms: u64, jobs: Vec<RecoveredJob>, workers: &[WorkerEntry]) -> Self {
+        let recorded = workers_with_recorded_runs(&jobs);
         let coordinator =
             Coordinator::take_over(at(ms), Limits::default(), desired(), jobs, workers.to_vec());
         let mut rig = Self {
@@ -143,6 +152,12 @@
         };
         let until = TimeMs(ms + 1_000_000);
         rig.confirm_evacuations();
+        for idle in workers
+            .iter()
+            .filter(|entry| !recorded.contains(&entry.name))
+        {
+            rig.poll_reply(idle.name.as_str(), Vec::new(), Vec::new());
+        }
         rig.send(Event::LeaseExtended { until });
         rig
     }
