area: decide headroom and speed without the coordinator

Readers could not read or test headroom and speed estimates alone, since both files were part of the circle around coordinator.rs. The decisions keep their figures and now take arguments; their glue went to placement.rs, and to run_progress.rs (before: stalls.rs), which handles the progress that workers report. No behaviour changes; all tests of the area pass.

--- a/ragwortwick-area/src/headroom.rs
+++ b/ragwortwick-area/src/headroom.rs
@@ -7,10 +7,9 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use ragwortwick_core::{DurationMs, PoolName, TimeMs};
+use ragwortwick_core::{DurationMs, TimeMs};
 
 use crate::candidates::Candidate;
-use crate::coordinator::Coordinator;
 use crate::job::StepSpec;
 use crate::packing::{PlacementConstraints, Slot, rack_ranges};
 use crate::pool_capacity::PoolCapacity;
@@ -34,32 +33,12 @@
 }
 
 impl UrgentDemandPeak {
-    /// Applies the present demand and returns the peak.
-    fn observe(&mut self, now: TimeMs, demand: u64) -> f64 {
+    /// Applies the present demand and returns the accelerators to set aside as headroom.
+    pub(crate) fn headroom_for(&mut self, now: TimeMs, demand: u64) -> f64 {
         let decay_times = to_f64(now.since(self.observed_at).0) / to_f64(PEAK_DECAY_MS.0);
         self.accelerators = (self.accelerators * (-decay_times).exp()).max(to_f64(demand));
         self.observed_at = now;
-        self.accelerators
-    }
-}
-
-impl Coordinator {
-    /// Marks the racks of a pool that are headroom in this pass; urgent runs use `used` accelerators.
-    pub(crate) fn mark_headroom(
-        &mut self,
-        now: TimeMs,
-        pool: &PoolName,
-        candidates: &[&Candidate],
-        used: u64,
-        capacity: &mut PoolCapacity,
-    ) {
-        let waiting = candidates.iter().filter(|c| c.can_preempt());
-        let waiting: u64 = waiting.filter_map(|c| self.pending_accelerators(c)).sum();
-        let peak = self.urgent_peaks.entry(pool.clone()).or_default();
-        mark_racks(
-            &mut capacity.slots,
-            peak.observe(now, waiting + used) * HEADROOM_PER_PEAK,
-        );
+        self.accelerators * HEADROOM_PER_PEAK
     }
 }
 
@@ -90,7 +69,7 @@
 ///
 /// The order of the racks depends on a hash of their names alone, so that it is the same in each pass and
 /// under each coordinator, and the headroom is spread over all zones.
-fn mark_racks(slots: &mut [Slot], accelerators: f64) {
+pub(crate) fn mark_racks(slots: &mut [Slot], accelerators: f64) {
     let mut ranges: Vec<_> = rack_ranges(slots).collect();
     ranges.sort_by_cached_key(|range| rack_hash(&slots[range.start]));
     let mut remaining = accelerators;
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -36,8 +36,9 @@
 mod recovery;
 mod reservation;
 mod run_ends;
+mod run_progress;
 mod speed;
-mod stalls;
+
 mod starts;
 mod stops;
 mod unstored_results;
--- a/ragwortwick-area/src/placement.rs
+++ b/ragwortwick-area/src/placement.rs
@@ -45,6 +45,22 @@
         self.send_advice_request(now.steady);
     }
 
+    /// Marks the racks of a pool that are headroom in this pass; urgent runs use `used` accelerators.
+    fn mark_headroom(
+        &mut self,
+        now: TimeMs,
+        pool: &PoolName,
+        candidates: &[&Candidate],
+        used: u64,
+        capacity: &mut PoolCapacity,
+    ) {
+        let waiting = candidates.iter().filter(|c| c.can_preempt());
+        let waiting: u64 = waiting.filter_map(|c| self.pending_accelerators(c)).sum();
+        let peak = self.urgent_peaks.entry(pool.clone()).or_default();
+        let accelerators = peak.headroom_for(now, waiting + used);
+        headroom::mark_racks(&mut capacity.slots, accelerators);
+    }
+
     /// Places steps that may not preempt, in order, and reserves capacity for gangs that do not fit.
     /// Returns the workers with reserved capacity.
     fn place_non_preempting(
--- a/ragwortwick-area/src/stalls.rs
+++ b/ragwortwick-area/src/run_progress.rs
@@ -1,4 +1,4 @@
-//! Detection of stalled runs and of the workers that stall them.
+//! What reported progress shows: stalled runs, the workers that stall them, and the speed of workers.
 //!
 //! Runs on a worker may make no progress although the worker counts as healthy: urgent work placed there
 //! misses its objective however early it started. The progress in one or two poll replies shows this. The
@@ -148,4 +148,56 @@
         });
         losses.collect::<Option<Vec<_>>>()?.into_iter().max()
     }
+
+    /// Compares the runs on a worker with similar tasks, once enough of each was observed.
+    pub(crate) fn compare_durations(&mut self, worker_name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(worker_name) else {
+            return;
+        };
+        let allocations = worker.allocations.iter_mut();
+        let durations: Vec<(TaskId, DurationMs)> = allocations
+            .filter_map(|(task, allocation)| {
+                Some((task.clone(), allocation.tracker.as_mut()?.take_duration()?))
+            })
+            .collect();
+        for (task, duration_ms) in durations {
+            self.record_duration(worker_name, &task, duration_ms);
+        }
+    }
+
+    /// Compares the duration of a run that has ended before enough of it was observed. A gang member ends
+    /// with the others, so its end says nothing about its own worker.
+    pub(crate) fn compare_final_duration(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        allocation: &Allocation,
+    ) {
+        let job = self.jobs.get(&task.job_id);
+        let spec = job.and_then(|job| job.spec(task.step));
+        let is_gang = spec.is_none_or(|spec| spec.is_gang);
+        let is_compared = allocation
+            .tracker
+            .is_some_and(|tracker| tracker.is_speed_sampled);
+        let is_complete_sample = !allocation.is_resumed && !is_compared && !is_gang;
+        if let Some(started_at) = allocation.started_at.filter(|_| is_complete_sample) {
+            self.record_duration(worker_name, task, now.since(started_at));
+        }
+    }
+
+    fn record_duration(
+        &mut self,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        duration_ms: DurationMs,
+    ) {
+        let job = self.jobs.get_mut(&task.job_id);
+        let step = job.and_then(|job| job.step_mut(task.occurrence, task.step));
+        let log_ratio = step.and_then(|step| step.durations.add_duration(duration_ms));
+        let worker = self.workers.get_mut(worker_name);
+        if let (Some(log_ratio), Some(worker)) = (log_ratio, worker) {
+            worker.speed.add_sample(log_ratio);
+        }
+    }
 }
--- a/ragwortwick-area/src/speed.rs
+++ b/ragwortwick-area/src/speed.rs
@@ -4,11 +4,8 @@
 //! its slowest member. Tasks of one step are similar, so the duration of one relative to the others shows the
 //! speed of its worker, however wrong the customer's estimate is.
 
-use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
+use ragwortwick_core::DurationMs;
 
-use crate::allocation::Allocation;
-use crate::coordinator::Coordinator;
-use crate::job::TaskId;
 use crate::progress_tracker::ProgressTracker;
 
 /// Smallest observed share of a run, in per cent, from which its total duration is estimated.
@@ -50,7 +47,7 @@
 }
 
 impl SpeedEstimate {
-    fn add_sample(&mut self, log_ratio: f64) {
+    pub(crate) fn add_sample(&mut self, log_ratio: f64) {
         if self.samples >= MAX_SAMPLES {
             let decay = (MAX_SAMPLES - 1.0) / self.samples;
             self.log_sum *= decay;
@@ -80,12 +77,16 @@
 }
 
 impl StepDurations {
-    /// Adds a duration; returns the logarithm of its ratio to the mean of the others, if there are any.
+    /// Adds a duration; returns the logarithm of its ratio to the mean of the others, if it is long enough to
+    /// compare and there are any.
     #[expect(
         clippy::cast_precision_loss,
         reason = "spans of hours in milliseconds are exact in a float"
     )]
-    fn add_duration(&mut self, duration_ms: DurationMs) -> Option<f64> {
+    pub(crate) fn add_duration(&mut self, duration_ms: DurationMs) -> Option<f64> {
+        if duration_ms < MIN_DURATION_MS {
+            return None;
+        }
         let log = (duration_ms.0 as f64).ln();
         let ratio = (self.count > 0.0).then(|| log - self.log_sum / self.count);
         self.log_sum += log;
@@ -96,7 +97,7 @@
 
 impl ProgressTracker {
     /// Returns the estimated total duration once, after enough of the run was observed.
-    fn take_duration(&mut self) -> Option<DurationMs> {
+    pub(crate) fn take_duration(&mut self) -> Option<DurationMs> {
         if self.is_speed_sampled || self.observed_percent() < MIN_OBSERVED_PERCENT {
             return None;
         }
@@ -105,60 +106,3 @@
         Some(total_ms)
     }
 }
-
-impl Coordinator {
-    /// Compares the runs on a worker with similar tasks, once enough of each was observed.
-    pub(crate) fn compare_durations(&mut self, worker_name: &WorkerName) {
-        let Some(worker) = self.workers.get_mut(worker_name) else {
-            return;
-        };
-        let allocations = worker.allocations.iter_mut();
-        let durations: Vec<(TaskId, DurationMs)> = allocations
-            .filter_map(|(task, allocation)| {
-                Some((task.clone(), allocation.tracker.as_mut()?.take_duration()?))
-            })
-            .collect();
-        for (task, duration_ms) in durations {
-            self.record_duration(worker_name, &task, duration_ms);
-        }
-    }
-
-    /// Compares the duration of a run that has ended before enough of it was observed. A gang member ends
-    /// with the others, so its end says nothing about its own worker.
-    pub(crate) fn compare_final_duration(
-        &mut self,
-        now: TimeMs,
-        worker_name: &WorkerName,
-        task: &TaskId,
-        allocation: &Allocation,
-    ) {
-        let job = self.jobs.get(&task.job_id);
-        let spec = job.and_then(|job| job.spec(task.step));
-        let is_gang = spec.is_none_or(|spec| spec.is_gang);
-        let is_compared = allocation
-            .tracker
-            .is_some_and(|tracker| tracker.is_speed_sampled);
-        let is_complete_sample = !allocation.is_resumed && !is_compared && !is_gang;
-        if let Some(started_at) = allocation.started_at.filter(|_| is_complete_sample) {
-            self.record_duration(worker_name, task, now.since(started_at));
-        }
-    }
-
-    fn record_duration(
-        &mut self,
-        worker_name: &WorkerName,
-        task: &TaskId,
-        duration_ms: DurationMs,
-    ) {
-        if duration_ms < MIN_DURATION_MS {
-            return;
-        }
-        let job = self.jobs.get_mut(&task.job_id);
-        let step = job.and_then(|job| job.step_mut(task.occurrence, task.step));
-        let log_ratio = step.and_then(|step| step.durations.add_duration(duration_ms));
-        let worker = self.workers.get_mut(worker_name);
-        if let (Some(log_ratio), Some(worker)) = (log_ratio, worker) {
-            worker.speed.add_sample(log_ratio);
-        }
-    }
-}
