--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -373,12 +373,12 @@
     }
 
     fn on_evacuations_confirmed(&mut self, zones: EvacuatedZones, as_of: TimeMs) {
-        for (zone, is_evacuated) in self.evacuations.confirm(zones, as_of) {
+        for zone in self.evacuations.confirm(zones, as_of) {
             let in_zone = |worker: &&Worker| worker.is_listed && worker.entry.zone == zone;
             let workers = self.workers.values().filter(in_zone);
             let runs = workers.clone().map(|worker| worker.allocations.len());
             self.actions.push(Action::LogEvacuation(EvacuationChange {
-                is_evacuated,
+                is_evacuated: self.evacuations.contains(&zone),
                 workers: workers.clone().count(),
                 runs: runs.sum(),
                 zone: zone.clone(),
--- a/ragwortwick-area/src/evacuation.rs
+++ b/ragwortwick-area/src/evacuation.rs
@@ -40,20 +40,18 @@
 
 impl Evacuations {
     /// Applies a report that these zones, and no others, were evacuated at the given time. Returns the zones
-    /// that changed, each with whether it is evacuated now.
-    pub(crate) fn confirm(&mut self, zones: EvacuatedZones, at: TimeMs) -> Vec<(ZoneName, bool)> {
+    /// that are evacuated from now on, or no longer.
+    pub(crate) fn confirm(&mut self, zones: EvacuatedZones, at: TimeMs) -> BTreeSet<ZoneName> {
         if self
             .confirmed_at
             .is_some_and(|confirmed_at| at < confirmed_at)
         {
-            return Vec::new();
+            return BTreeSet::new();
         }
         self.confirmed_at = Some(at);
         let previous = std::mem::replace(&mut self.zones, zones);
         let changed = previous.symmetric_difference(&self.zones);
-        changed
-            .map(|zone| (zone.clone(), self.zones.contains(zone)))
-            .collect()
+        changed.cloned().collect()
     }
 
     /// Whether the set is recent enough for starts: a zone that was evacuated since then must get none once
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -38,7 +38,6 @@
 mod run_ends;
 mod run_progress;
 mod speed;
-
 mod starts;
 mod stops;
 mod unstored_results;
--- a/ragwortwick-area/src/reachability.rs
+++ b/ragwortwick-area/src/reachability.rs
@@ -1,4 +1,4 @@
-//! Estimate of which workers are out of reach, from requests without a reply.
+//! Estimate of which workers are out of reach, from orders without a reply.
 //!
 //! This matters when a zone is cut off while urgent gangs keep arriving. Its idle workers look free, and a gang
 //! that is placed on one of them can't start elsewhere until its leases have expired. A single lost reply
@@ -9,8 +9,8 @@
 
 use ragwortwick_core::{TimeMs, ZoneName};
 
-/// Number of workers with an unanswered request, without any reply from their zone since, from which the
-/// whole zone counts as silent.
+/// Number of workers with an unanswered order, without any reply from their zone since, from which the whole
+/// zone counts as silent.
 const MIN_SILENT_WORKERS: usize = 3;
 
 /// `TermStart` is whether a term began with work of an earlier one.
@@ -33,7 +33,7 @@
     }
 }
 
-/// `Contact` is when a worker last replied, and since when it does not.
+/// `Contact` is when a worker last replied, and since when its orders go without a reply.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Contact {
     last_reply_at: Option<TimeMs>,
@@ -47,7 +47,7 @@
         self.unanswered_since = None;
     }
 
-    /// Records a request that went without a reply.
+    /// Records an order that went without a reply.
     pub(crate) fn record_silence(&mut self, now: TimeMs) {
         self.unanswered_since.get_or_insert(now);
     }
@@ -57,7 +57,7 @@
         self.last_reply_at.is_some()
     }
 
-    /// Whether the last request went without a reply.
+    /// Whether the last order went without a reply.
     pub(crate) fn is_silent(&self) -> bool {
         self.unanswered_since.is_some()
     }
--- a/ragwortwick-area/src/run_progress.rs
+++ b/ragwortwick-area/src/run_progress.rs
@@ -150,7 +150,7 @@
     }
 
     /// Compares the runs on a worker with similar tasks, once enough of each was observed.
-    pub(crate) fn compare_durations(&mut self, worker_name: &WorkerName) {
+    fn compare_durations(&mut self, worker_name: &WorkerName) {
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -134,8 +134,8 @@
     /// Repeats a start order, which is idempotent; the reply shows whether the first one arrived.
     ///
     /// The order must not be repeated to a worker that is leaving, whose zone is evacuated or whose capacity has
-    /// shrunk: if the first one never arrived, the second would start work there. A stop order resolves the uncertainty as well,
-    /// also where the ticket has expired and the repeated start would be refused.
+    /// shrunk: if the first one never arrived, the second would start work there. A stop order resolves the
+    /// uncertainty as well, also where the ticket has expired and the repeated start would be refused.
     fn resend_start(&mut self, now: TimeMs, worker: &WorkerName, task: &TaskId) {
         let worker_state = self.workers.get(worker);
         let must_not_start =
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -56,7 +56,7 @@
     pub(crate) poll: PollState,
     /// Since when polls fail; none if the last poll succeeded.
     pub(crate) contact_loss: Option<ContactLoss>,
-    /// Whether orders and polls are replied to.
+    /// When it last replied, and whether its last order went without a reply.
     pub(crate) contact: Contact,
     /// Highest sequence number of a run end that was processed.
     pub(crate) received_end: u64,
