--- a/ragwortwick-daemon/tests/area_evacuation.rs
+++ b/ragwortwick-daemon/tests/area_evacuation.rs
@@ -3,9 +3,8 @@
 use http::StatusCode;
 use ragwortwick_standin::{AreaFleet, RelayMode, area_job, wait_until};
 
-/// Zone of every second worker, and its evacuation.
+/// Zone of every second worker.
 const ZONE: &str = "z-0";
-const EVACUATION: &str = "op/evacuate/z-0";
 
 async fn open(hosts: usize) -> AreaFleet {
     let fleet = AreaFleet::spawn_ready(env!("CARGO_BIN_EXE_ragwortwickd"), hosts, 4).await;
@@ -14,7 +13,7 @@
 
 /// Evacuates the zone and waits until the coordinator knows.
 async fn evacuate(fleet: &AreaFleet, coordinator: usize) {
-    fleet.store.put(EVACUATION, "{}");
+    fleet.evacuate(ZONE);
     let line = fleet.hosts[coordinator]
         .wait_for_event("zone_evacuated")
         .await
@@ -59,7 +58,7 @@
     wait_until("a host coordinates", async || fleet.coordinator().is_some()).await;
     complete_job(&fleet, 0, "00000000000000a2").await;
     assert_eq!(starts_in_zone(&fleet), 0);
-    fleet.store.remove(EVACUATION);
+    fleet.take_back(ZONE);
     let coordinator = fleet.coordinator().expect("a host coordinates");
     wait_until("the zone is taken back", async || {
         let lines = fleet.hosts[coordinator].lines();
@@ -78,7 +77,7 @@
     let coordinator = fleet.coordinator().expect("a host coordinates");
     let other = 1 - coordinator;
     fleet.set_store_path(coordinator, RelayMode::Cut);
-    fleet.store.put(EVACUATION, "{}");
+    fleet.evacuate(ZONE);
     wait_until("the other host coordinates", async || {
         fleet.coordinates(other)
     })
@@ -103,9 +102,9 @@
         line.contains("zone=nowhere") && line.contains("workers=0"),
         "{line}"
     );
-    fleet.store.remove("op/evacuate/nowhere");
-    fleet.store.remove("op/evacuate/nowhere");
-    fleet.store.remove("op/evacuate/never");
+    fleet.take_back("nowhere");
+    fleet.take_back("nowhere");
+    fleet.take_back("never");
     fleet.hosts[0]
         .wait_for_event("evacuation_ends")
         .await
--- a/ragwortwick-soak/src/trouble.rs
+++ b/ragwortwick-soak/src/trouble.rs
@@ -148,7 +148,7 @@
             fleet.store.put("op/config", desired(version).to_string());
         }
         Trouble::Evacuate(zone) => {
-            fleet.store.put(&format!("op/evacuate/{zone}"), "{}");
+            fleet.evacuate(zone);
             evacuations.push(Evacuation {
                 zone,
                 began_at: now(),
@@ -156,7 +156,7 @@
             });
         }
         Trouble::TakeBack(zone) => {
-            fleet.store.remove(&format!("op/evacuate/{zone}"));
+            fleet.take_back(zone);
             let of_zone = evacuations.iter_mut().filter(|span| span.zone == zone);
             for span in of_zone {
                 span.ended_at.get_or_insert(now());
--- a/ragwortwick-standin/src/area/fleet.rs
+++ b/ragwortwick-standin/src/area/fleet.rs
@@ -144,6 +144,16 @@
         }
     }
 
+    /// `evacuate` writes the operators' request to send nothing more to the workers of a zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.store.put(&evacuation_key(zone), "{}");
+    }
+
+    /// `take_back` removes the request to evacuate a zone.
+    pub fn take_back(&self, zone: &str) {
+        self.store.remove(&evacuation_key(zone));
+    }
+
     /// `call` sends a client request to a host with the default API key.
     ///
     /// # Errors
@@ -231,6 +241,10 @@
     }
 }
 
+fn evacuation_key(zone: &str) -> String {
+    format!("op/evacuate/{zone}")
+}
+
 /// `desired` returns a desired state with two queues for the test workers; the second requires advice.
 #[must_use]
 pub fn desired(version: u64) -> Value {
