Log and count the runs that a worker reports without an allocation

A coordinator stops whatever a worker reports and it has not placed, without a trace: a run of a cancelled job that was lost sight of could not be told from a cancel that came late. The line run_untracked names the run, its worker and the phase of its job; a counter sums them by phase. No decision changes.

--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -41,6 +41,7 @@
 mod starts;
 mod stops;
 mod unstored_results;
+mod untracked_runs;
 mod validation;
 mod value;
 mod worker;
@@ -61,4 +62,5 @@
 pub use progress::{GangProgress, JobPhase, JobProgress, TaskProgress};
 pub use record_batches::MAX_BATCH_RECORDS;
 pub use unstored_results::{RunResult, RunResultKind, UnstoredResults};
+pub use untracked_runs::UntrackedRun;
 pub use validation::JobValidationError;
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -13,6 +13,7 @@
 use crate::losses::WorkerLossReport;
 use crate::progress::JobProgress;
 use crate::unstored_results::RunResult;
+use crate::untracked_runs::UntrackedRun;
 
 /// `WorkerEntry` is the entry of a worker in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -361,6 +362,8 @@
     LogRunEnd(RunEnded),
     /// Log the loss of a worker that had runs.
     LogWorkerLoss(WorkerLossReport),
+    /// Log a run that a worker reports without an allocation.
+    LogUntrackedRun(UntrackedRun),
     /// Log that a zone is evacuated, or no longer is.
     LogEvacuation(EvacuationChange),
     /// Stop coordinating, because a worker has received a fencing token of a later term.
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -11,6 +11,7 @@
 use crate::losses::ContactLossKind;
 use crate::messages::{Action, PollFailure, RunningTask};
 use crate::outcome::RunOutcome;
+use crate::untracked_runs::UntrackedRun;
 use crate::worker::PollState;
 
 /// How long a worker may wait for a run end before it replies to a poll.
@@ -191,6 +192,12 @@
             if let Some(spec) = job.and_then(|job| job.spec(row.task.step)) {
                 worker.untracked = worker.untracked.plus(spec.demand());
             }
+            self.actions.push(Action::LogUntrackedRun(UntrackedRun {
+                worker: worker_name.clone(),
+                task: row.task.clone(),
+                run: row.run,
+                job_phase: job.map(|job| job.phase),
+            }));
             self.actions.push(Action::Stop {
                 worker: worker_name.clone(),
                 address: Arc::clone(&address),
--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -1,6 +1,6 @@
 //! Dispatches the actions of a term's coordinator to the store, the workers, the logs and the metrics.
 
-use ragwortwick_area::{Action, EvacuationChange, RunEnded, WorkerLossReport};
+use ragwortwick_area::{Action, EvacuationChange, RunEnded, UntrackedRun, WorkerLossReport};
 use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -16,6 +16,7 @@
     writes: mpsc::UnboundedSender<StoreWrite>,
     order_sender: OrderSender,
     run_end_log_limiter: LogRateLimiter,
+    untracked_log_limiter: LogRateLimiter,
     metrics: AreaMetrics,
     pub(super) unstored: SharedUnstoredResults,
 }
@@ -31,6 +32,7 @@
             writes,
             order_sender,
             run_end_log_limiter: LogRateLimiter::new("run_over"),
+            untracked_log_limiter: LogRateLimiter::new("run_untracked"),
             metrics,
             unstored,
         }
@@ -48,6 +50,7 @@
                 Action::Resign => return false,
                 Action::LogRunEnd(ended) => self.report_run_end(&ended),
                 Action::LogWorkerLoss(lost) => self.report_worker_loss(&lost),
+                Action::LogUntrackedRun(untracked) => self.report_untracked_run(&untracked),
                 Action::LogEvacuation(change) => self.report_evacuation(&change),
                 order => {
                     orders.spawn(self.order_sender.clone().execute(order));
@@ -86,6 +89,28 @@
         }
     }
 
+    fn report_untracked_run(&self, untracked: &UntrackedRun) {
+        let job_phase = untracked
+            .job_phase
+            .map_or_else(|| "Unknown".to_owned(), |phase| format!("{phase:?}"));
+        let counter = &self.metrics.untracked_runs;
+        counter.with_label_values(&[job_phase.as_str()]).inc();
+        if self
+            .untracked_log_limiter
+            .admit(self.order_sender.clock.now())
+        {
+            log_event!(
+                Info,
+                "run_untracked",
+                task = untracked.task,
+                run = untracked.run,
+                worker = untracked.worker,
+                term = self.order_sender.term,
+                job_phase = job_phase
+            );
+        }
+    }
+
     /// Logs how many workers get no new runs from now on, or get them again.
     fn report_evacuation(&self, change: &EvacuationChange) {
         log_event!(
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -49,6 +49,8 @@
     pub(super) runs_ended: IntCounterVec,
     /// Workers lost with runs on them, by cause; counted by the coordinator.
     pub(super) workers_lost: IntCounterVec,
+    /// Runs reported without an allocation, by phase of their job; counted by the coordinator.
+    pub(super) untracked_runs: IntCounterVec,
     /// Lost work, which has to be redone, by cause; counted by the coordinator.
     pub(super) lost_core_seconds: CounterVec,
     /// Calls to the store without a usable reply, by feed.
@@ -97,6 +99,11 @@
             "Workers that were lost with runs, by this host as coordinator",
             &["cause"],
         )?;
+        let untracked_runs = counter(
+            "ragwortwick_area_untracked_runs_total",
+            "Runs that workers reported and that this host, as coordinator, had not placed",
+            &["job_phase"],
+        )?;
         let options = Opts::new(
             "ragwortwick_area_lost_core_seconds_total",
             "Core-equivalent seconds of work to do again, by this host as coordinator",
@@ -153,6 +160,7 @@
             job_part_seconds,
             runs_ended,
             workers_lost,
+            untracked_runs,
             lost_core_seconds,
             feed_failures,
             desired_version,
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -145,6 +145,7 @@
             | Action::DeleteJob(_)
             | Action::LogRunEnd(_)
             | Action::LogWorkerLoss(_)
+            | Action::LogUntrackedRun(_)
             | Action::LogEvacuation(_) => return,
         };
         self.events.send(event).await;
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -77,7 +77,10 @@
                     };
                     self.schedule_after(5, commit);
                 }
-                Action::LogRunEnd(_) | Action::LogWorkerLoss(_) | Action::LogEvacuation(_) => {}
+                Action::LogRunEnd(_)
+                | Action::LogWorkerLoss(_)
+                | Action::LogUntrackedRun(_)
+                | Action::LogEvacuation(_) => {}
                 Action::Resign => self.hosts[host].end_term(),
                 Action::DeleteJob(job_id) => {
                     self.store.jobs.remove(&job_id);
