area: stop a run without an allocation until it is gone

Callers of a cancelled job could see its task go on: a worker reports a run that the coordinator holds no allocation for. The coordinator sent one stop order for each such report, dropped the reply, and polled the worker again only if the run's job was still held. An order that was refused, lost or late was repeated by nothing on a worker that nobody polls, and a worker whose entry had expired was forgotten with the run. The run then went on until its lease ended, 6 to 10 s later.

Class: a piece of state that is outside of the state machine, here a run known only as an amount of resources; what applies to allocations (repeat until confirmed, poll until gone, keep the worker) did not apply to it.

StopProgress is now what is known about the stop of any run, used by allocations and by untracked runs alike. A worker with an untracked run is polled and kept until the run is gone or its leases have ended. The tests in untracked_runs.rs fail before (an order that is not repeated; a worker that is forgotten) but for the one that gives a lost worker up.

--- a/ragwortwick-area/src/allocation.rs
+++ b/ragwortwick-area/src/allocation.rs
@@ -9,6 +9,7 @@
 use crate::crashes::CrashHistory;
 use crate::job::{Resources, StepSpec};
 use crate::progress_tracker::ProgressTracker;
+use crate::stop_progress::StopProgress;
 
 /// `AllocationPhase` is what the coordinator knows about a run on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,12 +34,8 @@
     Stopping {
         /// Why the run has to stop.
         reason: RunEndReason,
-        /// When the stop order was last sent; none if it was not sent yet.
-        sent_at: Option<TimeMs>,
-        /// Whether a reply is pending.
-        in_flight: bool,
-        /// When the worker confirmed the stop.
-        confirmed_at: Option<TimeMs>,
+        /// How far the stop has got.
+        progress: StopProgress,
     },
 }
 
@@ -47,9 +44,7 @@
     pub(crate) fn stop_pending(reason: RunEndReason) -> Self {
         Self::Stopping {
             reason,
-            sent_at: None,
-            in_flight: false,
-            confirmed_at: None,
+            progress: StopProgress::PENDING,
         }
     }
 }
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -39,6 +39,7 @@
 mod run_progress;
 mod speed;
 mod starts;
+mod stop_progress;
 mod stops;
 mod unstored_results;
 mod untracked_runs;
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -236,6 +236,9 @@
         for (task, run) in self.runs_on(name) {
             self.end_run(now, name, &task, run, RunOutcome::Lost(lost.cause));
         }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.untracked.clear();
+        }
         if self.workers.get(name).is_some_and(Worker::can_be_removed) {
             self.workers.remove(name);
         }
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -7,10 +7,11 @@
 
 use crate::allocation::{Allocation, AllocationPhase};
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_LEASE_LOSS_MS};
-use crate::job::{Resources, TaskId};
+use crate::job::{StepSpec, TaskId};
 use crate::losses::ContactLossKind;
 use crate::messages::{Action, PollFailure, RunningTask};
 use crate::outcome::RunOutcome;
+use crate::stop_progress::StopProgress;
 use crate::untracked_runs::UntrackedRun;
 use crate::worker::PollState;
 
@@ -66,13 +67,13 @@
                         allocation.phase,
                         AllocationPhase::Recovered
                             | AllocationPhase::Stopping {
-                                confirmed_at: Some(_),
+                                progress: StopProgress::Confirmed { .. },
                                 ..
                             }
                     )
                 });
             let has_runs = !worker.allocations.is_empty();
-            let wait_ms = if needs_reconciliation || !has_runs {
+            let wait_ms = if needs_reconciliation || !has_runs && worker.untracked.is_empty() {
                 DurationMs(0)
             } else if worker.has_colocated_fillers() {
                 SHARED_POLL_WAIT_MS
@@ -163,9 +164,7 @@
                 // The poll carried a newer fencing token, so the worker refuses earlier coordinators' orders.
                 AllocationPhase::Recovered => true,
                 AllocationPhase::Running { since } => since < sent_at,
-                AllocationPhase::Stopping { confirmed_at, .. } => {
-                    confirmed_at.is_some_and(|at| at < sent_at)
-                }
+                AllocationPhase::Stopping { progress, .. } => progress.is_confirmed_before(sent_at),
             };
             if is_missing {
                 missing.push((task.clone(), allocation.run));
@@ -184,26 +183,20 @@
                 _ => untracked.push(row),
             }
         }
-        let address = Arc::clone(&worker.entry.address);
-        worker.untracked = Resources::default();
-        for row in untracked {
-            // The run belongs to no allocation; it only takes resources until it has stopped.
-            let job = self.jobs.get(&row.task.job_id);
-            if let Some(spec) = job.and_then(|job| job.spec(row.task.step)) {
-                worker.untracked = worker.untracked.plus(spec.demand());
-            }
+        // An untracked run belongs to nothing that was placed; it takes resources until it has stopped.
+        let jobs = &self.jobs;
+        let demand_of = |task: &TaskId| {
+            let spec = jobs.get(&task.job_id).and_then(|job| job.spec(task.step));
+            spec.map(StepSpec::demand).unwrap_or_default()
+        };
+        for row in worker.untracked.update(&untracked, demand_of) {
+            self.has_due_orders = true;
             self.actions.push(Action::LogUntrackedRun(UntrackedRun {
                 worker: worker_name.clone(),
                 task: row.task.clone(),
                 run: row.run,
-                job_phase: job.map(|job| job.phase),
+                job_phase: jobs.get(&row.task.job_id).map(|job| job.phase),
             }));
-            self.actions.push(Action::Stop {
-                worker: worker_name.clone(),
-                address: Arc::clone(&address),
-                task: row.task.clone(),
-                run: row.run,
-            });
         }
         for (task, run) in missing {
             self.end_run(now, worker_name, &task, run, RunOutcome::NoVerdict);
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -176,7 +176,8 @@
                 let abandon_at = worker
                     .lease_expires_by
                     .max(worker.lease_sent_at + RECONNECT_GRACE_MS);
-                is_unresponsive && !worker.allocations.is_empty() && now >= abandon_at
+                let may_have_runs = !worker.allocations.is_empty() || !worker.untracked.is_empty();
+                is_unresponsive && may_have_runs && now >= abandon_at
             })
             .map(|(name, _)| name.clone())
             .collect();
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -13,7 +13,7 @@
 use crate::progress_tracker::ProgressTracker;
 use crate::worker::Worker;
 
-/// Pause before an order without a reply is sent again, from sending it. It doubles with each repeat.
+/// Pause before a start order without a reply is sent again, from sending it. It doubles with each repeat.
 const RESEND_MS: DurationMs = DurationMs(150);
 
 /// Largest number of times that the pause doubles.
@@ -109,13 +109,8 @@
                     {
                         starts.push((name.clone(), task.clone()));
                     }
-                    AllocationPhase::Stopping {
-                        sent_at,
-                        in_flight: false,
-                        confirmed_at: None,
-                        ..
-                    } if sent_at.is_none_or(|at| now.since(at) >= RESEND_MS)
-                        && !worker.entry.address.is_empty() =>
+                    AllocationPhase::Stopping { progress, .. }
+                        if progress.is_order_due(now) && !worker.entry.address.is_empty() =>
                     {
                         stops.push((name.clone(), task.clone()));
                     }
@@ -129,6 +124,7 @@
         for (worker, task) in stops {
             self.send_stop(now, &worker, &task);
         }
+        self.stop_untracked_runs(now);
     }
 
     /// Repeats a start order, which is idempotent; the reply shows whether the first one arrived.
--- /dev/null
+++ b/ragwortwick-area/src/stop_progress.rs
@@ -0,0 +1,82 @@
+//! Progress of the stop of one run, from the first order until its worker no longer reports the run.
+
+use ragwortwick_core::{DurationMs, TimeMs};
+
+use crate::messages::{OrderReply, RefusalCause};
+
+/// Pause before a stop order without effect is sent again, from sending it.
+const RESEND_MS: DurationMs = DurationMs(150);
+
+/// `StopProgress` is what is known about the stop of a run that its worker has, or may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StopProgress {
+    /// An order has to be sent: none was, or the last one had no known effect.
+    Due {
+        /// When the last order was sent.
+        last_sent_at: Option<TimeMs>,
+    },
+    /// An order was sent, and its reply is pending.
+    InFlight {
+        /// When the order was sent.
+        sent_at: TimeMs,
+    },
+    /// The worker has confirmed the stop.
+    Confirmed {
+        /// When the confirmation arrived.
+        at: TimeMs,
+    },
+}
+
+impl StopProgress {
+    /// A stop whose order was not sent yet.
+    pub(crate) const PENDING: Self = Self::Due { last_sent_at: None };
+
+    pub(crate) fn is_order_due(self, now: TimeMs) -> bool {
+        match self {
+            Self::Due { last_sent_at } => last_sent_at.is_none_or(|at| now.since(at) >= RESEND_MS),
+            Self::InFlight { .. } | Self::Confirmed { .. } => false,
+        }
+    }
+
+    pub(crate) fn record_order(&mut self, now: TimeMs) {
+        *self = Self::InFlight { sent_at: now };
+    }
+
+    pub(crate) fn record_reply(&mut self, now: TimeMs, reply: OrderReply) {
+        let Self::InFlight { sent_at } = *self else {
+            return;
+        };
+        *self = if confirms_stop(reply) {
+            Self::Confirmed { at: now }
+        } else {
+            Self::Due {
+                last_sent_at: Some(sent_at),
+            }
+        };
+    }
+
+    /// Whether a report to a poll sent at the given time shows the effect of the stop.
+    pub(crate) fn is_confirmed_before(self, poll_sent_at: TimeMs) -> bool {
+        matches!(self, Self::Confirmed { at } if at < poll_sent_at)
+    }
+}
+
+/// Whether a reply to a stop order shows that the run ends, and that no earlier start order can begin it.
+///
+/// A worker that refuses the order as stale no longer has the run. Any other refusal leaves the run as it
+/// was, so the order has to be repeated.
+fn confirms_stop(reply: OrderReply) -> bool {
+    match reply {
+        OrderReply::Accepted { .. } | OrderReply::Refused(RefusalCause::StaleRun) => true,
+        OrderReply::Refused(
+            RefusalCause::Fenced
+            | RefusalCause::LeaseOver
+            | RefusalCause::NoRoom
+            | RefusalCause::Unhealthy
+            | RefusalCause::NoTicket
+            | RefusalCause::Invalid,
+        )
+        | OrderReply::WrongLife
+        | OrderReply::Unknown => false,
+    }
+}
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -5,7 +5,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::accounting::RunEndReason;
-use crate::allocation::AllocationPhase;
+use crate::allocation::{Allocation, AllocationPhase};
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
@@ -14,26 +14,6 @@
 /// Delay of the poll after a stop order, which determines whether the run has ended.
 const POLL_AFTER_STOP_MS: DurationMs = DurationMs(150);
 
-/// Whether a reply to a stop order shows that the run ends, and that no earlier start order can begin it.
-///
-/// A worker that refuses the order as stale no longer has the run. Any other refusal leaves the run as it
-/// was, so the order has to be repeated.
-fn confirms_stop(reply: OrderReply) -> bool {
-    match reply {
-        OrderReply::Accepted { .. } | OrderReply::Refused(RefusalCause::StaleRun) => true,
-        OrderReply::Refused(
-            RefusalCause::Fenced
-            | RefusalCause::LeaseOver
-            | RefusalCause::NoRoom
-            | RefusalCause::Unhealthy
-            | RefusalCause::NoTicket
-            | RefusalCause::Invalid,
-        )
-        | OrderReply::WrongLife
-        | OrderReply::Unknown => false,
-    }
-}
-
 impl Coordinator {
     pub(crate) fn send_stop(&mut self, now: TimeMs, worker_name: &WorkerName, task: &TaskId) {
         let Some(worker) = self.workers.get_mut(worker_name) else {
@@ -43,18 +23,10 @@
         let Some(allocation) = worker.allocations.get_mut(task) else {
             return;
         };
-        let AllocationPhase::Stopping {
-            sent_at,
-            in_flight,
-            confirmed_at,
-            ..
-        } = &mut allocation.phase
-        else {
+        let AllocationPhase::Stopping { progress, .. } = &mut allocation.phase else {
             return;
         };
-        *sent_at = Some(now);
-        *in_flight = true;
-        *confirmed_at = None;
+        progress.record_order(now);
         self.actions.push(Action::Stop {
             worker: worker_name.clone(),
             address,
@@ -78,23 +50,42 @@
         let Some(worker) = self.record_reply(now, worker_name, reply) else {
             return;
         };
-        let Some(allocation) = worker.allocations.get_mut(task) else {
-            return;
+        let allocation = worker.allocations.get_mut(task);
+        let is_known = match allocation.filter(|allocation| allocation.run == run) {
+            Some(Allocation {
+                phase: AllocationPhase::Stopping { progress, .. },
+                ..
+            }) => {
+                progress.record_reply(now, reply);
+                true
+            }
+            Some(_) => false,
+            None => worker
+                .untracked
+                .record_reply(now, &(task.clone(), run), reply),
         };
-        if allocation.run != run {
-            return;
+        if is_known {
+            worker.poll_by(now + POLL_AFTER_STOP_MS);
+        }
+    }
+
+    /// Sends the stop orders that are due for runs without an allocation.
+    pub(crate) fn stop_untracked_runs(&mut self, now: TimeMs) {
+        for (name, worker) in &mut self.workers {
+            if worker.untracked.is_empty() || worker.entry.address.is_empty() {
+                continue;
+            }
+            let due: Vec<_> = worker.untracked.due_stops(now).cloned().collect();
+            for (task, run) in due {
+                worker.untracked.record_order(now, &(task.clone(), run));
+                self.actions.push(Action::Stop {
+                    worker: name.clone(),
+                    address: Arc::clone(&worker.entry.address),
+                    task,
+                    run,
+                });
+            }
         }
-        let AllocationPhase::Stopping {
-            in_flight,
-            confirmed_at,
-            ..
-        } = &mut allocation.phase
-        else {
-            return;
-        };
-        *in_flight = false;
-        *confirmed_at = confirms_stop(reply).then_some(now);
-        worker.poll_by(now + POLL_AFTER_STOP_MS);
     }
 
     /// Stops all matching runs on every worker.
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -1,9 +1,16 @@
 //! Runs that a worker reports and that the coordinator holds no allocation for.
+//!
+//! Such a run takes resources and belongs to nothing that was placed, so it is stopped. Its worker is polled
+//! and kept until the run is gone: nothing else would notice a stop order without effect.
 
-use ragwortwick_core::{WorkerName, common};
+use std::collections::BTreeMap;
 
-use crate::job::TaskId;
+use ragwortwick_core::{TimeMs, WorkerName, common};
+
+use crate::job::{Resources, TaskId};
+use crate::messages::{OrderReply, RunningTask};
 use crate::progress::JobPhase;
+use crate::stop_progress::StopProgress;
 
 /// `UntrackedRun` is a run without an allocation, for the log.
 #[common]
@@ -17,3 +24,80 @@
     /// Phase of its job; none if the coordinator doesn't know the job.
     pub job_phase: Option<JobPhase>,
 }
+
+/// `UntrackedRuns` holds the runs without an allocation on one worker, as of its last report.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct UntrackedRuns(BTreeMap<(TaskId, u32), UntrackedState>);
+
+#[derive(Clone, Copy, Debug)]
+struct UntrackedState {
+    /// Resources of the run; none if its job is unknown.
+    demand: Resources,
+    stop: StopProgress,
+}
+
+impl UntrackedRuns {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    /// Total resources of the runs.
+    pub(crate) fn resources(&self) -> Resources {
+        let demands = self.0.values().map(|state| state.demand);
+        demands.fold(Resources::default(), Resources::plus)
+    }
+
+    /// Takes over a report: runs that are no longer in it are gone. Returns the runs that are new.
+    pub(crate) fn update<'a>(
+        &mut self,
+        reported: &[&'a RunningTask],
+        demand_of: impl Fn(&TaskId) -> Resources,
+    ) -> Vec<&'a RunningTask> {
+        let mut previous = std::mem::take(&mut self.0);
+        let mut new = Vec::new();
+        for &row in reported {
+            let id = (row.task.clone(), row.run);
+            let state = previous.remove(&id).unwrap_or_else(|| {
+                new.push(row);
+                UntrackedState {
+                    demand: demand_of(&row.task),
+                    stop: StopProgress::PENDING,
+                }
+            });
+            self.0.insert(id, state);
+        }
+        new
+    }
+
+    /// Runs for which a stop order has to be sent now.
+    pub(crate) fn due_stops(&self, now: TimeMs) -> impl Iterator<Item = &(TaskId, u32)> {
+        let due = self.0.iter();
+        due.filter(move |(_, state)| state.stop.is_order_due(now))
+            .map(|(id, _)| id)
+    }
+
+    /// Records that a stop order is sent for the run.
+    pub(crate) fn record_order(&mut self, now: TimeMs, id: &(TaskId, u32)) {
+        if let Some(state) = self.0.get_mut(id) {
+            state.stop.record_order(now);
+        }
+    }
+
+    /// Records the reply to a stop order; returns whether the run is known.
+    pub(crate) fn record_reply(
+        &mut self,
+        now: TimeMs,
+        id: &(TaskId, u32),
+        reply: OrderReply,
+    ) -> bool {
+        let state = self.0.get_mut(id);
+        state.is_some_and(|state| {
+            state.stop.record_reply(now, reply);
+            true
+        })
+    }
+}
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -13,6 +13,7 @@
 use crate::messages::WorkerEntry;
 use crate::reachability::{Contact, TermStart};
 use crate::speed::SpeedEstimate;
+use crate::untracked_runs::UntrackedRuns;
 
 /// Margin on the computed end of a worker's lease, for timers and scheduling delays.
 const LEASE_MARGIN_MS: DurationMs = DurationMs(400);
@@ -45,8 +46,8 @@
     pub(crate) allocations: BTreeMap<TaskId, Allocation>,
     /// Resources of all allocations.
     allocated: Resources,
-    /// Resources of untracked runs, which were reported without an allocation, as of the last report.
-    pub(crate) untracked: Resources,
+    /// Runs that were reported without an allocation, as of the last report.
+    pub(crate) untracked: UntrackedRuns,
     /// The worker's clock as last reported, and when the report arrived.
     clock: Option<(u64, TimeMs)>,
     /// Upper bound of the end of every lease granted to the worker.
@@ -86,7 +87,7 @@
             leaves_at: None,
             allocations: BTreeMap::new(),
             allocated: Resources::default(),
-            untracked: Resources::default(),
+            untracked: UntrackedRuns::default(),
             clock: None,
             lease_expires_by: now,
             lease_sent_at: now,
@@ -211,7 +212,7 @@
     }
 
     fn occupied(&self) -> Resources {
-        self.allocated.plus(self.untracked)
+        self.allocated.plus(self.untracked.resources())
     }
 
     /// Resources allocated beyond the capacity, which may have shrunk; stopping runs are included.
@@ -255,7 +256,7 @@
             .values()
             .any(|allocation| !matches!(allocation.phase, AllocationPhase::AwaitingRecord));
         has_run
-            || !self.untracked.is_zero()
+            || !self.untracked.is_empty()
             || self.stored_end > self.acked_end
             || ((self.is_unresponsive() || self.contact.is_silent()) && self.is_listed)
     }
@@ -275,7 +276,7 @@
     }
 
     pub(crate) fn can_be_removed(&self) -> bool {
-        !self.is_listed && self.allocations.is_empty()
+        !self.is_listed && self.allocations.is_empty() && self.untracked.is_empty()
     }
 }
 
--- /dev/null
+++ b/ragwortwick-area/tests/untracked_runs.rs
@@ -0,0 +1,123 @@
+//! Runs on a worker for which the coordinator holds no allocation.
+
+mod rig;
+
+use ragwortwick_area::{Action, EndKind, Event, OrderReply, PollFailure, RefusalCause, TaskId};
+use ragwortwick_core::{JobId, WorkerName};
+use rig::{Rig, ended, running, step, worker};
+
+const ID: &str = "00000000000000f1";
+const OTHER_ID: &str = "00000000000000f2";
+
+/// Long enough for an order to be repeated.
+const REPEAT_MS: u64 = 400;
+
+type Run = (WorkerName, TaskId, u32);
+
+/// A run of a job whose record the coordinator may or may not hold.
+fn run_of(job_id: &str) -> Run {
+    let task = TaskId {
+        job_id: JobId::new(job_id),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    (WorkerName::new("w1"), task, 7)
+}
+
+fn rig_with_cancelled_job() -> Rig {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.submit(ID, "middle", step(1, 4));
+    rig.send(Event::JobCancelled(JobId::new(ID)));
+    rig.advance(20);
+    rig.store_batches();
+    rig
+}
+
+/// Takes the polls of a worker.
+fn polls_of(rig: &mut Rig, name: &str) -> usize {
+    let polls = rig.take(|action| match action {
+        Action::Poll { worker, .. } if worker.as_str() == name => Some(()),
+        _ => None,
+    });
+    polls.len()
+}
+
+/// Guards against a run that goes on because the only order to stop it was lost or refused.
+#[test]
+fn verify_a_failed_stop_of_an_untracked_run_is_sent_again_without_another_report() {
+    let without_effect = [
+        OrderReply::Unknown,
+        OrderReply::Refused(RefusalCause::Unhealthy),
+    ];
+    for reply in without_effect {
+        let mut rig = rig_with_cancelled_job();
+        let untracked = run_of(ID);
+        rig.poll_reply("w1", vec![running(&untracked)], vec![]);
+        for _ in 0..3 {
+            rig.advance(REPEAT_MS);
+            let stops = rig.stops();
+            assert_eq!(stops, vec![untracked.clone()], "after {reply:?}");
+            rig.reply_to_stop(&untracked, reply);
+        }
+    }
+}
+
+/// Guards against a run of a job whose record is gone: nothing polls its idle worker, and nothing stops the run.
+#[test]
+fn verify_an_untracked_run_of_an_unknown_job_is_stopped_until_it_is_gone() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let untracked = run_of(OTHER_ID);
+    rig.poll_reply("w1", vec![running(&untracked)], vec![]);
+    rig.advance(20);
+    assert_eq!(rig.stops(), vec![untracked.clone()]);
+    rig.reply_to_stop(&untracked, OrderReply::Unknown);
+    rig.advance(REPEAT_MS);
+    assert_eq!(rig.stops(), vec![untracked.clone()]);
+    let clock_ms = 100_000 + rig.now.0;
+    rig.reply_to_stop(&untracked, OrderReply::Accepted { clock_ms });
+    rig.advance(REPEAT_MS);
+    assert!(polls_of(&mut rig, "w1") > 0, "the worker is polled");
+    rig.poll_reply("w1", vec![], vec![ended(1, &untracked, EndKind::Stopped)]);
+    rig.store_batches();
+    rig.advance(REPEAT_MS);
+    rig.poll_reply("w1", vec![], vec![]);
+    rig.advance(REPEAT_MS);
+    polls_of(&mut rig, "w1");
+    rig.advance(2_000);
+    assert_eq!(polls_of(&mut rig, "w1"), 0, "nothing is left to ask for");
+    assert_eq!(rig.stops(), vec![]);
+}
+
+/// Guards against a run that is forgotten with its worker, whose entry has expired while it is up.
+#[test]
+fn verify_a_worker_with_an_untracked_run_is_not_forgotten_when_its_entry_is_removed() {
+    let mut rig = rig_with_cancelled_job();
+    let untracked = run_of(ID);
+    rig.poll_reply("w1", vec![running(&untracked)], vec![]);
+    rig.advance(20);
+    assert_eq!(rig.stops(), vec![untracked.clone()]);
+    rig.send(Event::WorkerRemoved(WorkerName::new("w1")));
+    rig.reply_to_stop(&untracked, OrderReply::Unknown);
+    rig.advance(REPEAT_MS);
+    assert_eq!(rig.stops(), vec![untracked]);
+}
+
+/// Guards against endless orders to a worker that is gone together with its untracked run.
+#[test]
+fn verify_an_untracked_run_on_a_lost_worker_is_given_up() {
+    let mut rig = rig_with_cancelled_job();
+    let untracked = run_of(ID);
+    rig.poll_reply("w1", vec![running(&untracked)], vec![]);
+    rig.send(Event::WorkerRemoved(WorkerName::new("w1")));
+    for _ in 0..60 {
+        rig.advance(REPEAT_MS);
+        for stop in rig.stops() {
+            rig.reply_to_stop(&stop, OrderReply::Unknown);
+        }
+        if polls_of(&mut rig, "w1") > 0 {
+            rig.poll_fails_with(&WorkerName::new("w1"), PollFailure::NoAnswer);
+        }
+    }
+    assert_eq!(rig.coordinator.workers(), 0);
+}
