area: stop a run again that goes on after its stop was confirmed

A confirmed stop was never sent again: a worker that confirms it and goes on, because the confirmation was wrong or the stop was lost inside it, kept a cancelled job's run, its resources, and polls without a pause, until the run's own end. Now a report whose poll was sent later than stopping takes makes the order due again.

verify_a_confirmed_stop_of_a_run_that_goes_on_is_sent_again failed before.

--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -24,6 +24,9 @@
 /// second.
 const SHARED_POLL_WAIT_MS: DurationMs = DurationMs(500);
 
+/// Poll wait while an untracked run is being stopped: the next report shows whether the stop had an effect.
+const UNTRACKED_POLL_WAIT_MS: DurationMs = DurationMs(500);
+
 /// Minimum poll wait where urgent work runs: a stall has to be detected while a restart elsewhere still
 /// helps.
 const MIN_URGENT_POLL_WAIT_MS: DurationMs = DurationMs(500);
@@ -75,6 +78,8 @@
             let has_runs = !worker.allocations.is_empty();
             let wait_ms = if needs_reconciliation || !has_runs && worker.untracked.is_empty() {
                 DurationMs(0)
+            } else if !worker.untracked.is_empty() {
+                UNTRACKED_POLL_WAIT_MS
             } else if worker.has_colocated_fillers() {
                 SHARED_POLL_WAIT_MS
             } else if worker
@@ -174,6 +179,9 @@
         for row in running {
             match worker.allocations.get_mut(&row.task) {
                 Some(allocation) if allocation.run == row.run => {
+                    if let AllocationPhase::Stopping { progress, .. } = &mut allocation.phase {
+                        progress.record_running(sent_at, self.limits.stop_ms);
+                    }
                     if confirm(now, allocation, row)
                         && let Some(job) = self.jobs.get_mut(&row.task.job_id)
                     {
@@ -189,7 +197,11 @@
             let spec = jobs.get(&task.job_id).and_then(|job| job.spec(task.step));
             spec.map(StepSpec::demand).unwrap_or_default()
         };
-        for row in worker.untracked.update(&untracked, demand_of) {
+        let stop_ms = self.limits.stop_ms;
+        let new = worker
+            .untracked
+            .update(&untracked, sent_at, stop_ms, demand_of);
+        for row in new {
             self.has_due_orders = true;
             self.actions.push(Action::LogUntrackedRun(UntrackedRun {
                 worker: worker_name.clone(),
--- a/ragwortwick-area/src/stop_progress.rs
+++ b/ragwortwick-area/src/stop_progress.rs
@@ -7,6 +7,9 @@
 /// Pause before a stop order without effect is sent again, from sending it.
 const RESEND_MS: DurationMs = DurationMs(150);
 
+/// Margin on the longest time that stopping a run takes, for timers and scheduling delays.
+const STOP_MARGIN_MS: DurationMs = DurationMs(200);
+
 /// `StopProgress` is what is known about the stop of a run that its worker has, or may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StopProgress {
@@ -55,6 +58,16 @@
         };
     }
 
+    /// Records that a report still lists the run, in reply to a poll sent at the given time. A confirmed stop
+    /// has had no effect if stopping should have ended by then, so the order is sent again.
+    pub(crate) fn record_running(&mut self, poll_sent_at: TimeMs, stop_ms: DurationMs) {
+        if let Self::Confirmed { at } = *self
+            && poll_sent_at > at + stop_ms + STOP_MARGIN_MS
+        {
+            *self = Self::PENDING;
+        }
+    }
+
     /// Whether a report to a poll sent at the given time shows the effect of the stop.
     pub(crate) fn is_confirmed_before(self, poll_sent_at: TimeMs) -> bool {
         matches!(self, Self::Confirmed { at } if at < poll_sent_at)
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use ragwortwick_core::{TimeMs, WorkerName, common};
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName, common};
 
 use crate::job::{Resources, TaskId};
 use crate::messages::{OrderReply, RunningTask};
@@ -55,19 +55,22 @@
     pub(crate) fn update<'a>(
         &mut self,
         reported: &[&'a RunningTask],
+        poll_sent_at: TimeMs,
+        stop_ms: DurationMs,
         demand_of: impl Fn(&TaskId) -> Resources,
     ) -> Vec<&'a RunningTask> {
         let mut previous = std::mem::take(&mut self.0);
         let mut new = Vec::new();
         for &row in reported {
             let id = (row.task.clone(), row.run);
-            let state = previous.remove(&id).unwrap_or_else(|| {
+            let mut state = previous.remove(&id).unwrap_or_else(|| {
                 new.push(row);
                 UntrackedState {
                     demand: demand_of(&row.task),
                     stop: StopProgress::PENDING,
                 }
             });
+            state.stop.record_running(poll_sent_at, stop_ms);
             self.0.insert(id, state);
         }
         new
--- a/ragwortwick-area/tests/untracked_runs.rs
+++ b/ragwortwick-area/tests/untracked_runs.rs
@@ -2,7 +2,9 @@
 
 mod rig;
 
-use ragwortwick_area::{Action, EndKind, Event, OrderReply, PollFailure, RefusalCause, TaskId};
+use ragwortwick_area::{
+    Action, EndKind, Event, Limits, OrderReply, PollFailure, RefusalCause, TaskId,
+};
 use ragwortwick_core::{JobId, WorkerName};
 use rig::{Rig, ended, running, step, worker};
 
@@ -121,3 +123,24 @@
     }
     assert_eq!(rig.coordinator.workers(), 0);
 }
+
+/// Guards against a run that a worker goes on with although it has confirmed its stop.
+#[test]
+fn verify_a_confirmed_stop_of_a_run_that_goes_on_is_sent_again() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.submit(ID, "middle", step(1, 4));
+    let runs = rig.start_all();
+    rig.send(Event::JobCancelled(JobId::new(ID)));
+    rig.advance(20);
+    assert_eq!(rig.stops(), runs);
+    let clock_ms = 100_000 + rig.now.0;
+    rig.reply_to_stop(&runs[0], OrderReply::Accepted { clock_ms });
+    rig.advance(Limits::default().stop_ms.0 / 2);
+    rig.poll_reply("w1", vec![running(&runs[0])], vec![]);
+    rig.advance(20);
+    assert_eq!(rig.stops(), vec![], "stopping takes a while");
+    rig.advance(2_000);
+    rig.poll_reply("w1", vec![running(&runs[0])], vec![]);
+    rig.advance(REPEAT_MS);
+    assert_eq!(rig.stops(), runs);
+}
