area: poll each worker once before it is relied on, in every term

A term that began without open jobs did not poll its workers before it placed work, and no term polled a worker whose entry had expired and was back. A run that no record names, of a job that has ended, was found by nobody: it went on until its lease ended, and the resources it took counted as free.

TermStart told a takeover from a term without open jobs. What a worker may still have does not follow from the open jobs, so the distinction is gone: a listed worker gets nothing until it has replied to this coordinator once. A term that begins before its callers costs one poll a worker more.

verify_a_term_without_open_jobs_finds_the_run_of_an_ended_job and verify_a_worker_whose_entry_is_back_is_polled_before_it_is_relied_on failed before. Tests that list a worker in the middle of a term let it reply to its first poll, as workers do.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -16,7 +16,6 @@
 use crate::losses::RecentLosses;
 use crate::messages::{Action, Event, WorkerEntry};
 use crate::progress::{JobPhase, JobProgress};
-use crate::reachability::TermStart;
 use crate::record_batches::RecordBatches;
 use crate::value::total_work;
 use crate::worker::Worker;
@@ -94,7 +93,6 @@
     /// End of the coordinator's own lease.
     pub(crate) lease_valid_until: TimeMs,
     pub(crate) evacuations: Evacuations,
-    pub(crate) term_start: TermStart,
     /// When the worker list was last confirmed to be complete.
     workers_confirmed_at: Option<TimeMs>,
     /// Whether an event since the last placement pass requires another one.
@@ -152,7 +150,6 @@
             actions: Vec::new(),
             lease_valid_until: now.steady,
             evacuations: Evacuations::default(),
-            term_start: TermStart::Idle,
             workers_confirmed_at: Some(now.steady),
             needs_pass: true,
             next_pass_at: TimeMs(0),
@@ -180,7 +177,6 @@
         for job in jobs {
             coordinator.recover_job(now, job);
         }
-        coordinator.term_start = TermStart::of(coordinator.open_jobs.len());
         coordinator
     }
 
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -55,7 +55,7 @@
             let PollState::Idle { next_at } = worker.poll else {
                 continue;
             };
-            let needs_poll = worker.needs_poll() || worker.needs_first_poll(self.term_start);
+            let needs_poll = worker.needs_poll() || worker.needs_first_poll();
             if worker.entry.address.is_empty() || !needs_poll {
                 continue;
             }
--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -78,8 +78,7 @@
             pool_capacity.total_accelerators += worker.entry.capacity.accelerators;
             pool_capacity.used_accelerators +=
                 worker.entry.capacity.accelerators - free.accelerators;
-            let is_silent = worker.needs_first_poll(self.term_start)
-                || silent_zones.contains(&worker.entry.zone);
+            let is_silent = worker.needs_first_poll() || silent_zones.contains(&worker.entry.zone);
             if worker.is_schedulable(now) && !is_silent {
                 pool_capacity.slots.push(Slot {
                     worker: name.clone(),
--- a/ragwortwick-area/src/reachability.rs
+++ b/ragwortwick-area/src/reachability.rs
@@ -13,26 +13,6 @@
 /// zone counts as silent.
 const MIN_SILENT_WORKERS: usize = 3;
 
-/// `TermStart` is whether a term began with work of an earlier one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum TermStart {
-    /// There was no open job.
-    Idle,
-    /// Another coordinator is gone. What cut it off may have cut off workers as well, so that each has to reply
-    /// to a poll before it gets work.
-    Takeover,
-}
-
-impl TermStart {
-    pub(crate) fn of(open_jobs: usize) -> Self {
-        if open_jobs > 0 {
-            Self::Takeover
-        } else {
-            Self::Idle
-        }
-    }
-}
-
 /// `Contact` is when a worker last replied, and since when its orders go without a reply.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Contact {
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -11,7 +11,7 @@
 use crate::limits::Limits;
 use crate::losses::{ContactLoss, ContactLossKind};
 use crate::messages::WorkerEntry;
-use crate::reachability::{Contact, TermStart};
+use crate::reachability::Contact;
 use crate::speed::SpeedEstimate;
 use crate::untracked_runs::UntrackedRuns;
 
@@ -241,8 +241,10 @@
     }
 
     /// Whether the worker has to reply to a poll before it can get work.
-    pub(crate) fn needs_first_poll(&self, term_start: TermStart) -> bool {
-        term_start == TermStart::Takeover && self.is_listed && !self.contact.has_replied()
+    ///
+    /// A worker that is new to a coordinator may be cut off from it, or have runs that no record names.
+    pub(crate) fn needs_first_poll(&self) -> bool {
+        self.is_listed && !self.contact.has_replied()
     }
 
     /// Whether a poll is needed: for tracked or untracked runs, to acknowledge run ends, or to find out
--- a/ragwortwick-area/tests/crashes.rs
+++ b/ragwortwick-area/tests/crashes.rs
@@ -54,7 +54,7 @@
         entry.name = next;
         let entry = entry.clone();
         rig.send(Event::WorkerRemoved(name.clone()));
-        rig.send(Event::WorkerUpdated(entry));
+        rig.list_worker(&entry);
     }
 }
 
--- a/ragwortwick-area/tests/late_ends.rs
+++ b/ragwortwick-area/tests/late_ends.rs
@@ -34,7 +34,7 @@
             rig.advance(1_000);
         }
         for entry in &entries[1..] {
-            rig.send(Event::WorkerUpdated(entry.clone()));
+            rig.list_worker(entry);
         }
         rig.advance(20);
         Self { rig, starts }
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -162,6 +162,12 @@
         rig
     }
 
+    /// Lists a new worker, which replies to its first poll.
+    pub fn list_worker(&mut self, entry: &WorkerEntry) {
+        self.send(Event::WorkerUpdated(entry.clone()));
+        self.poll_reply(entry.name.as_str(), Vec::new(), Vec::new());
+    }
+
     /// Evacuates exactly these zones.
     pub fn evacuate(&mut self, zones: &[&str]) {
         self.evacuated = Arc::new(zones.iter().map(ZoneName::new).collect());
--- a/ragwortwick-area/tests/untracked_runs.rs
+++ b/ragwortwick-area/tests/untracked_runs.rs
@@ -3,10 +3,11 @@
 mod rig;
 
 use ragwortwick_area::{
-    Action, EndKind, Event, Limits, OrderReply, PollFailure, RefusalCause, TaskId,
+    Action, Coordinator, EndKind, Event, JobPhase, JobProgress, Limits, OrderReply, PollFailure,
+    RecoveredJob, RefusalCause, TaskId, WorkerReport,
 };
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{Rig, ended, running, step, worker};
+use rig::{Rig, at, desired, ended, job, running, step, worker};
 
 const ID: &str = "00000000000000f1";
 const OTHER_ID: &str = "00000000000000f2";
@@ -144,3 +145,56 @@
     rig.advance(REPEAT_MS);
     assert_eq!(rig.stops(), runs);
 }
+
+/// Guards against a run that no record names, in a term that begins without open jobs and polls nobody.
+#[test]
+fn verify_a_term_without_open_jobs_finds_the_run_of_an_ended_job() {
+    let entries = [worker("w1", "r1"), worker("w2", "r1")];
+    let cancelled = RecoveredJob {
+        record: job(ID, "middle", vec![step(1, 4)]),
+        progress: Some(JobProgress {
+            phase: JobPhase::Cancelled,
+            ..JobProgress::default()
+        }),
+        is_cancelled: true,
+    };
+    let mut coordinator = Coordinator::take_over(
+        at(1_000),
+        Limits::default(),
+        desired(),
+        vec![cancelled],
+        entries.to_vec(),
+    );
+    let until = at(60_000).steady;
+    let mut actions = coordinator.on_event(at(1_010), Event::LeaseExtended { until });
+    actions.extend(coordinator.on_wakeup(at(1_060)));
+    let is_polled =
+        |action: &Action| matches!(action, Action::Poll { worker, .. } if worker.as_str() == "w1");
+    assert!(actions.iter().any(is_polled), "each worker is polled once");
+    let untracked = run_of(ID);
+    let report = Event::PollReplied {
+        worker: WorkerName::new("w1"),
+        sent_at: at(1_060).steady,
+        report: WorkerReport {
+            clock_ms: 101_060,
+            running: vec![running(&untracked)],
+            ended: Vec::new(),
+        },
+    };
+    let actions = coordinator.on_event(at(1_070), report);
+    let is_stopped =
+        |action: &Action| matches!(action, Action::Stop { task, .. } if *task == untracked.1);
+    assert!(actions.iter().any(is_stopped));
+}
+
+/// Guards against a run that nobody asks for on a worker whose entry had expired and is back.
+#[test]
+fn verify_a_worker_whose_entry_is_back_is_polled_before_it_is_relied_on() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.send(Event::WorkerRemoved(WorkerName::new("w1")));
+    rig.advance(20);
+    polls_of(&mut rig, "w1");
+    rig.send(Event::WorkerUpdated(worker("w1", "r1")));
+    rig.advance(20);
+    assert_eq!(polls_of(&mut rig, "w1"), 1);
+}
