area: record a superseded run until it has stopped

A task that is placed again after its worker was out of reach, and whose abandoned run turns out to have completed, is done; the run started meanwhile is stopped. The record named the worker of a run only while its task was placed, so from that moment on no record named the run. A coordinator that ended before the stop was confirmed left it to a successor that knew nothing of it.

The job keeps the workers of superseded runs until these have ended, and its record names them (the format had room for it: a done task with a worker). A successor stops a recorded run of a done task instead of taking it for one in progress.

verify_a_run_that_outlives_its_task_is_recorded_until_it_has_stopped and verify_a_successor_stops_the_recorded_run_of_a_completed_task failed before. Found by reading; not seen in a play.

--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -1,5 +1,6 @@
 //! The coordinator's view of one job: the states of its tasks, steps and gangs.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
@@ -90,6 +91,8 @@
     pub(crate) recorded_phase: JobPhase,
     /// Steps by occurrence and number.
     pub(crate) occurrences: Vec<Vec<StepState>>,
+    /// Workers that may still have a run of a task that an earlier run of it has completed.
+    pub(crate) superseded_runs: BTreeMap<TaskId, WorkerName>,
     /// Time of acceptance on the coordinator's clock.
     pub(crate) accepted_at: TimeMs,
     pub(crate) ended_at: Option<TimeMs>,
@@ -110,6 +113,7 @@
             record,
             phase: JobPhase::Queued,
             recorded_phase: JobPhase::Queued,
+            superseded_runs: BTreeMap::new(),
             accepted_at,
             ended_at: None,
             last_run_ended_at: accepted_at,
@@ -231,14 +235,22 @@
     /// Returns whether that completes the job.
     pub(crate) fn mark_done(&mut self, id: &TaskId) -> bool {
         let is_gang = self.spec(id.step).is_some_and(|spec| spec.is_gang);
-        let Some(step) = self.step_mut(id.occurrence, id.step) else {
+        let step = self.occurrences.get_mut(id.occurrence as usize);
+        let Some(step) = step.and_then(|steps| steps.get_mut(id.step as usize)) else {
             return false;
         };
         let members = (0..).zip(&mut step.tasks);
-        for (_, task) in members.filter(|(index, _)| is_gang || *index == id.index) {
+        for (index, task) in members.filter(|(index, _)| is_gang || *index == id.index) {
             let previous = std::mem::replace(&mut task.state, TaskState::Done);
             step.done_count += usize::from(previous != TaskState::Done);
-            step.placed_count -= usize::from(matches!(previous, TaskState::Placed(_)));
+            if let TaskState::Placed(worker) = previous {
+                step.placed_count -= 1;
+                let superseded = TaskId {
+                    index,
+                    ..id.clone()
+                };
+                self.superseded_runs.insert(superseded, worker);
+            }
         }
         step.is_gang_ending &= !is_gang;
         let is_completed = !self.phase.is_final() && self.all_done();
--- a/ragwortwick-area/src/persistence.rs
+++ b/ragwortwick-area/src/persistence.rs
@@ -48,8 +48,10 @@
                 step.done_count += 1;
             }
             if let Some(worker) = &task.worker {
-                recovered_runs.push((id, worker.clone()));
-                if !task.is_done {
+                recovered_runs.push((id.clone(), worker.clone()));
+                if task.is_done {
+                    self.superseded_runs.insert(id, worker.clone());
+                } else {
                     state.state = TaskState::Placed(worker.clone());
                     step.placed_count += 1;
                 }
@@ -104,6 +106,10 @@
                 for (index, task) in (0..).zip(&step.tasks) {
                     let worker = match &task.state {
                         TaskState::Placed(worker) => Some(worker.clone()),
+                        TaskState::Done if !self.superseded_runs.is_empty() => {
+                            let id = self.task_id(occurrence, number, index);
+                            self.superseded_runs.get(&id).cloned()
+                        }
                         _ => None,
                     };
                     if let Some(worker) = &worker
--- a/ragwortwick-area/src/recovery.rs
+++ b/ragwortwick-area/src/recovery.rs
@@ -8,7 +8,7 @@
 use crate::coordinator::{
     Coordinator, Now, RENEWAL_AFTER_LEASE_LOSS_MS, RecoveredJob, unix_to_steady,
 };
-use crate::job_state::JobState;
+use crate::job_state::{JobState, TaskState};
 use crate::worker::{Worker, max_lease_ms};
 
 impl Coordinator {
@@ -33,6 +33,8 @@
             let allocation = Allocation {
                 phase: if is_ended {
                     AllocationPhase::stop_pending(RunEndReason::JobOver)
+                } else if state.state == TaskState::Done {
+                    AllocationPhase::stop_pending(RunEndReason::DoneBefore)
                 } else {
                     AllocationPhase::Recovered
                 },
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -105,6 +105,8 @@
         let Some(job) = self.jobs.get_mut(&task.job_id) else {
             return;
         };
+        job.superseded_runs
+            .retain(|id, worker| id != task || worker != worker_name);
         let follow_up = job.apply_outcome(task, run, outcome, &allocation.checkpoint, attempts);
         job.last_run_ended_at = now;
         if reason != RunEndReason::Done {
--- a/ragwortwick-area/tests/untracked_runs.rs
+++ b/ragwortwick-area/tests/untracked_runs.rs
@@ -4,7 +4,7 @@
 
 use ragwortwick_area::{
     Action, Coordinator, EndKind, Event, JobPhase, JobProgress, Limits, OrderReply, PollFailure,
-    RecoveredJob, RefusalCause, TaskId, WorkerReport,
+    RecoveredJob, RefusalCause, TaskId, TaskProgress, WorkerReport,
 };
 use ragwortwick_core::{JobId, WorkerName};
 use rig::{Rig, at, desired, ended, job, running, step, worker};
@@ -198,3 +198,71 @@
     rig.advance(20);
     assert_eq!(polls_of(&mut rig, "w1"), 1);
 }
+
+/// Guards against a successor that does not know of a run: its task was completed by an earlier run meanwhile.
+#[test]
+fn verify_a_run_that_outlives_its_task_is_recorded_until_it_has_stopped() {
+    let entries = [worker("w1", "r1"), worker("w2", "r1")];
+    let mut rig = Rig::new(&entries);
+    rig.submit(ID, "middle", step(2, 8));
+    let first = rig.start_all();
+    assert_eq!(first.len(), 2);
+    let (lost, kept) = (&first[0], &first[1]);
+    // The worker of the first run is out of reach until every lease there has ended.
+    for _ in 0..50 {
+        rig.advance(REPEAT_MS);
+        rig.poll_fails(&lost.0);
+        rig.poll_reply(kept.0.as_str(), vec![running(kept)], vec![]);
+    }
+    rig.poll_reply(kept.0.as_str(), vec![], vec![ended(1, kept, EndKind::Done)]);
+    rig.store_batches();
+    let second = rig.start_all();
+    assert_eq!(second.len(), 1, "the lost task starts again");
+    rig.poll_reply(lost.0.as_str(), vec![], vec![ended(1, lost, EndKind::Done)]);
+    rig.advance(20);
+    let records = rig.store_batches();
+    let (_, progress) = records.last().expect("the completion is stored");
+    let superseded = progress
+        .tasks
+        .iter()
+        .find(|task| task.index == second[0].1.index);
+    let worker = superseded.and_then(|task| task.worker.clone());
+    assert_eq!(worker, Some(second[0].0.clone()));
+    let stopped = ended(2, &second[0], EndKind::Stopped);
+    rig.poll_reply(second[0].0.as_str(), vec![], vec![stopped]);
+    rig.advance(20);
+    let records = rig.store_batches();
+    let (_, progress) = records.last().expect("the end is stored");
+    assert!(progress.tasks.iter().all(|task| task.worker.is_none()));
+}
+
+/// Guards against a successor that lets the recorded run of a completed task go on.
+#[test]
+fn verify_a_successor_stops_the_recorded_run_of_a_completed_task() {
+    let done = TaskProgress {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+        last_run: 2,
+        failures: 0,
+        crashes: 0,
+        crash_age_ms: None,
+        crash_run: 0,
+        is_done: true,
+        worker: Some(WorkerName::new("w1")),
+        checkpoint: "".into(),
+    };
+    let recovered = RecoveredJob {
+        record: job(ID, "middle", vec![step(2, 8)]),
+        progress: Some(JobProgress {
+            phase: JobPhase::Running,
+            tasks: vec![done],
+            ..JobProgress::default()
+        }),
+        is_cancelled: false,
+    };
+    let mut rig = Rig::take_over(1_000, vec![recovered], &[worker("w1", "r1")]);
+    rig.advance(20);
+    let (_, task, _) = run_of(ID);
+    assert_eq!(rig.stops(), vec![(WorkerName::new("w1"), task, 2)]);
+}
