daemon: tell the coordinator of a cancel in whatever order it and the job are read

Seen by callers: a job that was cancelled before it was created runs, while every host shows it as cancelled. It takes a creation beside the cancel key: by a host of an older version, whose creations don't expect that key to be absent.

Cause: the replica handed a cancel on when it read it, and a coordinator drops the cancel of a job that it doesn't know yet. A read of the whole prefix was put in order (verify_reading_anew_tells_of_a_job_before_its_cancel), the changes of a watch were not.

Changed: the record of a job that is known as cancelled is followed by its cancel. The replica keeps the revision of the cancel, drops it when it is removed (unless the job was created beside it), and takes from a list only what is not newer than the list's revision; a watch from there brings the rest in order. A new term recovers the jobs up to that revision, likewise. Phases and handed-over results are taken from any page.

Ruled out: that a job with a 2xx loses its cancel by the order of reads.

With real processes verify_a_job_that_is_created_beside_its_cancel_does_not_run (the job was shown as completed, it ran) and verify_an_id_is_usable_again_after_its_cancel_has_expired failed before and pass now.

--- a/ragwortwick-daemon/src/area/job_writer.rs
+++ b/ragwortwick-daemon/src/area/job_writer.rs
@@ -105,11 +105,16 @@
             writes: vec![cancel_item(job_id, None)],
             removes: Vec::new(),
         };
-        let outcome: WriteOutcome = self.create(&txn, deadline).await.into();
-        if outcome == WriteOutcome::Stored {
-            self.replica.mark_cancelled(job_id);
+        let outcome = self.create(&txn, deadline).await;
+        let revision = match &outcome {
+            CreateOutcome::Stored(revision) => Some(*revision),
+            CreateOutcome::Conflict(items) => items.first().map(|item| item.revision),
+            _ => None,
+        };
+        if let Some(revision) = revision {
+            self.replica.mark_cancelled(job_id, revision);
         }
-        outcome
+        outcome.into()
     }
 
     /// Stores a tombstone, so that a creation of the job that is under way does not take effect; returns none
--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -17,7 +17,8 @@
     record_revision: Revision,
     pub(super) phase: JobPhase,
     phase_revision: Revision,
-    pub(super) is_cancelled: bool,
+    /// Revision of the cancel, if there is one.
+    cancel_revision: Option<Revision>,
     handed_over_completions: Vec<CompletionValue>,
     handed_over_results: Vec<ResultValue>,
 }
@@ -25,13 +26,53 @@
 impl JobView {
     /// The phase reported to clients.
     pub(super) fn reported_phase(&self) -> JobPhase {
-        if self.is_cancelled && !self.phase.is_final() {
+        if self.is_cancelled() && !self.phase.is_final() {
             JobPhase::Cancelled
         } else {
             self.phase
         }
     }
 
+    fn is_cancelled(&self) -> bool {
+        self.cancel_revision.is_some()
+    }
+
+    /// Stores the record of a write; returns it if a coordinator on this host may not have received it.
+    fn apply_record(&mut self, item: &KeyValue) -> Option<Arc<JobRecord>> {
+        if item.revision < self.record_revision {
+            return None;
+        }
+        if let Some(record) = &self.record
+            && item.revision == self.record_revision
+        {
+            // This host stored or read the job before the watch reported it.
+            return Some(Arc::clone(record));
+        }
+        let record = Arc::new(parse_json::<JobRecord>(item)?);
+        self.record = Some(Arc::clone(&record));
+        self.record_revision = item.revision;
+        Some(record)
+    }
+
+    /// Drops what is not newer than the revision; returns whether anything is left.
+    fn keep_newer_than(&mut self, revision: Revision) -> bool {
+        let old = std::mem::take(self);
+        if old.record_revision > revision {
+            self.record = old.record;
+            self.record_revision = old.record_revision;
+        }
+        self.cancel_revision = old.cancel_revision.filter(|at| *at > revision);
+        self.record.is_some() || self.is_cancelled()
+    }
+
+    /// Drops a cancel that was removed at the given revision, unless the job was created beside it.
+    fn expire_cancel(&mut self, removed_at: Revision) {
+        let is_created_beside = self.record.is_some() && self.record_revision < removed_at;
+        if !is_created_beside {
+            self.cancel_revision = self.cancel_revision.filter(|at| *at > removed_at);
+        }
+    }
+
     /// Results of the job's runs that earlier coordinators handed over.
     fn handed_over_results(&self, job_id: &JobId) -> Vec<RunResult> {
         let completions = self.handed_over_completions.iter();
@@ -52,16 +93,12 @@
     Cancelled(JobId),
 }
 
-impl JobChange {
-    /// Order among the changes of one read: a coordinator drops a change of a job that it doesn't know, so
-    /// a cancel before the job's record would be lost and the cancelled job would run.
-    fn rank(&self) -> u8 {
-        match self {
-            Self::Accepted(_) => 0,
-            Self::ResultsHandedOver(_) => 1,
-            Self::Cancelled(_) => 2,
-        }
-    }
+fn is_record(item: &KeyValue) -> bool {
+    kind_of(item) == Some(JobKeyKind::Record)
+}
+
+fn kind_of(item: &KeyValue) -> Option<JobKeyKind> {
+    JobKeyKind::parse(&item.key).map(|(_, kind)| kind)
 }
 
 /// Stored progress by job, with the revision that the next write expects.
@@ -118,30 +155,35 @@
 
     /// Replaces the content with a list of the whole prefix; jobs that are not in it no longer exist. In the
     /// returned changes, a job's acceptance precedes its cancel.
+    ///
+    /// The pages of the list are read one after the other. Records and cancels that are newer than the list's
+    /// revision are left to a watch from there, which brings them in the order of the changes.
     pub(super) fn load(&self, items: &[KeyValue], as_of: Revision) -> Vec<JobChange> {
         let mut changes = Vec::new();
         let mut jobs = self.lock();
-        // A job written after the list's revision is newer than the list.
-        jobs.views.retain(|_, view| view.record_revision > as_of);
-        for item in items {
+        jobs.views.retain(|_, view| view.keep_newer_than(as_of));
+        let is_left_to_watch = |item: &KeyValue| {
+            let kind = kind_of(item);
+            item.revision > as_of && matches!(kind, Some(JobKeyKind::Record | JobKeyKind::Cancel))
+        };
+        let listed = items.iter().filter(|item| !is_left_to_watch(item));
+        // A coordinator drops a change of a job that it doesn't know.
+        let (records, others): (Vec<_>, Vec<_>) = listed.partition(|item| is_record(item));
+        for item in records.into_iter().chain(others) {
             changes.extend(jobs.apply_write(item));
         }
         jobs.is_loaded = true;
-        // In key order, a job's cancel precedes its record.
-        changes.sort_by_key(JobChange::rank);
         changes
     }
 
-    /// Applies one watch event; returns the change that the coordinator has to process, if any.
-    pub(super) fn apply(&self, event: &WatchEvent) -> Option<JobChange> {
+    /// Applies one watch event; returns the changes that the coordinator has to process, in their order.
+    pub(super) fn apply(&self, event: &WatchEvent) -> Vec<JobChange> {
         let mut jobs = self.lock();
         match event {
             WatchEvent::Written(item) => jobs.apply_write(item),
-            WatchEvent::Removed { key, .. } => {
-                if let Some((job_id, JobKeyKind::Record)) = JobKeyKind::parse(key) {
-                    jobs.views.remove(&job_id);
-                }
-                None
+            WatchEvent::Removed { key, revision } => {
+                jobs.apply_removal(key, *revision);
+                Vec::new()
             }
         }
     }
@@ -150,16 +192,19 @@
     pub(super) fn insert_accepted(&self, record: &Arc<JobRecord>, revision: Revision) {
         let mut jobs = self.lock();
         let view = jobs.views.entry(record.job_id.clone()).or_default();
-        if view.record.is_none() {
+        if view.record_revision < revision {
             view.record = Some(Arc::clone(record));
             view.record_revision = revision;
+            // The store created it on condition that there was no cancel.
+            view.cancel_revision = view.cancel_revision.filter(|at| *at > revision);
         }
     }
 
     /// Marks a job as cancelled that this host has just cancelled, before the watch reports it.
-    pub(super) fn mark_cancelled(&self, job_id: &JobId) {
+    pub(super) fn mark_cancelled(&self, job_id: &JobId, revision: Revision) {
         let mut jobs = self.lock();
-        jobs.views.entry(job_id.clone()).or_default().is_cancelled = true;
+        let view = jobs.views.entry(job_id.clone()).or_default();
+        view.cancel_revision = view.cancel_revision.max(Some(revision));
     }
 
     /// Results that earlier coordinators handed over.
@@ -171,21 +216,23 @@
             .collect()
     }
 
-    /// All jobs with the given progress, for a new term.
+    /// All jobs up to a revision with the given progress, for a new term.
     pub(super) fn recovered_jobs(
         &self,
+        as_of: Revision,
         mut progress: ProgressByJob,
     ) -> Vec<(RecoveredJob, Revision)> {
         let jobs = self.lock();
         jobs.views
             .iter()
+            .filter(|(_, view)| view.record_revision <= as_of)
             .filter_map(|(job_id, view)| {
                 let stored = progress.remove(job_id);
                 let (progress, revision) = stored.unzip();
                 let job = RecoveredJob {
                     record: Arc::clone(view.record.as_ref()?),
                     progress,
-                    is_cancelled: view.is_cancelled,
+                    is_cancelled: view.is_cancelled(),
                 };
                 Some((job, revision.unwrap_or_default()))
             })
@@ -194,50 +241,58 @@
 }
 
 impl Jobs {
-    fn apply_write(&mut self, item: &KeyValue) -> Option<JobChange> {
-        let (job_id, kind) = JobKeyKind::parse(&item.key)?;
+    fn apply_write(&mut self, item: &KeyValue) -> Vec<JobChange> {
+        let Some((job_id, kind)) = JobKeyKind::parse(&item.key) else {
+            return Vec::new();
+        };
         let view = self.views.entry(job_id.clone()).or_default();
-        match kind {
-            JobKeyKind::Record => {
-                if item.revision < view.record_revision {
-                    return None;
-                }
-                if let Some(record) = &view.record
-                    && item.revision == view.record_revision
-                {
-                    // This host stored or read the job before the watch reported it. A coordinator on
-                    // this host has not received it yet.
-                    return Some(JobChange::Accepted(Arc::clone(record)));
-                }
-                let record = parse_json::<JobRecord>(item)?;
-                let record = Arc::new(record);
-                view.record = Some(Arc::clone(&record));
-                view.record_revision = item.revision;
-                Some(JobChange::Accepted(record))
-            }
+        let change = match kind {
+            JobKeyKind::Record => view.apply_record(item).map(JobChange::Accepted),
             JobKeyKind::Phase => {
-                if item.revision > view.phase_revision {
-                    view.phase = parse_json(item)?;
+                if item.revision > view.phase_revision
+                    && let Some(phase) = parse_json(item)
+                {
+                    view.phase = phase;
                     view.phase_revision = item.revision;
                 }
                 None
             }
-            JobKeyKind::HandedOverCompletions => {
-                view.handed_over_completions = parse_json(item)?;
-                Some(JobChange::ResultsHandedOver(
-                    view.handed_over_results(&job_id),
-                ))
-            }
-            JobKeyKind::HandedOverResults => {
-                view.handed_over_results = parse_json(item)?;
-                Some(JobChange::ResultsHandedOver(
-                    view.handed_over_results(&job_id),
-                ))
+            JobKeyKind::HandedOverCompletions => parse_json(item).map(|completions| {
+                view.handed_over_completions = completions;
+                JobChange::ResultsHandedOver(view.handed_over_results(&job_id))
+            }),
+            JobKeyKind::HandedOverResults => parse_json(item).map(|results| {
+                view.handed_over_results = results;
+                JobChange::ResultsHandedOver(view.handed_over_results(&job_id))
+            }),
+            JobKeyKind::Cancel => {
+                view.cancel_revision = view.cancel_revision.max(Some(item.revision));
+                Some(JobChange::Cancelled(job_id.clone()))
             }
+        };
+        // A coordinator drops the cancel of a job that it doesn't know yet.
+        let is_cancelled_before = kind == JobKeyKind::Record && view.is_cancelled();
+        let cancel = is_cancelled_before.then_some(JobChange::Cancelled(job_id));
+        change.into_iter().chain(cancel).collect()
+    }
+
+    fn apply_removal(&mut self, key: &str, revision: Revision) {
+        let Some((job_id, kind)) = JobKeyKind::parse(key) else {
+            return;
+        };
+        let Some(view) = self.views.get_mut(&job_id) else {
+            return;
+        };
+        let is_removed = match kind {
+            JobKeyKind::Record => true,
             JobKeyKind::Cancel => {
-                view.is_cancelled = true;
-                Some(JobChange::Cancelled(job_id))
+                view.expire_cancel(revision);
+                view.record.is_none() && !view.is_cancelled()
             }
+            _ => false,
+        };
+        if is_removed {
+            self.views.remove(&job_id);
         }
     }
 }
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -156,7 +156,8 @@
         let (loaded, progress) = tokio::join!(self.load(), progress);
         match loaded.and_then(|loaded| Ok((loaded, progress?))) {
             Ok(((as_of, _), (items, _))) => {
-                let jobs = self.replica.recovered_jobs(parse_progress(&items));
+                let progress = parse_progress(&items);
+                let jobs = self.replica.recovered_jobs(as_of, progress);
                 if request.reply.send(jobs).is_ok() {
                     *subscriber = Some(request.events);
                 }
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the internals that can't be observed from another process.
 
 mod job_writer;
+mod replica_order;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -52,7 +53,7 @@
     let record = record("00000000000000aa");
     replica.insert_accepted(&record, Revision(5));
     let changes = replica.apply(&write_event(&record, 5));
-    assert!(matches!(changes, Some(JobChange::Accepted(_))));
+    assert!(matches!(changes[..], [JobChange::Accepted(_)]));
 }
 
 /// Guards against a cancelled job that runs. After the store dropped its history, the coordinator's host
@@ -119,7 +120,7 @@
     let replica = JobReplica::default();
     let record = record("00000000000000ab");
     replica.insert_accepted(&record, Revision(5));
-    assert!(replica.apply(&write_event(&record, 4)).is_none());
+    assert!(replica.apply(&write_event(&record, 4)).is_empty());
 }
 
 /// The platform adds settings from time to time; a process that refused an unknown one would not start.
--- a/ragwortwick-daemon/tests/area_cancel.rs
+++ b/ragwortwick-daemon/tests/area_cancel.rs
@@ -5,6 +5,7 @@
 
 const ID: &str = "00000000000000aa";
 const RECORD_KEY: &str = "ragwortwick/jobs/00000000000000aa/record";
+const CANCEL_KEY: &str = "ragwortwick/jobs/00000000000000aa/cancel";
 
 async fn open(hosts: usize, workers: usize) -> AreaFleet {
     let binary = env!("CARGO_BIN_EXE_ragwortwickd");
@@ -99,3 +100,37 @@
     assert_eq!(fleet.state(0, ID).await, None);
     fleet.close();
 }
+
+/// Guards against a cancelled job that runs because a host of an older version creates it all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_a_job_that_is_created_beside_its_cancel_does_not_run() {
+    let fleet = open(2, 4).await;
+    let other = "00000000000000ab";
+    let status = fleet.submit(0, other, area_job(1, 10, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    fleet.wait_for_state(0, other, "completed").await;
+    assert_eq!(cancel(&fleet, 1).await, StatusCode::GONE);
+    let record = fleet.store.get(&RECORD_KEY.replace(ID, other));
+    let record = String::from_utf8(record.expect("a record").value).expect("text");
+    fleet.store.put(RECORD_KEY, record.replace(other, ID));
+    for host in 0..2 {
+        fleet.wait_for_state(host, ID, "cancelled").await;
+    }
+    assert_never_runs(&fleet).await;
+    fleet.close();
+}
+
+/// Guards against an id that can never be used again after a cancel of a job that did not exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_an_id_is_usable_again_after_its_cancel_has_expired() {
+    let fleet = open(2, 4).await;
+    assert_eq!(cancel(&fleet, 1).await, StatusCode::GONE);
+    let item = fleet.store.get(CANCEL_KEY).expect("a tombstone");
+    assert_ne!(item.lease, 0, "the store removes it");
+    fleet.store.remove(CANCEL_KEY);
+    assert_eq!(submit(&fleet, 0).await, StatusCode::OK);
+    for host in 0..2 {
+        fleet.wait_for_state(host, ID, "running").await;
+    }
+    fleet.close();
+}
