daemon: log how long a cancel is on its way to the coordinator

A task that runs on after a confirmed cancel has three kinds of causes: the cancel came before its job, it reached the coordinator late, or the stop went wrong. The logs told the call (job_cancel) and the stop orders, and nothing in between.

Changed: the coordinator logs each cancel that it reads as cancel_read, with has_job and its age since the host stored it, which the cancel's value now holds (older hosts neither write nor read it); the histogram ragwortwick_area_cancel_seconds counts the same. A new term logs the open cancels that it recovers. The view of one job moved to a module of its own.

--- a/ragwortwick-daemon/src/area/job_writer.rs
+++ b/ragwortwick-daemon/src/area/job_writer.rs
@@ -9,11 +9,12 @@
 use ragwortwick_core::{DurationMs, JobId, Revision, TimeMs};
 use tokio::time::timeout;
 
+use super::job_view::{CancelValue, JobView};
 use super::keys::JobKeyKind;
-use super::replica::{JobReplica, JobView};
+use super::replica::JobReplica;
 use super::store_health::StoreHealth;
 use super::tombstones::TombstoneLeases;
-use crate::Clock;
+use crate::{Clock, unix_now};
 
 /// Delay before a write with an unknown outcome is sent again.
 const RETRY_DELAY_MS: DurationMs = DurationMs(60);
@@ -220,11 +221,21 @@
 fn cancel_item(job_id: &JobId, lease: Option<u64>) -> WriteItem {
     WriteItem {
         key: JobKeyKind::Cancel.key_of(job_id),
-        value: b"{}".to_vec(),
+        value: cancel_value(unix_now()),
         lease,
     }
 }
 
+fn cancel_value(requested_unix_ms: TimeMs) -> Vec<u8> {
+    let value = CancelValue {
+        requested_unix_ms: Some(requested_unix_ms),
+    };
+    match serde_json::to_vec(&value) {
+        Ok(value) => value,
+        Err(error) => unreachable!("a cancel has only plain fields, which serialize: {error}"),
+    }
+}
+
 fn contains(items: &[KeyValue], key: &str) -> bool {
     items.iter().any(|item| item.key == key)
 }
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -14,8 +14,8 @@
 use gotham::state::State;
 use http::StatusCode;
 use prometheus::{
-    CounterVec, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use ragwortwick_adapter::StoreCallCounts;
 use ragwortwick_core::ZoneName;
@@ -32,6 +32,9 @@
 /// hours.
 const PART_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 20.0, 300.0, 7_200.0];
 
+/// Buckets of the time until a cancel arrives at the coordinator, from one watch to several that time out.
+const CANCEL_BUCKETS_S: [f64; 8] = [0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5, 5.0];
+
 /// `AreaMetrics` holds the metrics of one host; clones share them.
 #[derive(Clone, Debug)]
 pub(super) struct AreaMetrics {
@@ -42,6 +45,8 @@
     pub(super) accept_seconds: HistogramVec,
     /// Time from acceptance to the end, by customer and phase; recorded by the coordinator.
     pub(super) job_end_seconds: HistogramVec,
+    /// Time from a host's storing a cancel to its arrival at the coordinator; recorded by the coordinator.
+    pub(super) cancel_seconds: Histogram,
     /// Time a job spent queued, requeued, starting and running, by customer, queue and part; recorded by the
     /// coordinator.
     pub(super) job_part_seconds: HistogramVec,
@@ -120,6 +125,12 @@
             &["customer", "phase"],
             &END_BUCKETS_S,
         )?;
+        let options = HistogramOpts::new(
+            "ragwortwick_area_cancel_seconds",
+            "Time from a cancel to its arrival at this host as coordinator",
+        );
+        let cancel_seconds = Histogram::with_opts(options.buckets(CANCEL_BUCKETS_S.to_vec()))?;
+        registry.register(Box::new(cancel_seconds.clone()))?;
         let job_part_seconds = histogram(
             "ragwortwick_area_job_part_seconds",
             "Time that a job spent in a part of its way, by this host as coordinator",
@@ -150,6 +161,7 @@
             submissions,
             accept_seconds,
             job_end_seconds,
+            cancel_seconds,
             job_part_seconds,
             runs_ended,
             workers_lost,
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -2,6 +2,7 @@
 
 mod action_dispatcher;
 mod batch_writer;
+mod cancel_reporter;
 mod coordinator_handler;
 mod desired_state_age;
 mod election;
@@ -9,6 +10,7 @@
 mod handover;
 mod host;
 mod job_api;
+mod job_view;
 mod job_writer;
 mod keys;
 mod layout;
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -295,6 +295,7 @@
 
     async fn stop(&self, worker: WorkerName, address: &str, task: TaskId, run: u32) -> Event {
         let request = StopRequest { task, run };
+        let ordered_at = self.clock.now();
         let call = async |timeout_ms| {
             let workers = &self.workers;
             let reply = workers.stop(&worker, address, self.term, &request, timeout_ms);
@@ -302,8 +303,10 @@
         };
         let reply = self.call_in_order(&worker, call).await;
         let StopRequest { task, run } = request;
+        let is_sent = reply.is_some();
         let reply = reply.unwrap_or(OrderReply::Unknown);
-        if self.stop_log_limiter.admit(self.clock.now()) {
+        let now = self.clock.now();
+        if self.stop_log_limiter.admit(now) {
             log_event!(
                 Info,
                 "run_stopped",
@@ -311,7 +314,9 @@
                 run = run,
                 worker = worker,
                 term = self.term,
-                reply = format!("{reply:?}")
+                reply = format!("{reply:?}"),
+                is_sent = is_sent,
+                took_ms = now.since(ordered_at)
             );
         }
         Event::StopReplied {
--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -5,92 +5,18 @@
 
 use ragwortwick_adapter::{KeyValue, WatchEvent};
 use ragwortwick_area::{JobPhase, JobProgress, JobRecord, RecoveredJob, RunResult};
-use ragwortwick_core::{ClassName, JobId, Revision, log_event};
+use ragwortwick_core::{ClassName, JobId, Revision};
 
-use super::handover::{CompletionValue, ResultValue};
+use super::job_view::{CancelChange, CancelValue, JobView, parse_json};
 use super::keys::{JobKeyKind, parse_progress_key};
 
-/// `JobView` is one job in the replica.
-#[derive(Clone, Debug, Default)]
-pub(super) struct JobView {
-    pub(super) record: Option<Arc<JobRecord>>,
-    record_revision: Revision,
-    pub(super) phase: JobPhase,
-    phase_revision: Revision,
-    /// Revision of the cancel, if there is one.
-    cancel_revision: Option<Revision>,
-    handed_over_completions: Vec<CompletionValue>,
-    handed_over_results: Vec<ResultValue>,
-}
-
-impl JobView {
-    /// The phase reported to clients.
-    pub(super) fn reported_phase(&self) -> JobPhase {
-        if self.is_cancelled() && !self.phase.is_final() {
-            JobPhase::Cancelled
-        } else {
-            self.phase
-        }
-    }
-
-    fn is_cancelled(&self) -> bool {
-        self.cancel_revision.is_some()
-    }
-
-    /// Stores the record of a write; returns it if a coordinator on this host may not have received it.
-    fn apply_record(&mut self, item: &KeyValue) -> Option<Arc<JobRecord>> {
-        if item.revision < self.record_revision {
-            return None;
-        }
-        if let Some(record) = &self.record
-            && item.revision == self.record_revision
-        {
-            // This host stored or read the job before the watch reported it.
-            return Some(Arc::clone(record));
-        }
-        let record = Arc::new(parse_json::<JobRecord>(item)?);
-        self.record = Some(Arc::clone(&record));
-        self.record_revision = item.revision;
-        Some(record)
-    }
-
-    /// Drops what is not newer than the revision; returns whether anything is left.
-    fn keep_newer_than(&mut self, revision: Revision) -> bool {
-        let old = std::mem::take(self);
-        if old.record_revision > revision {
-            self.record = old.record;
-            self.record_revision = old.record_revision;
-        }
-        self.cancel_revision = old.cancel_revision.filter(|at| *at > revision);
-        self.record.is_some() || self.is_cancelled()
-    }
-
-    /// Drops a cancel that was removed at the given revision, unless the job was created beside it.
-    fn expire_cancel(&mut self, removed_at: Revision) {
-        let is_created_beside = self.record.is_some() && self.record_revision < removed_at;
-        if !is_created_beside {
-            self.cancel_revision = self.cancel_revision.filter(|at| *at > removed_at);
-        }
-    }
-
-    /// Results of the job's runs that earlier coordinators handed over.
-    fn handed_over_results(&self, job_id: &JobId) -> Vec<RunResult> {
-        let completions = self.handed_over_completions.iter();
-        let completions = completions.map(|value| value.to_result(job_id));
-        let others = self.handed_over_results.iter();
-        completions
-            .chain(others.map(|value| value.to_result(job_id)))
-            .collect()
-    }
-}
-
 /// `JobChange` is a change of a job that the coordinator has to process.
 #[derive(Clone, Debug)]
 pub(super) enum JobChange {
     Accepted(Arc<JobRecord>),
     /// A coordinator of an earlier term handed over results that it could not store.
     ResultsHandedOver(Vec<RunResult>),
-    Cancelled(JobId),
+    Cancelled(CancelChange),
 }
 
 fn is_record(item: &KeyValue) -> bool {
@@ -196,7 +122,7 @@
             view.record = Some(Arc::clone(record));
             view.record_revision = revision;
             // The store created it on condition that there was no cancel.
-            view.cancel_revision = view.cancel_revision.filter(|at| *at > revision);
+            view.cancel = view.cancel.filter(|cancel| cancel.revision > revision);
         }
     }
 
@@ -204,7 +130,7 @@
     pub(super) fn mark_cancelled(&self, job_id: &JobId, revision: Revision) {
         let mut jobs = self.lock();
         let view = jobs.views.entry(job_id.clone()).or_default();
-        view.cancel_revision = view.cancel_revision.max(Some(revision));
+        view.apply_cancel(revision, CancelValue::default());
     }
 
     /// Results that earlier coordinators handed over.
@@ -266,13 +192,16 @@
                 JobChange::ResultsHandedOver(view.handed_over_results(&job_id))
             }),
             JobKeyKind::Cancel => {
-                view.cancel_revision = view.cancel_revision.max(Some(item.revision));
-                Some(JobChange::Cancelled(job_id.clone()))
+                // An unreadable value only lacks the time: the key alone states the cancel.
+                let value = serde_json::from_slice(&item.value).unwrap_or_default();
+                view.apply_cancel(item.revision, value);
+                view.cancel_change(&job_id).map(JobChange::Cancelled)
             }
         };
         // A coordinator drops the cancel of a job that it doesn't know yet.
-        let is_cancelled_before = kind == JobKeyKind::Record && view.is_cancelled();
-        let cancel = is_cancelled_before.then_some(JobChange::Cancelled(job_id));
+        let is_record = kind == JobKeyKind::Record;
+        let cancel = view.cancel_change(&job_id).filter(|_| is_record);
+        let cancel = cancel.map(JobChange::Cancelled);
         change.into_iter().chain(cancel).collect()
     }
 
@@ -296,19 +225,3 @@
         }
     }
 }
-
-fn parse_json<T: for<'de> serde::Deserialize<'de>>(item: &KeyValue) -> Option<T> {
-    match serde_json::from_slice(&item.value) {
-        Ok(value) => Some(value),
-        Err(error) => {
-            log_event!(
-                Error,
-                "record_unreadable",
-                key = item.key,
-                revision = item.revision,
-                cause = error
-            );
-            None
-        }
-    }
-}
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -2,9 +2,10 @@
 
 use ragwortwick_adapter::{KeyValue, StoreClient, StoreError, WatchEvent, WatchReply};
 use ragwortwick_area::{Event, RecoveredJob};
-use ragwortwick_core::{DurationMs, Revision, log_event};
+use ragwortwick_core::{DurationMs, JobId, Revision, log_event};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::cancel_reporter::CancelReporter;
 use super::coordinator_handler::EventSender;
 use super::feed_monitor::FeedMonitor;
 use super::keys::{COORDINATOR_KEY, PROGRESS_PREFIX, REPLICATED_PREFIX};
@@ -72,7 +73,10 @@
     /// Runs until no term can subscribe any more.
     pub(super) async fn run(self, mut requests: mpsc::Receiver<SubscribeRequest>) {
         let mut monitor = FeedMonitor::open("jobs", self.clock, &self.metrics);
-        let mut subscriber: Option<EventSender> = None;
+        let mut subscriber = Subscriber {
+            events: None,
+            cancels: CancelReporter::open(self.replica.clone(), self.metrics.clone(), self.clock),
+        };
         let mut position: Option<Revision> = None;
         let mut delay_ms = DurationMs(0);
         loop {
@@ -90,13 +94,13 @@
                 FeedInput::Loaded(as_of, changes) => {
                     monitor.record_reply(changes.len());
                     position = Some(as_of);
-                    send_changes(&mut subscriber, changes).await;
+                    subscriber.send(changes).await;
                 }
                 FeedInput::Changed(reply) => {
                     monitor.record_reply(reply.events.len());
                     let changes = self.apply(&reply);
-                    send_changes(&mut subscriber, changes).await;
-                    delay_ms = match (reply.events.is_empty(), &subscriber) {
+                    subscriber.send(changes).await;
+                    delay_ms = match (reply.events.is_empty(), &subscriber.events) {
                         (true, _) => DurationMs(0),
                         (false, Some(_)) => COORDINATOR_DELAY_MS,
                         (false, None) => FOLLOWER_DELAY_MS,
@@ -148,7 +152,7 @@
     async fn subscribe(
         &self,
         request: SubscribeRequest,
-        subscriber: &mut Option<EventSender>,
+        subscriber: &mut Subscriber,
     ) -> Option<Revision> {
         // The term's key is created before this read, so earlier terms can't write any more: the read
         // contains all jobs accepted before the term and their newest progress.
@@ -158,8 +162,14 @@
             Ok(((as_of, _), (items, _))) => {
                 let progress = parse_progress(&items);
                 let jobs = self.replica.recovered_jobs(as_of, progress);
+                let cancelled: Vec<JobId> = jobs
+                    .iter()
+                    .filter(|(job, _)| job.is_cancelled)
+                    .map(|(job, _)| job.record.job_id.clone())
+                    .collect();
                 if request.reply.send(jobs).is_ok() {
-                    *subscriber = Some(request.events);
+                    subscriber.events = Some(request.events);
+                    self.report_cancels(subscriber, &cancelled);
                 }
                 Some(as_of)
             }
@@ -171,6 +181,16 @@
         }
     }
 
+    /// Reports the cancels that a new term recovers.
+    fn report_cancels(&self, subscriber: &Subscriber, job_ids: &[JobId]) {
+        for job_id in job_ids {
+            let view = self.replica.view(job_id);
+            if let Some(cancel) = view.and_then(|view| view.cancel_change(job_id)) {
+                subscriber.cancels.report(&cancel);
+            }
+        }
+    }
+
     fn update_coordinator_key(&self, event: &WatchEvent) {
         let state = match event {
             WatchEvent::Written(item) if item.key == COORDINATOR_KEY => {
@@ -220,13 +240,27 @@
     Ok((items, as_of))
 }
 
-async fn send_changes(subscriber: &mut Option<EventSender>, changes: Vec<JobChange>) {
-    let Some(events) = subscriber else { return };
-    for event in changes.into_iter().flat_map(events_of) {
-        if !events.send(event).await {
-            // The term has ended.
-            *subscriber = None;
-            return;
+/// `Subscriber` is the coordinator of the newest term on this host.
+struct Subscriber {
+    /// None while this host does not coordinate.
+    events: Option<EventSender>,
+    cancels: CancelReporter,
+}
+
+impl Subscriber {
+    async fn send(&mut self, changes: Vec<JobChange>) {
+        let Some(events) = &self.events else { return };
+        for change in changes {
+            if let JobChange::Cancelled(cancel) = &change {
+                self.cancels.report(cancel);
+            }
+            for event in events_of(change) {
+                if !events.send(event).await {
+                    // The term has ended.
+                    self.events = None;
+                    return;
+                }
+            }
         }
     }
 }
@@ -237,6 +271,6 @@
         JobChange::ResultsHandedOver(results) => {
             results.into_iter().map(Event::ResultHandedOver).collect()
         }
-        JobChange::Cancelled(job_id) => vec![Event::JobCancelled(job_id)],
+        JobChange::Cancelled(cancel) => vec![Event::JobCancelled(cancel.job_id)],
     }
 }
--- a/ragwortwick-daemon/src/area/tests/replica_order.rs
+++ b/ragwortwick-daemon/src/area/tests/replica_order.rs
@@ -89,8 +89,8 @@
                         .entry(record.job_id.clone())
                         .or_insert(false);
                 }
-                JobChange::Cancelled(job_id) => {
-                    if let Some(is_cancelled) = self.coordinator.get_mut(&job_id) {
+                JobChange::Cancelled(cancel) => {
+                    if let Some(is_cancelled) = self.coordinator.get_mut(&cancel.job_id) {
                         *is_cancelled = true;
                     }
                 }
--- a/ragwortwick-daemon/tests/area_cancel.rs
+++ b/ragwortwick-daemon/tests/area_cancel.rs
@@ -1,7 +1,7 @@
 //! Cancels that overtake the creation of their job, with hosts as separate processes.
 
 use http::{Method, StatusCode};
-use ragwortwick_standin::{AreaFleet, area_job, wait_until};
+use ragwortwick_standin::{AreaFleet, Daemon, area_job, wait_until};
 
 const ID: &str = "00000000000000aa";
 const RECORD_KEY: &str = "ragwortwick/jobs/00000000000000aa/record";
@@ -134,3 +134,38 @@
     }
     fleet.close();
 }
+
+/// Returns the line on which the coordinator tells that it has read the job's cancel.
+async fn cancel_line(fleet: &AreaFleet, has_job: bool) -> String {
+    let start = format!("event=cancel_read job_id={ID} has_job={has_job} age_ms=");
+    let find = || {
+        let lines = fleet.hosts.iter().flat_map(Daemon::lines);
+        lines.into_iter().find(|line| line.contains(&start))
+    };
+    wait_until("the cancel is logged", async || find().is_some()).await;
+    find().expect("a line")
+}
+
+/// Guards against a task that runs on after a cancel of which no log tells whether its coordinator has read it.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_the_coordinator_logs_when_it_reads_a_cancel() {
+    let fleet = open(2, 4).await;
+    assert_eq!(submit(&fleet, 0).await, StatusCode::OK);
+    assert_eq!(cancel(&fleet, 1).await, StatusCode::OK);
+    let line = cancel_line(&fleet, true).await;
+    assert!(!line.contains("age_ms=unknown"), "{line}");
+    fleet.close();
+}
+
+/// Guards against a cancel that overtook its job and leaves no trace in the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_the_coordinator_logs_a_cancel_of_a_job_that_does_not_exist() {
+    let fleet = open(2, 4).await;
+    assert_eq!(cancel(&fleet, 1).await, StatusCode::GONE);
+    cancel_line(&fleet, false).await;
+    assert_ne!(submit(&fleet, 0).await, StatusCode::OK);
+    let handed_in = fleet.hosts[0].wait_for_event("job_handed_in").await;
+    let handed_in = handed_in.expect("the submission is logged");
+    assert!(handed_in.contains("outcome=Cancelled"), "{handed_in}");
+    fleet.close();
+}
