--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -2,6 +2,7 @@
 
 mod job_writer;
 mod replica_order;
+mod silent_connections;
 
 use std::collections::HashSet;
 use std::sync::Arc;
--- a/ragwortwick-daemon/src/requests/claims.rs
+++ b/ragwortwick-daemon/src/requests/claims.rs
@@ -80,6 +80,7 @@
             connect_timeout_ms: STORE_TIMEOUT_MS,
             max_idle_per_host: 4,
             max_body_bytes: 64 << 10,
+            ..HttpClientOptions::default()
         };
         Self {
             shared: Arc::new(Shared {
--- a/ragwortwick-http/src/client.rs
+++ b/ragwortwick-http/src/client.rs
@@ -1,6 +1,7 @@
 //! A JSON client that reports whether a failed request may have reached the server.
 
 use std::io::ErrorKind;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -25,6 +26,10 @@
     pub max_idle_per_host: usize,
     /// Largest response body that is read.
     pub max_body_bytes: usize,
+    /// Whether a timeout discards all idle connections, for clients of a single server.
+    ///
+    /// Connections may fall silent together, and each one that is used again costs another timeout.
+    pub discards_idle_on_timeout: bool,
 }
 
 impl Default for HttpClientOptions {
@@ -33,6 +38,7 @@
             connect_timeout_ms: DurationMs(1_000),
             max_idle_per_host: 60,
             max_body_bytes: 8 << 20,
+            discards_idle_on_timeout: false,
         }
     }
 }
@@ -127,28 +133,54 @@
     },
 }
 
+type PooledClient = Client<HttpConnector, Full<Bytes>>;
+
+/// `Pool` is the pool of idle connections in use.
+#[derive(Debug)]
+struct Pool {
+    client: PooledClient,
+    /// Number of pools discarded before this one.
+    generation: u64,
+}
+
 /// `HttpClient` sends requests over pooled connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
-    max_body_bytes: usize,
+    options: HttpClientOptions,
+    pool: Arc<Mutex<Pool>>,
 }
 
 impl HttpClient {
     /// `new` creates a client; it must be used inside a tokio runtime.
     #[must_use]
     pub fn new(options: &HttpClientOptions) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(options.connect_timeout_ms.into()));
-        connector.set_nodelay(true);
-        let inner = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(options.max_idle_per_host)
-            // A transparent retry would hide that the first request may have arrived.
-            .retry_canceled_requests(false)
-            .build(connector);
+        let pool = Pool {
+            client: pooled_client(options),
+            generation: 0,
+        };
         Self {
-            inner,
-            max_body_bytes: options.max_body_bytes,
+            options: options.clone(),
+            pool: Arc::new(Mutex::new(pool)),
+        }
+    }
+
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn current_pool(&self) -> (PooledClient, u64) {
+        let pool = self.pool();
+        (pool.client.clone(), pool.generation)
+    }
+
+    /// Discards the idle connections after a timeout, unless that was done since the request was sent.
+    fn record_timeout(&self, generation: u64) {
+        let mut pool = self.pool();
+        if self.options.discards_idle_on_timeout && pool.generation == generation {
+            *pool = Pool {
+                client: pooled_client(&self.options),
+                generation: generation + 1,
+            };
         }
     }
 
@@ -216,9 +248,11 @@
         let timed_out = |timeout_ms: DurationMs| {
             no_response(format!("no answer within {timeout_ms} ms"), false)
         };
+        let (client, generation) = self.current_pool();
         let exchange = async {
-            let response = timeout(timeouts.head_timeout_ms.into(), self.inner.request(request));
+            let response = timeout(timeouts.head_timeout_ms.into(), client.request(request));
             let Ok(response) = response.await else {
+                self.record_timeout(generation);
                 return Err(timed_out(timeouts.head_timeout_ms));
             };
             let response = response.map_err(|e| {
@@ -233,7 +267,7 @@
                 }
             })?;
             let (head, body) = response.into_parts();
-            let body = read_body(body, self.max_body_bytes, timeouts.idle_timeout_ms);
+            let body = read_body(body, self.options.max_body_bytes, timeouts.idle_timeout_ms);
             let body = body.await.map_err(|error| match error {
                 BodyError::TooLarge(_) => HttpError::TooLarge {
                     address: address.to_owned(),
@@ -249,7 +283,10 @@
         };
         timeout(timeouts.total_timeout_ms.into(), exchange)
             .await
-            .unwrap_or_else(|_| Err(timed_out(timeouts.total_timeout_ms)))
+            .unwrap_or_else(|_| {
+                self.record_timeout(generation);
+                Err(timed_out(timeouts.total_timeout_ms))
+            })
     }
 
     /// `post` sends a JSON body and decodes the JSON body of a 2xx response.
@@ -326,6 +363,17 @@
     }
 }
 
+fn pooled_client(options: &HttpClientOptions) -> PooledClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(options.connect_timeout_ms.into()));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(options.max_idle_per_host)
+        // A transparent retry would hide that the first request may have arrived.
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
 fn decode<R: DeserializeOwned>(address: &str, response: &HttpResponse) -> Result<R, HttpError> {
     if !response.status.is_success() {
         return Err(HttpError::Status {
