daemon: tell the coordinator of no ended job when all jobs are read anew

Seen in a test, not by callers: a job that has ended runs again from its beginning. Its coordinator has forgotten it after the retention, and its keys are still in the store, since their removal was refused or had no answer, or is under way. Then the store forgets its history, the host reads all keys, and hands every record on as an accepted job. The coordinator leaves out the ones that it holds; this one it doesn't hold any more, and it takes it for new. A takeover isn't affected, since it reads the progress.

Changed: a read of all keys hands on no job whose stored phase is final.

--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -99,6 +99,11 @@
             changes.extend(jobs.apply_write(item));
         }
         jobs.is_loaded = true;
+        // A coordinator that holds an ended job no longer would start it from its beginning.
+        changes.retain(|change| match change {
+            JobChange::Accepted(record) => !jobs.has_ended(&record.job_id),
+            JobChange::ResultsHandedOver(_) | JobChange::Cancelled(_) => true,
+        });
         changes
     }
 
@@ -167,6 +172,11 @@
 }
 
 impl Jobs {
+    fn has_ended(&self, job_id: &JobId) -> bool {
+        let view = self.views.get(job_id);
+        view.is_some_and(|view| view.phase.is_final())
+    }
+
     fn apply_write(&mut self, item: &KeyValue) -> Vec<JobChange> {
         let Some((job_id, kind)) = JobKeyKind::parse(&item.key) else {
             return Vec::new();
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -82,6 +82,25 @@
     assert_eq!(is_accepted, [true, false], "{changes:?}");
 }
 
+/// Guards against an ended job that starts again: its keys could not be removed yet, and all keys are read anew.
+#[test]
+fn verify_reading_anew_tells_of_no_job_that_has_ended() {
+    let replica = JobReplica::default();
+    let record = record("00000000000000ae");
+    let WatchEvent::Written(accepted) = write_event(&record, 5) else {
+        unreachable!("a record was written");
+    };
+    let phase = KeyValue {
+        key: JobKeyKind::Phase.key_of(&record.job_id),
+        value: serde_json::to_vec(&JobPhase::Completed).expect("a phase is written"),
+        revision: Revision(6),
+    };
+    let changes = replica.load(&[phase, accepted], Revision(7));
+    assert!(changes.is_empty(), "{changes:?}");
+    let view = replica.view(&record.job_id).expect("the job is shown");
+    assert_eq!(view.reported_phase(), JobPhase::Completed);
+}
+
 /// The host's watch can report a stored job end before the write's reply arrives. The end must still be
 /// logged and counted, once; otherwise operators find no end of the job.
 #[test]
--- a/ragwortwick-daemon/tests/area_catch_up.rs
+++ b/ragwortwick-daemon/tests/area_catch_up.rs
@@ -115,6 +115,44 @@
     fleet.close();
 }
 
+/// Guards against an ended job that starts again because its keys were not removed when all jobs were read anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_a_coordinator_that_reads_all_jobs_anew_starts_no_ended_job() {
+    let fleet = open(1, 4).await;
+    let ended = "00000000000000aa";
+    let status = fleet.submit(0, ended, area_job(1, 10, false)).await;
+    assert_eq!(status.ok(), Some(StatusCode::OK));
+    fleet.wait_for_state(0, ended, "completed").await;
+    fleet.store.set_fault(StoreFault::Unresponsive);
+    // A job that an earlier coordinator has ended, and that this one does not hold.
+    let other = "00000000000000ab";
+    for part in ["record", "phase"] {
+        let key = |id: &str| format!("ragwortwick/jobs/{id}/{part}");
+        let item = fleet
+            .store
+            .get(&key(ended))
+            .expect("a key of the ended job");
+        let value = String::from_utf8(item.value).expect("text");
+        fleet.store.put(&key(other), value.replace(ended, other));
+    }
+    fleet.store.compact();
+    fleet.store.set_fault(StoreFault::None);
+    fleet.wait_for_state(0, other, "completed").await;
+    let later = "00000000000000ac";
+    wait_until("the host accepts jobs again", async || {
+        let status = fleet.submit(0, later, area_job(1, 10, false)).await;
+        status.ok() == Some(StatusCode::OK)
+    })
+    .await;
+    fleet.wait_for_state(0, later, "completed").await;
+    let starts = fleet.workers.starts();
+    assert!(
+        !starts.iter().any(|start| start.task.starts_with(other)),
+        "started again: {starts:?}"
+    );
+    fleet.close();
+}
+
 /// Guards against jobs that wait although workers have joined. The store was unresponsive for some seconds,
 /// in which leases don't expire, so the coordinator kept its term, while each heartbeat of a worker changed
 /// a whole entry. On a slow path the reply with all changes exceeded the watch's timeout on each try, and
