--- a/ragwortwick-daemon/src/area/replica.rs
+++ b/ragwortwick-daemon/src/area/replica.rs
@@ -5,63 +5,26 @@
 
 use ragwortwick_adapter::{KeyValue, WatchEvent};
 use ragwortwick_area::{JobPhase, JobProgress, JobRecord, RecoveredJob, RunResult};
-use ragwortwick_core::{ClassName, JobId, Revision, log_event};
+use ragwortwick_core::{ClassName, JobId, Revision};
 
-use super::handover::{CompletionValue, ResultValue};
+use super::job_view::{CancelChange, CancelValue, JobView, parse_json};
 use super::keys::{JobKeyKind, parse_progress_key};
 
-/// `JobView` is one job in the replica.
-#[derive(Clone, Debug, Default)]
-pub(super) struct JobView {
-    pub(super) record: Option<Arc<JobRecord>>,
-    record_revision: Revision,
-    pub(super) phase: JobPhase,
-    phase_revision: Revision,
-    pub(super) is_cancelled: bool,
-    handed_over_completions: Vec<CompletionValue>,
-    handed_over_results: Vec<ResultValue>,
-}
-
-impl JobView {
-    /// The phase reported to clients.
-    pub(super) fn reported_phase(&self) -> JobPhase {
-        if self.is_cancelled && !self.phase.is_final() {
-            JobPhase::Cancelled
-        } else {
-            self.phase
-        }
-    }
-
-    /// Results of the job's runs that earlier coordinators handed over.
-    fn handed_over_results(&self, job_id: &JobId) -> Vec<RunResult> {
-        let completions = self.handed_over_completions.iter();
-        let completions = completions.map(|value| value.to_result(job_id));
-        let others = self.handed_over_results.iter();
-        completions
-            .chain(others.map(|value| value.to_result(job_id)))
-            .collect()
-    }
-}
-
 /// `JobChange` is a change of a job that the coordinator has to process.
 #[derive(Clone, Debug)]
 pub(super) enum JobChange {
     Accepted(Arc<JobRecord>),
     /// A coordinator of an earlier term handed over results that it could not store.
     ResultsHandedOver(Vec<RunResult>),
-    Cancelled(JobId),
+    Cancelled(CancelChange),
 }
 
-impl JobChange {
-    /// Order among the changes of one read: a coordinator drops a change of a job that it doesn't know, so
-    /// a cancel before the job's record would be lost and the cancelled job would run.
-    fn rank(&self) -> u8 {
-        match self {
-            Self::Accepted(_) => 0,
-            Self::ResultsHandedOver(_) => 1,
-            Self::Cancelled(_) => 2,
-        }
-    }
+fn is_record(item: &KeyValue) -> bool {
+    kind_of(item) == Some(JobKeyKind::Record)
+}
+
+fn kind_of(item: &KeyValue) -> Option<JobKeyKind> {
+    JobKeyKind::parse(&item.key).map(|(_, kind)| kind)
 }
 
 /// Stored progress by job, with the revision that the next write expects.
@@ -118,30 +81,40 @@
 
     /// Replaces the content with a list of the whole prefix; jobs that are not in it no longer exist. In the
     /// returned changes, a job's acceptance precedes its cancel.
+    ///
+    /// The pages of the list are read one after the other. Records and cancels that are newer than the list's
+    /// revision are left to a watch from there, which brings them in the order of the changes.
     pub(super) fn load(&self, items: &[KeyValue], as_of: Revision) -> Vec<JobChange> {
         let mut changes = Vec::new();
         let mut jobs = self.lock();
-        // A job written after the list's revision is newer than the list.
-        jobs.views.retain(|_, view| view.record_revision > as_of);
-        for item in items {
+        jobs.views.retain(|_, view| view.keep_newer_than(as_of));
+        let is_left_to_watch = |item: &KeyValue| {
+            let kind = kind_of(item);
+            item.revision > as_of && matches!(kind, Some(JobKeyKind::Record | JobKeyKind::Cancel))
+        };
+        let listed = items.iter().filter(|item| !is_left_to_watch(item));
+        // A coordinator drops a change of a job that it doesn't know.
+        let (records, others): (Vec<_>, Vec<_>) = listed.partition(|item| is_record(item));
+        for item in records.into_iter().chain(others) {
             changes.extend(jobs.apply_write(item));
         }
         jobs.is_loaded = true;
-        // In key order, a job's cancel precedes its record.
-        changes.sort_by_key(JobChange::rank);
+        // A coordinator that holds an ended job no longer would start it from its beginning.
+        changes.retain(|change| match change {
+            JobChange::Accepted(record) => !jobs.has_ended(&record.job_id),
+            JobChange::ResultsHandedOver(_) | JobChange::Cancelled(_) => true,
+        });
         changes
     }
 
-    /// Applies one watch event; returns the change that the coordinator has to process, if any.
-    pub(super) fn apply(&self, event: &WatchEvent) -> Option<JobChange> {
+    /// Applies one watch event; returns the changes that the coordinator has to process, in their order.
+    pub(super) fn apply(&self, event: &WatchEvent) -> Vec<JobChange> {
         let mut jobs = self.lock();
         match event {
             WatchEvent::Written(item) => jobs.apply_write(item),
-            WatchEvent::Removed { key, .. } => {
-                if let Some((job_id, JobKeyKind::Record)) = JobKeyKind::parse(key) {
-                    jobs.views.remove(&job_id);
-                }
-                None
+            WatchEvent::Removed { key, revision } => {
+                jobs.apply_removal(key, *revision);
+                Vec::new()
             }
         }
     }
@@ -150,16 +123,19 @@
     pub(super) fn insert_accepted(&self, record: &Arc<JobRecord>, revision: Revision) {
         let mut jobs = self.lock();
         let view = jobs.views.entry(record.job_id.clone()).or_default();
-        if view.record.is_none() {
+        if view.record_revision < revision {
             view.record = Some(Arc::clone(record));
             view.record_revision = revision;
+            // The store created it on condition that there was no cancel.
+            view.cancel = view.cancel.filter(|cancel| cancel.revision > revision);
         }
     }
 
     /// Marks a job as cancelled that this host has just cancelled, before the watch reports it.
-    pub(super) fn mark_cancelled(&self, job_id: &JobId) {
+    pub(super) fn mark_cancelled(&self, job_id: &JobId, revision: Revision) {
         let mut jobs = self.lock();
-        jobs.views.entry(job_id.clone()).or_default().is_cancelled = true;
+        let view = jobs.views.entry(job_id.clone()).or_default();
+        view.apply_cancel(revision, CancelValue::default());
     }
 
     /// Results that earlier coordinators handed over.
@@ -171,21 +147,23 @@
             .collect()
     }
 
-    /// All jobs with the given progress, for a new term.
+    /// All jobs up to a revision with the given progress, for a new term.
     pub(super) fn recovered_jobs(
         &self,
+        as_of: Revision,
         mut progress: ProgressByJob,
     ) -> Vec<(RecoveredJob, Revision)> {
         let jobs = self.lock();
         jobs.views
             .iter()
+            .filter(|(_, view)| view.record_revision <= as_of)
             .filter_map(|(job_id, view)| {
                 let stored = progress.remove(job_id);
                 let (progress, revision) = stored.unzip();
                 let job = RecoveredJob {
                     record: Arc::clone(view.record.as_ref()?),
                     progress,
-                    is_cancelled: view.is_cancelled,
+                    is_cancelled: view.is_cancelled(),
                 };
                 Some((job, revision.unwrap_or_default()))
             })
@@ -194,66 +172,66 @@
 }
 
 impl Jobs {
-    fn apply_write(&mut self, item: &KeyValue) -> Option<JobChange> {
-        let (job_id, kind) = JobKeyKind::parse(&item.key)?;
+    fn has_ended(&self, job_id: &JobId) -> bool {
+        let view = self.views.get(job_id);
+        view.is_some_and(|view| view.phase.is_final())
+    }
+
+    fn apply_write(&mut self, item: &KeyValue) -> Vec<JobChange> {
+        let Some((job_id, kind)) = JobKeyKind::parse(&item.key) else {
+            return Vec::new();
+        };
         let view = self.views.entry(job_id.clone()).or_default();
-        match kind {
-            JobKeyKind::Record => {
-                if item.revision < view.record_revision {
-                    return None;
-                }
-                if let Some(record) = &view.record
-                    && item.revision == view.record_revision
-                {
-                    // This host stored or read the job before the watch reported it. A coordinator on
-                    // this host has not received it yet.
-                    return Some(JobChange::Accepted(Arc::clone(record)));
-                }
-                let record = parse_json::<JobRecord>(item)?;
-                let record = Arc::new(record);
-                view.record = Some(Arc::clone(&record));
-                view.record_revision = item.revision;
-                Some(JobChange::Accepted(record))
-            }
+        let change = match kind {
+            JobKeyKind::Record => view.apply_record(item).map(JobChange::Accepted),
             JobKeyKind::Phase => {
-                if item.revision > view.phase_revision {
-                    view.phase = parse_json(item)?;
+                if item.revision > view.phase_revision
+                    && let Some(phase) = parse_json(item)
+                {
+                    view.phase = phase;
                     view.phase_revision = item.revision;
                 }
                 None
             }
-            JobKeyKind::HandedOverCompletions => {
-                view.handed_over_completions = parse_json(item)?;
-                Some(JobChange::ResultsHandedOver(
-                    view.handed_over_results(&job_id),
-                ))
-            }
-            JobKeyKind::HandedOverResults => {
-                view.handed_over_results = parse_json(item)?;
-                Some(JobChange::ResultsHandedOver(
-                    view.handed_over_results(&job_id),
-                ))
-            }
+            JobKeyKind::HandedOverCompletions => parse_json(item).map(|completions| {
+                view.handed_over_completions = completions;
+                JobChange::ResultsHandedOver(view.handed_over_results(&job_id))
+            }),
+            JobKeyKind::HandedOverResults => parse_json(item).map(|results| {
+                view.handed_over_results = results;
+                JobChange::ResultsHandedOver(view.handed_over_results(&job_id))
+            }),
             JobKeyKind::Cancel => {
-                view.is_cancelled = true;
-                Some(JobChange::Cancelled(job_id))
+                // An unreadable value only lacks the time: the key alone states the cancel.
+                let value = serde_json::from_slice(&item.value).unwrap_or_default();
+                view.apply_cancel(item.revision, value);
+                view.cancel_change(&job_id).map(JobChange::Cancelled)
             }
-        }
+        };
+        // A coordinator drops the cancel of a job that it doesn't know yet.
+        let is_record = kind == JobKeyKind::Record;
+        let cancel = view.cancel_change(&job_id).filter(|_| is_record);
+        let cancel = cancel.map(JobChange::Cancelled);
+        change.into_iter().chain(cancel).collect()
     }
-}
 
-fn parse_json<T: for<'de> serde::Deserialize<'de>>(item: &KeyValue) -> Option<T> {
-    match serde_json::from_slice(&item.value) {
-        Ok(value) => Some(value),
-        Err(error) => {
-            log_event!(
-                Error,
-                "record_unreadable",
-                key = item.key,
-                revision = item.revision,
-                cause = error
-            );
-            None
+    fn apply_removal(&mut self, key: &str, revision: Revision) {
+        let Some((job_id, kind)) = JobKeyKind::parse(key) else {
+            return;
+        };
+        let Some(view) = self.views.get_mut(&job_id) else {
+            return;
+        };
+        let is_removed = match kind {
+            JobKeyKind::Record => true,
+            JobKeyKind::Cancel => {
+                view.expire_cancel(revision);
+                view.record.is_none() && !view.is_cancelled()
+            }
+            _ => false,
+        };
+        if is_removed {
+            self.views.remove(&job_id);
         }
     }
 }
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -1,5 +1,9 @@
 //! Tests of the internals that can't be observed from another process.
 
+mod job_writer;
+mod replica_order;
+mod silent_connections;
+
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -50,7 +54,7 @@
     let record = record("00000000000000aa");
     replica.insert_accepted(&record, Revision(5));
     let changes = replica.apply(&write_event(&record, 5));
-    assert!(matches!(changes, Some(JobChange::Accepted(_))));
+    assert!(matches!(changes[..], [JobChange::Accepted(_)]));
 }
 
 /// Guards against a cancelled job that runs. After the store dropped its history, the coordinator's host
@@ -78,6 +82,25 @@
     assert_eq!(is_accepted, [true, false], "{changes:?}");
 }
 
+/// Guards against an ended job that starts again: its keys could not be removed yet, and all keys are read anew.
+#[test]
+fn verify_reading_anew_tells_of_no_job_that_has_ended() {
+    let replica = JobReplica::default();
+    let record = record("00000000000000ae");
+    let WatchEvent::Written(accepted) = write_event(&record, 5) else {
+        unreachable!("a record was written");
+    };
+    let phase = KeyValue {
+        key: JobKeyKind::Phase.key_of(&record.job_id),
+        value: serde_json::to_vec(&JobPhase::Completed).expect("a phase is written"),
+        revision: Revision(6),
+    };
+    let changes = replica.load(&[phase, accepted], Revision(7));
+    assert!(changes.is_empty(), "{changes:?}");
+    let view = replica.view(&record.job_id).expect("the job is shown");
+    assert_eq!(view.reported_phase(), JobPhase::Completed);
+}
+
 /// The host's watch can report a stored job end before the write's reply arrives. The end must still be
 /// logged and counted, once; otherwise operators find no end of the job.
 #[test]
@@ -117,7 +140,7 @@
     let replica = JobReplica::default();
     let record = record("00000000000000ab");
     replica.insert_accepted(&record, Revision(5));
-    assert!(replica.apply(&write_event(&record, 4)).is_none());
+    assert!(replica.apply(&write_event(&record, 4)).is_empty());
 }
 
 /// The platform adds settings from time to time; a process that refused an unknown one would not start.
