area: let no stored record end its coordinator

A record that makes the coordinator panic ends one host after the other, since each successor reads it: an area without a coordinator. Random records (tasks twice, out of range, in contradiction, counters at their limits) found counters that overflow, and tasks listed twice that count twice, so that a step is never done.

A second entry of a task is left out, and counters read from a record saturate. verify_no_recovered_record_ends_its_coordinator failed before.

--- a/ragwortwick-area/src/crashes.rs
+++ b/ragwortwick-area/src/crashes.rs
@@ -84,7 +84,7 @@
         if !self.is_repeated_at(age_ms) {
             self.count = 0;
         }
-        self.count += 1;
+        self.count = self.count.saturating_add(1);
         self.run_age_ms = age_ms.or(self.run_age_ms);
     }
 }
--- a/ragwortwick-area/src/outcome.rs
+++ b/ragwortwick-area/src/outcome.rs
@@ -45,7 +45,7 @@
         }
         RunOutcome::Failed => {
             task.state = TaskState::Waiting;
-            task.failures += 1;
+            task.failures = task.failures.saturating_add(1);
             if task.failures >= attempts {
                 FollowUp::EndJob
             } else {
@@ -103,7 +103,7 @@
     }
     step.is_gang_ending = false;
     let has_failed = std::mem::take(&mut step.has_failed_member);
-    step.gang_failures += u32::from(has_failed);
+    step.gang_failures = step.gang_failures.saturating_add(u32::from(has_failed));
     for task in &mut step.tasks {
         task.state = TaskState::Waiting;
     }
--- a/ragwortwick-area/src/persistence.rs
+++ b/ragwortwick-area/src/persistence.rs
@@ -1,5 +1,6 @@
 //! Conversion of a job's state to its stored form and back.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use ragwortwick_core::{TimeMs, WorkerName};
@@ -27,8 +28,13 @@
             }
         }
         let mut recovered_runs = Vec::new();
+        let mut restored = BTreeSet::new();
         for task in &stored.tasks {
             let id = self.task_id(task.occurrence, task.step, task.index);
+            // A second entry of a task would count it twice among those that are done or placed.
+            if !restored.insert(id.clone()) {
+                continue;
+            }
             let Some(step) = self.step_mut(task.occurrence, task.step) else {
                 continue;
             };
--- a/ragwortwick-area/src/placement.rs
+++ b/ragwortwick-area/src/placement.rs
@@ -197,7 +197,7 @@
         };
         let count = step.tasks.len();
         let run = step.tasks.iter().map(|task| task.last_run).max();
-        let run = run.unwrap_or(0) + 1;
+        let run = run.unwrap_or(0).saturating_add(1);
         let Some(placements) = pack_gang(&capacity.slots, spec, count, constraints, locality)
         else {
             return false;
@@ -231,7 +231,7 @@
                 (
                     task.crash_history.needs_isolation(),
                     index,
-                    task.last_run + 1,
+                    task.last_run.saturating_add(1),
                 )
             })
             .collect();
