Let no worker's entry or report end the coordinator

Numbers at their limits in a worker's entry or report overflow sums and products of the coordinator. With overflow checks it ends, and so does each of its successors; without them the results wrap: a clock at its limit makes every lease look expired, a capacity at its limit makes a full pool look idle.

--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -21,6 +21,13 @@
 }
 
 impl Resources {
+    /// `MAX` is more of each resource than any worker has; sums over all workers of an area stay representable.
+    pub const MAX: Self = Self {
+        cpu_millis: 1 << 40,
+        memory_mb: 1 << 40,
+        accelerators: 1 << 40,
+    };
+
     /// `plus` adds another amount per resource.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
--- a/ragwortwick-area/src/progress_tracker.rs
+++ b/ragwortwick-area/src/progress_tracker.rs
@@ -60,7 +60,7 @@
     ) -> ProgressChange {
         let is_advancing = percent > self.last.percent || percent >= 100;
         let span_ms = clock_ms.saturating_sub(self.last.clock_ms);
-        let min_stall_ms = expected_ms.0 * STALL_PERCENT_OF_EXPECTED / 100;
+        let min_stall_ms = expected_ms.0.saturating_mul(STALL_PERCENT_OF_EXPECTED) / 100;
         if !is_advancing && span_ms < min_stall_ms.max(MIN_SAMPLE_INTERVAL_MS) {
             return ProgressChange::Inconclusive;
         }
@@ -87,19 +87,20 @@
     pub(crate) fn total_ms(&self) -> Option<DurationMs> {
         let observed = u64::from(self.last.percent.saturating_sub(self.first.percent));
         let span_ms = self.advanced_clock_ms.saturating_sub(self.first.clock_ms);
-        (observed > 0).then(|| DurationMs(span_ms * 100 / observed))
+        (observed > 0).then(|| DurationMs(span_ms.saturating_mul(100) / observed))
     }
 
     /// Time that the progress so far took, which is also the time to repeat it.
     pub(crate) fn completed_work_ms(&self, expected_ms: DurationMs) -> DurationMs {
         let total_ms = self.total_ms().unwrap_or(expected_ms);
-        DurationMs(total_ms.0 * u64::from(self.last.percent) / 100)
+        DurationMs(total_ms.0.saturating_mul(u64::from(self.last.percent)) / 100)
     }
 
     /// Estimated remaining time at the given time on the worker's clock, at the speed so far.
     pub(crate) fn remaining_ms(&self, clock_ms: u64) -> Option<DurationMs> {
         let total_ms = self.total_ms()?;
-        let remaining_ms = total_ms.0 * u64::from(100 - self.last.percent.min(100)) / 100;
+        let remaining_percent = u64::from(100 - self.last.percent.min(100));
+        let remaining_ms = total_ms.0.saturating_mul(remaining_percent) / 100;
         let since_ms = clock_ms.saturating_sub(self.last.clock_ms);
         Some(DurationMs(remaining_ms.saturating_sub(since_ms)))
     }
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -175,12 +175,12 @@
     /// Estimate of the worker's current clock, if the clock is known; apart from drift, it is never ahead.
     pub(crate) fn clock_at(&self, now: TimeMs) -> Option<u64> {
         let (clock_ms, reported_at) = self.clock?;
-        Some(clock_ms + now.since(reported_at).0)
+        Some(clock_ms.saturating_add(now.since(reported_at).0))
     }
 
     /// The end of a lease granted now, on the worker's clock; apart from drift, it is never too late.
     pub(crate) fn lease_until(&self, now: TimeMs, limits: &Limits) -> Option<u64> {
-        Some(self.clock_at(now)? + limits.lease_ms.0)
+        Some(self.clock_at(now)?.saturating_add(limits.lease_ms.0))
     }
 
     /// Records that a lease is sent; runs may continue until the upper bound of its end.
