emulator: count a task's failures by itself unless it is a gang's

The check of starts after too many failed runs counted the failures of the step's first task for each of its tasks, also where they are no gang. The bound is the same; each task is now held to its own count.

--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -77,6 +77,7 @@
     pub(crate) same_step_count: u32,
     pub(crate) max_per_worker: Option<u32>,
     pub(crate) attempts: u32,
+    pub(crate) is_gang: bool,
     pub(crate) has_own_payload: bool,
     pub(crate) has_own_checkpoint: bool,
 }
@@ -124,7 +125,11 @@
             ..task.clone()
         };
         let failed = |id: &TaskId| self.acked_failed.get(id).map_or(0, BTreeSet::len);
-        let failures = failed(task).max(failed(&first_member));
+        let failures = if start.is_gang {
+            failed(&first_member)
+        } else {
+            failed(task)
+        };
         if failures >= start.attempts as usize {
             violations.push(format!("started after {failures} failed runs"));
         }
--- a/ragwortwick-emulator/src/orders.rs
+++ b/ragwortwick-emulator/src/orders.rs
@@ -313,6 +313,7 @@
             same_step_count: u32::try_from(same_step_count).unwrap_or(u32::MAX) + 1,
             max_per_worker: spec.max_per_worker,
             attempts: record.policy.attempts,
+            is_gang: spec.is_gang,
             has_own_payload: *record.payload == *payload,
             has_own_checkpoint: checkpoint.is_empty()
                 || read_checkpoint(checkpoint).0 == expected_step,
