emulator: hold runs of cancelled jobs to the rule, and show more of what deployments do

Callers saw a task of a cancelled job go on although its cancel was acknowledged. The emulator couldn't have shown most such cases: it looked only 20 s after any fault, when the lease of a lost run has ended, it stopped once all jobs had ended although their runs might go on, and it took the cancel from the stored job.

The check now counts from the start of a calm stretch: the cancel, 3 s after the last impairment, and 3 s after the start of a run that began late. A run that goes on for longer than the bound of a cancel and a stop after that is reported, once for each run. Late orders still under way are no impairment, only the late start itself counts. Refusals, workers that leave and evacuations are none either, as before. Simulations go on for 20 s after the last input, and for as long as a run of a cancelled job goes on.

--- a/ragwortwick-emulator/examples/emulate.rs
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -5,13 +5,16 @@
 
 use ragwortwick_area::Limits;
 use ragwortwick_core::{DurationMs, JobId, TimeMs};
-use ragwortwick_emulator::{Simulation, SimulationOptions, Workload, draw_faults};
+use ragwortwick_emulator::{
+    FaultKind, Simulation, SimulationOptions, Workload, draw_faults, draw_faults_of,
+};
 
 const HELP: &str = "\
 emulate: simulates an area in virtual time
 
 usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N] [--load PERCENT]
-               [--lease-ms N] [--advised] [--load-file FILE] [--trace JOB]
+               [--lease-ms N] [--advised] [--load-file FILE] [--trace JOB] [--kinds KIND,...]
+               [--longest-ms N]
 
   --seed N      first seed (1)
   --seeds N     how many seeds (100)
@@ -21,6 +24,8 @@
   --lease-ms N  longest lease of runs on a worker (10000)
   --advised     the middle queue's jobs run only where an advisor allows them
   --load-file F workload file to use in place of the built-in workload
+  --kinds K,... kinds of faults to draw, as named in workload files, in place of the usual ones
+  --longest-ms N  with --kinds, longest duration of a drawn fault (7000)
   --trace JOB   prints what coordinators learn and decide about a job
 
 exit codes: 0 no invariant violated, 1 one was violated, 2 invalid arguments
@@ -47,6 +52,13 @@
             return ExitCode::from(2);
         }
     };
+    let kinds = match read_kinds(&mut arguments) {
+        Ok(kinds) => kinds,
+        Err(error) => {
+            eprintln!("{error}\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
     let mut number = |name, default| -> Result<u64, pico_args::Error> {
         Ok(arguments.opt_value_from_str(name)?.unwrap_or(default))
     };
@@ -58,9 +70,10 @@
             number("--workers", 24)?,
             number("--load", 100)?,
             number("--lease-ms", 10_000)?,
+            number("--longest-ms", 7_000)?,
         ])
     })();
-    let [first, seeds, faults, workers, percent, lease_ms] = match parsed {
+    let [first, seeds, faults, workers, percent, lease_ms, max_ms] = match parsed {
         Ok(numbers) => numbers,
         Err(error) => {
             eprintln!("{error}\n{HELP}");
@@ -87,7 +100,11 @@
             ..SimulationOptions::default()
         };
         let count = usize::try_from(faults).unwrap_or(3);
-        let faults = draw_faults(seed, count, TimeMs(20_000));
+        let until = TimeMs(20_000);
+        let faults = match &kinds {
+            Some(kinds) => draw_faults_of(kinds, DurationMs(max_ms), seed, count, until),
+            None => draw_faults(seed, count, until),
+        };
         let report = Simulation::new(options, faults.clone()).run();
         starts += report.starts;
         stopped += report.stopped;
@@ -115,6 +132,21 @@
     }
 }
 
+/// Reads the kinds of faults to draw, if they are given.
+fn read_kinds(arguments: &mut pico_args::Arguments) -> Result<Option<Vec<FaultKind>>, String> {
+    let names: Option<String> = arguments
+        .opt_value_from_str("--kinds")
+        .map_err(|error| error.to_string())?;
+    let Some(names) = names else {
+        return Ok(None);
+    };
+    let parse = |name: &str| serde_json::from_value(serde_json::Value::from(name));
+    let kinds: Result<Vec<FaultKind>, _> = names.split(',').map(parse).collect();
+    kinds
+        .map(Some)
+        .map_err(|error| format!("--kinds {names}: {error}"))
+}
+
 /// Reads the workload from the named file, or returns the built-in one.
 fn read_workload(arguments: &mut pico_args::Arguments) -> Result<Workload, String> {
     let path: Option<PathBuf> = arguments
--- a/ragwortwick-emulator/src/arrivals.rs
+++ b/ragwortwick-emulator/src/arrivals.rs
@@ -145,7 +145,7 @@
     });
     let cancel_at = rng
         .random_bool(workload.cancelled_share)
-        .then(|| at + DurationMs(rng.random_range(1..6_000)));
+        .then(|| at + DurationMs(rng.random_range(1..workload.cancelled_within_ms.0)));
     let customer = customer_name(rng.random_range(0..workload.guaranteed_shares.len()));
     let payload = format!("payload of {job_id}");
     Arrival {
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -62,6 +62,7 @@
     }
 
     pub(crate) fn perform_actions(&mut self, host: usize, term: u64, actions: Vec<Action>) {
+        let mut has_sent_start = false;
         for action in actions {
             self.trace.record_action(self.now, term, &action);
             if let Some(state) = &mut self.hosts[host].term {
@@ -93,9 +94,16 @@
                         SimEvent::DeliverEvent { host, term, event },
                     );
                 }
-                request => self.send_to_worker(host, term, request),
+                request => {
+                    has_sent_start |= matches!(request, Action::Start { .. });
+                    self.send_to_worker(host, term, request);
+                }
             }
         }
+        if has_sent_start && let Some(fault) = self.starter_removal.take() {
+            self.remove_host(host, fault);
+            return;
+        }
         let now = self.clock();
         let Some(state) = &self.hosts[host].term else {
             return;
--- a/ragwortwick-emulator/src/faults.rs
+++ b/ragwortwick-emulator/src/faults.rs
@@ -43,6 +43,18 @@
     ZoneEvacuated,
     /// Some workers refuse most requests as unhealthy; only set by workload files, not drawn.
     WorkersRefuse,
+    /// Some workers refuse the first stop orders for each run as unhealthy; not drawn by default.
+    StopsRefused,
+    /// Orders and replies overtake each other by several hundred milliseconds; not drawn by default.
+    MessagesReordered,
+    /// Entries of some workers in the store expire while the workers are up; not drawn by default.
+    WorkersUnlisted,
+    /// Some workers' machines are suspended: their clocks stop, and their leases with them; not drawn by
+    /// default.
+    WorkersSuspended,
+    /// The coordinator's host is removed for good once it has sent a start order, which arrives late; not
+    /// drawn by default.
+    StarterRemoved,
 }
 
 /// Kinds of faults that are drawn.
@@ -61,6 +73,10 @@
     FaultKind::WorkersFailing,
 ];
 
+/// Range of the durations of drawn faults.
+const MIN_DRAWN_MS: DurationMs = DurationMs(300);
+const MAX_DRAWN_MS: DurationMs = DurationMs(7_000);
+
 /// `Fault` is one fault with its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -76,12 +92,28 @@
 /// `draw_faults` draws faults that may overlap.
 #[must_use]
 pub fn draw_faults(seed: u64, count: usize, until: TimeMs) -> Vec<Fault> {
+    draw_faults_of(&DRAWN_KINDS, MAX_DRAWN_MS, seed, count, until)
+}
+
+/// `draw_faults_of` draws faults of the given kinds, of at most the given duration, that may overlap.
+///
+/// # Panics
+///
+/// If faults are to be drawn and no kind is given.
+#[must_use]
+pub fn draw_faults_of(
+    kinds: &[FaultKind],
+    max_ms: DurationMs,
+    seed: u64,
+    count: usize,
+    until: TimeMs,
+) -> Vec<Fault> {
     let mut rng = Pcg64Mcg::new(u128::from(seed) << 8 | 0x5f);
     (0..count)
         .map(|_| Fault {
-            kind: DRAWN_KINDS[rng.random_range(0..DRAWN_KINDS.len())],
+            kind: kinds[rng.random_range(0..kinds.len())],
             at: TimeMs(rng.random_range(500..until.0.max(501))),
-            for_ms: DurationMs(rng.random_range(300..7_000)),
+            for_ms: DurationMs(rng.random_range(MIN_DRAWN_MS.0..max_ms.0)),
         })
         .collect()
 }
--- a/ragwortwick-emulator/src/host.rs
+++ b/ragwortwick-emulator/src/host.rs
@@ -20,6 +20,8 @@
     pub(crate) wakeup_at: Option<TimeMs>,
     /// Time at which a killed process restarts.
     pub(crate) down_until: Option<TimeMs>,
+    /// Whether the host is gone for good.
+    pub(crate) is_removed: bool,
     /// Results of ended terms that wait to be handed over.
     pub(crate) handover: Vec<(JobId, Vec<RunResult>)>,
 }
@@ -48,7 +50,7 @@
 
     pub(crate) fn is_stopped(&self, now: TimeMs) -> bool {
         let is_before = |until: Option<TimeMs>| until.is_some_and(|until| now < until);
-        is_before(self.frozen_until) || is_before(self.down_until)
+        self.is_removed || is_before(self.frozen_until) || is_before(self.down_until)
     }
 
     pub(crate) fn reaches_store(&self) -> bool {
--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -12,10 +12,7 @@
 const MAX_START_AFTER_EVACUATION_MS: DurationMs = DurationMs(5_000);
 
 /// Time after a job is cancelled in which its runs may still start.
-const MAX_START_AFTER_CANCEL_MS: DurationMs = DurationMs(3_000);
-
-/// Time after a job is cancelled in which its runs may still be in progress: the above and a stop.
-const MAX_RUN_AFTER_CANCEL_MS: DurationMs = DurationMs(3_200);
+pub(crate) const MAX_START_AFTER_CANCEL_MS: DurationMs = DurationMs(3_000);
 
 /// Worker crashes by one task after which its starts are counted, and the count that is a violation.
 const TOLERATED_CRASHES: u32 = 3;
@@ -37,6 +34,10 @@
     failed: BTreeMap<TaskId, BTreeSet<u32>>,
     /// Worker crashes by a task, and its starts after the tolerated number of crashes.
     crashes: BTreeMap<TaskId, (u32, u32)>,
+    /// When the cancellation of a job was acknowledged.
+    pub(crate) cancelled_at: BTreeMap<JobId, TimeMs>,
+    /// Runs of cancelled jobs that were reported as going on.
+    reported_runs: BTreeSet<(TaskId, u32)>,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: u64,
     pub(crate) stopped: u64,
@@ -166,17 +167,24 @@
         }
     }
 
-    /// Checks a run of a cancelled job that is still in progress.
-    pub(crate) fn check_cancelled_run(
+    /// Records that the cancellation of a job was acknowledged.
+    pub(crate) fn record_cancellation(&mut self, now: TimeMs, job_id: &JobId) {
+        self.cancelled_at.entry(job_id.clone()).or_insert(now);
+    }
+
+    /// Reports a run of a cancelled job that goes on, once for each run.
+    pub(crate) fn report_cancelled_run(
         &mut self,
         now: TimeMs,
-        task: &TaskId,
-        run: u32,
+        (task, run): (&TaskId, u32),
         worker: &WorkerName,
-        cancelled_at: TimeMs,
+        calm_since: TimeMs,
     ) {
-        if now.since(cancelled_at) > MAX_RUN_AFTER_CANCEL_MS {
-            let text = format!("{task} run {run} on {worker}: goes on after its job was cancelled");
+        if self.reported_runs.insert((task.clone(), run)) {
+            let text = format!(
+                "{task} run {run} on {worker}: goes on after its job was cancelled, calm since \
+                 {calm_since} ms"
+            );
             self.add_violation(now, &text);
         }
     }
--- a/ragwortwick-emulator/src/lib.rs
+++ b/ragwortwick-emulator/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod advisor;
 mod arrivals;
+mod cancelled_runs;
 mod coordination;
 mod fault_injection;
 mod faults;
@@ -23,7 +24,7 @@
 mod workload;
 
 pub use arrivals::Arrivals;
-pub use faults::{Fault, FaultKind, draw_faults};
+pub use faults::{Fault, FaultKind, draw_faults, draw_faults_of};
 pub use simulation::{Simulation, SimulationOptions, SimulationReport};
 pub use value::{JobOutcome, LostWorkCause, ValueAccount, ValueLossCause, ValueReport};
 pub use workload::{Burst, QueueWorkload, TaskDemand, Workload};
--- a/ragwortwick-emulator/src/network.rs
+++ b/ragwortwick-emulator/src/network.rs
@@ -1,15 +1,36 @@
 //! The simulated network: orders and replies that are delayed or lost.
 
 use ragwortwick_area::{Action, Event, OrderReply, PollFailure, RefusalCause};
-use ragwortwick_core::WorkerName;
+use ragwortwick_core::{TimeMs, WorkerName};
 use rand::Rng;
 
 use crate::simulation::{SimEvent, Simulation};
 
+/// Largest additional delay of a message where messages overtake each other. An order and its reply stay
+/// within the timeout of an order.
+const MAX_REORDERING_MS: u64 = 290;
+
+/// `Delivery` is how an order or a poll travels to a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Delivery {
+    pub(crate) sent_at: TimeMs,
+    /// Whether it arrives seconds after it was sent.
+    pub(crate) is_late: bool,
+    /// Whether the sender still waits for the reply when it arrives.
+    pub(crate) wants_reply: bool,
+}
+
 impl Simulation {
     pub(crate) fn send_to_worker(&mut self, host: usize, term: u64, action: Action) {
         let is_order = !matches!(action, Action::Poll { .. });
-        let is_late = self.is_delaying_orders && is_order && self.rng.random_bool(0.15);
+        let is_removing = self.starter_removal.is_some() && matches!(action, Action::Start { .. });
+        let late_share = if is_order {
+            self.options.workload.late_order_share
+        } else {
+            self.options.workload.late_poll_share
+        };
+        let is_late = is_removing
+            || (self.is_delaying_orders && late_share > 0.0 && self.rng.random_bool(late_share));
         let worker = match &action {
             Action::Start { worker, .. }
             | Action::Stop { worker, .. }
@@ -26,18 +47,30 @@
         let delay_ms = if is_late {
             self.rng.random_range(2_000..12_000)
         } else {
-            self.rng.random_range(1..4)
+            self.rng.random_range(1..4) + self.draw_reordering_ms()
         };
         let deliver = SimEvent::DeliverToWorker {
             host,
             term,
             action,
-            is_late,
-            wants_reply: !is_late,
+            delivery: Delivery {
+                sent_at: self.now,
+                is_late,
+                wants_reply: !is_late,
+            },
         };
         self.schedule_after(delay_ms, deliver);
     }
 
+    /// Draws the additional delay of a message by which others may overtake it.
+    fn draw_reordering_ms(&mut self) -> u64 {
+        if self.is_reordering_messages {
+            self.rng.random_range(0..MAX_REORDERING_MS)
+        } else {
+            0
+        }
+    }
+
     pub(crate) fn reply_timeout(&mut self, host: usize, term: u64, action: &Action) {
         let (event, delay_ms) = match action {
             Action::Start {
@@ -133,7 +166,7 @@
         let (event, delay_ms) = if is_lost {
             (as_timeout(event), 600)
         } else {
-            (event, 1)
+            (event, 1 + self.draw_reordering_ms())
         };
         self.schedule_after(delay_ms, SimEvent::DeliverEvent { host, term, event });
     }
--- a/ragwortwick-emulator/src/orders.rs
+++ b/ragwortwick-emulator/src/orders.rs
@@ -1,10 +1,12 @@
 //! Delivery of orders to workers, and the start of runs.
 
 use ragwortwick_area::{Action, EndKind, Event, OrderReply, PollFailure, RefusalCause, TaskId};
-use ragwortwick_core::DurationMs;
+use ragwortwick_core::{DurationMs, WorkerName};
 use rand::Rng;
 
 use crate::invariants::ObservedStart;
+use crate::network::Delivery;
+use crate::runs::PollOrder;
 use crate::simulation::{SimEvent, Simulation};
 use crate::worker::{ActiveRun, Reachability, SimWorker, read_checkpoint};
 
@@ -20,22 +22,23 @@
         host: usize,
         term: u64,
         action: Action,
-        is_late: bool,
-        wants_reply: bool,
+        delivery: Delivery,
     ) {
+        let Delivery {
+            sent_at,
+            is_late,
+            wants_reply,
+        } = delivery;
         let name = match &action {
             Action::Start { worker, .. }
             | Action::Stop { worker, .. }
             | Action::Poll { worker, .. } => worker.clone(),
             _ => return,
         };
-        let number = name.as_str().split('-').next().unwrap_or("");
-        let is_same_machine =
-            |worker: &SimWorker| worker.name.as_str().split('-').next() == Some(number);
-        let Some(index) = self.workers.iter().position(is_same_machine) else {
+        let Some(index) = self.machine_of(&name) else {
             return;
         };
-        if !self.workers[index].is_up() || self.refuses_request(index) {
+        if !self.workers[index].is_up() || self.refuses_request(index, &action) {
             if wants_reply {
                 self.reply_as_not_handled(host, term, index, &action);
             }
@@ -81,15 +84,7 @@
                 let reply = if is_wrong_incarnation {
                     OrderReply::WrongLife
                 } else {
-                    let reply = self.workers[index].stop(self.now, term, &task, run);
-                    let active = self.workers[index].running.get(&task);
-                    let active = active
-                        .map(|active| active.run)
-                        .filter(|&active_run| active_run <= run);
-                    if let (OrderReply::Accepted { .. }, Some(active)) = (reply, active) {
-                        self.finish_stop(index, &task, active);
-                    }
-                    reply
+                    self.stop_run(index, term, &task, run)
                 };
                 Event::StopReplied {
                     worker,
@@ -111,7 +106,13 @@
                         failure: PollFailure::WrongLife,
                     }
                 } else {
-                    self.poll(host, term, index, lease_until_ms, acked_end, wait_ms);
+                    let poll = PollOrder {
+                        sent_at,
+                        until: lease_until_ms,
+                        acked_end,
+                        wait_ms,
+                    };
+                    self.poll(host, term, index, poll);
                     return;
                 }
             }
@@ -122,8 +123,21 @@
         }
     }
 
-    /// Whether the worker refuses the next request as unhealthy.
-    fn refuses_request(&mut self, index: usize) -> bool {
+    /// Returns the index of the machine that a worker ran on, in whichever incarnation.
+    fn machine_of(&self, name: &WorkerName) -> Option<usize> {
+        let number = name.as_str().split('-').next().unwrap_or("");
+        let is_same_machine =
+            |worker: &SimWorker| worker.name.as_str().split('-').next() == Some(number);
+        self.workers.iter().position(is_same_machine)
+    }
+
+    /// Whether the worker refuses the request as unhealthy.
+    fn refuses_request(&mut self, index: usize, action: &Action) -> bool {
+        if let Action::Stop { task, run, .. } = action
+            && self.workers[index].refuses_stop(task, *run)
+        {
+            return true;
+        }
         self.workers[index].is_refusing && self.rng.random_bool(REFUSED_SHARE)
     }
 
@@ -136,6 +150,19 @@
         }
     }
 
+    /// Handles a stop order on a worker; the run ends some time later.
+    fn stop_run(&mut self, index: usize, term: u64, task: &TaskId, run: u32) -> OrderReply {
+        let reply = self.workers[index].stop(self.now, term, task, run);
+        let active = self.workers[index].running.get(task);
+        let active = active
+            .map(|active| active.run)
+            .filter(|&active_run| active_run <= run);
+        if let (OrderReply::Accepted { .. }, Some(active)) = (reply, active) {
+            self.finish_stop(index, task, active);
+        }
+        reply
+    }
+
     fn finish_stop(&mut self, index: usize, task: &TaskId, run: u32) {
         let stop_ms = self.options.workload.stop_ms;
         if stop_ms == 0 {
@@ -204,6 +231,7 @@
             span: None,
             will_fail,
             saves_checkpoints: spec.saves_checkpoints,
+            is_late,
         };
         if !is_gang {
             let slowdown = self.workers[index].slowdown() * remote_penalty;
@@ -292,7 +320,6 @@
         let is_due = record.schedule.is_none()
             || self.now + DurationMs(250) >= record.due_unix_ms(task.occurrence);
         let expected_step = format!("{}.{}.{}", task.job_id, task.occurrence, task.step);
-        let stored = self.store.jobs.get(&task.job_id);
         let observed = ObservedStart {
             now: self.now,
             worker: &worker.name.clone(),
@@ -307,7 +334,7 @@
                 .is_none_or(|label| label.as_str() == worker.label),
             draining_since: worker.draining_since,
             evacuated_since: self.store.evacuated.get(&worker.zone).copied(),
-            cancelled_at: stored.and_then(|job| job.cancelled_at),
+            cancelled_at: self.ground_truth.cancelled_at.get(&task.job_id).copied(),
             is_step_ready,
             is_due,
             same_step_count: u32::try_from(same_step_count).unwrap_or(u32::MAX) + 1,
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -3,9 +3,8 @@
 use std::collections::BTreeSet;
 
 use ragwortwick_area::{EndKind, Event, PollFailure, RefusalCause, TaskId};
-use ragwortwick_core::{DurationMs, WorkerName};
+use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
-use crate::faults::{Fault, FaultKind};
 use crate::simulation::{GangKey, SimEvent, Simulation};
 use crate::value::LostWorkCause;
 use crate::worker::{PendingPoll, Reachability};
@@ -13,9 +12,15 @@
 /// How long a worker is down after a task has crashed it.
 const CRASH_OUTAGE_MS: u64 = 3_000;
 
-/// Time after a fault in which its effects may last: late orders arrive up to 12 s after they were sent, and
-/// a new coordinator waits for a worker's lease.
-const CALM_MS: DurationMs = DurationMs(20_000);
+/// `PollOrder` is a poll as it was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PollOrder {
+    pub(crate) sent_at: TimeMs,
+    /// End of the lease on the worker's clock, if the poll renews it.
+    pub(crate) until: Option<u64>,
+    pub(crate) acked_end: u64,
+    pub(crate) wait_ms: DurationMs,
+}
 
 impl Simulation {
     pub(crate) fn join_gang(&mut self, index: usize, task: &TaskId, run: u32, will_fail: bool) {
@@ -168,15 +173,13 @@
         }
     }
 
-    pub(crate) fn poll(
-        &mut self,
-        host: usize,
-        term: u64,
-        index: usize,
-        until: Option<u64>,
-        acked_end: u64,
-        wait_ms: DurationMs,
-    ) {
+    pub(crate) fn poll(&mut self, host: usize, term: u64, index: usize, poll: PollOrder) {
+        let PollOrder {
+            sent_at,
+            until,
+            acked_end,
+            wait_ms,
+        } = poll;
         let lease_ms = self.options.limits.lease_ms;
         let name = self.workers[index].name.clone();
         let acked = match self.workers[index].poll(self.now, term, until, acked_end, lease_ms) {
@@ -205,7 +208,7 @@
         let pending = PendingPoll {
             host,
             term,
-            sent_at: self.now - DurationMs(3),
+            sent_at: sent_at.min(self.now - DurationMs(3)),
             until: self.now + wait_ms,
         };
         self.workers[index].pending_poll = Some(pending);
@@ -255,31 +258,6 @@
         }
     }
 
-    /// Checks that no run of a cancelled job goes on. A fault may delay its stop order; refusals may not.
-    pub(crate) fn check_cancelled_runs(&mut self) {
-        let is_disturbing = |fault: &&Fault| fault.kind != FaultKind::WorkersRefuse;
-        let disturbances = self.faults.iter().filter(is_disturbing);
-        let mut spans = disturbances.map(|fault| (fault.at, fault.at + fault.for_ms));
-        if spans.any(|(from, until)| from <= self.now && self.now.since(until) <= CALM_MS) {
-            return;
-        }
-        for worker in self.workers.iter().filter(|worker| worker.is_up()) {
-            for (task, active) in &worker.running {
-                let job = self.store.jobs.get(&task.job_id);
-                let Some(cancelled_at) = job.and_then(|job| job.cancelled_at) else {
-                    continue;
-                };
-                self.ground_truth.check_cancelled_run(
-                    self.now,
-                    task,
-                    active.run,
-                    &worker.name,
-                    cancelled_at,
-                );
-            }
-        }
-    }
-
     fn is_gang(&self, task: &TaskId) -> bool {
         let arrival = &self.arrivals[self.arrival_by_job[&task.job_id]];
         arrival.record.steps[task.step as usize].is_gang
@@ -301,31 +279,36 @@
         self.schedule_after(CRASH_OUTAGE_MS, SimEvent::RestoreWorker(index));
     }
 
-    /// Drops all runs of the worker, and breaks their gangs. A pending poll fails immediately if its
-    /// connection is closed, and otherwise at its timeout.
+    /// Fails a pending poll, immediately if its connection is closed, and otherwise at its timeout.
+    pub(crate) fn fail_pending_poll(&mut self, index: usize, failure: PollFailure) {
+        let Some(pending) = self.workers[index].pending_poll.take() else {
+            return;
+        };
+        let event = Event::PollFailed {
+            worker: self.workers[index].name.clone(),
+            failure,
+        };
+        let deliver = SimEvent::DeliverEvent {
+            host: pending.host,
+            term: pending.term,
+            event,
+        };
+        let delay_ms = if failure == PollFailure::Closed {
+            1
+        } else {
+            2_700
+        };
+        self.schedule_after(delay_ms, deliver);
+    }
+
+    /// Drops all runs of the worker, and breaks their gangs.
     pub(crate) fn crash_worker(&mut self, index: usize, failure: PollFailure) {
         let runs: Vec<(TaskId, u32)> = self.workers[index]
             .running
             .iter()
             .map(|(task, run)| (task.clone(), run.run))
             .collect();
-        if let Some(pending) = self.workers[index].pending_poll.take() {
-            let event = Event::PollFailed {
-                worker: self.workers[index].name.clone(),
-                failure,
-            };
-            let deliver = SimEvent::DeliverEvent {
-                host: pending.host,
-                term: pending.term,
-                event,
-            };
-            let delay_ms = if failure == PollFailure::Closed {
-                1
-            } else {
-                2_700
-            };
-            self.schedule_after(delay_ms, deliver);
-        }
+        self.fail_pending_poll(index, failure);
         self.workers[index].restart();
         for (task, run) in runs {
             let key = (task.job_id.clone(), task.occurrence, task.step, run);
--- a/ragwortwick-emulator/src/simulation.rs
+++ b/ragwortwick-emulator/src/simulation.rs
@@ -13,9 +13,11 @@
 
 use crate::advisor::Advisor;
 use crate::arrivals::{Arrival, Arrivals, desired_state};
+use crate::cancelled_runs::OBSERVATION_MS;
 use crate::faults::Fault;
 use crate::host::Host;
 use crate::invariants::GroundTruth;
+use crate::network::Delivery;
 use crate::store::{Store, StoredJob};
 use crate::trace::Trace;
 use crate::value::{JobObservation, LostWorkCause, ValueModel, ValueReport};
@@ -105,8 +107,7 @@
         host: usize,
         term: u64,
         action: Action,
-        is_late: bool,
-        wants_reply: bool,
+        delivery: Delivery,
     },
     /// An event reaches a coordinator.
     DeliverEvent {
@@ -154,6 +155,9 @@
     pub(crate) desired_state: Arc<DesiredState>,
     pub(crate) advisor: Advisor,
     pub(crate) is_delaying_orders: bool,
+    pub(crate) is_reordering_messages: bool,
+    /// Fault that removes the coordinator's host once it has sent a start.
+    pub(crate) starter_removal: Option<usize>,
     pub(crate) inputs_end_at: TimeMs,
     pub(crate) last_feed_at: TimeMs,
     pub(crate) last_renewal_at: TimeMs,
@@ -185,6 +189,7 @@
                     options.workload.capacity,
                     speeds[number as usize % speeds.len()],
                     checkpoint_policy,
+                    options.workload.worker_clock_percent,
                 )
             })
             .collect();
@@ -215,6 +220,8 @@
             desired_state: Arc::new(desired_state(&options.workload, accelerators)),
             advisor: Advisor::default(),
             is_delaying_orders: false,
+            is_reordering_messages: false,
+            starter_removal: None,
             inputs_end_at: last_fault.max(last_arrival),
             last_feed_at: TimeMs(0),
             last_renewal_at: TimeMs(0),
@@ -259,9 +266,12 @@
     #[must_use]
     pub fn run(mut self) -> SimulationReport {
         let end = self.inputs_end_at + SETTLE_MS;
+        let cancellations = self.arrivals.iter().filter_map(|job| job.cancel_at);
+        let last_cancellation = cancellations.max().unwrap_or_default();
+        let observation_end = self.inputs_end_at.max(last_cancellation) + OBSERVATION_MS;
         while let Some(Reverse((at, event_id))) = self.event_queue.pop() {
             self.now = at;
-            if at > end || (at > self.inputs_end_at && self.is_settled()) {
+            if at > end || (at > observation_end && self.is_settled()) {
                 break;
             }
             if let Some(event) = self.events.remove(&event_id) {
@@ -276,6 +286,7 @@
 
     fn is_settled(&self) -> bool {
         self.store.jobs.len() == self.arrivals.len()
+            && !self.has_cancelled_run()
             && self.store.jobs.values().all(|job| {
                 job.progress
                     .as_ref()
@@ -375,9 +386,8 @@
                 host,
                 term,
                 action,
-                is_late,
-                wants_reply,
-            } => self.deliver_to_worker(host, term, action, is_late, wants_reply),
+                delivery,
+            } => self.deliver_to_worker(host, term, action, delivery),
             SimEvent::DeliverEvent { host, term, event } => self.deliver_event(host, term, event),
             SimEvent::CommitBatch {
                 host,
--- a/ragwortwick-emulator/src/submissions.rs
+++ b/ragwortwick-emulator/src/submissions.rs
@@ -25,7 +25,10 @@
         let job_id = self.arrivals[index].record.job_id.clone();
         let is_unavailable = self.store.is_unavailable;
         match self.store.jobs.get_mut(&job_id) {
-            Some(job) if !is_unavailable => job.cancelled_at = Some(self.now),
+            Some(job) if !is_unavailable => {
+                job.cancelled_at = Some(self.now);
+                self.ground_truth.record_cancellation(self.now, &job_id);
+            }
             _ => self.schedule_after(200, SimEvent::CancelJob(index)),
         }
     }
--- a/ragwortwick-emulator/src/ticks.rs
+++ b/ragwortwick-emulator/src/ticks.rs
@@ -49,7 +49,7 @@
         let entries: Vec<_> = self
             .workers
             .iter()
-            .filter(|worker| worker.is_up())
+            .filter(|worker| worker.is_listed(self.now))
             .map(|worker| worker.entry(self.now))
             .collect();
         let known_workers = entries.iter().map(|entry| entry.name.clone()).collect();
@@ -137,7 +137,7 @@
             for worker in self
                 .workers
                 .iter()
-                .filter(|worker| worker.is_up() && !unreachable.contains(&worker.name))
+                .filter(|worker| worker.is_listed(self.now) && !unreachable.contains(&worker.name))
             {
                 present.insert(worker.name.clone());
                 events.push(Event::WorkerUpdated(worker.entry(self.now)));
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -26,6 +26,8 @@
     pub(crate) span: Option<(TimeMs, TimeMs)>,
     pub(crate) will_fail: bool,
     pub(crate) saves_checkpoints: bool,
+    /// Whether its start order was carried out seconds after it was sent.
+    pub(crate) is_late: bool,
 }
 
 impl ActiveRun {
@@ -105,6 +107,10 @@
 
 /// `SimWorker` is one worker in its current incarnation.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is one independent fault"
+)]
 pub(crate) struct SimWorker {
     pub(crate) name: WorkerName,
     pub(crate) incarnation: u32,
@@ -114,8 +120,9 @@
     pub(crate) capacity: Resources,
     /// When its capacity shrank; none while it has its full capacity.
     pub(crate) shrunk_at: Option<TimeMs>,
-    /// Offset of the worker's clock from the simulation's clock; the former also runs one per cent slow.
+    /// Offset of the worker's clock from the simulation's clock, and its rate in per cent.
     clock_offset_ms: u64,
+    clock_percent: u64,
     pub(crate) reachability: Reachability,
     pub(crate) draining_since: Option<TimeMs>,
     pub(crate) leaves_at: Option<TimeMs>,
@@ -126,6 +133,16 @@
     pub(crate) is_hung: bool,
     /// Whether it refuses most requests as unhealthy.
     pub(crate) is_refusing: bool,
+    /// Whether it refuses the first stop orders for each run.
+    pub(crate) is_refusing_stops: bool,
+    /// Number of refused stop orders, by task and run.
+    refused_stops: BTreeMap<(TaskId, u32), u32>,
+    /// Whether its entry in the store has expired although it is up.
+    pub(crate) is_unlisted: bool,
+    /// Since when its machine is suspended.
+    suspended_since: Option<TimeMs>,
+    /// Total time for which its machine was suspended, which its clock does not count.
+    suspended_ms: DurationMs,
     pub(crate) fencing_token: u64,
     /// When the lease of all runs expires, on the worker's clock.
     lease_until: u64,
@@ -140,6 +157,12 @@
     pub(crate) pending_poll: Option<PendingPoll>,
 }
 
+/// Time without heartbeats after which the store removes the entry of a worker.
+const ENTRY_TTL_MS: DurationMs = DurationMs(3_000);
+
+/// Number of stop orders for a run that a worker refuses where it refuses stop orders.
+const REFUSED_STOPS_PER_RUN: u32 = 3;
+
 /// Number of availability zones, over which the racks are spread.
 const ZONES: usize = 3;
 
@@ -176,6 +199,7 @@
         capacity: Resources,
         speed_percent: u32,
         checkpoint_policy: CheckpointPolicy,
+        clock_percent: u64,
     ) -> Self {
         Self {
             name: WorkerName::new(format!("w{number}-0")),
@@ -186,6 +210,7 @@
             capacity,
             shrunk_at: None,
             clock_offset_ms: 100_000 * (number + 1),
+            clock_percent,
             reachability: Reachability::Up,
             draining_since: None,
             leaves_at: None,
@@ -195,6 +220,11 @@
             is_failing: false,
             is_hung: false,
             is_refusing: false,
+            is_refusing_stops: false,
+            refused_stops: BTreeMap::new(),
+            is_unlisted: false,
+            suspended_since: None,
+            suspended_ms: DurationMs(0),
             fencing_token: 0,
             lease_until: 0,
             expired_through: 0,
@@ -206,9 +236,10 @@
         }
     }
 
-    /// Returns the time of the worker's clock, which runs one per cent slow.
+    /// Returns the time of the worker's clock, which may run slow.
     pub(crate) fn clock(&self, now: TimeMs) -> u64 {
-        self.clock_offset_ms + now.0 * 99 / 100
+        let now = self.suspended_since.unwrap_or(now) - self.suspended_ms;
+        self.clock_offset_ms + now.0 * self.clock_percent / 100
     }
 
     pub(crate) fn entry(&self, now: TimeMs) -> WorkerEntry {
@@ -230,6 +261,49 @@
         self.reachability == Reachability::Up
     }
 
+    /// Whether the store has an entry of the worker.
+    pub(crate) fn is_listed(&self, now: TimeMs) -> bool {
+        let is_alive = self
+            .suspended_since
+            .map_or(self.is_up(), |since| now.since(since) < ENTRY_TTL_MS);
+        is_alive && !self.is_unlisted
+    }
+
+    pub(crate) fn is_suspended(&self) -> bool {
+        self.suspended_since.is_some()
+    }
+
+    /// Suspends the machine; its runs and its clock stop.
+    pub(crate) fn suspend(&mut self, now: TimeMs) {
+        self.reachability = Reachability::Unresponsive;
+        self.suspended_since = Some(now);
+        for run in self.running.values_mut().filter(|run| run.span.is_some()) {
+            run.pause(now);
+        }
+    }
+
+    /// Resumes the machine if it is suspended.
+    pub(crate) fn resume(&mut self, now: TimeMs) {
+        let Some(since) = self.suspended_since.take() else {
+            return;
+        };
+        self.suspended_ms = self.suspended_ms + now.since(since);
+        self.restore();
+        for run in self.running.values_mut() {
+            run.resume(now);
+        }
+    }
+
+    /// Whether the worker refuses a stop order as unhealthy; repeated orders succeed.
+    pub(crate) fn refuses_stop(&mut self, task: &TaskId, run: u32) -> bool {
+        if !self.is_refusing_stops {
+            return false;
+        }
+        let refused = self.refused_stops.entry((task.clone(), run)).or_default();
+        *refused += 1;
+        *refused <= REFUSED_STOPS_PER_RUN
+    }
+
     pub(crate) fn restore(&mut self) {
         self.reachability = Reachability::Up;
     }
@@ -250,6 +324,8 @@
         self.expired_through = 0;
         self.running.clear();
         self.highest_ended_run.clear();
+        self.refused_stops.clear();
+        self.suspended_since = None;
         self.ended.clear();
         self.next_sequence = 1;
         self.pending_poll = None;
--- a/ragwortwick-emulator/src/workload.rs
+++ b/ragwortwick-emulator/src/workload.rs
@@ -20,6 +20,9 @@
     pub capacity: Resources,
     /// Speeds of the workers in per cent, assigned round-robin.
     pub speeds_percent: Vec<u32>,
+    /// Rate of the workers' clocks, in per cent of the true rate.
+    #[serde(default = "default_worker_clock_percent")]
+    pub worker_clock_percent: u64,
     /// Whether a start from a checkpoint skips the work that was saved.
     ///
     /// The seeds kept as regression tests were found with this disabled.
@@ -35,6 +38,15 @@
     /// Share of jobs that are cancelled some time after their acceptance.
     #[serde(rename = "cancelled")]
     pub cancelled_share: f64,
+    /// Time after its acceptance in which such a job is cancelled.
+    #[serde(default = "default_cancelled_within_ms")]
+    pub cancelled_within_ms: DurationMs,
+    /// Share of orders that arrive late while orders are late.
+    #[serde(rename = "late_orders", default = "default_late_order_share")]
+    pub late_order_share: f64,
+    /// Share of polls that arrive late while orders are late.
+    #[serde(rename = "late_polls", default)]
+    pub late_poll_share: f64,
     /// Share of runs that fail, among jobs that can complete.
     #[serde(rename = "failing")]
     pub failing_share: f64,
@@ -144,6 +156,18 @@
     pub memory_mb: u64,
 }
 
+fn default_worker_clock_percent() -> u64 {
+    99
+}
+
+fn default_cancelled_within_ms() -> DurationMs {
+    DurationMs(6_000)
+}
+
+fn default_late_order_share() -> f64 {
+    0.15
+}
+
 impl Default for Workload {
     fn default() -> Self {
         // A test runs this workload, and would fail if the file were malformed.
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -4,6 +4,7 @@
 use ragwortwick_core::{DurationMs, TimeMs};
 use ragwortwick_emulator::{
     Fault, FaultKind, Simulation, SimulationOptions, SimulationReport, Workload, draw_faults,
+    draw_faults_of,
 };
 
 fn simulate(seed: u64, faults: Vec<Fault>) -> SimulationReport {
@@ -268,3 +269,55 @@
         assert!(report.completed > 0);
     }
 }
+
+fn cancelled_workload() -> Workload {
+    serde_json::from_str(include_str!("../loads/cancelled.json")).expect("a well-formed workload")
+}
+
+/// Simulates most jobs cancelled, with leases of 6 s and 10 s, under four faults of the given kinds.
+fn assert_cancelled_runs_end(kinds: &[FaultKind], first: u64) {
+    let workload = cancelled_workload();
+    for (seed, lease_ms) in (first..first + 24).zip([6_000, 10_000].into_iter().cycle()) {
+        let faults = draw_faults_of(kinds, DurationMs(7_000), seed, 4, TimeMs(20_000));
+        let options = SimulationOptions {
+            seed,
+            limits: Limits {
+                lease_ms: DurationMs(lease_ms),
+                ..Limits::default()
+            },
+            workload: workload.clone(),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, faults.clone()).run();
+        assert_no_violations(seed, &faults, &report);
+        assert!(report.stopped > 0);
+    }
+}
+
+/// Guards against a run of a cancelled job that nobody stops because its order, or the order to stop it, arrives
+/// late, or because the coordinator that sent it is gone.
+#[test]
+fn verify_late_orders_of_removed_coordinators_leave_no_run_of_a_cancelled_job() {
+    let kinds = [
+        FaultKind::OrdersLate,
+        FaultKind::StarterRemoved,
+        FaultKind::CoordinatorKilled,
+        FaultKind::CoordinatorFrozen,
+    ];
+    assert_cancelled_runs_end(&kinds, 1_000);
+}
+
+/// Guards against a run of a cancelled job that is forgotten because its worker refused the first stop orders,
+/// had no entry for a while, or replied out of order.
+#[test]
+fn verify_workers_that_come_and_go_keep_no_run_of_a_cancelled_job() {
+    let kinds = [
+        FaultKind::StopsRefused,
+        FaultKind::WorkersUnlisted,
+        FaultKind::MessagesReordered,
+        FaultKind::WorkersLeave,
+        FaultKind::WorkersSuspended,
+        FaultKind::OrdersLate,
+    ];
+    assert_cancelled_runs_end(&kinds, 1_100);
+}
