emulator tests: a suspended worker is forgotten with its runs (fails)

The machine of a worker is suspended for 13 s and its clock with it, so that its lease outlasts the coordinator's bound of 10.7 s. The coordinator loses the worker (OutOfReach) and, since its entry has expired, removes it. When it resumes and is listed again, it is a worker without allocations, which isn't polled: its runs go on until their lease ends, up to 10 s, and other runs are placed over them.

--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -321,3 +321,25 @@
     ];
     assert_cancelled_runs_end(&kinds, 1_100);
 }
+
+/// Guards against a worker that is forgotten with its runs once their leases must have ended, although its clock
+/// stopped with its machine: after it resumes, nobody polls it, and a run of a cancelled job goes on.
+#[test]
+fn verify_a_worker_that_was_suspended_past_its_leases_keeps_no_run_of_a_cancelled_job() {
+    let mut workload = cancelled_workload();
+    workload.cancelled_share = 1.0;
+    let suspension = Fault {
+        kind: FaultKind::WorkersSuspended,
+        at: TimeMs(12_000),
+        for_ms: DurationMs(13_000),
+    };
+    for seed in [8, 24, 47, 56, 60] {
+        let options = SimulationOptions {
+            seed,
+            workload: workload.clone(),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, vec![suspension]).run();
+        assert_no_violations(seed, &[suspension], &report);
+    }
+}
