emulator tests: a late start on a long idle worker outlives its lease bound (fails)

A worker that has been idle isn't polled, so its clock was last read when it last replied (Worker::clock_at, record_clock), here 150 s ago. Its clock runs 2 % slow, as the platform allows, so that the estimate is 3 s ahead, and with it the end of the lease in the start order (lease_until). An order that arrives at once is cut to the longest lease by the worker; one that arrives seconds late isn't. The coordinator's bound (max_lease_ms) allows for 3 % of one lease and 400 ms, not for the age of the estimate: it loses the unreachable worker while the run goes on, and starts the task elsewhere.

The file cancels no jobs.

--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -343,3 +343,21 @@
         assert_no_violations(seed, &[suspension], &report);
     }
 }
+
+/// Guards against a task that runs twice because the first order to a long idle worker, whose clock was read
+/// minutes ago, carries a lease that ends later than the coordinator assumes.
+#[test]
+fn verify_a_late_start_on_a_long_idle_worker_does_not_outlive_its_lease_bound() {
+    let workload: Workload =
+        serde_json::from_str(include_str!("../loads/idle.json")).expect("a well-formed workload");
+    for seed in [2, 10] {
+        let options = SimulationOptions {
+            seed,
+            workers: 48,
+            workload: workload.clone(),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, Vec::new()).run();
+        assert_no_violations(seed, &[], &report);
+    }
+}
