emulator tests: run ends that are listed after their run was abandoned (fail)

Two faults, neither of a cancelled job, that longer partitions (up to 15 s) showed.

A run fails on a worker that the coordinator doesn't hear from, and the coordinator abandons it when its lease must have ended. Once in contact, the worker lists the failure, which is acknowledged, but process_run_end drops it, as it has no allocation; only late completions are taken.

Open question for both: an end doesn't count if the worker's lease lapsed between the end and its acknowledgement. The emulator lets a lease lapse only while something runs there; if it also lapses on an idle worker, neither is a fault.

--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -361,3 +361,36 @@
         assert_no_violations(seed, &[], &report);
     }
 }
+
+/// Guards against an attempt too many after a failure that a worker lists once its run was abandoned.
+#[test]
+fn verify_a_failure_that_is_listed_after_its_run_was_abandoned_counts() {
+    let kinds = [
+        FaultKind::CoordinatorCutFromWorkers,
+        FaultKind::OrdersLate,
+        FaultKind::AnswersCut,
+    ];
+    for seed in [50_246, 50_256] {
+        let faults = draw_faults_of(&kinds, DurationMs(15_000), seed, 3, TimeMs(20_000));
+        let report = simulate(seed, faults.clone());
+        assert_no_violations(seed, &faults, &report);
+    }
+}
+
+/// Guards against acknowledging the late completion of a task while the start order of its next run may still be
+/// carried out.
+#[test]
+fn verify_a_late_completion_is_acknowledged_only_once_no_other_run_can_start() {
+    let kinds = [FaultKind::CoordinatorCutFromWorkers, FaultKind::OrdersLate];
+    let seed = 60_191;
+    let mut workload = cancelled_workload();
+    workload.cancelled_share = 0.0;
+    let faults = draw_faults_of(&kinds, DurationMs(15_000), seed, 3, TimeMs(20_000));
+    let options = SimulationOptions {
+        seed,
+        workload,
+        ..SimulationOptions::default()
+    };
+    let report = Simulation::new(options, faults.clone()).run();
+    assert_no_violations(seed, &faults, &report);
+}
