--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -4,6 +4,7 @@
 use ragwortwick_core::{DurationMs, TimeMs};
 use ragwortwick_emulator::{
     Fault, FaultKind, Simulation, SimulationOptions, SimulationReport, Workload, draw_faults,
+    draw_faults_of,
 };
 
 fn simulate(seed: u64, faults: Vec<Fault>) -> SimulationReport {
@@ -268,3 +269,128 @@
         assert!(report.completed > 0);
     }
 }
+
+fn cancelled_workload() -> Workload {
+    serde_json::from_str(include_str!("../loads/cancelled.json")).expect("a well-formed workload")
+}
+
+/// Simulates most jobs cancelled, with leases of 6 s and 10 s, under four faults of the given kinds.
+fn assert_cancelled_runs_end(kinds: &[FaultKind], first: u64) {
+    let workload = cancelled_workload();
+    for (seed, lease_ms) in (first..first + 24).zip([6_000, 10_000].into_iter().cycle()) {
+        let faults = draw_faults_of(kinds, DurationMs(7_000), seed, 4, TimeMs(20_000));
+        let options = SimulationOptions {
+            seed,
+            limits: Limits {
+                lease_ms: DurationMs(lease_ms),
+                ..Limits::default()
+            },
+            workload: workload.clone(),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, faults.clone()).run();
+        assert_no_violations(seed, &faults, &report);
+        assert!(report.stopped > 0);
+    }
+}
+
+/// Guards against a run of a cancelled job that nobody stops because its order, or the order to stop it, arrives
+/// late, or because the coordinator that sent it is gone.
+#[test]
+fn verify_late_orders_of_removed_coordinators_leave_no_run_of_a_cancelled_job() {
+    let kinds = [
+        FaultKind::OrdersLate,
+        FaultKind::StarterRemoved,
+        FaultKind::CoordinatorKilled,
+        FaultKind::CoordinatorFrozen,
+    ];
+    assert_cancelled_runs_end(&kinds, 1_000);
+}
+
+/// Guards against a run of a cancelled job that is forgotten because its worker refused the first stop orders,
+/// had no entry for a while, or replied out of order.
+#[test]
+fn verify_workers_that_come_and_go_keep_no_run_of_a_cancelled_job() {
+    let kinds = [
+        FaultKind::StopsRefused,
+        FaultKind::WorkersUnlisted,
+        FaultKind::MessagesReordered,
+        FaultKind::WorkersLeave,
+        FaultKind::WorkersSuspended,
+        FaultKind::OrdersLate,
+    ];
+    assert_cancelled_runs_end(&kinds, 1_100);
+}
+
+/// Guards against a worker that is forgotten with its runs once their leases must have ended, although its clock
+/// stopped with its machine: after it resumes, nobody polls it, and a run of a cancelled job goes on.
+#[test]
+fn verify_a_worker_that_was_suspended_past_its_leases_keeps_no_run_of_a_cancelled_job() {
+    let mut workload = cancelled_workload();
+    workload.cancelled_share = 1.0;
+    let suspension = Fault {
+        kind: FaultKind::WorkersSuspended,
+        at: TimeMs(12_000),
+        for_ms: DurationMs(13_000),
+    };
+    for seed in [8, 24, 47, 56, 60] {
+        let options = SimulationOptions {
+            seed,
+            workload: workload.clone(),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, vec![suspension]).run();
+        assert_no_violations(seed, &[suspension], &report);
+    }
+}
+
+/// Guards against a task that runs twice because the first order to a long idle worker, whose clock was read
+/// minutes ago, carries a lease that ends later than the coordinator assumes.
+#[test]
+fn verify_a_late_start_on_a_long_idle_worker_does_not_outlive_its_lease_bound() {
+    let workload: Workload =
+        serde_json::from_str(include_str!("../loads/idle.json")).expect("a well-formed workload");
+    for seed in [2, 10] {
+        let options = SimulationOptions {
+            seed,
+            workers: 48,
+            workload: workload.clone(),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, Vec::new()).run();
+        assert_no_violations(seed, &[], &report);
+    }
+}
+
+/// Guards against an attempt too many after a failure that a worker lists once its run was abandoned.
+#[test]
+fn verify_a_failure_that_is_listed_after_its_run_was_abandoned_counts() {
+    let kinds = [
+        FaultKind::CoordinatorCutFromWorkers,
+        FaultKind::OrdersLate,
+        FaultKind::AnswersCut,
+    ];
+    for seed in [50_246, 50_256] {
+        let faults = draw_faults_of(&kinds, DurationMs(15_000), seed, 3, TimeMs(20_000));
+        let report = simulate(seed, faults.clone());
+        assert_no_violations(seed, &faults, &report);
+    }
+}
+
+/// Guards against acknowledging the late completion of a task while the start order of its next run may still be
+/// carried out.
+#[test]
+fn verify_a_late_completion_is_acknowledged_only_once_no_other_run_can_start() {
+    let kinds = [FaultKind::CoordinatorCutFromWorkers, FaultKind::OrdersLate];
+    let seed = 60_191;
+    let mut workload = cancelled_workload();
+    workload.cancelled_share = 0.0;
+    let faults = draw_faults_of(&kinds, DurationMs(15_000), seed, 3, TimeMs(20_000));
+    let options = SimulationOptions {
+        seed,
+        workload,
+        ..SimulationOptions::default()
+    };
+    let report = Simulation::new(options, faults.clone()).run();
+    assert_no_violations(seed, &faults, &report);
+}
