--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -13,6 +13,7 @@
 use gotham::router::builder::build_router;
 use gotham::state::State;
 use http::StatusCode;
+use prometheus::core::Collector;
 use prometheus::{
     CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -79,15 +80,14 @@
     pub(super) fn open(counts: Arc<StoreCallCounts>) -> prometheus::Result<Self> {
         let registry = Registry::new();
         let counter = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
+            register(
+                &registry,
+                IntCounterVec::new(Opts::new(name, help), labels)?,
+            )
         };
         let histogram = |name: &str, help: &str, labels: &[&str], buckets: &[f64]| {
             let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-            let histogram = HistogramVec::new(options, labels)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok::<_, prometheus::Error>(histogram)
+            register(&registry, HistogramVec::new(options, labels)?)
         };
         let submissions = counter(
             "ragwortwick_area_jobs_total",
@@ -113,8 +113,7 @@
             "ragwortwick_area_lost_core_seconds_total",
             "Core-equivalent seconds of work to do again, by this host as coordinator",
         );
-        let lost_core_seconds = CounterVec::new(options, &["cause"])?;
-        registry.register(Box::new(lost_core_seconds.clone()))?;
+        let lost_core_seconds = register(&registry, CounterVec::new(options, &["cause"])?)?;
         let feed_failures = counter(
             "ragwortwick_area_feed_failures_total",
             "Calls of a reader of the store without a usable answer",
@@ -136,33 +135,31 @@
             "ragwortwick_area_cancel_seconds",
             "Time from a cancel to its arrival at this host as coordinator",
         );
-        let cancel_seconds = Histogram::with_opts(options.buckets(CANCEL_BUCKETS_S.to_vec()))?;
-        registry.register(Box::new(cancel_seconds.clone()))?;
+        let options = options.buckets(CANCEL_BUCKETS_S.to_vec());
+        let cancel_seconds = register(&registry, Histogram::with_opts(options)?)?;
         let job_part_seconds = histogram(
             "ragwortwick_area_job_part_seconds",
             "Time that a job spent in a part of its way, by this host as coordinator",
             &["customer", "queue", "part"],
             &PART_BUCKETS_S,
         )?;
-        let desired_version = IntGauge::new(
+        let gauge = IntGauge::new(
             "ragwortwick_area_desired_version",
             "Version of the desired state in force here",
         )?;
-        registry.register(Box::new(desired_version.clone()))?;
+        let desired_version = register(&registry, gauge)?;
         let options = Opts::new(
             "ragwortwick_area_zone_evacuated",
             "Whether a zone is evacuated, as known here",
         );
-        let evacuated_zones = IntGaugeVec::new(options, &["zone"])?;
-        registry.register(Box::new(evacuated_zones.clone()))?;
-        let is_coordinator = IntGauge::new(
+        let evacuated_zones = register(&registry, IntGaugeVec::new(options, &["zone"])?)?;
+        let gauge = IntGauge::new(
             "ragwortwick_area_is_coordinator",
             "Whether this host coordinates",
         )?;
-        registry.register(Box::new(is_coordinator.clone()))?;
+        let is_coordinator = register(&registry, gauge)?;
         let options = Opts::new("ragwortwick_area_store_calls", "Calls to the store");
-        let store_calls = IntGaugeVec::new(options, &["kind"])?;
-        registry.register(Box::new(store_calls.clone()))?;
+        let store_calls = register(&registry, IntGaugeVec::new(options, &["kind"])?)?;
         Ok(Self {
             registry,
             submissions,
@@ -206,6 +203,15 @@
     }
 }
 
+/// Registers a metric and returns it.
+fn register<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: C,
+) -> prometheus::Result<C> {
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 /// The metrics as gotham state. A panic ends the process, so no handler sees half-changed state.
 #[derive(Clone, Debug, StateData)]
 struct SharedMetrics(Arc<AssertUnwindSafe<AreaMetrics>>);
