area: poll only workers of pools that are in use

Each listed worker is polled once before it is relied on. An entry of a service that no queue uses, as another writer may leave it, was polled each second for as long as it existed, with a log line each time if nobody answered. First polls go to the pools of the queues; the line of a failed poll is rate-limited like those of other orders.

verify_a_worker_of_a_pool_without_queues_is_not_polled failed before.

--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -51,11 +51,15 @@
         let mut next_poll_at: Option<TimeMs> = None;
         let urgent_wait_ms = DurationMs(self.workers.len() as u64 * URGENT_POLL_MS_PER_WORKER)
             .clamp(MIN_URGENT_POLL_WAIT_MS, POLL_WAIT_MS);
+        let queues = self.desired.queues.values();
+        let used_pools: BTreeSet<_> = queues.map(|queue| &queue.policy.pool).collect();
         for (name, worker) in &mut self.workers {
             let PollState::Idle { next_at } = worker.poll else {
                 continue;
             };
-            let needs_poll = worker.needs_poll() || worker.needs_first_poll();
+            let needs_first_poll =
+                worker.needs_first_poll() && used_pools.contains(&worker.entry.pool);
+            let needs_poll = worker.needs_poll() || needs_first_poll;
             if worker.entry.address.is_empty() || !needs_poll {
                 continue;
             }
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -51,6 +51,7 @@
     pub(super) start_log_limiter: LogRateLimiter,
     pub(super) stop_log_limiter: LogRateLimiter,
     pub(super) pace_log_limiter: LogRateLimiter,
+    pub(super) poll_log_limiter: LogRateLimiter,
 }
 
 impl OrderSender {
@@ -72,6 +73,7 @@
             start_log_limiter: LogRateLimiter::new("run_started"),
             stop_log_limiter: LogRateLimiter::new("run_stopped"),
             pace_log_limiter: LogRateLimiter::new("run_paced"),
+            poll_log_limiter: LogRateLimiter::new("look_failed"),
         }
     }
 
@@ -347,13 +349,15 @@
             PollReply::Closed(_) => PollFailure::Closed,
             PollReply::Failed(_) => PollFailure::NoAnswer,
         };
-        log_event!(
-            Info,
-            "look_failed",
-            worker = worker,
-            term = self.term,
-            reply = format!("{reply:?}")
-        );
+        if self.poll_log_limiter.admit(self.clock.now()) {
+            log_event!(
+                Info,
+                "look_failed",
+                worker = worker,
+                term = self.term,
+                reply = format!("{reply:?}")
+            );
+        }
         Event::PollFailed { worker, failure }
     }
 }
