area: let no repeated start hold a task on an unreachable worker

A start order without a reply was repeated to a worker that no longer answers polls. Each order carries a lease and postponed the time at which the worker's runs can be abandoned: the task stayed bound to the worker for the whole partition, 30 s in the test, in place of 13. The order is repeated once the worker has answered a poll again.

verify_repeated_starts_do_not_hold_a_task_on_an_unreachable_worker failed before, also on earlier code. Found in review.

--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -94,6 +94,9 @@
     }
 
     /// Sends the stop orders that are due and repeats the orders without a reply.
+    ///
+    /// A start order carries a lease, and each lease postpones the time at which the runs on an unresponsive
+    /// worker can be abandoned. The polls show when it is back.
     pub(crate) fn send_orders(&mut self, now: TimeMs) {
         let can_start_work = self.can_start_work(now);
         let mut starts = Vec::new();
@@ -105,7 +108,8 @@
                         sent_at,
                         in_flight: false,
                     } if now.since(sent_at) >= resend_pause_ms(allocation.start_attempts)
-                        && can_start_work =>
+                        && can_start_work
+                        && !worker.is_unresponsive() =>
                     {
                         starts.push((name.clone(), task.clone()));
                     }
