area: record the other runs of a completed gang until they have ended

When one member of a gang completes, all tasks of the gang are done, and the record named none of the other members' workers any more, although their runs were still to be listed. A successor learned of them only if their worker was listed and replied. They are recorded as superseded runs, like those of a task that an earlier run has completed.

--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -204,6 +204,12 @@
             RunOutcome::Done | RunOutcome::Failed if spec.is_long_running => RunOutcome::NoVerdict,
             outcome => outcome,
         };
+        if spec.is_gang && outcome == RunOutcome::Done {
+            self.supersede_other_members(id);
+        }
+        let Some(step) = self.step_mut(id.occurrence, id.step) else {
+            return FollowUp::None;
+        };
         let follow_up = if spec.is_gang {
             apply_gang_outcome(step, id.index as usize, outcome, checkpoint, attempts)
         } else {
@@ -225,6 +231,28 @@
         }
     }
 
+    /// Records the workers of the other members of a gang that a member has completed.
+    fn supersede_other_members(&mut self, id: &TaskId) {
+        let Some(step) = self.step(id.occurrence, id.step) else {
+            return;
+        };
+        let members = (0..).zip(&step.tasks);
+        let others = members.filter(|(index, _)| *index != id.index);
+        let placed: Vec<_> = others
+            .filter_map(|(index, task)| match &task.state {
+                TaskState::Placed(worker) => Some((
+                    TaskId {
+                        index,
+                        ..id.clone()
+                    },
+                    worker.clone(),
+                )),
+                _ => None,
+            })
+            .collect();
+        self.superseded_runs.extend(placed);
+    }
+
     pub(crate) fn task(&self, id: &TaskId) -> Option<&Task> {
         self.step(id.occurrence, id.step)?
             .tasks
