area: count an untracked run by what is known of its job now

The resources of an untracked run were fixed at its first report. Those of a job that the coordinator learns of later stayed at zero, and work was placed over the run.

--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -63,15 +63,15 @@
         let mut new = Vec::new();
         for &row in reported {
             let id = (row.task.clone(), row.run);
-            let mut state = previous.remove(&id).unwrap_or_else(|| {
+            let mut stop = if let Some(state) = previous.remove(&id) {
+                state.stop
+            } else {
                 new.push(row);
-                UntrackedState {
-                    demand: demand_of(&row.task),
-                    stop: StopProgress::PENDING,
-                }
-            });
-            state.stop.record_running(poll_sent_at, stop_ms);
-            self.0.insert(id, state);
+                StopProgress::PENDING
+            };
+            stop.record_running(poll_sent_at, stop_ms);
+            let demand = demand_of(&row.task);
+            self.0.insert(id, UntrackedState { demand, stop });
         }
         new
     }
