area: allow for the age of a worker's clock in the bound of its leases

The end of a lease in a start order is a time on the worker's clock, estimated from the last reading. A worker that has been idle for minutes isn't polled, and a clock that is 2 % slow is then seconds behind the estimate. An order that arrives at once is cut to the longest lease; one that is carried out late isn't, and its run outlives the time at which the coordinator takes all runs of an unreachable worker to be killed: the task ran twice.

The bound grows by the drift since the last reading.

--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -184,9 +184,15 @@
     }
 
     /// Records that a lease is sent; runs may continue until the upper bound of its end.
+    ///
+    /// The lease ends at a time on the worker's clock. The older the last reading of a slow clock is, the further
+    /// ahead of it is the estimate, and with it the end of a lease whose order is carried out late.
     pub(crate) fn record_lease_sent(&mut self, now: TimeMs, limits: &Limits) {
         self.lease_sent_at = now;
-        self.lease_expires_by = self.lease_expires_by.max(now + max_lease_ms(limits));
+        let clock_age_ms = self.clock.map_or(DurationMs(0), |(_, at)| now.since(at));
+        let drift_ms = DurationMs(clock_age_ms.0 * CLOCK_DRIFT_PERCENT / 100);
+        let expires_by = now + max_lease_ms(limits) + drift_ms;
+        self.lease_expires_by = self.lease_expires_by.max(expires_by);
     }
 
     /// Moves the next poll to the given time at the latest, unless a poll is in flight.
