area: keep a worker without an entry until its poll is answered, and no longer

A worker whose entry went while a poll was in flight was forgotten, and known anew when the entry was back. The reply to the old poll counted as that of the next one: from then on two polls were in flight, and an overtaken report could hide a run that the newer one had listed. On the other hand, a worker without an entry was forgotten only if nothing ran there when its entry went; others stayed for the whole term.

A worker without an entry is kept until its poll is answered and nothing is left there, and the periodic maintenance removes it then.

Failed before: verify_a_worker_whose_entry_is_back_has_one_poll_in_flight, verify_no_report_can_overtake_another_and_hide_an_untracked_run, verify_an_unlisted_worker_is_forgotten_once_its_untracked_run_is_gone and verify_an_unlisted_worker_is_forgotten_once_its_last_run_has_ended.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -273,6 +273,7 @@
             self.expire_leases(now.steady);
             self.attribute_losses(now.steady);
             self.remove_expired_jobs(now.steady);
+            self.workers.retain(|_, worker| !worker.can_be_removed());
         }
         let is_occurrence_due = self.next_scheduled_at.is_some_and(|at| at <= now.steady);
         if (self.needs_pass || is_occurrence_due) && now.steady >= self.next_pass_at {
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -283,8 +283,13 @@
         }
     }
 
+    /// Whether nothing is left to do on a worker without an entry. The reply to a poll in flight must not count
+    /// as that of another poll, to a worker that is listed again meanwhile.
     pub(crate) fn can_be_removed(&self) -> bool {
-        !self.is_listed && self.allocations.is_empty() && self.untracked.is_empty()
+        !self.is_listed
+            && self.allocations.is_empty()
+            && self.untracked.is_empty()
+            && self.poll != PollState::InFlight
     }
 }
 
