area: stop no work while many first replies are awaited

A worker that is new to a coordinator has no free capacity until it has replied to a poll. After a takeover, or when all entries come back after an outage of the store, urgent work found only the busy workers and stopped their runs, although idle workers replied milliseconds later.

No run is stopped for another while more than a tenth of the pool's workers have been listed within half a second and have not replied. A single worker that comes and goes does not delay anything.

--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -15,6 +15,9 @@
 /// Idle capacity is of no use, and slow work is better than none while there is capacity left for others.
 const MOSTLY_IDLE_PERCENT: u64 = 50;
 
+/// Share of a pool's workers whose first reply is awaited, above which no run is stopped for another.
+const MAX_AWAITED_PERCENT: usize = 10;
+
 /// `PoolCapacity` is the free capacity of one pool's workers during a placement pass.
 #[derive(Debug, Default)]
 pub(crate) struct PoolCapacity {
@@ -25,6 +28,9 @@
     used_accelerators: u64,
     /// Racks of evacuated zones.
     evacuated_racks: BTreeSet<RackName>,
+    listed_workers: usize,
+    /// Workers that have just been listed and have not replied yet.
+    awaited_workers: usize,
 }
 
 impl PoolCapacity {
@@ -32,6 +38,11 @@
         self.used_accelerators * 100 < self.total_accelerators * MOSTLY_IDLE_PERCENT
     }
 
+    /// Whether so many first replies are awaited that the pool may have much more free capacity than is known.
+    pub(crate) fn is_incomplete(&self) -> bool {
+        self.awaited_workers * 100 > self.listed_workers * MAX_AWAITED_PERCENT
+    }
+
     /// Whether no task can run close to the step's data, because the zone with the data is evacuated.
     pub(crate) fn has_unreachable_data(&self, spec: &StepSpec) -> bool {
         let data_rack = spec.data_rack.as_ref();
@@ -74,6 +85,8 @@
                 pool_capacity.evacuated_racks.insert(rack);
                 continue;
             }
+            pool_capacity.listed_workers += 1;
+            pool_capacity.awaited_workers += usize::from(worker.awaits_first_reply(now));
             let free = worker.free();
             pool_capacity.total_accelerators += worker.entry.capacity.accelerators;
             pool_capacity.used_accelerators +=
--- a/ragwortwick-area/src/preemption.rs
+++ b/ragwortwick-area/src/preemption.rs
@@ -100,6 +100,10 @@
             if !is_known_not_to_fit {
                 unplaced.push(key);
             }
+            // Idle workers that reply within milliseconds would make the preemption pointless.
+            if capacity.is_incomplete() {
+                continue;
+            }
             // Each plan scans whole racks; a pass on a small host has to stay short.
             if plans_left == 0 {
                 continue;
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -26,6 +26,9 @@
 /// A worker's clock may run 2 % slow; 3 % covers that and rounding.
 const CLOCK_DRIFT_PERCENT: u64 = 3;
 
+/// Time in which a worker in reach replies to its first poll.
+const FIRST_REPLY_MS: DurationMs = DurationMs(500);
+
 /// `PollState` is whether a poll is in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PollState {
@@ -41,6 +44,8 @@
     pub(crate) entry: WorkerEntry,
     /// Whether the store has an entry of the worker.
     pub(crate) is_listed: bool,
+    /// When this coordinator learned of the worker.
+    known_since: TimeMs,
     /// When a draining worker leaves at the earliest, if it reported its remaining time.
     pub(crate) leaves_at: Option<TimeMs>,
     pub(crate) allocations: BTreeMap<TaskId, Allocation>,
@@ -84,6 +89,7 @@
         let mut worker = Self {
             entry: entry.clone(),
             is_listed: true,
+            known_since: now,
             leaves_at: None,
             allocations: BTreeMap::new(),
             allocated: Resources::default(),
@@ -253,6 +259,11 @@
         self.is_listed && !self.contact.has_replied()
     }
 
+    /// Whether the first reply of a worker that has just been listed may still be on its way.
+    pub(crate) fn awaits_first_reply(&self, now: TimeMs) -> bool {
+        self.needs_first_poll() && now.since(self.known_since) < FIRST_REPLY_MS
+    }
+
     /// Whether a poll is needed: for tracked or untracked runs, to acknowledge run ends, or to find out
     /// whether a listed worker is reachable again.
     ///
