--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -139,8 +139,28 @@
         Self::take_over(1_000, Vec::new(), workers)
     }
 
+    /// Begins a term in which the workers without recorded runs have replied that they run nothing.
     pub fn take_over(ms: u64, jobs: Vec<RecoveredJob>, workers: &[WorkerEntry]) -> Self {
         let recorded = workers_with_recorded_runs(&jobs);
+        let mut rig = Self::begin_term(ms, jobs, workers);
+        for idle in workers
+            .iter()
+            .filter(|entry| !recorded.contains(&entry.name))
+        {
+            rig.poll_reply(idle.name.as_str(), Vec::new(), Vec::new());
+        }
+        rig.extend_lease();
+        rig
+    }
+
+    /// Begins a term in which no worker has replied yet.
+    pub fn take_over_unpolled(ms: u64, jobs: Vec<RecoveredJob>, workers: &[WorkerEntry]) -> Self {
+        let mut rig = Self::begin_term(ms, jobs, workers);
+        rig.extend_lease();
+        rig
+    }
+
+    fn begin_term(ms: u64, jobs: Vec<RecoveredJob>, workers: &[WorkerEntry]) -> Self {
         let coordinator =
             Coordinator::take_over(at(ms), Limits::default(), desired(), jobs, workers.to_vec());
         let mut rig = Self {
@@ -150,18 +170,15 @@
             evacuated: Arc::default(),
             is_evacuation_feed_cut: false,
         };
-        let until = TimeMs(ms + 1_000_000);
         rig.confirm_evacuations();
-        for idle in workers
-            .iter()
-            .filter(|entry| !recorded.contains(&entry.name))
-        {
-            rig.poll_reply(idle.name.as_str(), Vec::new(), Vec::new());
-        }
-        rig.send(Event::LeaseExtended { until });
         rig
     }
 
+    fn extend_lease(&mut self) {
+        let until = TimeMs(self.now.0 + 1_000_000);
+        self.send(Event::LeaseExtended { until });
+    }
+
     /// Evacuates exactly these zones.
     pub fn evacuate(&mut self, zones: &[&str]) {
         self.evacuated = Arc::new(zones.iter().map(ZoneName::new).collect());
