area: wake up for stops that are due

The coordinator asked to be woken while jobs were open, records waited or polls were due. A stop that was lost after the last job's cancel, with a poll in flight, was repeated only at the next event, as a rule a renewal of the lease 250 ms later, and not at all while the store was away.

verify_a_lost_stop_is_repeated_without_other_events failed before.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -238,8 +238,10 @@
     /// `next_wakeup` returns when `on_wakeup` must be called if no event occurs earlier.
     #[must_use]
     pub fn next_wakeup(&self, now: Now) -> Option<TimeMs> {
-        let is_busy =
-            self.records.has_pending() || self.next_poll_at.is_some() || !self.open_jobs.is_empty();
+        let is_busy = self.records.has_pending()
+            || self.next_poll_at.is_some()
+            || !self.open_jobs.is_empty()
+            || self.workers.values().any(Worker::has_unconfirmed_stops);
         let tick = is_busy.then(|| now.steady + TICK_MS);
         let pass = self.needs_pass.then_some(self.next_pass_at);
         let scheduled = self.next_scheduled_at.map(|at| at.max(self.next_pass_at));
--- a/ragwortwick-area/src/stop_progress.rs
+++ b/ragwortwick-area/src/stop_progress.rs
@@ -58,6 +58,10 @@
         };
     }
 
+    pub(crate) fn is_confirmed(self) -> bool {
+        matches!(self, Self::Confirmed { .. })
+    }
+
     /// Records that a report still lists the run, in reply to a poll sent at the given time. A confirmed stop
     /// has had no effect if stopping should have ended by then, so the order is sent again.
     pub(crate) fn record_running(&mut self, poll_sent_at: TimeMs, stop_ms: DurationMs) {
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -76,6 +76,10 @@
         new
     }
 
+    pub(crate) fn has_unconfirmed_stops(&self) -> bool {
+        self.0.values().any(|state| !state.stop.is_confirmed())
+    }
+
     /// Runs for which a stop order has to be sent now.
     pub(crate) fn due_stops(&self, now: TimeMs) -> impl Iterator<Item = &(TaskId, u32)> {
         let due = self.0.iter();
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -294,6 +294,15 @@
         }
     }
 
+    /// Whether a stop order has been sent, or has to be, that the worker has not confirmed.
+    pub(crate) fn has_unconfirmed_stops(&self) -> bool {
+        let is_unconfirmed = |allocation: &Allocation| match allocation.phase {
+            AllocationPhase::Stopping { progress, .. } => !progress.is_confirmed(),
+            _ => false,
+        };
+        self.allocations.values().any(is_unconfirmed) || self.untracked.has_unconfirmed_stops()
+    }
+
     /// Whether nothing is left to do on a worker without an entry. The reply to a poll in flight must not count
     /// as that of another poll, to a worker that is listed again meanwhile.
     pub(crate) fn can_be_removed(&self) -> bool {
