--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -370,7 +370,7 @@
         FaultKind::OrdersLate,
         FaultKind::AnswersCut,
     ];
-    for seed in [50_246, 50_256] {
+    for seed in [50_246, 50_256, 50_299, 50_364] {
         let faults = draw_faults_of(&kinds, DurationMs(15_000), seed, 3, TimeMs(20_000));
         let report = simulate(seed, faults.clone());
         assert_no_violations(seed, &faults, &report);
@@ -382,15 +382,16 @@
 #[test]
 fn verify_a_late_completion_is_acknowledged_only_once_no_other_run_can_start() {
     let kinds = [FaultKind::CoordinatorCutFromWorkers, FaultKind::OrdersLate];
-    let seed = 60_191;
-    let mut workload = cancelled_workload();
-    workload.cancelled_share = 0.0;
-    let faults = draw_faults_of(&kinds, DurationMs(15_000), seed, 3, TimeMs(20_000));
-    let options = SimulationOptions {
-        seed,
-        workload,
-        ..SimulationOptions::default()
-    };
-    let report = Simulation::new(options, faults.clone()).run();
-    assert_no_violations(seed, &faults, &report);
+    for seed in [60_191, 60_394] {
+        let mut workload = cancelled_workload();
+        workload.cancelled_share = 0.0;
+        let faults = draw_faults_of(&kinds, DurationMs(15_000), seed, 3, TimeMs(20_000));
+        let options = SimulationOptions {
+            seed,
+            workload,
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, faults.clone()).run();
+        assert_no_violations(seed, &faults, &report);
+    }
 }
