daemon: notice a silent connection in time to stop a cancelled job

A coordinator whose connection to the store has fallen silent learns of a cancel once its watch times out, after 2.2 s; with both idle connections to a worker silent too, two orders time out before the stop arrives, 0.6 s each at most. With the delay after the failed watch that is 3.55 s, above the 3 s in which callers expect the runs to be stopped.

Changed: the coordinator's watch of the jobs waits for 0.75 s at most, which makes 2.8 s. Other hosts' watches stay at 1.5 s. It costs 0.7 store calls a second in an area in which nothing changes, and fewer in a busy one, where a watch returns sooner.

--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -17,6 +17,10 @@
 /// Longest wait of one watch. An unresponsive connection is noticed after this time and a margin.
 const WATCH_WAIT_MS: DurationMs = DurationMs(1_500);
 
+/// Longest wait of one watch of the coordinator, which has to stop the runs of a cancelled job in time also if
+/// its connections have become unresponsive.
+pub(super) const COORDINATOR_WATCH_WAIT_MS: DurationMs = DurationMs(750);
+
 /// Delay between watches of a host that is not the coordinator; its clients see changes up to this much
 /// later.
 ///
@@ -27,7 +31,7 @@
 const COORDINATOR_DELAY_MS: DurationMs = DurationMs(15);
 
 /// Delay after a failed call.
-const FAILURE_DELAY_MS: DurationMs = DurationMs(150);
+pub(super) const FAILURE_DELAY_MS: DurationMs = DurationMs(150);
 
 /// `CoordinatorKeyState` is the state of the coordinator key in the store, as last read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,7 +87,7 @@
             // A subscription of a new term interrupts a watch or the delay between two.
             let input = tokio::select! {
                 request = requests.recv() => FeedInput::Subscribe(request),
-                result = self.next(position, delay_ms) => result,
+                result = self.next(position, delay_ms, subscriber.watch_wait_ms()) => result,
             };
             delay_ms = DurationMs(0);
             match input {
@@ -119,7 +123,12 @@
         }
     }
 
-    async fn next(&self, position: Option<Revision>, delay_ms: DurationMs) -> FeedInput {
+    async fn next(
+        &self,
+        position: Option<Revision>,
+        delay_ms: DurationMs,
+        watch_wait_ms: DurationMs,
+    ) -> FeedInput {
         if delay_ms > DurationMs(0) {
             tokio::time::sleep(delay_ms.into()).await;
         }
@@ -131,7 +140,7 @@
         };
         let result = self
             .store
-            .watch(REPLICATED_PREFIX, after, WATCH_WAIT_MS)
+            .watch(REPLICATED_PREFIX, after, watch_wait_ms)
             .await;
         self.health.record(&result);
         match result {
@@ -248,6 +257,13 @@
 }
 
 impl Subscriber {
+    fn watch_wait_ms(&self) -> DurationMs {
+        match self.events {
+            Some(_) => COORDINATOR_WATCH_WAIT_MS,
+            None => WATCH_WAIT_MS,
+        }
+    }
+
     async fn send(&mut self, changes: Vec<JobChange>) {
         let Some(events) = &self.events else { return };
         for change in changes {
--- a/ragwortwick-daemon/src/area/reply_time.rs
+++ b/ragwortwick-daemon/src/area/reply_time.rs
@@ -10,7 +10,7 @@
 const MIN_TIMEOUT_MS: f64 = 150.0;
 
 /// Longest timeout of an order.
-const MAX_TIMEOUT_MS: f64 = 600.0;
+pub(super) const MAX_TIMEOUT_MS: f64 = 600.0;
 
 /// Share of a new sample in the smoothed reply time.
 const TIME_GAIN: f64 = 0.125;
