area: forget a worker once another incarnation has answered its poll

A worker is kept until its poll in flight is answered. An answer of another incarnation ended the runs and left the poll counted as in flight, so that each crash left a worker behind for the rest of the term.

verify_a_worker_is_forgotten_once_another_incarnation_has_answered_its_poll failed before.

--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -130,6 +130,9 @@
                 return;
             }
             PollFailure::WrongLife => {
+                if let Some(worker) = self.workers.get_mut(worker_name) {
+                    worker.poll = PollState::Idle { next_at: now };
+                }
                 self.on_incarnation_ended(now, worker_name);
                 return;
             }
--- a/ragwortwick-area/tests/polls_and_records.rs
+++ b/ragwortwick-area/tests/polls_and_records.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Action, Coordinator, EndKind, Event, Limits, OrderReply, RecoveredJob, TaskId, WorkerEntry,
-    WorkerReport,
+    Action, Coordinator, EndKind, Event, Limits, OrderReply, PollFailure, RecoveredJob, TaskId,
+    WorkerEntry, WorkerReport,
 };
 use ragwortwick_core::{JobId, PoolName, TimeMs, WorkerName};
 use rig::{Rig, at, desired, ended, gang, job, running, step, worker};
@@ -81,6 +81,20 @@
     assert_eq!(rig.coordinator.workers(), 0);
 }
 
+/// Another incarnation answers a poll. If the earlier one stayed known, each crash would leave a worker behind.
+#[test]
+fn verify_a_worker_is_forgotten_once_another_incarnation_has_answered_its_poll() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.submit(ID, "middle", step(1, 4));
+    rig.start_all();
+    rig.advance(100);
+    assert!(polls(&mut rig) > 0, "a poll is in flight");
+    rig.poll_fails_with(&WorkerName::new("w1"), PollFailure::WrongLife);
+    rig.send(Event::WorkerRemoved(WorkerName::new("w1")));
+    rig.advance(1_000);
+    assert_eq!(rig.coordinator.workers(), 0);
+}
+
 /// A worker's entry expires and is back while a poll is in flight. If a second poll were sent, its reply could list
 /// a run that began late and overtake the first reply, which would hide the run.
 #[test]
