--- a/ragwortwick-area/tests/unknown_runs.rs
+++ b/ragwortwick-area/tests/stops_of_untracked_runs.rs
@@ -115,7 +115,7 @@
 
 /// Guards against a run of a cancelled job that goes on because its worker left the list after one refused stop.
 #[test]
-fn verify_an_unknown_run_on_an_unlisted_worker_is_stopped() {
+fn verify_an_untracked_run_on_an_unlisted_worker_is_stopped() {
     let mut rig = rig_with_cancelled_job();
     let run = run_of(ID, "w1");
     let mut refusing = RefusingWorker::new(&run, 1);
@@ -127,7 +127,7 @@
 
 /// Guards against a run that goes on after one refused stop because the records of its job are deleted.
 #[test]
-fn verify_an_unknown_run_of_an_unknown_job_is_stopped() {
+fn verify_an_untracked_run_of_an_unknown_job_is_stopped() {
     let mut rig = Rig::new(&[worker("w1", "r1")]);
     let run = run_of(ID, "w1");
     let mut refusing = RefusingWorker::new(&run, 1);
@@ -154,7 +154,7 @@
 
 /// Guards against a flood of stop orders for a run that its worker is stopping.
 #[test]
-fn verify_an_accepted_stop_of_an_unknown_run_is_not_repeated_at_once() {
+fn verify_an_accepted_stop_of_an_untracked_run_is_not_repeated_at_once() {
     let mut rig = rig_with_cancelled_job();
     let run = run_of(ID, "w1");
     let mut refusing = RefusingWorker::new(&run, 0);
