daemon: let each cancel of an unknown job hold as long as any other

A cancel of a job that doesn't exist, repeated on another host or a minute later, was confirmed on the tombstone that stood there, whose lease might end at the next moment: a creation carried out after that took effect. A tombstone of another lease is replaced by one of the current lease; its value names the lease, since a read of the key does not.

verify_a_repeated_cancel_of_an_unknown_job_outlasts_the_first_tombstone failed before. Found in review.

--- a/ragwortwick-daemon/src/area/job_view.rs
+++ b/ragwortwick-daemon/src/area/job_view.rs
@@ -16,6 +16,9 @@
     /// Unix time at which the host stored it; older hosts leave it out.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) requested_unix_ms: Option<TimeMs>,
+    /// Lease of a tombstone, which a read of the key does not show; none for the cancel of a job that exists.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) tombstone_lease: Option<u64>,
 }
 
 /// `KnownCancel` is a cancel that this host has read or stored.
--- a/ragwortwick-daemon/src/area/job_writer.rs
+++ b/ragwortwick-daemon/src/area/job_writer.rs
@@ -122,6 +122,8 @@
     /// if the job has been created meanwhile.
     async fn prevent_creation(&self, job_id: &JobId, deadline: TimeMs) -> Option<WriteOutcome> {
         let record_key = JobKeyKind::Record.key_of(job_id);
+        let cancel_key = JobKeyKind::Cancel.key_of(job_id);
+        let mut expected_cancel = expect_absent(&cancel_key);
         loop {
             let left_ms = deadline.since(self.clock.now());
             let lease_id = match timeout(left_ms.into(), self.tombstones.reserve()).await {
@@ -130,10 +132,7 @@
                 Err(elapsed) => return Some(WriteOutcome::NotStored(elapsed.to_string())),
             };
             let txn = Txn {
-                preconditions: vec![
-                    expect_absent(&record_key),
-                    expect_absent(&JobKeyKind::Cancel.key_of(job_id)),
-                ],
+                preconditions: vec![expect_absent(&record_key), expected_cancel.clone()],
                 writes: vec![cancel_item(job_id, Some(lease_id))],
                 removes: Vec::new(),
             };
@@ -141,8 +140,15 @@
                 CreateOutcome::Stored(_) => return Some(WriteOutcome::NoSuchJob),
                 CreateOutcome::Conflict(items) => {
                     self.tombstones.release(lease_id).await;
-                    let is_created = contains(&items, &record_key);
-                    return (!is_created).then_some(WriteOutcome::NoSuchJob);
+                    if contains(&items, &record_key) {
+                        return None;
+                    }
+                    let earlier = items.iter().find(|item| item.key == cancel_key);
+                    if earlier.is_some_and(|item| tombstone_lease(item) == Some(lease_id)) {
+                        return Some(WriteOutcome::NoSuchJob);
+                    }
+                    // A tombstone with an earlier lease is replaced: this cancel has to hold as long as any other.
+                    expected_cancel.revision = earlier.map_or(Revision(0), |item| item.revision);
                 }
                 CreateOutcome::LeaseNotFound => self.tombstones.discard(lease_id).await,
                 outcome => return Some(outcome.into()),
@@ -221,14 +227,21 @@
 fn cancel_item(job_id: &JobId, lease: Option<u64>) -> WriteItem {
     WriteItem {
         key: JobKeyKind::Cancel.key_of(job_id),
-        value: cancel_value(unix_now()),
+        value: cancel_value(unix_now(), lease),
         lease,
     }
 }
 
-fn cancel_value(requested_unix_ms: TimeMs) -> Vec<u8> {
+/// The lease of a stored tombstone; none of a cancel without one.
+fn tombstone_lease(item: &KeyValue) -> Option<u64> {
+    let value: CancelValue = serde_json::from_slice(&item.value).ok()?;
+    value.tombstone_lease
+}
+
+fn cancel_value(requested_unix_ms: TimeMs, tombstone_lease: Option<u64>) -> Vec<u8> {
     let value = CancelValue {
         requested_unix_ms: Some(requested_unix_ms),
+        tombstone_lease,
     };
     match serde_json::to_vec(&value) {
         Ok(value) => value,
--- a/ragwortwick-daemon/src/area/tests/job_writer.rs
+++ b/ragwortwick-daemon/src/area/tests/job_writer.rs
@@ -84,3 +84,31 @@
     assert_ne!(lease, ended);
     rig.store.close();
 }
+
+/// Guards against a job that is created after a repeated cancel: the tombstone of the first one expired, and the
+/// second cancel had not extended it.
+#[tokio::test]
+async fn verify_a_repeated_cancel_of_an_unknown_job_outlasts_the_first_tombstone() {
+    let first = Rig::open().await;
+    let second = JobWriter {
+        tombstones: TombstoneLeases::open(
+            first.client.clone(),
+            StoreHealth::open(first.clock),
+            first.clock,
+        ),
+        ..first.writer.clone()
+    };
+    assert_eq!(first.cancel(1).await, WriteOutcome::NoSuchJob);
+    let lease = first.lease(1).expect("a tombstone");
+    let deadline = first.clock.now() + TIMEOUT_MS;
+    let repeated = second.cancel(&job_id(1), deadline).await;
+    assert_eq!(repeated, WriteOutcome::NoSuchJob);
+    first
+        .client
+        .revoke_lease(lease)
+        .await
+        .expect("the first lease ends");
+    let record = (*super::record(job_id(1).as_str())).clone();
+    let created = second.accept(record, deadline).await;
+    assert_eq!(created, WriteOutcome::Cancelled);
+}
