--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -91,7 +91,7 @@
     pub(crate) recorded_phase: JobPhase,
     /// Steps by occurrence and number.
     pub(crate) occurrences: Vec<Vec<StepState>>,
-    /// Workers that may still have a run of a task that an earlier run of it has completed.
+    /// Workers of superseded runs: an earlier run, or another member of the gang, has completed their task.
     pub(crate) superseded_runs: BTreeMap<TaskId, WorkerName>,
     /// Time of acceptance on the coordinator's clock.
     pub(crate) accepted_at: TimeMs,
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -51,7 +51,7 @@
         demands.fold(Resources::default(), Resources::plus)
     }
 
-    /// Takes over a report: runs that are no longer in it are gone. Returns the runs that are new.
+    /// Replaces the runs by those of a report; runs that it no longer lists are gone. Returns the runs that are new.
     pub(crate) fn update<'a>(
         &mut self,
         reported: &[&'a RunningTask],
