area: count late failures, and hold late completions until no later run can start

Cause: a run that was abandoned on an unreachable worker had no allocation when its worker listed it as failed, so the failure was acknowledged and not counted. A late completion was acknowledged as soon as its effect was stored, while the start order of the next run could still be carried out.

Ruled out: acknowledging late ends never (workers would list them for good), counting every failure without an allocation (one that a predecessor had counted is listed again to its successor).

Change: a task remembers which of its runs were abandoned, in its record too; a failure of one of these counts, once for a gang. The sequence number of a late completion is held until the runs that were placed for the task since have ended, which a confirmed stop or the end of the lease shows.

Each abandoned run is taken off the list when it counts, so no run counts twice, and a held end stays listed for a successor, which holds it again.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -12,6 +12,7 @@
 use crate::headroom::UrgentDemandPeak;
 use crate::job::{JobRecord, QueuePolicy, StepId};
 use crate::job_state::JobState;
+use crate::late_completions::HeldEnds;
 use crate::limits::Limits;
 use crate::losses::RecentLosses;
 use crate::messages::{Action, Event, WorkerEntry};
@@ -123,6 +124,8 @@
     pub(crate) urgent_peaks: BTreeMap<PoolName, UrgentDemandPeak>,
     /// Recently lost workers.
     pub(crate) losses: RecentLosses,
+    /// Listed completions that are not acknowledged yet.
+    pub(crate) held_ends: HeldEnds,
     /// Steps for which other runs were preempted, with the time of the preemption.
     pub(crate) preempted_for: BTreeMap<StepId, TimeMs>,
 }
@@ -166,6 +169,7 @@
             reserved_workers: BTreeSet::new(),
             urgent_peaks: BTreeMap::new(),
             losses: RecentLosses::default(),
+            held_ends: HeldEnds::default(),
             preempted_for: BTreeMap::new(),
         };
         for entry in entries {
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -31,6 +31,8 @@
     pub(crate) state: TaskState,
     pub(crate) last_run: u32,
     pub(crate) failures: u32,
+    /// Runs that were abandoned on unreachable workers, whose results are unknown.
+    pub(crate) abandoned_runs: Vec<u32>,
     pub(crate) crash_history: CrashHistory,
     pub(crate) checkpoint: Arc<str>,
 }
@@ -56,6 +58,7 @@
             state: TaskState::Waiting,
             last_run: 0,
             failures: 0,
+            abandoned_runs: Vec::new(),
             crash_history: CrashHistory::default(),
             checkpoint: "".into(),
         };
@@ -259,6 +262,11 @@
             .get(id.index as usize)
     }
 
+    pub(crate) fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
+        let step = self.step_mut(id.occurrence, id.step)?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
     /// Records that a task, or its whole gang, has done its work, even if runs of it are still placed.
     /// Returns whether that completes the job.
     pub(crate) fn mark_done(&mut self, id: &TaskId) -> bool {
--- a/ragwortwick-area/src/outcome.rs
+++ b/ragwortwick-area/src/outcome.rs
@@ -104,8 +104,13 @@
     step.is_gang_ending = false;
     let has_failed = std::mem::take(&mut step.has_failed_member);
     step.gang_failures = step.gang_failures.saturating_add(u32::from(has_failed));
+    let run = step.tasks[index].last_run;
     for task in &mut step.tasks {
         task.state = TaskState::Waiting;
+        if has_failed {
+            // The failure of the run is counted, whichever members list it later.
+            task.abandoned_runs.retain(|abandoned| *abandoned != run);
+        }
     }
     if has_failed && step.gang_failures >= attempts {
         FollowUp::EndJob
--- a/ragwortwick-area/src/persistence.rs
+++ b/ragwortwick-area/src/persistence.rs
@@ -43,6 +43,7 @@
             };
             state.last_run = task.last_run;
             state.failures = task.failures;
+            state.abandoned_runs.clone_from(&task.abandoned_runs);
             state.crash_history = CrashHistory {
                 count: task.crashes,
                 run_age_ms: task.crash_age_ms,
@@ -136,6 +137,7 @@
                         index,
                         last_run: task.last_run,
                         failures: task.failures,
+                        abandoned_runs: task.abandoned_runs.clone(),
                         crashes: task.crash_history.count,
                         crash_age_ms: task.crash_history.run_age_ms,
                         crash_run: task.crash_history.last_run,
--- a/ragwortwick-area/src/progress.rs
+++ b/ragwortwick-area/src/progress.rs
@@ -68,6 +68,9 @@
     /// Number of failed runs.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// Runs that were abandoned on unreachable workers, whose results are unknown.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub abandoned_runs: Vec<u32>,
     /// Number of worker crashes attributed to the task, at the same point of its work.
     #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
--- a/ragwortwick-area/src/record_batches.rs
+++ b/ragwortwick-area/src/record_batches.rs
@@ -248,7 +248,7 @@
         for acks in self.records.take_stored_acks() {
             for (name, sequence) in acks {
                 if let Some(worker) = self.workers.get_mut(&name) {
-                    worker.stored_end = worker.stored_end.max(sequence);
+                    worker.record_stored_end(sequence);
                 }
             }
         }
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -101,12 +101,16 @@
         if outcome == RunOutcome::Done {
             self.compare_final_duration(now, worker_name, task, &allocation);
         }
+        self.release_held_ends(task);
         let attempts = self.max_attempts(&task.job_id);
         let Some(job) = self.jobs.get_mut(&task.job_id) else {
             return;
         };
         job.superseded_runs
             .retain(|id, worker| id != task || worker != worker_name);
+        if outcome == RunOutcome::Lost(WorkerLossCause::OutOfReach) {
+            job.record_abandoned_run(task, run);
+        }
         let follow_up = job.apply_outcome(task, run, outcome, &allocation.checkpoint, attempts);
         job.last_run_ended_at = now;
         if reason != RunEndReason::Done {
@@ -133,8 +137,13 @@
         let Some(allocation) = allocation.filter(|allocation| {
             allocation.run == end.run && allocation.phase != AllocationPhase::AwaitingRecord
         }) else {
-            if end.kind == EndKind::Done {
-                self.complete_late(now, &end.task);
+            match end.kind {
+                EndKind::Done => {
+                    self.hold_until_settled(worker_name, end);
+                    self.complete_late(now, &end.task);
+                }
+                EndKind::Failed => self.count_late_failure(now, &end.task, end.run),
+                _ => {}
             }
             return;
         };
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -1,6 +1,6 @@
 //! State of one worker: its allocations, the bounds of its lease, its polls and its health.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
@@ -68,6 +68,10 @@
     pub(crate) received_end: u64,
     /// Highest sequence number of a run end whose effect is stored.
     pub(crate) stored_end: u64,
+    /// Sequence numbers of run ends that may not be acknowledged yet, though their effect may be stored.
+    pub(crate) held_ends: BTreeSet<u64>,
+    /// Highest sequence number of a run end whose effect is stored, held ones included.
+    pub(crate) stored_or_held_end: u64,
     /// Highest sequence number that was acknowledged to the worker.
     pub(crate) acked_end: u64,
     /// Failed runs of any jobs since the last run that completed.
@@ -102,6 +106,8 @@
             contact: Contact::default(),
             received_end: 0,
             stored_end: 0,
+            held_ends: BTreeSet::new(),
+            stored_or_held_end: 0,
             acked_end: 0,
             consecutive_failures: 0,
             avoid_until: TimeMs(0),
@@ -201,6 +207,24 @@
         self.lease_expires_by = self.lease_expires_by.max(expires_by);
     }
 
+    /// Records that the effect of the run ends up to a sequence number is stored.
+    pub(crate) fn record_stored_end(&mut self, sequence: u64) {
+        self.stored_or_held_end = self.stored_or_held_end.max(sequence);
+        self.apply_held_ends();
+    }
+
+    /// Allows a held run end to be acknowledged, once its effect is stored.
+    pub(crate) fn release_held_end(&mut self, sequence: u64) {
+        self.held_ends.remove(&sequence);
+        self.apply_held_ends();
+    }
+
+    fn apply_held_ends(&mut self) {
+        let first_held = self.held_ends.first().copied().unwrap_or(u64::MAX);
+        let storable = self.stored_or_held_end.min(first_held.saturating_sub(1));
+        self.stored_end = self.stored_end.max(storable);
+    }
+
     /// Moves the next poll to the given time at the latest, unless a poll is in flight.
     pub(crate) fn poll_by(&mut self, at: TimeMs) {
         if let PollState::Idle { next_at } = &mut self.poll {
--- a/ragwortwick-area/tests/late_ends.rs
+++ b/ragwortwick-area/tests/late_ends.rs
@@ -2,9 +2,13 @@
 
 mod rig;
 
-use ragwortwick_area::{EndKind, Event, JobPhase, StepSpec, TaskId};
+use std::collections::BTreeSet;
+
+use ragwortwick_area::{
+    Action, EndKind, Event, JobPhase, OrderReply, RecoveredJob, StepSpec, TaskId,
+};
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{Rig, ended, gang, job, step, worker};
+use rig::{ATTEMPTS, Rig, ended, gang, job, step, worker};
 
 const ID: &str = "00000000000000b7";
 
@@ -130,3 +134,75 @@
     assert!(scenario.rig.batches().is_empty());
     assert_eq!(scenario.rig.stops(), vec![]);
 }
+
+/// A completion that is acknowledged too early is unknown to a successor while a later run may still start.
+#[test]
+fn verify_a_late_completion_is_not_acknowledged_while_the_next_run_may_start() {
+    let mut scenario = AbandonedRuns::new(&["w1", "w2"], step(1, 4));
+    scenario.rig.advance(20);
+    scenario.rig.store_batches();
+    let unconfirmed = scenario.rig.starts();
+    assert_eq!(unconfirmed.len(), 1, "the next run is ordered on w2");
+    scenario.report_completions();
+    scenario.rig.advance(50);
+    let stop = scenario.rig.stops().pop().expect("the next run is stopped");
+    let acked = acked_ends(&mut scenario.rig, "w1");
+    assert!(!acked.contains(&1));
+    let clock_ms = 100_000 + scenario.rig.now.0;
+    scenario
+        .rig
+        .reply_to_stop(&stop, OrderReply::Accepted { clock_ms });
+    scenario.rig.advance(500);
+    scenario.rig.poll_reply("w2", vec![], vec![]);
+    let acked = acked_ends(&mut scenario.rig, "w1");
+    assert!(acked.contains(&1));
+}
+
+/// A failure that is not counted lets a task start once more often than its queue allows.
+#[test]
+fn verify_a_late_failure_counts_as_an_attempt_under_a_successor() {
+    let mut scenario = AbandonedRuns::new(&["w1", "w2"], step(1, 4));
+    let mut last = scenario.starts[0].clone();
+    let mut progress = None;
+    for sequence in 1..ATTEMPTS {
+        scenario.rig.advance(20);
+        progress = scenario.rig.store_batches().pop().or(progress);
+        let started = scenario.rig.starts().pop();
+        last = started.expect("the task starts again");
+        scenario.rig.accept(&last);
+        let end = ended(u64::from(sequence), &last, EndKind::Failed);
+        scenario.rig.poll_reply(last.0.as_str(), vec![], vec![end]);
+        scenario.rig.advance(7_000);
+    }
+    progress = scenario.rig.store_batches().pop().or(progress);
+    let recovered = RecoveredJob {
+        record: job(ID, "middle", vec![step(1, 4)]),
+        progress: progress.map(|(_, progress)| progress),
+        is_cancelled: false,
+    };
+    let mut rig = Rig::take_over(60_000, vec![recovered], &[worker("w1", "r1")]);
+    let end = ended(1, &scenario.starts[0], EndKind::Failed);
+    rig.poll_reply("w1", vec![], vec![end.clone()]);
+    assert_eq!(
+        rig.coordinator.phase(&JobId::new(ID)),
+        Some(JobPhase::Failed)
+    );
+    assert_eq!(last.2, ATTEMPTS);
+}
+
+/// Stores all records for two seconds; returns the ends of a worker that polls acknowledge.
+fn acked_ends(rig: &mut Rig, worker: &str) -> BTreeSet<u64> {
+    for _ in 0..20 {
+        rig.advance(100);
+        rig.store_batches();
+    }
+    let acked = rig.take(|action| match action {
+        Action::Poll {
+            worker: name,
+            acked_end,
+            ..
+        } if name.as_str() == worker => Some(*acked_end),
+        _ => None,
+    });
+    acked.into_iter().collect()
+}
--- a/ragwortwick-area/tests/recovered_records.rs
+++ b/ragwortwick-area/tests/recovered_records.rs
@@ -45,6 +45,7 @@
         index: u32::arbitrary(g) % 4,
         last_run: *g.choose(&runs).expect("there are runs"),
         failures: *g.choose(&runs).expect("there are counts"),
+        abandoned_runs: (0..u32::arbitrary(g) % 3).collect(),
         crashes: *g.choose(&runs).expect("there are counts"),
         crash_age_ms: Some(DurationMs(u64::arbitrary(g))),
         crash_run: u32::arbitrary(g),
--- a/ragwortwick-area/tests/untracked_runs.rs
+++ b/ragwortwick-area/tests/untracked_runs.rs
@@ -245,6 +245,7 @@
         index: 0,
         last_run: 2,
         failures: 0,
+        abandoned_runs: Vec::new(),
         crashes: 0,
         crash_age_ms: None,
         crash_run: 0,
