area, platform: an incarnation of a worker is its identity and the time of its start

Callers could see: a worker that starts again under its Id has a new clock, new numbers of run ends and no runs, and the coordinator kept the old ones. Ends up to the old number were skipped, so completed work ran again; leases were granted on the wrong clock; a start order that was meant for the earlier incarnation could begin a second run. An entry by another writer took a healthy worker away.

Cause: worker names were the platform's ids, and the start time in entries and reports was not read.

Ruled out: comparing start times wherever a worker is looked up (some forty places).

Change: the name of a worker contains its start, so that all that is kept by name is kept by incarnation, in records too. Orders and advice carry the identity. Runs of a replaced incarnation end once the later one confirms a stop; starts without a reply of the last 15 s are stopped there again, and nothing is placed on it before. An entry that can't be read, names another pool or an earlier start changes nothing for a known worker.

The emulator restarts workers under their identity (restarts.json).

--- a/ragwortwick-area/src/allocation.rs
+++ b/ragwortwick-area/src/allocation.rs
@@ -69,6 +69,8 @@
     pub(crate) is_resumed: bool,
     /// Number of start orders that were sent.
     pub(crate) start_attempts: u32,
+    /// Number of start orders that were replied to; the others may be carried out late.
+    pub(crate) start_replies: u32,
     /// Worker crashes attributed to the task before this run.
     pub(crate) crash_history: CrashHistory,
     /// How the run affects others on the same worker.
@@ -101,6 +103,7 @@
             checkpoint: "".into(),
             is_resumed: false,
             start_attempts: 0,
+            start_replies: 0,
             crash_history: CrashHistory::default(),
             role: ColocationRole::of(spec),
             saves_checkpoints: spec.saves_checkpoints,
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -357,6 +357,9 @@
     }
 
     fn on_worker_updated(&mut self, now: TimeMs, entry: WorkerEntry) {
+        for earlier in self.earlier_incarnations(&entry.name) {
+            self.on_worker_restarted(now, &earlier);
+        }
         if let Some(worker) = self.workers.get_mut(&entry.name) {
             worker.update_entry(now, entry);
         } else {
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -35,6 +35,7 @@
 mod record_batches;
 mod recovery;
 mod reservation;
+mod restarts;
 mod run_ends;
 mod run_progress;
 mod speed;
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -127,10 +127,10 @@
 
 /// `LostWorker` is a lost worker whose loss may be attributed to tasks that ran there.
 #[derive(Clone, Debug)]
-struct LostWorker {
+pub(crate) struct LostWorker {
     worker: WorkerName,
     rack: RackName,
-    cause: WorkerLossCause,
+    pub(crate) cause: WorkerLossCause,
     contact_loss: Option<ContactLoss>,
     runs: Vec<RunAtLoss>,
 }
@@ -218,21 +218,9 @@
 impl Coordinator {
     /// Ends all runs on a lost worker, where nothing runs any more.
     pub(crate) fn lose_worker(&mut self, now: TimeMs, name: &WorkerName, cause: WorkerLossCause) {
-        let Some(worker) = self.workers.get(name) else {
+        let Some(lost) = self.describe_loss(now, name, cause) else {
             return;
         };
-        let is_leaving = worker.entry.is_draining;
-        let lost = LostWorker {
-            worker: name.clone(),
-            rack: worker.entry.rack.clone(),
-            cause: if is_leaving {
-                WorkerLossCause::Left
-            } else {
-                cause
-            },
-            contact_loss: worker.contact_loss_at(now),
-            runs: worker.runs_at_loss(),
-        };
         for (task, run) in self.runs_on(name) {
             self.end_run(now, name, &task, run, RunOutcome::Lost(lost.cause));
         }
@@ -242,6 +230,32 @@
         if self.workers.get(name).is_some_and(Worker::can_be_removed) {
             self.workers.remove(name);
         }
+        self.record_loss(now, lost);
+    }
+
+    /// Describes a worker that is lost now.
+    pub(crate) fn describe_loss(
+        &self,
+        now: TimeMs,
+        name: &WorkerName,
+        cause: WorkerLossCause,
+    ) -> Option<LostWorker> {
+        let worker = self.workers.get(name)?;
+        Some(LostWorker {
+            worker: name.clone(),
+            rack: worker.entry.rack.clone(),
+            cause: if worker.entry.is_draining {
+                WorkerLossCause::Left
+            } else {
+                cause
+            },
+            contact_loss: worker.contact_loss_at(now),
+            runs: worker.runs_at_loss(),
+        })
+    }
+
+    /// Records a loss, and attributes it once others of the same event are known.
+    pub(crate) fn record_loss(&mut self, now: TimeMs, lost: LostWorker) {
         if lost.runs.is_empty() {
             return;
         }
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -18,7 +18,7 @@
 /// `WorkerEntry` is the entry of a worker in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerEntry {
-    /// Name of this incarnation of the worker; a restarted worker has a new one.
+    /// Name of this incarnation of the worker; a restarted worker has a new one, at times with its identity.
     pub name: WorkerName,
     /// Address of the worker's API as ip:port.
     pub address: Arc<str>,
@@ -104,6 +104,8 @@
 pub enum PollFailure {
     /// Another incarnation of the worker replied at the address.
     WrongLife,
+    /// A later incarnation replied that shares the worker's identity, so that it accepts the worker's orders.
+    Restarted,
     /// The worker has received a fencing token of a later term.
     Fenced,
     /// The connection was refused or closed by the remote host.
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -136,6 +136,13 @@
                 self.on_incarnation_ended(now, worker_name);
                 return;
             }
+            PollFailure::Restarted => {
+                if let Some(worker) = self.workers.get_mut(worker_name) {
+                    worker.poll = PollState::Idle { next_at: now };
+                }
+                self.on_worker_restarted(now, worker_name);
+                return;
+            }
             PollFailure::Closed => ContactLossKind::Closed,
             PollFailure::NoAnswer => ContactLossKind::Unanswered,
         };
--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -75,6 +75,7 @@
         let contacts = self.workers.values().filter(|worker| worker.is_listed);
         let silent_zones =
             silent_zones(contacts.map(|worker| (&worker.entry.zone, worker.contact)));
+        let unsettled = self.unsettled_identities();
         let mut pool_capacity = PoolCapacity::default();
         for (name, worker) in &self.workers {
             if worker.entry.pool != *pool || !worker.is_listed {
@@ -92,7 +93,8 @@
             pool_capacity.used_accelerators +=
                 worker.entry.capacity.accelerators - free.accelerators;
             let is_silent = worker.needs_first_poll() || silent_zones.contains(&worker.entry.zone);
-            if worker.is_schedulable(now) && !is_silent {
+            let is_unsettled = unsettled.contains(name.identity());
+            if worker.is_schedulable(now) && !is_silent && !is_unsettled {
                 pool_capacity.slots.push(Slot {
                     worker: name.clone(),
                     rack: worker.entry.rack.clone(),
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -66,6 +66,9 @@
         let Some(allocation) = worker.release(task) else {
             return;
         };
+        if allocation.start_replies < allocation.start_attempts {
+            worker.unsettled_starts.record(now, task, run);
+        }
         let reason = match outcome {
             RunOutcome::Done => RunEndReason::Done,
             RunOutcome::Failed => RunEndReason::Failed,
@@ -181,7 +184,9 @@
             .workers
             .iter()
             .filter(|(_, worker)| {
-                let is_unresponsive = worker.is_unresponsive() || worker.entry.address.is_empty();
+                let is_unresponsive = worker.is_unresponsive()
+                    || worker.is_replaced
+                    || worker.entry.address.is_empty();
                 // Both times run in parallel: a new coordinator's bound on leases is long, and clients would
                 // otherwise wait for a departed worker about twice as long.
                 let abandon_at = worker
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -187,12 +187,13 @@
         let Some(allocation) = worker.allocations.get_mut(task) else {
             return;
         };
-        let AllocationPhase::StartSent { sent_at, .. } = allocation.phase else {
-            return;
-        };
         if allocation.run != run {
             return;
         }
+        allocation.start_replies += u32::from(reply != OrderReply::Unknown);
+        let AllocationPhase::StartSent { sent_at, .. } = allocation.phase else {
+            return;
+        };
         match reply {
             OrderReply::Accepted { clock_ms } => {
                 if !allocation.is_resumed {
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -45,6 +45,26 @@
         self.0.clear();
     }
 
+    /// Adds a run that a worker may have once a late order is carried out.
+    pub(crate) fn insert_expected(&mut self, task: TaskId, run: u32) {
+        let state = UntrackedState {
+            demand: Resources::default(),
+            stop: StopProgress::PENDING,
+        };
+        self.0.insert((task, run), state);
+    }
+
+    /// Removes a run whose stop is confirmed.
+    pub(crate) fn remove_confirmed(&mut self, id: &(TaskId, u32)) {
+        if self
+            .0
+            .get(id)
+            .is_some_and(|state| state.stop.is_confirmed())
+        {
+            self.0.remove(id);
+        }
+    }
+
     /// Total resources of the runs.
     pub(crate) fn resources(&self) -> Resources {
         let demands = self.0.values().map(|state| state.demand);
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -12,6 +12,7 @@
 use crate::losses::{ContactLoss, ContactLossKind};
 use crate::messages::WorkerEntry;
 use crate::reachability::Contact;
+use crate::restarts::UnsettledStarts;
 use crate::speed::SpeedEstimate;
 use crate::untracked_runs::UntrackedRuns;
 
@@ -44,6 +45,10 @@
     pub(crate) entry: WorkerEntry,
     /// Whether the store has an entry of the worker.
     pub(crate) is_listed: bool,
+    /// Whether a later incarnation with the same identity has replaced it.
+    pub(crate) is_replaced: bool,
+    /// Runs that are over, and of which an order to start them may be carried out late.
+    pub(crate) unsettled_starts: UnsettledStarts,
     /// When this coordinator learned of the worker.
     known_since: TimeMs,
     /// When a draining worker leaves at the earliest, if it reported its remaining time.
@@ -93,6 +98,8 @@
         let mut worker = Self {
             entry: entry.clone(),
             is_listed: true,
+            is_replaced: false,
+            unsettled_starts: UnsettledStarts::default(),
             known_since: now,
             leaves_at: None,
             allocations: BTreeMap::new(),
@@ -294,6 +301,9 @@
     /// Only a successful poll ends a contact loss, and an unresponsive worker gets no work. Without these
     /// polls no worker would ever get work again after a network partition longer than all leases.
     pub(crate) fn needs_poll(&self) -> bool {
+        if self.is_replaced {
+            return false;
+        }
         let has_run = self
             .allocations
             .values()
--- a/ragwortwick-core/src/ids.rs
+++ b/ragwortwick-core/src/ids.rs
@@ -68,7 +68,9 @@
     RackName
 }
 name_type! {
-    /// `WorkerName` names a worker, a machine with accelerators that runs tasks.
+    /// `WorkerName` names one incarnation of a worker, a machine with accelerators that runs tasks.
+    ///
+    /// A worker may restart under its identity. Where it tells when it started, the name contains that time.
     WorkerName
 }
 name_type! {
@@ -96,6 +98,44 @@
     RequestId
 }
 
+/// Separates a worker's identity from the time of its start.
+const START_SEPARATOR: char = '@';
+
+impl WorkerName {
+    /// `of_incarnation` names the incarnation of a worker that started at the given Unix time.
+    #[must_use]
+    pub fn of_incarnation(identity: &str, started_unix_ms: Option<u64>) -> Self {
+        match started_unix_ms {
+            Some(started) => Self::new(format!("{identity}{START_SEPARATOR}{started}")),
+            None => Self::new(identity),
+        }
+    }
+
+    /// `identity` is what the worker is addressed by, which a later incarnation may share.
+    #[must_use]
+    pub fn identity(&self) -> &str {
+        self.split_start()
+            .map_or(self.as_str(), |(identity, _)| identity)
+    }
+
+    /// `started_unix_ms` is when the incarnation started, in Unix milliseconds, if it is known.
+    #[must_use]
+    pub fn started_unix_ms(&self) -> Option<u64> {
+        self.split_start().map(|(_, started)| started)
+    }
+
+    /// `is_restart_of` reports whether this is a later incarnation under the same identity.
+    #[must_use]
+    pub fn is_restart_of(&self, earlier: &Self) -> bool {
+        self.identity() == earlier.identity() && self.started_unix_ms() > earlier.started_unix_ms()
+    }
+
+    fn split_start(&self) -> Option<(&str, u64)> {
+        let (identity, started) = self.as_str().rsplit_once(START_SEPARATOR)?;
+        Some((identity, started.parse().ok()?))
+    }
+}
+
 impl GangId {
     /// `of_attempt` creates the id of the gang that runs the given attempt of a job.
     #[must_use]
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -345,6 +345,7 @@
                 };
             }
             PollReply::WrongLife => PollFailure::WrongLife,
+            PollReply::Restarted => PollFailure::Restarted,
             PollReply::Fenced => PollFailure::Fenced,
             PollReply::Closed(_) => PollFailure::Closed,
             PollReply::Failed(_) => PollFailure::NoAnswer,
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -21,7 +21,7 @@
 use super::replica::JobReplica;
 use super::replica_feed::{CoordinatorKeyState, SubscribeRequest};
 use super::store_health::StoreHealth;
-use super::worker_feed::{WorkerFeed, read_workers};
+use super::worker_feed::{KnownWorkers, WorkerFeed, read_workers};
 use crate::{Clock, EventLoop, unix_now};
 
 /// Length of the coordinator's event queue: the events of several placement passes at the planned size.
@@ -102,7 +102,7 @@
         return Ok("no desired state has been read yet");
     };
     let (entries, workers_as_of) = read_workers(&context.store, &context.health).await?;
-    let known_workers = entries.iter().map(|entry| entry.name.clone()).collect();
+    let known_workers = KnownWorkers::of(&entries);
     let (handler_sender, handler_receiver) = std::sync::mpsc::channel();
     let deferred = DeferredHandler {
         receiver: handler_receiver,
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the internals that can't be observed from another process.
 
 mod job_writer;
+mod known_workers;
 mod replica_order;
 mod silent_connections;
 
--- a/ragwortwick-emulator/src/orders.rs
+++ b/ragwortwick-emulator/src/orders.rs
@@ -8,7 +8,7 @@
 use crate::network::Delivery;
 use crate::runs::PollOrder;
 use crate::simulation::{SimEvent, Simulation};
-use crate::worker::{ActiveRun, Reachability, SimWorker, read_checkpoint};
+use crate::worker::{ActiveRun, Reachability, SimWorker, machine_of, read_checkpoint};
 
 /// Time after a capacity has shrunk in which starts are still checked against the full capacity.
 const SHRINK_GRACE_MS: DurationMs = DurationMs(4_500);
@@ -38,13 +38,17 @@
         let Some(index) = self.machine_of(&name) else {
             return;
         };
+        if is_late && self.workers[index].has_forgotten(sent_at) {
+            return;
+        }
         if !self.workers[index].is_up() || self.refuses_request(index, &action) {
             if wants_reply {
                 self.reply_as_not_handled(host, term, index, &action);
             }
             return;
         }
-        let is_wrong_incarnation = self.workers[index].name != name;
+        let poll_failure = self.workers[index].poll_failure_of(&name);
+        let is_wrong_incarnation = poll_failure == Some(PollFailure::WrongLife);
         let event = match action {
             Action::Start {
                 worker,
@@ -100,11 +104,8 @@
                 wait_ms,
                 ..
             } => {
-                if is_wrong_incarnation {
-                    Event::PollFailed {
-                        worker,
-                        failure: PollFailure::WrongLife,
-                    }
+                if let Some(failure) = poll_failure {
+                    Event::PollFailed { worker, failure }
                 } else {
                     let poll = PollOrder {
                         sent_at,
@@ -125,9 +126,7 @@
 
     /// Returns the index of the machine that a worker ran on, in whichever incarnation.
     fn machine_of(&self, name: &WorkerName) -> Option<usize> {
-        let number = name.as_str().split('-').next().unwrap_or("");
-        let is_same_machine =
-            |worker: &SimWorker| worker.name.as_str().split('-').next() == Some(number);
+        let is_same_machine = |worker: &SimWorker| worker.machine() == machine_of(name);
         self.workers.iter().position(is_same_machine)
     }
 
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -309,7 +309,7 @@
             .map(|(task, run)| (task.clone(), run.run))
             .collect();
         self.fail_pending_poll(index, failure);
-        self.workers[index].restart();
+        self.workers[index].restart(self.now);
         for (task, run) in runs {
             let key = (task.job_id.clone(), task.occurrence, task.step, run);
             if let Some(gang) = self.gangs.remove(&key) {
--- a/ragwortwick-emulator/src/simulation.rs
+++ b/ragwortwick-emulator/src/simulation.rs
@@ -182,7 +182,7 @@
             .map(|number| {
                 let label = if number % 3 == 0 { "b" } else { "a" };
                 let speeds = &options.workload.speeds_percent;
-                SimWorker::new(
+                let mut worker = SimWorker::new(
                     u64::from(number),
                     number / options.workers_per_rack.max(1),
                     label,
@@ -190,7 +190,9 @@
                     speeds[number as usize % speeds.len()],
                     checkpoint_policy,
                     options.workload.worker_clock_percent,
-                )
+                );
+                worker.restarts_in_place = options.workload.restarts_in_place;
+                worker
             })
             .collect();
         let arrival_by_job = arrivals
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    EndKind, EndedTask, OrderReply, RefusalCause, Resources, RunningTask, TaskId, WorkerEntry,
-    WorkerReport,
+    EndKind, EndedTask, OrderReply, PollFailure, RefusalCause, Resources, RunningTask, TaskId,
+    WorkerEntry, WorkerReport,
 };
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName, ZoneName};
 
@@ -105,6 +105,11 @@
     }
 }
 
+/// Returns the part of a worker's name that all its incarnations share.
+pub(crate) fn machine_of(name: &WorkerName) -> &str {
+    name.as_str().split('-').next().unwrap_or_default()
+}
+
 /// `SimWorker` is one worker in its current incarnation.
 #[derive(Clone, Debug)]
 #[expect(
@@ -123,6 +128,10 @@
     /// Offset of the worker's clock from the simulation's clock, and its rate in per cent.
     clock_offset_ms: u64,
     clock_percent: u64,
+    /// Whether it restarts under its identity.
+    pub(crate) restarts_in_place: bool,
+    /// When its present incarnation started.
+    pub(crate) restarted_at: TimeMs,
     pub(crate) reachability: Reachability,
     pub(crate) draining_since: Option<TimeMs>,
     pub(crate) leaves_at: Option<TimeMs>,
@@ -211,6 +220,8 @@
             shrunk_at: None,
             clock_offset_ms: 100_000 * (number + 1),
             clock_percent,
+            restarts_in_place: false,
+            restarted_at: TimeMs(0),
             reachability: Reachability::Up,
             draining_since: None,
             leaves_at: None,
@@ -245,7 +256,7 @@
     pub(crate) fn entry(&self, now: TimeMs) -> WorkerEntry {
         WorkerEntry {
             name: self.name.clone(),
-            address: self.name.as_str().into(),
+            address: self.name.identity().into(),
             pool: crate::arrivals::POOL.into(),
             zone: self.zone.clone(),
             rack: self.rack.as_str().into(),
@@ -308,17 +319,38 @@
         self.reachability = Reachability::Up;
     }
 
+    /// Whether it has forgotten an order that it received before it restarted, and left unanswered.
+    pub(crate) fn has_forgotten(&self, sent_at: TimeMs) -> bool {
+        self.restarts_in_place && sent_at < self.restarted_at
+    }
+
+    /// How it refuses a poll that is meant for the given incarnation; none if that is the present one.
+    pub(crate) fn poll_failure_of(&self, name: &WorkerName) -> Option<PollFailure> {
+        if self.name == *name {
+            None
+        } else if self.name.identity() == name.identity() {
+            Some(PollFailure::Restarted)
+        } else {
+            Some(PollFailure::WrongLife)
+        }
+    }
+
+    /// Returns the part of the name that all incarnations share.
+    pub(crate) fn machine(&self) -> &str {
+        machine_of(&self.name)
+    }
+
     /// Replaces the worker by a new incarnation that has no state.
-    pub(crate) fn restart(&mut self) {
-        let number = self
-            .name
-            .as_str()
-            .split('-')
-            .next()
-            .unwrap_or("w")
-            .to_owned();
+    pub(crate) fn restart(&mut self, now: TimeMs) {
+        self.restarted_at = now;
         self.incarnation += 1;
-        self.name = WorkerName::new(format!("{number}-{}", self.incarnation));
+        if self.restarts_in_place {
+            let started = u64::from(self.incarnation);
+            self.name = WorkerName::of_incarnation(self.name.identity(), Some(started));
+            self.clock_offset_ms = self.incarnation.into();
+        } else {
+            self.name = WorkerName::new(format!("{}-{}", self.machine(), self.incarnation));
+        }
         self.fencing_token = 0;
         self.lease_until = 0;
         self.expired_through = 0;
--- a/ragwortwick-emulator/src/workload.rs
+++ b/ragwortwick-emulator/src/workload.rs
@@ -23,6 +23,9 @@
     /// Rate of the workers' clocks, in per cent of the true rate.
     #[serde(default = "default_worker_clock_percent")]
     pub worker_clock_percent: u64,
+    /// Whether workers that crash restart under their identity, so that they accept the orders of before.
+    #[serde(default)]
+    pub restarts_in_place: bool,
     /// Whether a start from a checkpoint skips the work that was saved.
     ///
     /// The seeds kept as regression tests were found with this disabled.
--- a/ragwortwick-emulator/tests/seeds.rs
+++ b/ragwortwick-emulator/tests/seeds.rs
@@ -395,3 +395,30 @@
         assert_no_violations(seed, &faults, &report);
     }
 }
+
+/// Guards against a second run of a task on a worker that restarted under its identity and accepts old orders.
+#[test]
+fn verify_promises_hold_while_workers_restart_under_their_identity() {
+    let kinds = [
+        FaultKind::WorkersCrash,
+        FaultKind::AnswersCut,
+        FaultKind::CoordinatorKilled,
+    ];
+    let late = Fault {
+        kind: FaultKind::OrdersLate,
+        at: TimeMs(1_000),
+        for_ms: DurationMs(20_000),
+    };
+    for seed in 70_001..70_041 {
+        let mut faults = draw_faults_of(&kinds, DurationMs(7_000), seed, 5, TimeMs(20_000));
+        faults.push(late);
+        let workload = include_str!("../loads/restarts.json");
+        let options = SimulationOptions {
+            seed,
+            workload: serde_json::from_str(workload).expect("a well-formed workload"),
+            ..SimulationOptions::default()
+        };
+        let report = Simulation::new(options, faults.clone()).run();
+        assert_no_violations(seed, &faults, &report);
+    }
+}
