--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -27,6 +27,8 @@
     /// Whether its result would still have any value to the client.
     pub(crate) has_value_left: bool,
     pub(crate) can_meet_objective: bool,
+    /// Largest factor, in per cent, by which its remaining work may take longer and still meet it.
+    pub(crate) max_slowdown_percent: u32,
 }
 
 impl Candidate {
@@ -105,6 +107,7 @@
                         value: occurrence_value.value,
                         has_value_left: occurrence_value.has_value_left,
                         can_meet_objective: occurrence_value.can_meet_objective,
+                        max_slowdown_percent: occurrence_value.max_slowdown_percent,
                     });
                 }
             }
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -18,6 +18,7 @@
 use crate::messages::{Action, Event, WorkerEntry};
 use crate::progress::{JobPhase, JobProgress};
 use crate::record_batches::RecordBatches;
+use crate::speed_model::SpeedModel;
 use crate::value::total_work;
 use crate::worker::Worker;
 
@@ -122,6 +123,10 @@
     pub(crate) reserved_workers: BTreeSet<WorkerName>,
     /// Recent peak of urgent demand in each pool.
     pub(crate) urgent_peaks: BTreeMap<PoolName, UrgentDemandPeak>,
+    /// Speeds of the workers.
+    pub(crate) speeds: SpeedModel,
+    /// When they were last stored.
+    pub(crate) speeds_stored_at: TimeMs,
     /// Recently lost workers.
     pub(crate) losses: RecentLosses,
     /// Listed completions that are not acknowledged yet.
@@ -168,6 +173,8 @@
             submitted_work: BTreeMap::new(),
             reserved_workers: BTreeSet::new(),
             urgent_peaks: BTreeMap::new(),
+            speeds: SpeedModel::default(),
+            speeds_stored_at: now.steady,
             losses: RecentLosses::default(),
             held_ends: HeldEnds::default(),
             preempted_for: BTreeMap::new(),
@@ -279,7 +286,15 @@
             self.expire_leases(now.steady);
             self.attribute_losses(now.steady);
             self.remove_expired_jobs(now.steady);
-            self.workers.retain(|_, worker| !worker.can_be_removed());
+            self.store_speeds(now);
+            let speeds = &mut self.speeds;
+            self.workers.retain(|name, worker| {
+                let is_gone = worker.can_be_removed();
+                if is_gone {
+                    speeds.forget(name);
+                }
+                !is_gone
+            });
         }
         let is_occurrence_due = self.next_scheduled_at.is_some_and(|at| at <= now.steady);
         if (self.needs_pass || is_occurrence_due) && now.steady >= self.next_pass_at {
--- a/ragwortwick-area/src/headroom.rs
+++ b/ragwortwick-area/src/headroom.rs
@@ -13,6 +13,7 @@
 use crate::job::StepSpec;
 use crate::packing::{PlacementConstraints, Slot, rack_ranges};
 use crate::pool_capacity::PoolCapacity;
+use crate::speed::SpeedPreference;
 
 /// Headroom as a multiple of the recent peak of urgent demand. A gang needs whole workers, often of one rack,
 /// so it can use only a part of the free capacity.
@@ -49,12 +50,24 @@
     capacity: &PoolCapacity,
 ) -> PlacementConstraints {
     PlacementConstraints {
-        prefers_fast: candidate.priority == 0,
+        speed_preference: speed_preference(candidate, capacity),
         avoids_headroom: must_avoid_headroom(candidate, spec, capacity),
         ..PlacementConstraints::default()
     }
 }
 
+/// Returns which workers a step prefers by their speed.
+fn speed_preference(candidate: &Candidate, capacity: &PoolCapacity) -> SpeedPreference {
+    match (candidate.priority == 0, capacity.is_uneven) {
+        (true, true) => SpeedPreference::Fastest,
+        (true, false) => SpeedPreference::NotSlow,
+        (false, true) => SpeedPreference::SlowestInTime {
+            max_slowdown_percent: candidate.max_slowdown_percent,
+        },
+        (false, false) => SpeedPreference::Slow,
+    }
+}
+
 /// Whether a step's tasks may not use the headroom, because a stop would lose their work. While most of the
 /// pool is idle, no headroom is needed.
 fn must_avoid_headroom(candidate: &Candidate, spec: &StepSpec, capacity: &PoolCapacity) -> bool {
@@ -84,6 +97,25 @@
     }
 }
 
+/// Marks the fastest workers until they have the given number of accelerators, in the order of their racks.
+///
+/// Headroom on slow workers is of no use to work with little slack.
+pub(crate) fn mark_fastest(slots: &mut [Slot], accelerators: f64) {
+    let mut order: Vec<usize> = (0..slots.len()).collect();
+    order.sort_by_cached_key(|&index| {
+        let slot = &slots[index];
+        (SpeedPreference::Fastest.rank(slot.speed), rack_hash(slot))
+    });
+    let mut remaining = accelerators;
+    for index in order {
+        if remaining <= 0.0 {
+            return;
+        }
+        slots[index].is_headroom = true;
+        remaining -= to_f64(slots[index].capacity_accelerators);
+    }
+}
+
 fn rack_hash(slot: &Slot) -> u64 {
     let mut hasher = DefaultHasher::new();
     slot.rack.as_str().hash(&mut hasher);
--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -11,7 +11,6 @@
 use crate::job::{JobRecord, StepSpec, TaskId};
 use crate::outcome::{FollowUp, RunOutcome, apply_gang_outcome, apply_task_outcome};
 use crate::progress::JobPhase;
-use crate::speed::StepDurations;
 
 /// `TaskState` is the scheduling state of one task.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,8 +47,6 @@
     /// Whether the gang's run is ending and some of its members have not ended yet.
     pub(crate) is_gang_ending: bool,
     pub(crate) has_failed_member: bool,
-    /// Durations of its tasks so far.
-    pub(crate) durations: StepDurations,
 }
 
 impl StepState {
@@ -69,7 +66,6 @@
             gang_failures: 0,
             is_gang_ending: false,
             has_failed_member: false,
-            durations: StepDurations::default(),
         }
     }
 
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -39,6 +39,8 @@
 mod run_ends;
 mod run_progress;
 mod speed;
+mod speed_model;
+mod speed_record;
 mod starts;
 mod stop_progress;
 mod stops;
@@ -48,6 +50,9 @@
 mod value;
 mod worker;
 
+#[cfg(test)]
+mod tests;
+
 pub use accounting::{JobAccounting, LostWork, RunEndReason};
 pub use coordinator::{Coordinator, Now, RecoveredJob};
 pub use desired::{Customer, DesiredState, Queue};
@@ -63,6 +68,7 @@
 };
 pub use progress::{GangProgress, JobPhase, JobProgress, TaskProgress};
 pub use record_batches::MAX_BATCH_RECORDS;
+pub use speed_record::{RecordedSpeed, SpeedCounts, SpeedRecord, SpeedRecordError};
 pub use unstored_results::{RunResult, RunResultKind, UnstoredResults};
 pub use untracked_runs::UntrackedRun;
 pub use validation::JobValidationError;
--- a/ragwortwick-area/src/limits.rs
+++ b/ragwortwick-area/src/limits.rs
@@ -23,6 +23,8 @@
     pub restore_ms: DurationMs,
     /// How long the final state of a job can be queried.
     pub retention_ms: DurationMs,
+    /// Whether work is placed by its expected finish on workers that are known to differ in speed.
+    pub places_by_speed: bool,
     /// Weights that set the value of work.
     pub weights: Weights,
 }
@@ -80,6 +82,7 @@
             checkpoint_ms: DurationMs(500),
             restore_ms: DurationMs(100),
             retention_ms: DurationMs(120_000),
+            places_by_speed: false,
             weights: Weights::default(),
         }
     }
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -12,6 +12,7 @@
 use crate::job::{JobRecord, Resources, StepId, TaskId};
 use crate::losses::WorkerLossReport;
 use crate::progress::JobProgress;
+use crate::speed_record::SpeedRecord;
 use crate::unstored_results::RunResult;
 use crate::untracked_runs::UntrackedRun;
 
@@ -295,6 +296,8 @@
         /// At most `MAX_BATCH_RECORDS` records.
         records: Vec<ProgressRecord>,
     },
+    /// Store the speeds of the workers for the next coordinator; nothing depends on the result.
+    StoreSpeeds(SpeedRecord),
     /// Order a worker to start a run.
     Start {
         /// The worker.
--- a/ragwortwick-area/src/packing.rs
+++ b/ragwortwick-area/src/packing.rs
@@ -7,7 +7,7 @@
 use ragwortwick_core::{LabelName, RackName, WorkerName};
 
 use crate::job::{Resources, StepSpec};
-use crate::speed::Speed;
+use crate::speed::{SpeedEstimate, SpeedPreference, is_in_time};
 
 /// `Slot` is a worker's free capacity during one placement pass.
 #[derive(Clone, Debug)]
@@ -25,7 +25,7 @@
     /// Failed runs since the last run that completed there; slots with fewer of them are preferred.
     pub(crate) consecutive_failures: u32,
     /// Speed of the worker relative to others.
-    pub(crate) speed: Speed,
+    pub(crate) speed: SpeedEstimate,
     /// Whether it is headroom for urgent work; other work may use it only if it is cheap to stop.
     pub(crate) is_headroom: bool,
     /// Whether no run was started there recently.
@@ -123,8 +123,10 @@
     pub(crate) tasks_by_worker: BTreeMap<WorkerName, u32>,
     /// The only workers that may run the step; `None` if any may.
     pub(crate) allowed_workers: Option<BTreeSet<WorkerName>>,
-    /// Whether fast workers are preferred; if not, they are left to other steps.
-    pub(crate) prefers_fast: bool,
+    /// Which workers are preferred by their speed.
+    pub(crate) speed_preference: SpeedPreference,
+    /// Largest factor, in per cent, by which work may take longer on a worker; none if there is no limit.
+    pub(crate) max_slowdown_percent: Option<u32>,
     /// Whether headroom slots are excluded.
     pub(crate) avoids_headroom: bool,
     /// Whether only workers without a recent start are allowed.
@@ -141,27 +143,24 @@
         let is_excluded_headroom = self.avoids_headroom && slot.is_headroom;
         let allowed = self.allowed_workers.as_ref();
         let lacks_isolation = self.needs_isolated_start && !slot.has_no_recent_start;
+        let is_too_slow = self
+            .max_slowdown_percent
+            .is_some_and(|max_percent| !is_in_time(slot.speed, max_percent));
         !is_excluded_headroom
+            && !is_too_slow
             && !lacks_isolation
             && allowed.is_none_or(|allowed| allowed.contains(&slot.worker))
     }
-
-    /// Returns the rank of a worker's speed; lower ranks are preferred.
-    fn speed_rank(&self, speed: Speed) -> u8 {
-        match speed {
-            Speed::VerySlow => 2,
-            Speed::Slow => u8::from(self.prefers_fast),
-            Speed::Normal => u8::from(!self.prefers_fast),
-        }
-    }
 }
 
 /// `SlotRank` orders slots for a task, the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct SlotRank {
     is_remote: bool,
+    /// Rank by the expected finish, where workers are known to differ in speed.
+    finish: i32,
     consecutive_failures: u32,
-    speed: u8,
+    speed: i32,
     /// Tasks that may use headroom use it first, to leave other slots to the rest.
     is_outside_headroom: bool,
     free_accelerators: u64,
@@ -170,10 +169,14 @@
 
 impl SlotRank {
     fn of(slot: &Slot, spec: &StepSpec, constraints: &PlacementConstraints) -> Self {
+        let preference = constraints.speed_preference;
+        let rank = preference.rank(slot.speed);
+        let is_by_finish = preference.is_by_finish();
         Self {
             is_remote: slot.is_remote(spec),
+            finish: if is_by_finish { rank } else { 0 },
             consecutive_failures: slot.consecutive_failures,
-            speed: constraints.speed_rank(slot.speed),
+            speed: if is_by_finish { 0 } else { rank },
             is_outside_headroom: !slot.is_headroom,
             free_accelerators: slot.free.accelerators,
             free_cpu_millis: slot.free.cpu_millis,
@@ -240,18 +243,18 @@
     constraints: &PlacementConstraints,
 ) -> SlotRank {
     let first = SlotRank::of(&slots[indexes[0]], spec, constraints);
-    let placed = placements.iter().map(|&index| &slots[index]);
+    let placed = placements
+        .iter()
+        .map(|&index| SlotRank::of(&slots[index], spec, constraints));
     let free = indexes.iter().map(|&index| slots[index].free.accelerators);
     SlotRank {
+        finish: placed.clone().map(|rank| rank.finish).max().unwrap_or(0),
         consecutive_failures: placed
             .clone()
-            .map(|slot| slot.consecutive_failures)
-            .max()
-            .unwrap_or(0),
-        speed: placed
-            .map(|slot| constraints.speed_rank(slot.speed))
+            .map(|rank| rank.consecutive_failures)
             .max()
             .unwrap_or(0),
+        speed: placed.map(|rank| rank.speed).max().unwrap_or(0),
         free_accelerators: free.sum(),
         free_cpu_millis: 0,
         ..first
@@ -279,6 +282,9 @@
         .filter(|(_, fits)| *fits > 0)
         .map(|(index, fits)| (SlotRank::of(&slots[index], spec, constraints), index, fits))
         .collect();
+    if constraints.speed_preference == SpeedPreference::Fastest {
+        level_finish(&mut ranked, count);
+    }
     ranked.sort_unstable();
     let mut placements = Vec::with_capacity(count);
     for (_, index, fits) in ranked {
@@ -292,6 +298,30 @@
     (placements.len() == count).then_some(placements)
 }
 
+/// Ranks all workers alike that are as fast as the slowest member's has to be, the slower ones first.
+///
+/// A gang is as late as its slowest member, so faster workers than that are left to others.
+fn level_finish(ranked: &mut [(SlotRank, usize, u64)], count: usize) {
+    let mut capacity_by_finish: BTreeMap<i32, u64> = BTreeMap::new();
+    for (rank, _, fits) in ranked.iter() {
+        *capacity_by_finish.entry(rank.finish).or_default() += fits;
+    }
+    let mut capacity = 0;
+    let slowest = capacity_by_finish.into_iter().find(|(_, fits)| {
+        capacity += fits;
+        capacity >= count as u64
+    });
+    let Some((slowest, _)) = slowest else {
+        return;
+    };
+    for (rank, _, _) in ranked {
+        if rank.finish <= slowest {
+            rank.speed = slowest - rank.finish;
+            rank.finish = slowest;
+        }
+    }
+}
+
 /// `pack_single` returns the best slot for one task.
 pub(crate) fn pack_single(
     slots: &[Slot],
--- a/ragwortwick-area/src/placement.rs
+++ b/ragwortwick-area/src/placement.rs
@@ -26,6 +26,7 @@
             self.next_scheduled_at = None;
             return;
         }
+        self.speeds.update(now.steady);
         let urgent_usage = self.urgent_usage();
         let mut candidates = self.candidates(now, &urgent_usage);
         sort_candidates(&mut candidates);
@@ -58,7 +59,11 @@
         let waiting: u64 = waiting.filter_map(|c| self.pending_accelerators(c)).sum();
         let peak = self.urgent_peaks.entry(pool.clone()).or_default();
         let accelerators = peak.headroom_for(now, waiting + used);
-        headroom::mark_racks(&mut capacity.slots, accelerators);
+        if capacity.is_uneven {
+            headroom::mark_fastest(&mut capacity.slots, accelerators);
+        } else {
+            headroom::mark_racks(&mut capacity.slots, accelerators);
+        }
     }
 
     /// Places steps that may not preempt, in order, and reserves capacity for gangs that do not fit.
@@ -77,7 +82,7 @@
             }
             if self.release_reservation_for(now, candidate, &mut capacity.slots, &mut reservations)
             {
-                self.place_step(now, candidate, capacity);
+                self.place_step(now, candidate, None, capacity);
             } else if candidate.has_value_left && !capacity.is_mostly_idle() {
                 // While half of the pool is idle, small tasks are not the reason why the gang does not fit.
                 self.reserve_for_gang(now, candidate, capacity, &mut reservations);
@@ -108,7 +113,7 @@
         if !is_limited_to_workers && unplaced.contains(&key) {
             return false;
         }
-        if self.place_step(now, candidate, capacity) {
+        if self.place_step(now, candidate, None, capacity) {
             return true;
         }
         self.propose_advice_request(now, candidate, &capacity.slots);
@@ -140,10 +145,13 @@
     }
 
     /// Places the waiting tasks of a step that fit; returns whether no waiting task is left.
+    ///
+    /// With a largest slowdown, in per cent, only workers are used that aren't known to be slower.
     pub(crate) fn place_step(
         &mut self,
         now: TimeMs,
         candidate: &Candidate,
+        max_slowdown_percent: Option<u32>,
         capacity: &mut PoolCapacity,
     ) -> bool {
         let Some(job) = self.jobs.get(&candidate.job_id) else {
@@ -161,6 +169,7 @@
         };
         let mut constraints = PlacementConstraints {
             allowed_workers: self.workers_with_ticket(now, candidate),
+            max_slowdown_percent,
             ..headroom::constraints_for(candidate, &spec, capacity)
         };
         count_placed_tasks(&mut constraints, job, candidate);
--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -28,6 +28,8 @@
     used_accelerators: u64,
     /// Racks of evacuated zones.
     evacuated_racks: BTreeSet<RackName>,
+    /// Whether its workers are known to differ in speed, and work is placed by its expected finish.
+    pub(crate) is_uneven: bool,
     listed_workers: usize,
     /// Workers that have just been listed and have not replied yet.
     awaited_workers: usize,
@@ -76,7 +78,10 @@
         let silent_zones =
             silent_zones(contacts.map(|worker| (&worker.entry.zone, worker.contact)));
         let unsettled = self.unsettled_identities();
-        let mut pool_capacity = PoolCapacity::default();
+        let mut pool_capacity = PoolCapacity {
+            is_uneven: self.limits.places_by_speed && self.speeds.is_uneven(),
+            ..PoolCapacity::default()
+        };
         for (name, worker) in &self.workers {
             if worker.entry.pool != *pool || !worker.is_listed {
                 continue;
@@ -104,7 +109,7 @@
                     overcommitted: worker.overcommitted(),
                     capacity_accelerators: worker.entry.capacity.accelerators,
                     consecutive_failures: worker.consecutive_failures,
-                    speed: worker.speed.speed(),
+                    speed: self.speeds.speed_of(name),
                     is_headroom: false,
                     has_no_recent_start: worker.has_no_recent_start(now),
                     is_closed: false,
--- a/ragwortwick-area/src/preemption.rs
+++ b/ragwortwick-area/src/preemption.rs
@@ -12,6 +12,7 @@
 use crate::packing::{PlacementConstraints, Slot};
 use crate::pool_capacity::PoolCapacity;
 use crate::preemption_plan::{PreemptionPlan, cheapest_plan, place_all};
+use crate::speed::SpeedPreference;
 
 /// Time for which a stopped run's capacity is unused, which a stop costs in addition to the lost work.
 const RESTART_IDLE_MS: u64 = 500;
@@ -49,6 +50,19 @@
     accelerators: u64,
 }
 
+/// `UrgentPass` is the state of one pass over the urgent steps.
+struct UrgentPass {
+    /// Slots in which the resources of runs that are already stopping count as free.
+    after_stops: Vec<Slot>,
+    value_per_core_second: f64,
+    plans_left: usize,
+    slot_index: SlotIndex,
+    /// Runs that may be preempted, listed when first needed.
+    victims: Option<Vec<Victim>>,
+    /// Steps that did not fit, with their number of tasks and their largest slowdown in per cent.
+    unplaced: Vec<(StepSpec, usize, Option<u32>)>,
+}
+
 impl Coordinator {
     /// Places urgent steps in order; for steps that do not fit, reserves capacity and preempts other runs.
     ///
@@ -63,82 +77,123 @@
         if urgent.is_empty() {
             return;
         }
-        // Resources of runs that are already stopping count as free.
-        let mut after_stops = self.slots_after_stops(&capacity.slots);
-        let value_per_core_second = self.value_per_core_second();
-        let mut plans_left = MAX_PLANS_PER_PASS;
-        let slot_index = slots_by_worker(&capacity.slots);
-        let mut victims: Option<Vec<Victim>> = None;
-        let mut unplaced: Vec<(StepSpec, usize)> = Vec::new();
+        let mut pass = UrgentPass {
+            after_stops: self.slots_after_stops(&capacity.slots),
+            value_per_core_second: self.value_per_core_second(),
+            plans_left: MAX_PLANS_PER_PASS,
+            slot_index: slots_by_worker(&capacity.slots),
+            victims: None,
+            unplaced: Vec::new(),
+        };
         for candidate in urgent {
-            let is_placed = self.place_step(now, candidate, capacity);
-            for (index, need) in capacity.allocations.drain(..) {
-                after_stops[index].allocate(need);
-            }
-            if is_placed {
-                continue;
-            }
-            let Some((spec, count)) = self.waiting_tasks(candidate) else {
-                continue;
-            };
-            self.propose_advice_request(now, candidate, &capacity.slots);
-            let constraints = PlacementConstraints {
-                allowed_workers: self.permitted_workers(candidate),
-                prefers_fast: true,
-                ..PlacementConstraints::default()
-            };
-            let key = (spec.placement_key(), count);
-            // Steps with an advisor are never skipped: the workers that it permits differ from step to step.
-            let is_known_not_to_fit =
-                constraints.allowed_workers.is_none() && unplaced.contains(&key);
-            if !is_known_not_to_fit
-                && let Some(placements) = place_all(&after_stops, &spec, count, &constraints)
-            {
-                reserve(&mut after_stops, capacity, &placements, spec.demand());
-                continue;
-            }
-            if !is_known_not_to_fit {
-                unplaced.push(key);
-            }
-            // Idle workers that reply within milliseconds would make the preemption pointless.
-            if capacity.is_incomplete() {
-                continue;
-            }
-            // Each plan scans whole racks; a pass on a small host has to stay short.
-            if plans_left == 0 {
-                continue;
-            }
-            plans_left -= 1;
-            // Listing all runs is the most expensive part of a pass, so it is done only when needed.
-            let victims = victims.get_or_insert_with(|| self.preemptible(now, &slot_index));
-            let Some(plan) = plan_for(candidate, &after_stops, &spec, count, &constraints, victims)
-            else {
-                continue;
-            };
-            // Other runs are preempted only if the value gained by meeting the objective exceeds the value of
-            // the work that is lost. A fixed limit for all jobs would keep large urgent jobs waiting, whose
-            // value is many times higher.
-            let gain = candidate.value * (1.0 - self.limits.weights.late_share);
-            if !candidate.is_guaranteed && plan.lost_work * value_per_core_second > gain {
-                continue;
+            // A place that makes the work late is the last choice, after stopping cheap work elsewhere.
+            let in_time = capacity.is_uneven && candidate.can_meet_objective;
+            let limit = in_time.then_some(candidate.max_slowdown_percent);
+            let is_settled = limit.is_some()
+                && self.place_or_preempt(now, candidate, limit, capacity, &mut pass);
+            if !is_settled {
+                self.place_or_preempt(now, candidate, None, capacity, &mut pass);
             }
-            self.preempted_for.entry(candidate.step_id()).or_insert(now);
-            for victim in &plan.victims {
-                // Otherwise the victim would be placed first in the next pass, in the capacity just freed.
-                self.preempted_for.remove(&victim.unit.step);
-                self.stop_victim(now, victim, &candidate.job_id);
-                for &(index, freed) in &victim.freed {
-                    after_stops[index].release(freed);
-                }
+        }
+    }
+
+    /// Places a step, reserves capacity that is about to be free for it, or preempts other runs; returns whether
+    /// there was a way. With a largest slowdown, in per cent, only workers are used that aren't known to be slower.
+    fn place_or_preempt(
+        &mut self,
+        now: TimeMs,
+        candidate: &Candidate,
+        max_slowdown_percent: Option<u32>,
+        capacity: &mut PoolCapacity,
+        pass: &mut UrgentPass,
+    ) -> bool {
+        let is_placed = self.place_step(now, candidate, max_slowdown_percent, capacity);
+        for (index, need) in capacity.allocations.drain(..) {
+            pass.after_stops[index].allocate(need);
+        }
+        if is_placed {
+            return true;
+        }
+        let Some((spec, count)) = self.waiting_tasks(candidate) else {
+            return false;
+        };
+        self.propose_advice_request(now, candidate, &capacity.slots);
+        let constraints = PlacementConstraints {
+            allowed_workers: self.permitted_workers(candidate),
+            speed_preference: if capacity.is_uneven {
+                SpeedPreference::Fastest
+            } else {
+                SpeedPreference::NotSlow
+            },
+            max_slowdown_percent,
+            ..PlacementConstraints::default()
+        };
+        let key = (spec.placement_key(), count, max_slowdown_percent);
+        // Steps with an advisor are never skipped: the workers that it permits differ from step to step.
+        let is_known_not_to_fit =
+            constraints.allowed_workers.is_none() && pass.unplaced.contains(&key);
+        if !is_known_not_to_fit
+            && let Some(placements) = place_all(&pass.after_stops, &spec, count, &constraints)
+        {
+            reserve(&mut pass.after_stops, capacity, &placements, spec.demand());
+            return true;
+        }
+        if !is_known_not_to_fit {
+            pass.unplaced.push(key);
+        }
+        // Idle workers that reply within milliseconds would make the preemption pointless. Each plan scans whole
+        // racks; a pass on a small host has to stay short.
+        if capacity.is_incomplete() || pass.plans_left == 0 {
+            return false;
+        }
+        pass.plans_left -= 1;
+        // Listing all runs is the most expensive part of a pass, so it is done only when needed.
+        let victims = pass
+            .victims
+            .get_or_insert_with(|| self.preemptible(now, &pass.slot_index));
+        let Some(plan) = plan_for(
+            candidate,
+            &pass.after_stops,
+            &spec,
+            count,
+            &constraints,
+            victims,
+        ) else {
+            return false;
+        };
+        // Other runs are preempted only if the value gained by meeting the objective exceeds the value of
+        // the work that is lost. A fixed limit for all jobs would keep large urgent jobs waiting, whose
+        // value is many times higher.
+        let gain = candidate.value * (1.0 - self.limits.weights.late_share);
+        let is_worthwhile = plan.lost_work * pass.value_per_core_second <= gain;
+        // A guarantee covers any capacity; what makes only the difference between fast and slow workers
+        // has to be worth its price.
+        let is_owed = candidate.is_guaranteed && max_slowdown_percent.is_none();
+        if !is_owed && !is_worthwhile {
+            return false;
+        }
+        self.preempted_for.entry(candidate.step_id()).or_insert(now);
+        for victim in &plan.victims {
+            // Otherwise the victim would be placed first in the next pass, in the capacity just freed.
+            self.preempted_for.remove(&victim.unit.step);
+            self.stop_victim(now, victim, &candidate.job_id);
+            for &(index, freed) in &victim.freed {
+                pass.after_stops[index].release(freed);
             }
-            victims.retain(|victim| {
-                let is_stopped = |other: &Victim| other.unit == victim.unit;
-                !plan.victims.iter().any(is_stopped)
-            });
-            // The stops may free more than this job needs, so steps that did not fit before may fit now.
-            unplaced.clear();
-            reserve(&mut after_stops, capacity, &plan.placements, spec.demand());
         }
+        victims.retain(|victim| {
+            let is_stopped = |other: &Victim| other.unit == victim.unit;
+            !plan.victims.iter().any(is_stopped)
+        });
+        // The stops may free more than this job needs, so steps that did not fit before may fit now.
+        pass.unplaced.clear();
+        reserve(
+            &mut pass.after_stops,
+            capacity,
+            &plan.placements,
+            spec.demand(),
+        );
+        true
     }
 
     fn waiting_tasks(&self, candidate: &Candidate) -> Option<(StepSpec, usize)> {
--- a/ragwortwick-area/src/preemption_plan.rs
+++ b/ragwortwick-area/src/preemption_plan.rs
@@ -163,7 +163,16 @@
         }
         let rank = |index: usize, cost: f64| {
             let slot = &self.slots[index];
-            (cost, slot.consecutive_failures, slot.free.accelerators)
+            let preference = self.constraints.speed_preference;
+            let finish = if preference.is_by_finish() {
+                preference.rank(slot.speed)
+            } else {
+                0
+            };
+            (
+                cost,
+                (finish, slot.consecutive_failures, slot.free.accelerators),
+            )
         };
         let costs = self.costs.iter().enumerate();
         let possible = costs.filter_map(|(index, slot_cost)| match slot_cost {
@@ -172,7 +181,7 @@
         });
         let best = possible.min_by(|(_, a), (_, b)| {
             let by_cost = a.0.total_cmp(&b.0);
-            by_cost.then_with(|| (a.1, a.2).cmp(&(b.1, b.2)))
+            by_cost.then_with(|| a.1.cmp(&b.1))
         });
         best.map(|(index, _)| index)
     }
--- a/ragwortwick-area/src/progress_tracker.rs
+++ b/ragwortwick-area/src/progress_tracker.rs
@@ -2,6 +2,8 @@
 
 use ragwortwick_core::DurationMs;
 
+use crate::speed_model::ObservedDuration;
+
 /// Minimum time without progress, as a percentage of the expected duration, after which a run counts as
 /// stalled: progress is reported in whole per cent.
 const STALL_PERCENT_OF_EXPECTED: u64 = 8;
@@ -24,8 +26,6 @@
     last: ProgressSample,
     /// Time of the last sample that showed progress.
     advanced_clock_ms: u64,
-    /// Whether its duration was used as a sample of its worker's speed.
-    pub(crate) is_speed_sampled: bool,
 }
 
 /// `ProgressChange` is what two progress samples of a run show.
@@ -47,7 +47,6 @@
             first: sample,
             last: sample,
             advanced_clock_ms: clock_ms,
-            is_speed_sampled: false,
         }
     }
 
@@ -78,9 +77,18 @@
         DurationMs(self.last.clock_ms.saturating_sub(self.advanced_clock_ms))
     }
 
-    /// Share of the work that was done while the run was tracked, in per cent.
-    pub(crate) fn observed_percent(&self) -> u32 {
-        self.last.percent.saturating_sub(self.first.percent)
+    /// What the progress so far tells of the duration of the whole run.
+    pub(crate) fn observed_duration(&self) -> ObservedDuration {
+        let span_ms = DurationMs(self.advanced_clock_ms.saturating_sub(self.first.clock_ms));
+        let percent = self.last.percent.saturating_sub(self.first.percent);
+        if self.last.percent >= 100 {
+            // The work ended some time before the report that shows it.
+            ObservedDuration::AtMost(DurationMs(
+                span_ms.0.saturating_mul(100) / u64::from(percent.max(1)),
+            ))
+        } else {
+            ObservedDuration::Progress { span_ms, percent }
+        }
     }
 
     /// Estimated duration of the whole work at the speed so far; none before any progress.
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -102,7 +102,7 @@
             RunOutcome::NoVerdict | RunOutcome::Lost(_) => {}
         }
         if outcome == RunOutcome::Done {
-            self.compare_final_duration(now, worker_name, task, &allocation);
+            self.observe_whole_run(now, worker_name, task, &allocation);
         }
         self.release_held_ends(task);
         let attempts = self.max_attempts(&task.job_id);
--- a/ragwortwick-area/src/run_progress.rs
+++ b/ragwortwick-area/src/run_progress.rs
@@ -1,4 +1,4 @@
-//! What reported progress shows: stalled runs, the workers that stall them, and the speed of workers.
+//! What reported progress shows: stalled runs, the workers that stall them, and how long runs take.
 //!
 //! Runs on a worker may make no progress although the worker counts as healthy: urgent work placed there
 //! misses its objective however early it started. The progress in one or two poll replies shows this. The
@@ -15,6 +15,7 @@
 use crate::job_state::TaskState;
 use crate::messages::WorkerReport;
 use crate::progress_tracker::{ProgressChange, ProgressTracker};
+use crate::speed_model::ObservedDuration;
 use crate::worker::Worker;
 
 /// How long a worker with stalled runs gets no new work after the poll reply that showed them.
@@ -31,6 +32,21 @@
 /// worker, and would be restarted without end.
 const MAX_STALL_RESTARTS: u32 = 2;
 
+/// `RunDuration` is what the progress of one run tells of its duration.
+struct RunDuration {
+    task: TaskId,
+    run: u32,
+    observed: ObservedDuration,
+}
+
+/// `ReportedProgress` is what one report shows of the runs on a worker.
+struct ReportedProgress {
+    /// Stalled runs, each with its stall time.
+    stalled: Vec<(TaskId, DurationMs)>,
+    /// Runs that have advanced.
+    durations: Vec<RunDuration>,
+}
+
 impl Allocation {
     /// Records the reported progress of the run.
     fn record_progress(&mut self, clock_ms: u64, percent: u32) -> ProgressChange {
@@ -58,10 +74,11 @@
 }
 
 impl Worker {
-    /// Records the reported progress of the runs; returns the stalled ones, each with its stall time.
-    fn record_progress(&mut self, now: TimeMs, report: &WorkerReport) -> Vec<(TaskId, DurationMs)> {
+    /// Records the reported progress of the runs.
+    fn record_progress(&mut self, now: TimeMs, report: &WorkerReport) -> ReportedProgress {
         let mut is_advancing = false;
         let mut stalled = Vec::new();
+        let mut durations = Vec::new();
         for running in &report.running {
             let Some(allocation) = self.allocations.get_mut(&running.task) else {
                 continue;
@@ -72,7 +89,17 @@
             }
             match allocation.record_progress(report.clock_ms, running.percent) {
                 ProgressChange::Inconclusive => {}
-                ProgressChange::Advancing => is_advancing = true,
+                ProgressChange::Advancing => {
+                    is_advancing = true;
+                    let observed = allocation
+                        .tracker
+                        .map(|tracker| tracker.observed_duration());
+                    durations.extend(observed.map(|observed| RunDuration {
+                        task: running.task.clone(),
+                        run: running.run,
+                        observed,
+                    }));
+                }
                 ProgressChange::Stalled if allocation.stalled_ms() > MAX_STALL_MS => {}
                 ProgressChange::Stalled => {
                     stalled.push((running.task.clone(), allocation.stalled_ms()));
@@ -84,7 +111,7 @@
             // The worker is not at fault: its stalled runs wait for members of their gangs elsewhere.
             self.stalled_until = TimeMs(0);
         }
-        stalled
+        ReportedProgress { stalled, durations }
     }
 }
 
@@ -100,10 +127,12 @@
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        let stalled = worker.record_progress(now, report);
-        self.compare_durations(worker_name);
+        let progress = worker.record_progress(now, report);
+        for duration in progress.durations {
+            self.observe_duration(now, worker_name, &duration);
+        }
         if has_valid_lease {
-            for (task, stalled_ms) in stalled {
+            for (task, stalled_ms) in progress.stalled {
                 self.restart_stalled(now, &task, stalled_ms);
             }
         }
@@ -149,55 +178,50 @@
         losses.collect::<Option<Vec<_>>>()?.into_iter().max()
     }
 
-    /// Compares the runs on a worker with similar tasks, once enough of each was observed.
-    fn compare_durations(&mut self, worker_name: &WorkerName) {
-        let Some(worker) = self.workers.get_mut(worker_name) else {
-            return;
-        };
-        let allocations = worker.allocations.iter_mut();
-        let durations: Vec<(TaskId, DurationMs)> = allocations
-            .filter_map(|(task, allocation)| {
-                Some((task.clone(), allocation.tracker.as_mut()?.take_duration()?))
-            })
-            .collect();
-        for (task, duration_ms) in durations {
-            self.record_duration(worker_name, &task, duration_ms);
-        }
-    }
-
-    /// Compares the duration of a run that has ended before enough of it was observed. A gang member ends
-    /// with the others, so its end says nothing about its own worker.
-    pub(crate) fn compare_final_duration(
+    /// Records how long a whole run took. A gang member ends with the others, so its end tells nothing of
+    /// its own worker.
+    pub(crate) fn observe_whole_run(
         &mut self,
         now: TimeMs,
-        worker_name: &WorkerName,
+        worker: &WorkerName,
         task: &TaskId,
         allocation: &Allocation,
     ) {
         let job = self.jobs.get(&task.job_id);
         let spec = job.and_then(|job| job.spec(task.step));
         let is_gang = spec.is_none_or(|spec| spec.is_gang);
-        let is_compared = allocation
-            .tracker
-            .is_some_and(|tracker| tracker.is_speed_sampled);
-        let is_complete_sample = !allocation.is_resumed && !is_compared && !is_gang;
-        if let Some(started_at) = allocation.started_at.filter(|_| is_complete_sample) {
-            self.record_duration(worker_name, task, now.since(started_at));
+        if let Some(started_at) = allocation
+            .started_at
+            .filter(|_| !allocation.is_resumed && allocation.is_tracked && !is_gang)
+        {
+            let duration = RunDuration {
+                task: task.clone(),
+                run: allocation.run,
+                observed: ObservedDuration::Whole(now.since(started_at)),
+            };
+            self.observe_duration(now, worker, &duration);
         }
     }
 
-    fn record_duration(
-        &mut self,
-        worker_name: &WorkerName,
-        task: &TaskId,
-        duration_ms: DurationMs,
-    ) {
-        let job = self.jobs.get_mut(&task.job_id);
-        let step = job.and_then(|job| job.step_mut(task.occurrence, task.step));
-        let log_ratio = step.and_then(|step| step.durations.add_duration(duration_ms));
-        let worker = self.workers.get_mut(worker_name);
-        if let (Some(log_ratio), Some(worker)) = (log_ratio, worker) {
-            worker.speed.add_sample(log_ratio);
+    /// Passes a duration to the speed model, unless the distance to the task's data lengthens it.
+    fn observe_duration(&mut self, now: TimeMs, worker_name: &WorkerName, duration: &RunDuration) {
+        let RunDuration {
+            task,
+            run,
+            observed,
+        } = duration;
+        let job = self.jobs.get(&task.job_id);
+        let Some(spec) = job.and_then(|job| job.spec(task.step)) else {
+            return;
+        };
+        let rack = self
+            .workers
+            .get(worker_name)
+            .map(|worker| &worker.entry.rack);
+        if spec.data_rack.is_some() && spec.data_rack.as_ref() != rack {
+            return;
         }
+        self.speeds
+            .observe(now, worker_name, task, *run, spec.is_gang, *observed);
     }
 }
--- a/ragwortwick-area/src/speed.rs
+++ b/ragwortwick-area/src/speed.rs
@@ -1,108 +1,120 @@
-//! Relative speed of workers, estimated from the durations of similar tasks.
+//! Placement of work on workers of different speed.
 //!
-//! This matters when urgent gangs have little slack and workers differ in speed, because a gang is as late as
-//! its slowest member. Tasks of one step are similar, so the duration of one relative to the others shows the
-//! speed of its worker, however wrong the customer's estimate is.
+//! The load: urgent gangs with little slack beside patient work, on workers of which some take several times as
+//! long as others. A gang is as late as its slowest member, so one slow worker makes it late however early it
+//! starts, while patient work ends in time on slow workers as well.
 
-use ragwortwick_core::DurationMs;
+use ragwortwick_core::common;
 
-use crate::progress_tracker::ProgressTracker;
+/// Smallest difference from the normal speed, as the logarithm of the duration ratio, that is acted on.
+const MIN_LOG_RATIO: f64 = 0.10;
 
-/// Smallest observed share of a run, in per cent, from which its total duration is estimated.
-const MIN_OBSERVED_PERCENT: u32 = 25;
+/// Width of the classes of speed that count as equal, as the logarithm of the duration ratio.
+const RANK_LOG_WIDTH: f64 = 0.15;
 
-/// Shortest duration that is compared: a shorter one consists largely of the time for start and report.
-const MIN_DURATION_MS: DurationMs = DurationMs(500);
-
-/// Weight, in samples, of the prior assumption of normal speed.
-const PRIOR_SAMPLES: f64 = 2.0;
-
-/// Number of samples after which older ones decay, so that a worker that becomes slow is detected soon.
-const MAX_SAMPLES: f64 = 12.0;
-
-/// Logarithm of the duration ratio from which a worker counts as slow.
-const SLOW_LOG_RATIO: f64 = 0.10;
-
-/// Logarithm of the duration ratio from which a worker counts as very slow.
+/// Logarithm of the duration ratio from which a worker is taken to be faulty: it is the last choice for any work.
 const VERY_SLOW_LOG_RATIO: f64 = 0.7;
 
-/// `Speed` is the speed of a worker relative to others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Speed {
-    /// As fast as most workers, as far as is known.
-    #[default]
-    Normal,
-    /// Slower than most workers.
-    Slow,
-    /// Several times slower.
-    VerySlow,
-}
+/// Rank of a worker that would finish the work too late; it is behind those of all speeds.
+const TOO_LATE_RANK: i32 = 1_000;
+
+/// Rank of a worker that is taken to be faulty.
+const VERY_SLOW_RANK: i32 = 10_000;
 
-/// `SpeedEstimate` averages how long similar tasks took on a worker relative to others.
-#[derive(Clone, Copy, Debug, Default)]
+/// `SpeedEstimate` is the speed of a worker relative to others, with its uncertainty.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct SpeedEstimate {
-    /// Sum of the logarithms of the duration ratios.
-    log_sum: f64,
-    samples: f64,
+    /// Logarithm of the factor by which work takes longer there than on other workers.
+    pub(crate) log_ratio: f64,
+    /// Variance of the logarithm.
+    pub(crate) variance: f64,
 }
 
 impl SpeedEstimate {
-    pub(crate) fn add_sample(&mut self, log_ratio: f64) {
-        if self.samples >= MAX_SAMPLES {
-            let decay = (MAX_SAMPLES - 1.0) / self.samples;
-            self.log_sum *= decay;
-            self.samples *= decay;
-        }
-        self.log_sum += log_ratio;
-        self.samples += 1.0;
-    }
+    /// The estimate for a worker of which nothing is known: half of all workers are within a third of the mean.
+    pub(crate) const UNKNOWN: Self = Self {
+        log_ratio: 0.0,
+        variance: 0.16,
+    };
 
-    pub(crate) fn speed(&self) -> Speed {
-        let log_ratio = self.log_sum / (self.samples + PRIOR_SAMPLES);
-        if log_ratio >= VERY_SLOW_LOG_RATIO {
-            Speed::VerySlow
-        } else if log_ratio >= SLOW_LOG_RATIO {
-            Speed::Slow
+    /// The logarithm if the worker is known to differ from others, and zero otherwise.
+    pub(crate) fn known_log_ratio(self) -> f64 {
+        let threshold = MIN_LOG_RATIO.max(self.variance.sqrt());
+        if self.log_ratio.abs() >= threshold {
+            self.log_ratio
         } else {
-            Speed::Normal
+            0.0
         }
     }
+
+    fn is_very_slow(self) -> bool {
+        self.known_log_ratio() >= VERY_SLOW_LOG_RATIO
+    }
+
+    /// Class of speed; workers of one class count as equally fast, and a slower class is higher.
+    fn class(self) -> i32 {
+        let classes = self.known_log_ratio() / RANK_LOG_WIDTH;
+        // Rounding away from zero keeps workers that are known to differ out of the normal class.
+        truncate(classes.abs().ceil()) * if classes < 0.0 { -1 } else { 1 }
+    }
 }
 
-/// `StepDurations` averages how long the tasks of a step took.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct StepDurations {
-    log_sum: f64,
-    count: f64,
+/// `SpeedPreference` is which workers a step prefers.
+#[common]
+#[derive(Copy, Default)]
+pub(crate) enum SpeedPreference {
+    /// Workers that aren't slow; others are left to work that isn't urgent.
+    #[default]
+    NotSlow,
+    /// Slow workers, so that the others are left to urgent work.
+    Slow,
+    /// The fastest workers.
+    Fastest,
+    /// The slowest workers on which the work ends in time.
+    SlowestInTime {
+        /// Largest factor, in per cent, by which the work may take longer and still end in time.
+        max_slowdown_percent: u32,
+    },
 }
 
-impl StepDurations {
-    /// Adds a duration; returns the logarithm of its ratio to the mean of the others, if it is long enough to
-    /// compare and there are any.
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "spans of hours in milliseconds are exact in a float"
-    )]
-    pub(crate) fn add_duration(&mut self, duration_ms: DurationMs) -> Option<f64> {
-        if duration_ms < MIN_DURATION_MS {
-            return None;
-        }
-        let log = (duration_ms.0 as f64).ln();
-        let ratio = (self.count > 0.0).then(|| log - self.log_sum / self.count);
-        self.log_sum += log;
-        self.count += 1.0;
-        ratio
+impl SpeedPreference {
+    /// Whether the finish of the work on each worker decides, before the history of failures there.
+    pub(crate) fn is_by_finish(self) -> bool {
+        matches!(self, Self::Fastest | Self::SlowestInTime { .. })
     }
-}
 
-impl ProgressTracker {
-    /// Returns the estimated total duration once, after enough of the run was observed.
-    pub(crate) fn take_duration(&mut self) -> Option<DurationMs> {
-        if self.is_speed_sampled || self.observed_percent() < MIN_OBSERVED_PERCENT {
-            return None;
+    /// Returns the rank of a worker; lower ranks are preferred.
+    pub(crate) fn rank(self, speed: SpeedEstimate) -> i32 {
+        if speed.is_very_slow() {
+            return VERY_SLOW_RANK;
+        }
+        let is_slow = speed.known_log_ratio() >= MIN_LOG_RATIO;
+        match self {
+            Self::NotSlow => i32::from(is_slow),
+            Self::Slow => i32::from(!is_slow),
+            Self::Fastest => speed.class(),
+            Self::SlowestInTime {
+                max_slowdown_percent,
+            } => {
+                if is_in_time(speed, max_slowdown_percent) {
+                    -speed.class()
+                } else {
+                    TOO_LATE_RANK + speed.class()
+                }
+            }
         }
-        let total_ms = self.total_ms()?;
-        self.is_speed_sampled = true;
-        Some(total_ms)
     }
 }
+
+/// Whether work that may take the given factor longer ends in time on a worker.
+pub(crate) fn is_in_time(speed: SpeedEstimate, max_slowdown_percent: u32) -> bool {
+    speed.known_log_ratio().exp() * 100.0 <= f64::from(max_slowdown_percent)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "classes of speed are small whole numbers"
+)]
+fn truncate(number: f64) -> i32 {
+    number.min(1_000.0) as i32
+}
--- /dev/null
+++ b/ragwortwick-area/src/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of decisions that take what they need as arguments.
+
+mod gang_packing;
+mod speed_model;
--- a/ragwortwick-area/src/value.rs
+++ b/ragwortwick-area/src/value.rs
@@ -30,6 +30,8 @@
     pub(crate) has_value_left: bool,
     /// Whether it can still meet its latency objective.
     pub(crate) can_meet_objective: bool,
+    /// Largest factor, in per cent, by which the remaining work may take longer and still meet it.
+    pub(crate) max_slowdown_percent: u32,
 }
 
 impl Coordinator {
@@ -48,6 +50,8 @@
         let ready_at = now + remaining_ms;
         let value_ends_at = due_at + objective_ms.scaled(MAX_LATENESS_FACTOR);
         let can_meet_objective = ready_at <= due_at + objective_ms;
+        let left_ms = (due_at + objective_ms).since(now);
+        let max_slowdown_percent = left_ms.0.saturating_mul(100) / remaining_ms.0.max(1);
         let has_value_left = ready_at <= value_ends_at;
         let weights = &self.limits.weights;
         let value_share = if can_meet_objective {
@@ -68,6 +72,7 @@
             value,
             has_value_left,
             can_meet_objective,
+            max_slowdown_percent: u32::try_from(max_slowdown_percent).unwrap_or(u32::MAX),
         }
     }
 
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -13,7 +13,6 @@
 use crate::messages::WorkerEntry;
 use crate::reachability::Contact;
 use crate::restarts::UnsettledStarts;
-use crate::speed::SpeedEstimate;
 use crate::untracked_runs::UntrackedRuns;
 
 /// Margin on the computed end of a worker's lease, for timers and scheduling delays.
@@ -85,8 +84,6 @@
     pub(crate) avoid_until: TimeMs,
     /// No new work is placed on the worker before this time, because its runs were stalled.
     pub(crate) stalled_until: TimeMs,
-    /// Speed of the worker relative to others.
-    pub(crate) speed: SpeedEstimate,
     /// Pace of the fillers on the worker.
     pub(crate) filler_pace_percent: u32,
     /// When the pace last changed; none while the worker has no latency-sensitive task.
@@ -119,7 +116,6 @@
             consecutive_failures: 0,
             avoid_until: TimeMs(0),
             stalled_until: TimeMs(0),
-            speed: SpeedEstimate::default(),
             filler_pace_percent: 100,
             pace_changed_at: None,
         };
--- a/ragwortwick-area/tests/simulated_area/terms.rs
+++ b/ragwortwick-area/tests/simulated_area/terms.rs
@@ -152,6 +152,7 @@
                 | Action::RequestAdvice { .. }
                 | Action::LogUntrackedRun(_)
                 | Action::LogEvacuation(_)
+                | Action::StoreSpeeds(_)
                 | Action::DeleteJob(_) => {}
             }
         }
--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -1,6 +1,8 @@
 //! Dispatches the actions of a term's coordinator to the store, the workers, the logs and the metrics.
 
-use ragwortwick_area::{Action, EvacuationChange, RunEnded, UntrackedRun, WorkerLossReport};
+use ragwortwick_area::{
+    Action, EvacuationChange, RunEnded, SpeedRecord, UntrackedRun, WorkerLossReport,
+};
 use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -46,6 +48,10 @@
                 Action::Store { batch, records } => {
                     self.write(StoreWrite::Batch { batch, records });
                 }
+                Action::StoreSpeeds(record) => {
+                    self.report_speeds(&record);
+                    self.write(StoreWrite::Speeds(record));
+                }
                 Action::DeleteJob(job_id) => self.write(StoreWrite::DeleteJob(job_id)),
                 Action::Resign => return false,
                 Action::LogRunEnd(ended) => self.report_run_end(&ended),
@@ -89,6 +95,20 @@
         }
     }
 
+    fn report_speeds(&self, record: &SpeedRecord) {
+        let counts = record.counts();
+        self.metrics.set_workers_by_speed(counts);
+        log_event!(
+            Info,
+            "speeds_learned",
+            fast = counts.fast,
+            normal = counts.normal,
+            slow = counts.slow,
+            is_uneven = record.is_uneven,
+            term = self.order_sender.term
+        );
+    }
+
     fn report_untracked_run(&self, untracked: &UntrackedRun) {
         let job_phase = untracked
             .job_phase
--- a/ragwortwick-daemon/src/area/batch_writer.rs
+++ b/ragwortwick-daemon/src/area/batch_writer.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use ragwortwick_area::{Event, JobAccounting, JobRecord, ProgressRecord};
+use ragwortwick_area::{Event, JobAccounting, JobRecord, ProgressRecord, SpeedRecord};
 use ragwortwick_core::{DurationMs, JobId, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -22,6 +22,8 @@
         batch: u64,
         records: Vec<ProgressRecord>,
     },
+    /// The speeds of the workers, for the next coordinator.
+    Speeds(SpeedRecord),
     /// Deletion of a job whose retention has ended.
     DeleteJob(JobId),
 }
@@ -165,6 +167,10 @@
                     Some(StoreWrite::Batch { batch, records }) => {
                         batches.spawn(self.clone().store(batch, records));
                     }
+                    Some(StoreWrite::Speeds(record)) => {
+                        let progress_store = self.progress_store.clone();
+                        tokio::spawn(async move { progress_store.store_speeds(&record).await });
+                    }
                     Some(StoreWrite::DeleteJob(job_id)) => self.delete_job(&job_id).await,
                 },
                 Some(written) = batches.join_next() => {
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -19,6 +19,7 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use ragwortwick_adapter::StoreCallCounts;
+use ragwortwick_area::SpeedCounts;
 use ragwortwick_core::ZoneName;
 
 /// Buckets of the time to accept a job, from a round trip to the store to the client's deadline.
@@ -65,6 +66,8 @@
     pub(super) desired_version: IntGauge,
     /// Whether a zone is evacuated, as this host knows it, by zone.
     evacuated_zones: IntGaugeVec,
+    /// Workers by what is known of their speed; set by the coordinator.
+    workers_by_speed: IntGaugeVec,
     /// Whether this host is the coordinator.
     pub(super) is_coordinator: IntGauge,
     store_calls: IntGaugeVec,
@@ -143,23 +146,7 @@
             &["customer", "queue", "part"],
             &PART_BUCKETS_S,
         )?;
-        let gauge = IntGauge::new(
-            "ragwortwick_area_desired_version",
-            "Version of the desired state in force here",
-        )?;
-        let desired_version = register(&registry, gauge)?;
-        let options = Opts::new(
-            "ragwortwick_area_zone_evacuated",
-            "Whether a zone is evacuated, as known here",
-        );
-        let evacuated_zones = register(&registry, IntGaugeVec::new(options, &["zone"])?)?;
-        let gauge = IntGauge::new(
-            "ragwortwick_area_is_coordinator",
-            "Whether this host coordinates",
-        )?;
-        let is_coordinator = register(&registry, gauge)?;
-        let options = Opts::new("ragwortwick_area_store_calls", "Calls to the store");
-        let store_calls = register(&registry, IntGaugeVec::new(options, &["kind"])?)?;
+        let gauges = Gauges::open(&registry)?;
         Ok(Self {
             registry,
             submissions,
@@ -172,10 +159,11 @@
             untracked_runs,
             lost_core_seconds,
             feed_failures,
-            desired_version,
-            evacuated_zones,
-            is_coordinator,
-            store_calls,
+            desired_version: gauges.desired_version,
+            evacuated_zones: gauges.evacuated_zones,
+            workers_by_speed: gauges.workers_by_speed,
+            is_coordinator: gauges.is_coordinator,
+            store_calls: gauges.store_calls,
             counts,
         })
     }
@@ -186,6 +174,18 @@
             .set(i64::from(is_evacuated));
     }
 
+    pub(super) fn set_workers_by_speed(&self, counts: SpeedCounts) {
+        let rows = [
+            ("fast", counts.fast),
+            ("normal", counts.normal),
+            ("slow", counts.slow),
+        ];
+        for (speed, count) in rows {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.workers_by_speed.with_label_values(&[speed]).set(count);
+        }
+    }
+
     fn render(&self) -> prometheus::Result<Vec<u8>> {
         let kinds = [
             ("read", &self.counts.reads),
@@ -203,6 +203,50 @@
     }
 }
 
+/// `Gauges` are the metrics that show a state rather than count events.
+struct Gauges {
+    desired_version: IntGauge,
+    evacuated_zones: IntGaugeVec,
+    workers_by_speed: IntGaugeVec,
+    is_coordinator: IntGauge,
+    store_calls: IntGaugeVec,
+}
+
+impl Gauges {
+    fn open(registry: &Registry) -> prometheus::Result<Self> {
+        let gauge = |name: &str, help: &str| register(registry, IntGauge::new(name, help)?);
+        let gauges = |name: &str, help: &str, label: &str| {
+            register(registry, IntGaugeVec::new(Opts::new(name, help), &[label])?)
+        };
+        let desired_version = gauge(
+            "ragwortwick_area_desired_version",
+            "Version of the desired state in force here",
+        )?;
+        let evacuated_zones = gauges(
+            "ragwortwick_area_zone_evacuated",
+            "Whether a zone is evacuated, as known here",
+            "zone",
+        )?;
+        let workers_by_speed = gauges(
+            "ragwortwick_area_workers_by_speed",
+            "Workers by what this host, as coordinator, has learned of their speed",
+            "speed",
+        )?;
+        let is_coordinator = gauge(
+            "ragwortwick_area_is_coordinator",
+            "Whether this host coordinates",
+        )?;
+        let store_calls = gauges("ragwortwick_area_store_calls", "Calls to the store", "kind")?;
+        Ok(Self {
+            desired_version,
+            evacuated_zones,
+            workers_by_speed,
+            is_coordinator,
+            store_calls,
+        })
+    }
+}
+
 /// Registers a metric and returns it.
 fn register<C: Collector + Clone + 'static>(
     registry: &Registry,
--- a/ragwortwick-daemon/src/area/mod.rs
+++ b/ragwortwick-daemon/src/area/mod.rs
@@ -24,6 +24,7 @@
 mod replica_feed;
 mod reply_time;
 mod settings;
+mod speeds;
 mod store_health;
 mod term;
 mod tombstones;
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -143,6 +143,7 @@
                 answer_ms,
             } => self.request_advice(step, workers, answer_ms).await,
             Action::Store { .. }
+            | Action::StoreSpeeds(_)
             | Action::Resign
             | Action::DeleteJob(_)
             | Action::LogRunEnd(_)
--- a/ragwortwick-daemon/src/area/progress_store.rs
+++ b/ragwortwick-daemon/src/area/progress_store.rs
@@ -7,11 +7,11 @@
 use ragwortwick_adapter::{
     KeyValue, Precondition, StoreClient, StoreError, Txn, TxnReply, WriteItem,
 };
-use ragwortwick_area::ProgressRecord;
+use ragwortwick_area::{ProgressRecord, SpeedRecord};
 use ragwortwick_core::{DurationMs, JobId, Revision, log_event};
 use serde::Serialize;
 
-use super::keys::{COORDINATOR_KEY, JobKeyKind, progress_key};
+use super::keys::{COORDINATOR_KEY, JobKeyKind, SPEEDS_KEY, progress_key};
 use super::store_health::StoreHealth;
 
 /// Delay before a write with an unknown outcome is sent again.
@@ -146,6 +146,23 @@
         Ok(())
     }
 
+    /// Stores the speeds of the workers. A failed write is not repeated: a newer record follows.
+    pub(super) async fn store_speeds(&self, record: &SpeedRecord) {
+        let txn = Txn {
+            preconditions: vec![Precondition {
+                key: COORDINATOR_KEY.to_owned(),
+                revision: self.term_revision,
+            }],
+            writes: vec![write_item(SPEEDS_KEY.to_owned(), record)],
+            removes: Vec::new(),
+        };
+        let reply = self.store.commit(&txn).await;
+        self.health.record(&reply);
+        if let Err(error) = reply {
+            log_event!(Info, "speeds_not_stored", cause = error);
+        }
+    }
+
     /// Deletes all keys of a job whose retention has ended; a later term retries a failed deletion.
     pub(super) async fn delete_job(&self, job_id: &JobId) {
         let mut removes: Vec<String> = JobKeyKind::ALL
--- a/ragwortwick-daemon/src/area/settings.rs
+++ b/ragwortwick-daemon/src/area/settings.rs
@@ -50,6 +50,9 @@
     pub restore_ms: DurationMs,
     /// How long a job's final state stays available after its end, in seconds.
     pub retention_s: f64,
+    /// Whether work is placed by its expected finish on workers that are known to differ in speed.
+    #[serde(default)]
+    pub places_by_speed: bool,
     /// Weights of a job's value, for the order of placement and for preemption.
     #[serde(default)]
     pub weights: Weights,
@@ -84,6 +87,7 @@
             checkpoint_ms: seconds_to_ms(self.checkpoint_s),
             restore_ms: self.restore_ms,
             retention_ms: seconds_to_ms(self.retention_s),
+            places_by_speed: self.places_by_speed,
             weights: self.weights.clone(),
         }
     }
--- a/ragwortwick-daemon/src/area/term.rs
+++ b/ragwortwick-daemon/src/area/term.rs
@@ -20,6 +20,7 @@
 use super::progress_store::ProgressStore;
 use super::replica::JobReplica;
 use super::replica_feed::{CoordinatorKeyState, SubscribeRequest};
+use super::speeds;
 use super::store_health::StoreHealth;
 use super::worker_feed::{KnownWorkers, WorkerFeed, read_workers};
 use crate::{Clock, EventLoop, unix_now};
@@ -101,7 +102,11 @@
     let Some(desired) = context.desired.borrow().clone() else {
         return Ok("no desired state has been read yet");
     };
-    let (entries, workers_as_of) = read_workers(&context.store, &context.health).await?;
+    let (workers, speeds) = tokio::join!(
+        read_workers(&context.store, &context.health),
+        speeds::read_speeds(context)
+    );
+    let (entries, workers_as_of) = workers?;
     let known_workers = KnownWorkers::of(&entries);
     let (handler_sender, handler_receiver) = std::sync::mpsc::channel();
     let deferred = DeferredHandler {
@@ -124,22 +129,21 @@
         workers = entries.len(),
         desired_version = desired.version
     );
-    let now = Now {
-        steady: context.clock.now(),
-        unix: unix_now(),
-    };
     let revisions = jobs
         .iter()
         .map(|(job, revision)| (job.record.job_id.clone(), *revision))
         .collect();
     let reported = ended_before(&jobs);
-    let coordinator = Coordinator::take_over(
-        now,
-        context.limits.clone(),
-        desired,
-        jobs.into_iter().map(|(job, _)| job).collect(),
-        entries,
-    );
+    let now = Now {
+        steady: context.clock.now(),
+        unix: unix_now(),
+    };
+    let jobs = jobs.into_iter().map(|(job, _)| job).collect();
+    let mut coordinator =
+        Coordinator::take_over(now, context.limits.clone(), desired, jobs, entries);
+    if let Some(speeds) = speeds {
+        speeds::restore(&mut coordinator, now, &speeds);
+    }
     let (actions, action_receiver) = mpsc::unbounded_channel();
     // The event loop's thread waits for the handler; it drops the receiver only if the process ends.
     let _ = handler_sender.send(CoordinatorHandler {
@@ -153,14 +157,6 @@
     events.send(Event::LeaseExtended { until }).await;
     send_handed_over_results(context, &events).await;
 
-    let feed = WorkerFeed {
-        store: context.store.clone(),
-        health: context.health.clone(),
-        events: events.clone(),
-        known: known_workers,
-        clock: context.clock,
-        metrics: context.metrics.clone(),
-    };
     let progress_store = ProgressStore::open(
         context.store.clone(),
         context.health.clone(),
@@ -170,6 +166,7 @@
     let (writes, write_receiver) = mpsc::unbounded_channel();
     let (end_sender, end_reasons) = mpsc::channel(4);
     let mut tasks = JoinSet::new();
+    let feed = worker_feed(context, events.clone(), known_workers);
     tasks.spawn(feed.run(Some(workers_as_of)));
     tasks.spawn(forward_desired_state(
         context.desired.clone(),
@@ -199,6 +196,17 @@
     Ok(reason)
 }
 
+fn worker_feed(context: &TermContext, events: EventSender, known: KnownWorkers) -> WorkerFeed {
+    WorkerFeed {
+        store: context.store.clone(),
+        health: context.health.clone(),
+        events,
+        known,
+        clock: context.clock,
+        metrics: context.metrics.clone(),
+    }
+}
+
 /// Sends the results that earlier coordinators handed over.
 async fn send_handed_over_results(context: &TermContext, events: &EventSender) {
     for result in context.replica.handed_over_results() {
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -78,6 +78,11 @@
                     };
                     self.schedule_after(5, commit);
                 }
+                Action::StoreSpeeds(record) => {
+                    if !self.store.is_unavailable && self.hosts[host].reaches_store() {
+                        self.store.speeds = Some(record);
+                    }
+                }
                 Action::LogRunEnd(_)
                 | Action::LogWorkerLoss(_)
                 | Action::LogUntrackedRun(_)
--- a/ragwortwick-emulator/src/simulation.rs
+++ b/ragwortwick-emulator/src/simulation.rs
@@ -169,7 +169,8 @@
 impl Simulation {
     /// `new` draws the jobs of a simulation, and schedules jobs and faults.
     #[must_use]
-    pub fn new(options: SimulationOptions, mut faults: Vec<Fault>) -> Self {
+    pub fn new(mut options: SimulationOptions, mut faults: Vec<Fault>) -> Self {
+        options.limits.places_by_speed |= options.workload.places_by_speed;
         faults.extend(&options.workload.faults);
         let racks = options.workers.div_ceil(options.workers_per_rack.max(1));
         let arrivals = Arrivals::draw(options.seed, &options.workload, racks).jobs;
--- a/ragwortwick-emulator/src/store.rs
+++ b/ragwortwick-emulator/src/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ragwortwick_area::{Event, JobProgress, JobRecord, RecoveredJob, RunResult};
+use ragwortwick_area::{Event, JobProgress, JobRecord, RecoveredJob, RunResult, SpeedRecord};
 use ragwortwick_core::{DurationMs, JobId, TimeMs, ZoneName};
 
 /// Time to live of the coordinator's lease.
@@ -17,6 +17,8 @@
     pub(crate) handed_over: BTreeMap<JobId, Vec<RunResult>>,
     /// Evacuated zones, with when the evacuation was acknowledged.
     pub(crate) evacuated: BTreeMap<ZoneName, TimeMs>,
+    /// Speeds of the workers, as the last coordinator stored them.
+    pub(crate) speeds: Option<SpeedRecord>,
     pub(crate) revision: u64,
     /// Term of the elected coordinator, and when its lease expires.
     pub(crate) coordinator: Option<(u64, TimeMs)>,
--- a/ragwortwick-emulator/src/ticks.rs
+++ b/ragwortwick-emulator/src/ticks.rs
@@ -59,13 +59,17 @@
             .filter(|job| job.cancelled_at.is_some())
             .map(|job| job.record.job_id.clone())
             .collect();
-        let coordinator = Coordinator::take_over(
+        let mut coordinator = Coordinator::take_over(
             self.clock(),
             self.options.limits.clone(),
             Arc::clone(&self.desired_state),
             self.store.recovered_jobs(),
             entries,
         );
+        if let Some(speeds) = &self.store.speeds {
+            // An unusable record is ignored.
+            let _ = coordinator.restore_speeds(self.clock(), speeds);
+        }
         self.trace.add(self.now, number, "begins");
         self.hosts[host].wakeup_at = None;
         self.hosts[host].term = Some(Term {
--- a/ragwortwick-emulator/src/workload.rs
+++ b/ragwortwick-emulator/src/workload.rs
@@ -26,6 +26,9 @@
     /// Whether workers that crash restart under their identity, so that they accept the orders of before.
     #[serde(default)]
     pub restarts_in_place: bool,
+    /// Whether work is placed by its expected finish on workers that are known to differ in speed.
+    #[serde(default)]
+    pub places_by_speed: bool,
     /// Whether a start from a checkpoint skips the work that was saved.
     ///
     /// The seeds kept as regression tests were found with this disabled.
