Admission under shortage, sharing by dominant share, and hand-ins that wait for the store

Callers saw: with half of lasam's workers, 41 jobs were accepted, asked for again and again and never served; every refusal said 'in 1 s', however long the store had been away; one customer's backlog took each gap by value alone.

Cause: a hand-in knew nothing of the backlog. Order was by value per accelerator-second for all customers together.

Ruled out: refusing by the use of guarantees in the picture (a second old, and a refusal within a guarantee is not allowed); tombstones for refused jobs (they would refuse the caller's return); fairness at all times.

Change: the coordinator counts waiting jobs and starts by queue and tells the hosts of queues that have been short for three seconds; each host alone refuses jobs that would end after three times their objective, with a time to come back that is spread, after it has made sure that no earlier attempt was stored. While a queue is short, what no guarantee covers goes to the customer with the smallest dominant share next. All are settings, off when left out.

--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -5,7 +5,7 @@
 use ragwortwick_core::{CustomerName, DurationMs, JobId, PoolName, TimeMs};
 
 use crate::coordinator::{Coordinator, Now};
-use crate::job::{JobRecord, StepId};
+use crate::job::{JobRecord, Resources, StepId};
 
 /// `Candidate` is one step of one job occurrence that has tasks to place.
 #[derive(Clone, Debug)]
@@ -153,6 +153,17 @@
         Some(job.spec(candidate.step)?.need.accelerators * count as u64)
     }
 
+    /// Resources that the waiting tasks of a step need.
+    pub(crate) fn pending_demand(&self, candidate: &Candidate) -> Resources {
+        let job = self.jobs.get(&candidate.job_id);
+        let step = job.and_then(|job| job.step(candidate.occurrence, candidate.step));
+        let spec = job.and_then(|job| job.spec(candidate.step));
+        let (Some(step), Some(spec)) = (step, spec) else {
+            return Resources::default();
+        };
+        spec.demand().scaled(step.waiting_count() as u64)
+    }
+
     pub(crate) fn urgent_usage(&self) -> UrgentUsage {
         let mut used = UrgentUsage::default();
         for worker in self.workers.values() {
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -14,6 +14,7 @@
 use crate::job_state::JobState;
 use crate::late_completions::HeldEnds;
 use crate::limits::Limits;
+use crate::load_picture::LoadPublisher;
 use crate::losses::RecentLosses;
 use crate::messages::{Action, Event, WorkerEntry};
 use crate::progress::{JobPhase, JobProgress};
@@ -123,6 +124,8 @@
     pub(crate) reserved_workers: BTreeSet<WorkerName>,
     /// Recent peak of urgent demand in each pool.
     pub(crate) urgent_peaks: BTreeMap<PoolName, UrgentDemandPeak>,
+    /// Backlogs of the queues.
+    pub(crate) load: LoadPublisher,
     /// Speeds of the workers.
     pub(crate) speeds: SpeedModel,
     /// When they were last stored.
@@ -173,6 +176,7 @@
             submitted_work: BTreeMap::new(),
             reserved_workers: BTreeSet::new(),
             urgent_peaks: BTreeMap::new(),
+            load: LoadPublisher::default(),
             speeds: SpeedModel::default(),
             speeds_stored_at: now.steady,
             losses: RecentLosses::default(),
@@ -287,6 +291,7 @@
             self.attribute_losses(now.steady);
             self.remove_expired_jobs(now.steady);
             self.store_speeds(now);
+            self.publish_load(now.steady);
             let speeds = &mut self.speeds;
             self.workers.retain(|name, worker| {
                 let is_gone = worker.can_be_removed();
@@ -447,6 +452,14 @@
         if let Some(job) = self.jobs.get_mut(job_id) {
             job.ended_at = Some(now);
             job.accounting.on_job_ended(now);
+            if job.phase == JobPhase::Completed && job.accounting.is_complete {
+                let took_ms = job.accounting.running_ms;
+                let estimate_ms = job.record.critical_path_ms();
+                let queue = &job.record.queue;
+                self.load
+                    .backlogs
+                    .record_duration(queue, took_ms, estimate_ms);
+            }
         }
         self.open_jobs.remove(job_id);
         self.advice.remove_job(job_id);
--- a/ragwortwick-area/src/job.rs
+++ b/ragwortwick-area/src/job.rs
@@ -84,6 +84,19 @@
             .min(tasks_by(self.accelerators, demand.accelerators))
     }
 
+    /// `dominant_share` returns the largest of the shares of a capacity, over the resources.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "amounts in an area are far below what a float holds exactly"
+    )]
+    pub fn dominant_share(self, capacity: Self) -> f64 {
+        let share = |used: u64, capacity: u64| used as f64 / capacity.max(1) as f64;
+        share(self.cpu_millis, capacity.cpu_millis)
+            .max(share(self.memory_mb, capacity.memory_mb))
+            .max(share(self.accelerators, capacity.accelerators))
+    }
+
     /// `core_equivalents` converts the amount to cores, with `CORES_PER_ACCELERATOR` for an accelerator.
     #[must_use]
     pub fn core_equivalents(self) -> u64 {
--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -4,6 +4,7 @@
 //! the reasons for its safeguards are described in docs/design/0050-platform.md.
 
 mod accounting;
+mod admission;
 mod advice;
 mod allocation;
 mod backoff;
@@ -14,11 +15,13 @@
 mod desired;
 mod draining;
 mod evacuation;
+mod fair_share;
 mod headroom;
 mod job;
 mod job_state;
 mod late_completions;
 mod limits;
+mod load_picture;
 mod losses;
 mod messages;
 mod outcome;
@@ -54,9 +57,11 @@
 mod tests;
 
 pub use accounting::{JobAccounting, LostWork, RunEndReason};
+pub use admission::{Admission, LoadPicture, QueueLoad};
 pub use coordinator::{Coordinator, Now, RecoveredJob};
 pub use desired::{Customer, DesiredState, Queue};
 pub use evacuation::{EvacuatedZones, EvacuationChange};
+pub use fair_share::CustomerWeights;
 pub use job::{
     AdvisorTiming, JobRecord, QueuePolicy, Resources, Schedule, StepId, StepSpec, TaskId,
 };
--- a/ragwortwick-area/src/limits.rs
+++ b/ragwortwick-area/src/limits.rs
@@ -2,6 +2,8 @@
 
 use ragwortwick_core::{DurationMs, common};
 
+use crate::fair_share::CustomerWeights;
+
 /// `Limits` holds the limits of the installation, from the settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -25,6 +27,12 @@
     pub retention_ms: DurationMs,
     /// Whether work is placed by its expected finish on workers that are known to differ in speed.
     pub places_by_speed: bool,
+    /// Whether hosts are told of queues that are short of capacity, so that they refuse jobs of no use.
+    pub sheds_load: bool,
+    /// Whether customers share the capacity that no guarantee covers while queues are short of it.
+    pub shares_fairly: bool,
+    /// The customers' weights for that.
+    pub customer_weights: CustomerWeights,
     /// Weights that set the value of work.
     pub weights: Weights,
 }
@@ -83,6 +91,9 @@
             restore_ms: DurationMs(100),
             retention_ms: DurationMs(120_000),
             places_by_speed: false,
+            sheds_load: false,
+            shares_fairly: false,
+            customer_weights: CustomerWeights::new(),
             weights: Weights::default(),
         }
     }
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::accounting::{JobAccounting, RunEndReason};
+use crate::admission::LoadPicture;
 use crate::desired::DesiredState;
 use crate::evacuation::{EvacuatedZones, EvacuationChange};
 use crate::job::{JobRecord, Resources, StepId, TaskId};
@@ -296,6 +297,8 @@
         /// At most `MAX_BATCH_RECORDS` records.
         records: Vec<ProgressRecord>,
     },
+    /// Tell the hosts which queues are short of capacity.
+    PublishLoad(LoadPicture),
     /// Store the speeds of the workers for the next coordinator; nothing depends on the result.
     StoreSpeeds(SpeedRecord),
     /// Order a worker to start a run.
--- a/ragwortwick-area/src/placement.rs
+++ b/ragwortwick-area/src/placement.rs
@@ -1,13 +1,14 @@
 //! One placement pass: which step is placed next, and on which workers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use ragwortwick_core::{DurationMs, PoolName, TimeMs, WorkerName};
+use ragwortwick_core::{CustomerName, DurationMs, PoolName, TimeMs, WorkerName};
 
 use crate::candidates::{Candidate, sort_candidates};
 use crate::coordinator::{Coordinator, Now};
+use crate::fair_share::{Contender, in_turn};
 use crate::headroom;
-use crate::job::StepSpec;
+use crate::job::{Resources, StepSpec};
 use crate::job_state::{JobState, TaskState};
 use crate::packing::{Locality, PlacementConstraints, pack_gang, pack_single};
 use crate::pool_capacity::PoolCapacity;
@@ -39,6 +40,7 @@
             self.mark_headroom(now.steady, &pool, &in_pool, used, &mut capacity);
             let (urgent, others): (Vec<_>, Vec<_>) =
                 in_pool.into_iter().partition(|c| c.can_preempt());
+            let others = self.in_fair_order(&pool, others);
             self.place_urgent(now.steady, &urgent, &mut capacity);
             reserved_workers.extend(self.place_non_preempting(now.steady, &others, &mut capacity));
         }
@@ -46,6 +48,50 @@
         self.send_advice_request(now.steady);
     }
 
+    /// Orders steps that may not preempt by their customers' shares, while queues are short of capacity. Steps whose
+    /// result is of no use any more come last.
+    fn in_fair_order<'a>(
+        &self,
+        pool: &PoolName,
+        candidates: Vec<&'a Candidate>,
+    ) -> Vec<&'a Candidate> {
+        if !self.limits.shares_fairly || !self.load.backlogs.is_any_short() {
+            return candidates;
+        }
+        let (useful, others): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(|c| c.has_value_left);
+        let contenders = useful.into_iter().map(|candidate| Contender {
+            customer: candidate.customer.clone(),
+            demand: self.pending_demand(candidate),
+            step: candidate,
+        });
+        let (used, capacity) = self.shares_of(pool);
+        let weights = &self.limits.customer_weights;
+        let mut ordered = in_turn(contenders.collect(), used, capacity, weights);
+        ordered.extend(others);
+        ordered
+    }
+
+    /// Resources of the runs in a pool that no guarantee covers, by customer, and those of all its workers.
+    fn shares_of(&self, pool: &PoolName) -> (BTreeMap<CustomerName, Resources>, Resources) {
+        let mut used: BTreeMap<CustomerName, Resources> = BTreeMap::new();
+        let mut capacity = Resources::default();
+        let workers = self.workers.values().filter(|worker| worker.is_listed);
+        for worker in workers.filter(|worker| worker.entry.pool == *pool) {
+            capacity = capacity.plus(worker.entry.capacity);
+            for (task, allocation) in &worker.allocations {
+                if allocation.priority == 0 {
+                    continue;
+                }
+                if let Some(job) = self.jobs.get(&task.job_id) {
+                    let used = used.entry(job.record.customer.clone()).or_default();
+                    *used = used.plus(allocation.resources);
+                }
+            }
+        }
+        (used, capacity)
+    }
+
     /// Marks the racks of a pool that are headroom in this pass; urgent runs use `used` accelerators.
     fn mark_headroom(
         &mut self,
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -10,6 +10,7 @@
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
 use crate::outcome::RunOutcome;
+use crate::progress::JobPhase;
 use crate::progress_tracker::ProgressTracker;
 use crate::worker::Worker;
 
@@ -264,6 +265,9 @@
             crash_history: state.map(|state| state.crash_history).unwrap_or_default(),
             ..Allocation::awaiting_record(now, spec, run, priority)
         };
+        if job.phase == JobPhase::Queued {
+            self.load.backlogs.record_start(now, &job.record.queue);
+        }
         job.mark_placed(task, worker_name, run);
         job.accounting.on_placed(now);
         self.records.start_when_stored(worker_name, task, run);
--- a/ragwortwick-area/src/tests.rs
+++ b/ragwortwick-area/src/tests.rs
@@ -1,4 +1,6 @@
 //! Tests of decisions that take what they need as arguments.
 
+mod admission;
+mod fair_share;
 mod gang_packing;
 mod speed_model;
--- a/ragwortwick-area/tests/simulated_area/terms.rs
+++ b/ragwortwick-area/tests/simulated_area/terms.rs
@@ -153,6 +153,7 @@
                 | Action::LogUntrackedRun(_)
                 | Action::LogEvacuation(_)
                 | Action::StoreSpeeds(_)
+                | Action::PublishLoad(_)
                 | Action::DeleteJob(_) => {}
             }
         }
--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -1,7 +1,7 @@
 //! Dispatches the actions of a term's coordinator to the store, the workers, the logs and the metrics.
 
 use ragwortwick_area::{
-    Action, EvacuationChange, RunEnded, SpeedRecord, UntrackedRun, WorkerLossReport,
+    Action, EvacuationChange, LoadPicture, RunEnded, SpeedRecord, UntrackedRun, WorkerLossReport,
 };
 use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
@@ -48,6 +48,10 @@
                 Action::Store { batch, records } => {
                     self.write(StoreWrite::Batch { batch, records });
                 }
+                Action::PublishLoad(picture) => {
+                    self.report_load(&picture);
+                    self.write(StoreWrite::Load(picture));
+                }
                 Action::StoreSpeeds(record) => {
                     self.report_speeds(&record);
                     self.write(StoreWrite::Speeds(record));
@@ -95,6 +99,23 @@
         }
     }
 
+    fn report_load(&self, picture: &LoadPicture) {
+        self.metrics.set_queue_waits(picture);
+        for (queue, load) in &picture.queues {
+            log_event!(
+                Info,
+                "queue_short",
+                queue = queue,
+                wait_ms = load.wait_ms,
+                duration_percent = load.duration_percent,
+                term = self.order_sender.term
+            );
+        }
+        if picture.queues.is_empty() {
+            log_event!(Info, "queues_caught_up", term = self.order_sender.term);
+        }
+    }
+
     fn report_speeds(&self, record: &SpeedRecord) {
         let counts = record.counts();
         self.metrics.set_workers_by_speed(counts);
--- a/ragwortwick-daemon/src/area/batch_writer.rs
+++ b/ragwortwick-daemon/src/area/batch_writer.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use ragwortwick_area::{Event, JobAccounting, JobRecord, ProgressRecord, SpeedRecord};
+use ragwortwick_area::{Event, JobAccounting, JobRecord, LoadPicture, ProgressRecord, SpeedRecord};
 use ragwortwick_core::{DurationMs, JobId, log_event};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -24,6 +24,8 @@
     },
     /// The speeds of the workers, for the next coordinator.
     Speeds(SpeedRecord),
+    /// The queues that are short of capacity, for all hosts.
+    Load(LoadPicture),
     /// Deletion of a job whose retention has ended.
     DeleteJob(JobId),
 }
@@ -167,6 +169,10 @@
                     Some(StoreWrite::Batch { batch, records }) => {
                         batches.spawn(self.clone().store(batch, records));
                     }
+                    Some(StoreWrite::Load(picture)) => {
+                        let progress_store = self.progress_store.clone();
+                        tokio::spawn(async move { progress_store.store_load(&picture).await });
+                    }
                     Some(StoreWrite::Speeds(record)) => {
                         let progress_store = self.progress_store.clone();
                         tokio::spawn(async move { progress_store.store_speeds(&record).await });
--- a/ragwortwick-daemon/src/area/host.rs
+++ b/ragwortwick-daemon/src/area/host.rs
@@ -10,9 +10,11 @@
 use super::election;
 use super::job_api::{self, JobApi};
 use super::job_writer::JobWriter;
+use super::load_feed::SharedLoadPicture;
 use super::log_rate_limiter::LogRateLimiter;
 use super::metrics::{self, AreaMetrics};
 use super::operator_feed::OperatorFeed;
+use super::outage::OutagePolicy;
 use super::readiness::{self, Readiness};
 use super::replica::JobReplica;
 use super::replica_feed::{CoordinatorKeyState, ReplicaFeed};
@@ -78,11 +80,13 @@
         let (operator_feed, intent) =
             OperatorFeed::open(store.clone(), health.clone(), clock, metrics.clone());
         feeds.spawn(operator_feed.run());
+        let load = SharedLoadPicture::default();
         let replica_feed = ReplicaFeed {
             store: store.clone(),
             health: health.clone(),
             replica: replica.clone(),
             coordinator_key: key_sender,
+            load: load.clone(),
             clock,
             metrics: metrics.clone(),
         };
@@ -119,7 +123,11 @@
                 health: health.clone(),
                 replica: replica.clone(),
                 clock,
+                outage_policy: OutagePolicy {
+                    hold_share: settings.hold_share,
+                },
             },
+            load: settings.sheds_load.then_some(load),
             stopping: stopping_receiver.clone(),
             metrics: metrics.clone(),
             refusal_log_limiter: LogRateLimiter::new("call_refused"),
--- a/ragwortwick-daemon/src/area/job_api.rs
+++ b/ragwortwick-daemon/src/area/job_api.rs
@@ -17,13 +17,14 @@
 use ragwortwick_adapter::{
     DEADLINE_HEADER, decode_job, encode_job_phase, encode_pending_count, parse_api_key,
 };
-use ragwortwick_area::{DesiredState, JobRecord, Queue};
+use ragwortwick_area::{Admission, DesiredState, JobRecord, Queue};
 use ragwortwick_core::{ClassName, CustomerName, DurationMs, JobId, TimeMs, log_event};
 use ragwortwick_http::{RequestError, json_response, read_bytes};
 use tokio::sync::watch;
 
 use super::desired_state_age::DesiredStateAge;
 use super::job_writer::{JobWriter, WriteOutcome};
+use super::load_feed::SharedLoadPicture;
 use super::log_rate_limiter::LogRateLimiter;
 use super::metrics::AreaMetrics;
 use crate::{Clock, unix_now};
@@ -37,9 +38,6 @@
 /// Largest body if the desired state sets no limit.
 const DEFAULT_BODY_BYTES: usize = 256 << 10;
 
-/// Seconds after which a refused client may retry: outages of the store last seconds.
-const RETRY_AFTER_S: u64 = 1;
-
 /// Cause of a temporary refusal while the host can't confirm that its desired state is the newest.
 const MAYBE_STALE: &str = "the desired state on this host may be old";
 
@@ -52,6 +50,8 @@
     pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
     pub(super) age: DesiredStateAge,
     pub(super) writer: JobWriter,
+    /// Queues that are short of capacity; none are if hopeless jobs are not refused.
+    pub(super) load: Option<SharedLoadPicture>,
     pub(super) stopping: watch::Receiver<bool>,
     pub(super) metrics: AreaMetrics,
     /// Limits the log lines for requests that are refused before their job id is parsed.
@@ -138,7 +138,7 @@
     if api.age.is_fresh(now) {
         refusal.into_response(state)
     } else {
-        retry_later(state, MAYBE_STALE)
+        retry_later(api, state, MAYBE_STALE)
     }
 }
 
@@ -246,7 +246,9 @@
     let started_at = api.clock.now();
     let steps = record.steps_summary();
     // A newer version may have removed the queue or the key.
-    let outcome = if api.age.is_fresh(started_at) {
+    let outcome = if let Some(retry_after_ms) = refusal_of(api, &record).await {
+        WriteOutcome::Shed { retry_after_ms }
+    } else if api.age.is_fresh(started_at) {
         api.writer.accept(record, request.deadline).await
     } else {
         WriteOutcome::NotStored(MAYBE_STALE.to_owned())
@@ -267,9 +269,27 @@
         queue = request.queue_name,
         customer = request.customer,
         outcome = format!("{outcome:?}"),
+        took_ms = api.clock.now().since(started_at),
         steps = steps
     );
-    respond(state, &outcome)
+    respond(api, state, &outcome)
+}
+
+/// Returns when a job is to come back that would be of no use to its caller if it were accepted now.
+///
+/// A job that an earlier attempt has stored is accepted: a refusal says that it never runs.
+async fn refusal_of(api: &JobApi, record: &JobRecord) -> Option<DurationMs> {
+    let (picture, age_ms) = api.load.as_ref()?.newest(api.clock.now())?;
+    let desired = api.desired.borrow().clone()?;
+    let customer = desired.customers.get(&record.customer);
+    let guaranteed = customer.map_or(0, |customer| customer.guaranteed_accelerators);
+    let admission = picture.admit(age_ms, record, guaranteed, rand::random());
+    let Admission::Refused { retry_after_ms } = admission else {
+        return None;
+    };
+    // Without an answer of the store it is not certain that an earlier attempt was not stored.
+    let is_absent = matches!(api.writer.find(&record.job_id).await, Ok(None));
+    is_absent.then_some(retry_after_ms)
 }
 
 async fn cancel(
@@ -286,24 +306,30 @@
         customer = request.customer,
         outcome = format!("{outcome:?}")
     );
-    respond(state, &outcome)
+    respond(api, state, &outcome)
 }
 
 async fn show(api: &JobApi, state: &mut State, job_id: &JobId) -> Response<Body> {
     match api.writer.find(job_id).await {
         Ok(Some(view)) => json_bytes(state, encode_job_phase(view.reported_phase())),
-        Ok(None) => respond(state, &WriteOutcome::NoSuchJob),
-        Err(error) => respond(state, &WriteOutcome::NotStored(error.to_string())),
+        Ok(None) => respond(api, state, &WriteOutcome::NoSuchJob),
+        Err(error) => respond(api, state, &WriteOutcome::NotStored(error.to_string())),
     }
 }
 
-fn respond(state: &State, outcome: &WriteOutcome) -> Response<Body> {
+fn respond(api: &JobApi, state: &State, outcome: &WriteOutcome) -> Response<Body> {
     match outcome {
         WriteOutcome::Stored => json_response(state, StatusCode::OK, &serde_json::json!({})),
         WriteOutcome::NoSuchJob => {
             RequestError::new(StatusCode::GONE, "job_id", "no such job").into_response(state)
         }
-        WriteOutcome::NotStored(cause) => retry_later(state, cause),
+        WriteOutcome::NotStored(cause) => retry_later(api, state, cause),
+        WriteOutcome::Shed { retry_after_ms } => {
+            let cause = "no capacity is expected for the job while its result is of use";
+            let refusal = RequestError::new(StatusCode::TOO_MANY_REQUESTS, "queue", cause);
+            let seconds = retry_after_ms.0.div_ceil(1_000);
+            with_retry_after(refusal.into_response(state), seconds)
+        }
         WriteOutcome::Cancelled => {
             let cause = "the job was cancelled before it was accepted";
             RequestError::new(StatusCode::SERVICE_UNAVAILABLE, "job_id", cause).into_response(state)
@@ -316,10 +342,16 @@
 }
 
 /// Refuses a request that has had no effect, with the time after which to retry.
-fn retry_later(state: &State, cause: &str) -> Response<Body> {
+fn retry_later(api: &JobApi, state: &State, cause: &str) -> Response<Body> {
     let refusal = RequestError::new(StatusCode::SERVICE_UNAVAILABLE, "store", cause);
-    let mut response = refusal.into_response(state);
-    let value = HeaderValue::from(RETRY_AFTER_S);
+    let response = refusal.into_response(state);
+    let outage_ms = api.writer.health.outage_ms();
+    let policy = api.writer.outage_policy;
+    with_retry_after(response, policy.retry_after_s(outage_ms, rand::random()))
+}
+
+fn with_retry_after(mut response: Response<Body>, seconds: u64) -> Response<Body> {
+    let value = HeaderValue::from(seconds);
     response.headers_mut().insert(header::RETRY_AFTER, value);
     response
 }
--- a/ragwortwick-daemon/src/area/job_writer.rs
+++ b/ragwortwick-daemon/src/area/job_writer.rs
@@ -11,6 +11,7 @@
 
 use super::job_view::{CancelValue, JobView};
 use super::keys::JobKeyKind;
+use super::outage::OutagePolicy;
 use super::replica::JobReplica;
 use super::store_health::StoreHealth;
 use super::tombstones::TombstoneLeases;
@@ -31,6 +32,11 @@
     NoSuchJob,
     /// The job was cancelled before it was created, and is not created.
     Cancelled,
+    /// The job is refused: no capacity is expected for it in time.
+    Shed {
+        /// Time after which capacity is expected for it.
+        retry_after_ms: DurationMs,
+    },
 }
 
 impl WriteOutcome {
@@ -42,6 +48,7 @@
             Self::Unknown(_) => "unknown",
             Self::NoSuchJob => "no_such_job",
             Self::Cancelled => "cancelled",
+            Self::Shed { .. } => "shed",
         }
     }
 }
@@ -54,6 +61,7 @@
     pub(super) replica: JobReplica,
     pub(super) tombstones: TombstoneLeases,
     pub(super) clock: Clock,
+    pub(super) outage_policy: OutagePolicy,
 }
 
 impl JobWriter {
@@ -174,12 +182,17 @@
 
     /// Sends a create until its outcome is certain or the client's deadline has passed.
     async fn create(&self, txn: &Txn, deadline: TimeMs) -> CreateOutcome {
-        if self.health.is_unavailable() {
-            // Nothing is sent, so it is certain, and known at once, that nothing is stored.
-            return CreateOutcome::NotStored("the store is out of reach".to_owned());
-        }
+        let hold_ms = self.outage_policy.hold_ms(deadline.since(self.clock.now()));
+        let hold_until = self.clock.now() + hold_ms;
         let mut unknown_cause: Option<String> = None;
         loop {
+            if unknown_cause.is_none() && self.health.is_unavailable() {
+                // Nothing is sent, so it is certain that nothing is stored.
+                if self.pause_within(hold_until).await {
+                    continue;
+                }
+                return CreateOutcome::NotStored("the store is out of reach".to_owned());
+            }
             let left_ms = deadline.since(self.clock.now()).max(RETRY_DELAY_MS);
             let reply = self.store.commit_within(txn, left_ms).await;
             self.health.record(&reply);
@@ -189,6 +202,9 @@
                 Ok(TxnReply::Conflict(items)) => return CreateOutcome::Conflict(items),
                 Err(StoreError::LeaseNotFound) => return CreateOutcome::LeaseNotFound,
                 Err(StoreError::Refused(cause)) if unknown_cause.is_none() => {
+                    if self.pause_within(hold_until).await {
+                        continue;
+                    }
                     return CreateOutcome::NotStored(cause);
                 }
                 Err(error) => error.to_string(),
@@ -202,6 +218,18 @@
     }
 }
 
+impl JobWriter {
+    /// Pauses before the next try of a call that waits; returns whether there is time for another.
+    async fn pause_within(&self, hold_until: TimeMs) -> bool {
+        let pause_ms = OutagePolicy::pause_ms(rand::random());
+        let has_time = self.clock.now() + pause_ms < hold_until;
+        if has_time {
+            tokio::time::sleep(pause_ms.into()).await;
+        }
+        has_time
+    }
+}
+
 /// `CreateOutcome` is the outcome of a create.
 enum CreateOutcome {
     Stored(Revision),
--- a/ragwortwick-daemon/src/area/keys.rs
+++ b/ragwortwick-daemon/src/area/keys.rs
@@ -15,6 +15,9 @@
 /// Key of the coordinator, bound to its lease; the key's revision is the term's fencing token.
 pub(super) const COORDINATOR_KEY: &str = "ragwortwick/coordinator";
 
+/// Key of the queues that are short of capacity.
+pub(super) const LOAD_KEY: &str = "ragwortwick/load";
+
 /// Key of the workers' speeds, which only a new coordinator reads.
 pub(super) const SPEEDS_KEY: &str = "ragwortwick-speeds";
 
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -15,11 +15,11 @@
 use http::StatusCode;
 use prometheus::core::Collector;
 use prometheus::{
-    CounterVec, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    CounterVec, Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use ragwortwick_adapter::StoreCallCounts;
-use ragwortwick_area::SpeedCounts;
+use ragwortwick_area::{LoadPicture, SpeedCounts};
 use ragwortwick_core::ZoneName;
 
 /// Buckets of the time to accept a job, from a round trip to the store to the client's deadline.
@@ -68,6 +68,8 @@
     evacuated_zones: IntGaugeVec,
     /// Workers by what is known of their speed; set by the coordinator.
     workers_by_speed: IntGaugeVec,
+    /// Expected wait by queue, for queues that are short of capacity; set by the coordinator.
+    queue_wait_seconds: GaugeVec,
     /// Whether this host is the coordinator.
     pub(super) is_coordinator: IntGauge,
     store_calls: IntGaugeVec,
@@ -162,6 +164,7 @@
             desired_version: gauges.desired_version,
             evacuated_zones: gauges.evacuated_zones,
             workers_by_speed: gauges.workers_by_speed,
+            queue_wait_seconds: gauges.queue_wait_seconds,
             is_coordinator: gauges.is_coordinator,
             store_calls: gauges.store_calls,
             counts,
@@ -186,6 +189,14 @@
         }
     }
 
+    pub(super) fn set_queue_waits(&self, picture: &LoadPicture) {
+        self.queue_wait_seconds.reset();
+        for (queue, load) in &picture.queues {
+            let wait = self.queue_wait_seconds.with_label_values(&[queue.as_str()]);
+            wait.set(load.wait_ms.as_secs_f64());
+        }
+    }
+
     fn render(&self) -> prometheus::Result<Vec<u8>> {
         let kinds = [
             ("read", &self.counts.reads),
@@ -208,6 +219,7 @@
     desired_version: IntGauge,
     evacuated_zones: IntGaugeVec,
     workers_by_speed: IntGaugeVec,
+    queue_wait_seconds: GaugeVec,
     is_coordinator: IntGauge,
     store_calls: IntGaugeVec,
 }
@@ -232,6 +244,11 @@
             "Workers by what this host, as coordinator, has learned of their speed",
             "speed",
         )?;
+        let options = Opts::new(
+            "ragwortwick_area_queue_wait_seconds",
+            "Expected wait for a start in queues that are short of capacity",
+        );
+        let queue_wait_seconds = register(registry, GaugeVec::new(options, &["queue"])?)?;
         let is_coordinator = gauge(
             "ragwortwick_area_is_coordinator",
             "Whether this host coordinates",
@@ -241,6 +258,7 @@
             desired_version,
             evacuated_zones,
             workers_by_speed,
+            queue_wait_seconds,
             is_coordinator,
             store_calls,
         })
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -144,6 +144,7 @@
             } => self.request_advice(step, workers, answer_ms).await,
             Action::Store { .. }
             | Action::StoreSpeeds(_)
+            | Action::PublishLoad(_)
             | Action::Resign
             | Action::DeleteJob(_)
             | Action::LogRunEnd(_)
--- a/ragwortwick-daemon/src/area/progress_store.rs
+++ b/ragwortwick-daemon/src/area/progress_store.rs
@@ -7,11 +7,11 @@
 use ragwortwick_adapter::{
     KeyValue, Precondition, StoreClient, StoreError, Txn, TxnReply, WriteItem,
 };
-use ragwortwick_area::{ProgressRecord, SpeedRecord};
+use ragwortwick_area::{LoadPicture, ProgressRecord, SpeedRecord};
 use ragwortwick_core::{DurationMs, JobId, Revision, log_event};
 use serde::Serialize;
 
-use super::keys::{COORDINATOR_KEY, JobKeyKind, SPEEDS_KEY, progress_key};
+use super::keys::{COORDINATOR_KEY, JobKeyKind, LOAD_KEY, SPEEDS_KEY, progress_key};
 use super::store_health::StoreHealth;
 
 /// Delay before a write with an unknown outcome is sent again.
@@ -146,20 +146,33 @@
         Ok(())
     }
 
-    /// Stores the speeds of the workers. A failed write is not repeated: a newer record follows.
+    /// Stores the speeds of the workers.
     pub(super) async fn store_speeds(&self, record: &SpeedRecord) {
+        self.store_hint(write_item(SPEEDS_KEY.to_owned(), record))
+            .await;
+    }
+
+    /// Stores the queues that are short of capacity.
+    pub(super) async fn store_load(&self, picture: &LoadPicture) {
+        self.store_hint(write_item(LOAD_KEY.to_owned(), picture))
+            .await;
+    }
+
+    /// Stores a value on which no correctness depends. A failed write is not repeated: a newer value follows.
+    async fn store_hint(&self, write: WriteItem) {
+        let key = write.key.clone();
         let txn = Txn {
             preconditions: vec![Precondition {
                 key: COORDINATOR_KEY.to_owned(),
                 revision: self.term_revision,
             }],
-            writes: vec![write_item(SPEEDS_KEY.to_owned(), record)],
+            writes: vec![write],
             removes: Vec::new(),
         };
         let reply = self.store.commit(&txn).await;
         self.health.record(&reply);
         if let Err(error) = reply {
-            log_event!(Info, "speeds_not_stored", cause = error);
+            log_event!(Info, "hint_not_stored", key = key, cause = error);
         }
     }
 
--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -9,6 +9,7 @@
 use super::coordinator_handler::EventSender;
 use super::feed_monitor::FeedMonitor;
 use super::keys::{COORDINATOR_KEY, PROGRESS_PREFIX, REPLICATED_PREFIX};
+use super::load_feed::SharedLoadPicture;
 use super::metrics::AreaMetrics;
 use super::replica::{JobChange, JobReplica, parse_progress};
 use super::store_health::StoreHealth;
@@ -58,6 +59,7 @@
     pub(super) health: StoreHealth,
     pub(super) replica: JobReplica,
     pub(super) coordinator_key: watch::Sender<CoordinatorKeyState>,
+    pub(super) load: SharedLoadPicture,
     pub(super) clock: Clock,
     pub(super) metrics: AreaMetrics,
 }
@@ -153,6 +155,7 @@
         let mut changes = Vec::new();
         for event in &reply.events {
             self.update_coordinator_key(event);
+            self.load.apply(self.clock.now(), event);
             changes.extend(self.replica.apply(event));
         }
         changes
--- a/ragwortwick-daemon/src/area/settings.rs
+++ b/ragwortwick-daemon/src/area/settings.rs
@@ -1,9 +1,12 @@
 //! Settings of an area's entry host, read from a JSON file.
 
-use ragwortwick_area::{Limits, Weights};
+use ragwortwick_area::{CustomerWeights, Limits, Weights};
 use ragwortwick_core::{DurationMs, HostName, ZoneName};
 use serde::Deserialize;
 
+/// Largest share of a caller's time for which a call may wait: the rest is for another host.
+const MAX_HOLD_SHARE: f64 = 0.5;
+
 /// `AreaSettings` is the content of the settings file of an area's entry host.
 ///
 /// Unknown fields are ignored, because the platform adds some from time to time.
@@ -53,6 +56,18 @@
     /// Whether work is placed by its expected finish on workers that are known to differ in speed.
     #[serde(default)]
     pub places_by_speed: bool,
+    /// Share of its caller's time for which a call waits while the store is away, from 0 to 0.5.
+    #[serde(default)]
+    pub hold_share: f64,
+    /// Whether jobs are refused that would be of no use to their callers by the time they end.
+    #[serde(default)]
+    pub sheds_load: bool,
+    /// Whether customers share the capacity that no guarantee covers while queues are short of it.
+    #[serde(default)]
+    pub shares_fairly: bool,
+    /// The customers' weights for that; one that is not named has weight 1.
+    #[serde(default)]
+    pub customer_weights: CustomerWeights,
     /// Weights of a job's value, for the order of placement and for preemption.
     #[serde(default)]
     pub weights: Weights,
@@ -68,6 +83,15 @@
         let mut reader = serde_json::Deserializer::from_str(text);
         let settings: Self =
             serde_path_to_error::deserialize(&mut reader).map_err(|error| error.to_string())?;
+        if !(0.0..=MAX_HOLD_SHARE).contains(&settings.hold_share) {
+            return Err(format!(
+                "hold_share: expected a number from 0 to {MAX_HOLD_SHARE}"
+            ));
+        }
+        let is_weight = |weight: &f64| weight.is_finite() && *weight > 0.0;
+        if !settings.customer_weights.values().all(is_weight) {
+            return Err("customer_weights: expected numbers above 0".to_owned());
+        }
         match settings.weights.validation_error() {
             Some(problem) => Err(problem.to_owned()),
             None => Ok(settings),
@@ -88,6 +112,9 @@
             restore_ms: self.restore_ms,
             retention_ms: seconds_to_ms(self.retention_s),
             places_by_speed: self.places_by_speed,
+            sheds_load: self.sheds_load,
+            shares_fairly: self.shares_fairly,
+            customer_weights: self.customer_weights.clone(),
             weights: self.weights.clone(),
         }
     }
--- a/ragwortwick-daemon/src/area/store_health.rs
+++ b/ragwortwick-daemon/src/area/store_health.rs
@@ -67,6 +67,15 @@
         self.is_failing() && self.clock.now().since(last_reply_at) > UNAVAILABLE_AFTER_MS
     }
 
+    /// How long the store has not replied; zero while the newest call succeeded.
+    pub(super) fn outage_ms(&self) -> DurationMs {
+        if !self.is_failing() {
+            return DurationMs(0);
+        }
+        let last_reply_at = TimeMs(self.last_reply_at_ms.load(Ordering::Relaxed));
+        self.clock.now().since(last_reply_at)
+    }
+
     /// Whether the newest call failed.
     fn is_failing(&self) -> bool {
         self.is_failing.load(Ordering::Relaxed)
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -2,6 +2,8 @@
 
 mod job_writer;
 mod known_workers;
+mod load_feed;
+mod outage;
 mod replica_order;
 mod silent_connections;
 
--- a/ragwortwick-daemon/src/area/tests/job_writer.rs
+++ b/ragwortwick-daemon/src/area/tests/job_writer.rs
@@ -6,6 +6,7 @@
 
 use super::super::job_writer::{JobWriter, WriteOutcome};
 use super::super::keys::JobKeyKind;
+use super::super::outage::OutagePolicy;
 use super::super::replica::JobReplica;
 use super::super::store_health::StoreHealth;
 use super::super::tombstones::{MAX_TOMBSTONES_PER_LEASE, TombstoneLeases};
@@ -32,6 +33,7 @@
             replica: JobReplica::default(),
             tombstones: TombstoneLeases::open(client.clone(), health, clock),
             clock,
+            outage_policy: OutagePolicy { hold_share: 0.0 },
         };
         Self {
             store,
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -83,6 +83,7 @@
                         self.store.speeds = Some(record);
                     }
                 }
+                Action::PublishLoad(picture) => self.store.load = picture,
                 Action::LogRunEnd(_)
                 | Action::LogWorkerLoss(_)
                 | Action::LogUntrackedRun(_)
--- a/ragwortwick-emulator/src/store.rs
+++ b/ragwortwick-emulator/src/store.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ragwortwick_area::{Event, JobProgress, JobRecord, RecoveredJob, RunResult, SpeedRecord};
+use ragwortwick_area::{
+    Event, JobProgress, JobRecord, LoadPicture, RecoveredJob, RunResult, SpeedRecord,
+};
 use ragwortwick_core::{DurationMs, JobId, TimeMs, ZoneName};
 
 /// Time to live of the coordinator's lease.
@@ -17,6 +19,8 @@
     pub(crate) handed_over: BTreeMap<JobId, Vec<RunResult>>,
     /// Evacuated zones, with when the evacuation was acknowledged.
     pub(crate) evacuated: BTreeMap<ZoneName, TimeMs>,
+    /// Queues that are short of capacity, as the coordinator tells the hosts.
+    pub(crate) load: LoadPicture,
     /// Speeds of the workers, as the last coordinator stored them.
     pub(crate) speeds: Option<SpeedRecord>,
     pub(crate) revision: u64,
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -94,8 +94,10 @@
     has_left: bool,
     /// Whether the process has crashed and was not restarted.
     is_down: bool,
-    /// How often the process was restarted.
+    /// How often the process was restarted under another name.
     incarnation: u32,
+    /// How often it was restarted under its name, which shows in the start time that it tells.
+    restarts_in_place: u64,
 }
 
 impl WorkerState {
@@ -108,6 +110,11 @@
         }
     }
 
+    /// Returns the time of its start that it tells, in Unix milliseconds.
+    fn born(&self) -> u64 {
+        FIRST_START_UNIX_MS + self.restarts_in_place
+    }
+
     pub(super) fn end_run(&mut self, task: &str, kind: &'static str) {
         if let Some(run) = self.running.remove(task) {
             self.last_sequence += 1;
@@ -144,7 +151,12 @@
             .iter()
             .map(|(sequence, task, run, kind)| json!([sequence, task, run, kind, ""]))
             .collect();
-        json!({"ClockMs": now().0, "Running": running, "Ended": ended})
+        json!({
+            "ClockMs": now().0,
+            "Running": running,
+            "Ended": ended,
+            "born": self.born(),
+        })
     }
 }
 
@@ -249,6 +261,9 @@
         .to_owned()
 }
 
+/// When the first incarnation of each worker started, as it tells.
+const FIRST_START_UNIX_MS: u64 = 1_700_000_000_000;
+
 /// Number of availability zones that the workers are spread over.
 const ZONES: usize = 2;
 
@@ -320,9 +335,9 @@
             let instance = self.shared.with(|pool| {
                 let worker = &pool.workers[name];
                 let is_up = !worker.has_left && !worker.is_down;
-                is_up.then(|| worker.instance_name(name))
+                is_up.then(|| (worker.instance_name(name), worker.born()))
             });
-            let Some(instance) = instance else {
+            let Some((instance, born)) = instance else {
                 continue;
             };
             let entry = json!({
@@ -337,6 +352,7 @@
                 "Labels": ["a", format!("r-{}", number / 8)],
                 "ClockMs": now().0,
                 "Sequence": now().0,
+                "born": born,
             });
             store.put(&format!("servers/{instance}"), entry.to_string());
         }
@@ -436,6 +452,19 @@
         }
     }
 
+    /// `restart_in_place` restarts a worker under its name at once; it has no runs, ends or tokens of before.
+    pub fn restart_in_place(&self, name: &str) {
+        self.shared.with(|pool| {
+            if let Some(worker) = pool.workers.get_mut(name) {
+                *worker = WorkerState {
+                    incarnation: worker.incarnation,
+                    restarts_in_place: worker.restarts_in_place + 1,
+                    ..WorkerState::default()
+                };
+            }
+        });
+    }
+
     fn set_path_of(&self, name: &str, mode: RelayMode) {
         let position = self.servers.iter().position(|(other, _)| other == name);
         if let Some(number) = position {
