area: reckon with a start in a queue whose starts were not seen yet; the emulator refuses by the load

Cause: without a recent start the expected wait was ten minutes, and the time to come back had no limit.

Change: the wait is reckoned over the time that the queue was observed, with one start at least, and callers are sent away for 45 s at most. Guarded by verify_a_queue_without_starts_for_seconds_is_not_taken_for_hopeless.

--- a/ragwortwick-area/src/admission.rs
+++ b/ragwortwick-area/src/admission.rs
@@ -25,13 +25,13 @@
 /// Number of waiting jobs below which a queue is not short of capacity: some wait only for a gap of their shape.
 const MIN_WAITING_JOBS: usize = 3;
 
-/// Longest wait that is expected of a queue of which no job starts.
-const MAX_WAIT_MS: DurationMs = DurationMs(600_000);
+/// Longest time that callers are told to stay away for: by then the load may be another.
+const MAX_RETRY_AFTER_MS: DurationMs = DurationMs(30_000);
 
 /// A job that ends later than this many times its latency objective is of no use to its caller.
 const MAX_LATENESS_FACTOR: f64 = 3.0;
 
-/// Share of the wait over which the times to come back are spread, so that callers don't return together.
+/// Share of the time to come back over which it is spread, so that callers don't return together.
 const SPREAD_SHARE: f64 = 0.5;
 
 /// Weight of the newest job in the average of how long jobs take against their customers' estimates.
@@ -109,8 +109,10 @@
             return Admission::Accepted;
         }
         let too_long_ms = DurationMs(ends_ms.0 - value_ends_ms.0);
+        // The spread counts after the limit, so that callers of a long shortage don't return together either.
+        let retry_after_ms = too_long_ms.min(MAX_RETRY_AFTER_MS);
         Admission::Refused {
-            retry_after_ms: too_long_ms + load.wait_ms.scaled(SPREAD_SHARE * spread),
+            retry_after_ms: retry_after_ms + retry_after_ms.scaled(SPREAD_SHARE * spread),
         }
     }
 }
@@ -126,35 +128,48 @@
 }
 
 /// `ServiceRate` is the recent rate of starts of one queue.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct ServiceRate {
+    observed_since: TimeMs,
     /// Number of recent starts, each weighted by its age.
     weighted_starts: f64,
     updated_at: TimeMs,
 }
 
 impl ServiceRate {
+    fn new(now: TimeMs) -> Self {
+        Self {
+            observed_since: now,
+            weighted_starts: 0.0,
+            updated_at: now,
+        }
+    }
+
     fn record(&mut self, now: TimeMs) {
         self.weighted_starts = self.weighted_starts(now) + 1.0;
         self.updated_at = now;
     }
 
     fn weighted_starts(&self, now: TimeMs) -> f64 {
-        let age = now.since(self.updated_at).as_secs_f64() / RATE_WINDOW_MS.as_secs_f64();
-        self.weighted_starts * (-age).exp()
+        self.weighted_starts * decay(now.since(self.updated_at))
     }
 
     /// Expected time until the given number of jobs has started.
+    ///
+    /// At least one start is reckoned with: that none was seen for seconds, as after a takeover, does not show that
+    /// there will be none.
     fn wait_ms(&self, now: TimeMs, jobs: usize) -> DurationMs {
-        let starts = self.weighted_starts(now);
+        let observed = 1.0 - decay(now.since(self.observed_since));
         let jobs = f64::from(u32::try_from(jobs).unwrap_or(u32::MAX));
-        if starts * MAX_WAIT_MS.as_secs_f64() <= jobs * RATE_WINDOW_MS.as_secs_f64() {
-            return MAX_WAIT_MS;
-        }
-        RATE_WINDOW_MS.scaled(jobs / starts)
+        let starts = self.weighted_starts(now).max(1.0);
+        RATE_WINDOW_MS.scaled(observed * jobs / starts)
     }
 }
 
+fn decay(age_ms: DurationMs) -> f64 {
+    (-age_ms.as_secs_f64() / RATE_WINDOW_MS.as_secs_f64()).exp()
+}
+
 /// `QueueBacklog` tracks the waiting jobs of one queue and how fast they are started.
 #[derive(Clone, Copy, Debug)]
 struct QueueBacklog {
@@ -167,19 +182,17 @@
     duration_ratio: f64,
 }
 
-impl Default for QueueBacklog {
-    fn default() -> Self {
+impl QueueBacklog {
+    fn new(now: TimeMs) -> Self {
         Self {
-            starts: ServiceRate::default(),
+            starts: ServiceRate::new(now),
             waiting_jobs: 0,
             waiting_since: None,
             is_short: false,
             duration_ratio: 1.0,
         }
     }
-}
 
-impl QueueBacklog {
     /// Updates the number of waiting jobs.
     ///
     /// Hysteresis: a queue becomes short of capacity after seconds with a backlog and stays so until few jobs wait.
@@ -202,12 +215,13 @@
 impl Backlogs {
     /// Records that a job of a queue has started for the first time.
     pub(crate) fn record_start(&mut self, now: TimeMs, queue: &ClassName) {
-        self.0.entry(queue.clone()).or_default().starts.record(now);
+        self.of_queue(now, queue).starts.record(now);
     }
 
     /// Records how long a job took against its customer's estimate.
     pub(crate) fn record_duration(
         &mut self,
+        now: TimeMs,
         queue: &ClassName,
         took_ms: DurationMs,
         estimate_ms: DurationMs,
@@ -215,15 +229,20 @@
         if estimate_ms == DurationMs(0) {
             return;
         }
-        let backlog = self.0.entry(queue.clone()).or_default();
+        let backlog = self.of_queue(now, queue);
         let ratio = took_ms.as_secs_f64() / estimate_ms.as_secs_f64();
         backlog.duration_ratio += (ratio.clamp(0.1, 10.0) - backlog.duration_ratio) * RATIO_WEIGHT;
     }
 
+    fn of_queue(&mut self, now: TimeMs, queue: &ClassName) -> &mut QueueBacklog {
+        let backlog = self.0.entry(queue.clone());
+        backlog.or_insert_with(|| QueueBacklog::new(now))
+    }
+
     /// Updates the backlogs by the number of jobs that wait for their first start, by queue.
     pub(crate) fn update(&mut self, now: TimeMs, waiting: &BTreeMap<ClassName, usize>) {
         for queue in waiting.keys() {
-            self.0.entry(queue.clone()).or_default();
+            self.of_queue(now, queue);
         }
         for (queue, backlog) in &mut self.0 {
             backlog.update(now, waiting.get(queue).copied().unwrap_or(0));
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -456,9 +456,8 @@
                 let took_ms = job.accounting.running_ms;
                 let estimate_ms = job.record.critical_path_ms();
                 let queue = &job.record.queue;
-                self.load
-                    .backlogs
-                    .record_duration(queue, took_ms, estimate_ms);
+                let backlogs = &mut self.load.backlogs;
+                backlogs.record_duration(now, queue, took_ms, estimate_ms);
             }
         }
         self.open_jobs.remove(job_id);
--- a/ragwortwick-area/src/tests/admission.rs
+++ b/ragwortwick-area/src/tests/admission.rs
@@ -159,4 +159,18 @@
     };
     assert!(retry_after(0.0) > DurationMs(0));
     assert!(retry_after(1.0).0 > retry_after(0.0).0 + 5_000);
+    assert!(retry_after(1.0) <= DurationMs(45_000));
+}
+
+/// Guards against callers who are sent away for minutes because a new coordinator has not started their jobs yet.
+#[test]
+fn verify_a_queue_without_starts_for_seconds_is_not_taken_for_hopeless() {
+    let mut backlogs = Backlogs::default();
+    for now_ms in (0..4_000).step_by(250) {
+        let waiting = (ClassName::new(QUEUE), 3);
+        backlogs.update(TimeMs(now_ms), &BTreeMap::from([waiting]));
+    }
+    let picture = backlogs.picture(TimeMs(4_000));
+    let wait_ms = picture.queues[&ClassName::new(QUEUE)].wait_ms;
+    assert!(wait_ms <= DurationMs(12_000), "{wait_ms:?}");
 }
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -83,7 +83,10 @@
                         self.store.speeds = Some(record);
                     }
                 }
-                Action::PublishLoad(picture) => self.store.load = picture,
+                Action::PublishLoad(picture) => {
+                    self.store.load = picture;
+                    self.store.load_heard_at = self.now;
+                }
                 Action::LogRunEnd(_)
                 | Action::LogWorkerLoss(_)
                 | Action::LogUntrackedRun(_)
--- a/ragwortwick-emulator/src/lib.rs
+++ b/ragwortwick-emulator/src/lib.rs
@@ -27,4 +27,4 @@
 pub use faults::{Fault, FaultKind, draw_faults, draw_faults_of};
 pub use simulation::{Simulation, SimulationOptions, SimulationReport};
 pub use value::{JobOutcome, LostWorkCause, ValueAccount, ValueLossCause, ValueReport};
-pub use workload::{Burst, QueueWorkload, TaskDemand, Workload};
+pub use workload::{Burst, Policies, QueueWorkload, TaskDemand, Workload};
--- a/ragwortwick-emulator/src/simulation.rs
+++ b/ragwortwick-emulator/src/simulation.rs
@@ -170,7 +170,9 @@
     /// `new` draws the jobs of a simulation, and schedules jobs and faults.
     #[must_use]
     pub fn new(mut options: SimulationOptions, mut faults: Vec<Fault>) -> Self {
-        options.limits.places_by_speed |= options.workload.places_by_speed;
+        options.limits.places_by_speed |= options.workload.policies.places_by_speed;
+        options.limits.sheds_load |= options.workload.policies.sheds_load;
+        options.limits.shares_fairly |= options.workload.policies.shares_fairly;
         faults.extend(&options.workload.faults);
         let racks = options.workers.div_ceil(options.workers_per_rack.max(1));
         let arrivals = Arrivals::draw(options.seed, &options.workload, racks).jobs;
--- a/ragwortwick-emulator/src/store.rs
+++ b/ragwortwick-emulator/src/store.rs
@@ -21,6 +21,8 @@
     pub(crate) evacuated: BTreeMap<ZoneName, TimeMs>,
     /// Queues that are short of capacity, as the coordinator tells the hosts.
     pub(crate) load: LoadPicture,
+    /// When the hosts heard of them.
+    pub(crate) load_heard_at: TimeMs,
     /// Speeds of the workers, as the last coordinator stored them.
     pub(crate) speeds: Option<SpeedRecord>,
     pub(crate) revision: u64,
--- a/ragwortwick-emulator/src/workload.rs
+++ b/ragwortwick-emulator/src/workload.rs
@@ -23,12 +23,12 @@
     /// Rate of the workers' clocks, in per cent of the true rate.
     #[serde(default = "default_worker_clock_percent")]
     pub worker_clock_percent: u64,
+    /// Policies of the coordinator and the hosts that are on.
+    #[serde(default)]
+    pub policies: Policies,
     /// Whether workers that crash restart under their identity, so that they accept the orders of before.
     #[serde(default)]
     pub restarts_in_place: bool,
-    /// Whether work is placed by its expected finish on workers that are known to differ in speed.
-    #[serde(default)]
-    pub places_by_speed: bool,
     /// Whether a start from a checkpoint skips the work that was saved.
     ///
     /// The seeds kept as regression tests were found with this disabled.
@@ -83,6 +83,18 @@
     pub rate_factor: f64,
 }
 
+/// `Policies` are the policies of a deployment that are on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policies {
+    /// Whether work is placed by its expected finish on workers that are known to differ in speed.
+    pub places_by_speed: bool,
+    /// Whether hosts refuse jobs that would be of no use by the time they end.
+    pub sheds_load: bool,
+    /// Whether customers share the capacity that no guarantee covers while queues are short of it.
+    pub shares_fairly: bool,
+}
+
 /// `QueueWorkload` describes the arrival rate and the jobs of one queue.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
