--- a/ragwortwick-area/src/speed_model.rs
+++ b/ragwortwick-area/src/speed_model.rs
@@ -63,6 +63,12 @@
 /// Number of standard deviations by which such a worker has to differ.
 const UNEVEN_DEVIATIONS: f64 = 2.5;
 
+/// Difference of the logarithm from which an estimate counts as changed since it was recorded.
+const RECORDED_LOG_DIFFERENCE: f64 = 0.1;
+
+/// Share of the workers, in per cent, above which changed estimates are recorded again.
+const RECORDED_PERCENT: usize = 1;
+
 /// Logarithm of the duration ratio beyond which a difference is taken for a fault.
 const FAULT_LOG_RATIO: f64 = 0.7;
 
@@ -85,20 +91,16 @@
 impl ObservedDuration {
     /// Logarithm of the whole duration and the variance of its measurement; none if too little was seen.
     fn log_duration(self) -> Option<(f64, f64)> {
-        let (total_ms, variance) = match self {
+        let (total_s, variance) = match self {
+            Self::Progress { percent, .. } if percent < MIN_PERCENT => return None,
             Self::Progress { span_ms, percent } => {
-                if percent < MIN_PERCENT {
-                    return None;
-                }
                 let deviation = PERCENT_DEVIATION / f64::from(percent);
-                (
-                    to_f64(span_ms) * 100.0 / f64::from(percent),
-                    deviation * deviation,
-                )
+                let total_s = span_ms.as_secs_f64() * 100.0 / f64::from(percent);
+                (total_s, deviation * deviation)
             }
-            Self::AtMost(total_ms) | Self::Whole(total_ms) => (to_f64(total_ms), 0.0),
+            Self::AtMost(total_ms) | Self::Whole(total_ms) => (total_ms.as_secs_f64(), 0.0),
         };
-        (total_ms >= to_f64(MIN_DURATION_MS)).then(|| (total_ms.ln(), variance))
+        (total_s >= MIN_DURATION_MS.as_secs_f64()).then(|| (total_s.ln(), variance))
     }
 }
 
@@ -122,6 +124,8 @@
     /// Estimate before the present epoch.
     prior: SpeedEstimate,
     estimate: SpeedEstimate,
+    /// Logarithm in the last record.
+    recorded_log_ratio: f64,
     observed_at: TimeMs,
 }
 
@@ -136,8 +140,6 @@
     epoch_began_at: TimeMs,
     solved_at: TimeMs,
     has_new_observations: bool,
-    /// Whether the estimates were updated since this was last asked.
-    is_updated: bool,
     is_uneven: bool,
 }
 
@@ -153,9 +155,19 @@
         self.is_uneven
     }
 
-    /// Whether the estimates were updated since the last call.
-    pub(crate) fn take_is_updated(&mut self) -> bool {
-        std::mem::take(&mut self.is_updated)
+    /// Whether the estimates have changed enough to be recorded again; those of now count as recorded then.
+    pub(crate) fn take_change(&mut self) -> bool {
+        let is_changed = |speed: &WorkerSpeed| {
+            (speed.estimate.log_ratio - speed.recorded_log_ratio).abs() >= RECORDED_LOG_DIFFERENCE
+        };
+        let changed = self.speeds.iter().filter(|speed| is_changed(speed)).count();
+        if changed * 100 <= self.speeds.len() * RECORDED_PERCENT {
+            return false;
+        }
+        for speed in &mut self.speeds {
+            speed.recorded_log_ratio = speed.estimate.log_ratio;
+        }
+        true
     }
 
     /// Returns the workers of which something is known.
@@ -233,7 +245,6 @@
         }
         self.solved_at = now;
         self.has_new_observations = false;
-        self.is_updated = true;
         for _ in 0..SOLVE_PASSES {
             self.solve_once();
         }
@@ -253,6 +264,7 @@
         self.speeds.push(WorkerSpeed {
             prior: SpeedEstimate::UNKNOWN,
             estimate: SpeedEstimate::UNKNOWN,
+            recorded_log_ratio: SpeedEstimate::UNKNOWN.log_ratio,
             observed_at: TimeMs(0),
         });
         index
@@ -306,7 +318,7 @@
             let spread = (noise + speed.estimate.variance).sqrt();
             let robustness = (OUTLIER_DEVIATIONS * spread / residual.abs().max(1e-9)).min(1.0);
             let age_ms = speed.observed_at.since(observation.observed_at);
-            let recency = (-to_f64(age_ms) / to_f64(MEMORY_MS)).exp();
+            let recency = (-age_ms.as_secs_f64() / MEMORY_MS.as_secs_f64()).exp();
             let weight = robustness * recency / noise;
             let (sum, total) = &mut evidence[observation.worker];
             *sum += weight * sample;
@@ -356,11 +368,3 @@
         ..estimate
     }
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "spans in milliseconds are exact in a float"
-)]
-fn to_f64(span_ms: DurationMs) -> f64 {
-    span_ms.0 as f64
-}
--- a/ragwortwick-area/src/speed_record.rs
+++ b/ragwortwick-area/src/speed_record.rs
@@ -172,13 +172,13 @@
         Ok(())
     }
 
-    /// Stores the speeds if they were updated and the last record is old enough.
+    /// Stores the speeds if they have changed and the last record is old enough.
     pub(crate) fn store_speeds(&mut self, now: Now) {
         let is_due = now.steady.since(self.speeds_stored_at) >= WRITE_INTERVAL_MS;
         if !self.limits.places_by_speed || !is_due || !self.has_valid_lease(now.steady) {
             return;
         }
-        if self.speeds.take_is_updated() {
+        if self.speeds.take_change() {
             self.speeds_stored_at = now.steady;
             let record = SpeedRecord::of(now, &self.speeds);
             self.actions.push(Action::StoreSpeeds(record));
--- a/ragwortwick-area/src/tests/speed_model.rs
+++ b/ragwortwick-area/src/tests/speed_model.rs
@@ -214,3 +214,19 @@
     pool.model = successor;
     assert!(pool.share_within_a_tenth() >= 0.9);
 }
+
+/// Guards against a record of all workers every few seconds, while nothing is learned any more.
+#[test]
+fn verify_speeds_that_are_known_are_not_recorded_again() {
+    let mut pool = Pool::new(60, &[0.6, 1.0, 1.6]);
+    let mut records = Vec::new();
+    for _ in 0..30 {
+        for _ in 0..25 {
+            pool.run_gang(5);
+        }
+        records.push(pool.model.take_change());
+    }
+    assert!(records[0]);
+    let late = records[10..].iter().filter(|is_due| **is_due).count();
+    assert!(late <= 2, "{records:?}");
+}
--- a/ragwortwick-daemon/src/area/outage.rs
+++ b/ragwortwick-daemon/src/area/outage.rs
@@ -8,23 +8,20 @@
 use ragwortwick_core::DurationMs;
 
 /// Shortest pause between two tries of a call that waits.
-const MIN_PAUSE_MS: u64 = 40;
+const MIN_PAUSE_MS: DurationMs = DurationMs(40);
 
 /// Longest pause between two tries. Pauses are spread, so that the calls that wait do not arrive together.
-const MAX_PAUSE_MS: u64 = 120;
+const MAX_PAUSE_MS: DurationMs = DurationMs(120);
 
 /// Share of the outage so far that callers are told to stay away for; most outages that have lasted for some time last
 /// for as long again.
 const AWAY_PER_OUTAGE: f64 = 0.25;
 
 /// Shortest time that callers are told to stay away for: they come back a few times only.
-const MIN_RETRY_AFTER_S: f64 = 1.0;
+const MIN_RETRY_AFTER_MS: DurationMs = DurationMs(1_000);
 
 /// Longest time that callers are told to stay away for.
-const MAX_RETRY_AFTER_S: f64 = 30.0;
-
-/// Seconds that callers are told to stay away for where calls do not wait.
-const FIXED_RETRY_AFTER_S: u64 = 1;
+const MAX_RETRY_AFTER_MS: DurationMs = DurationMs(30_000);
 
 /// `OutagePolicy` says how long calls wait for the store and when refused callers may come back.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,40 +33,24 @@
 impl OutagePolicy {
     /// Returns how long a call may wait whose caller still has the given time.
     pub(super) fn hold_ms(self, left_ms: DurationMs) -> DurationMs {
-        DurationMs(truncate(to_f64(left_ms) * self.hold_share))
+        left_ms.scaled(self.hold_share)
     }
 
     /// Returns the pause before the next try of a call that waits; `spread` is a random number from 0 to 1.
     pub(super) fn pause_ms(spread: f64) -> DurationMs {
-        let range = to_f64(DurationMs(MAX_PAUSE_MS - MIN_PAUSE_MS));
-        DurationMs(MIN_PAUSE_MS + truncate(range * spread))
+        let range_ms = DurationMs(MAX_PAUSE_MS.0 - MIN_PAUSE_MS.0);
+        MIN_PAUSE_MS + range_ms.scaled(spread)
     }
 
     /// Returns the seconds after which a refused caller may come back.
     ///
-    /// In a long outage they stay away for longer the longer it has lasted. `spread` is a random number from 0 to 1.
+    /// Where calls wait, callers stay away for longer the longer the outage has lasted. `spread` is a random number
+    /// from 0 to 1.
     pub(super) fn retry_after_s(self, outage_ms: DurationMs, spread: f64) -> u64 {
         if self.hold_share <= 0.0 {
-            return FIXED_RETRY_AFTER_S;
+            return MIN_RETRY_AFTER_MS.0 / 1_000;
         }
-        let away_s = outage_ms.as_secs_f64() * AWAY_PER_OUTAGE * (0.5 + spread);
-        truncate(away_s.clamp(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S))
+        let away_ms = outage_ms.scaled(AWAY_PER_OUTAGE * (0.5 + spread));
+        away_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS).0 / 1_000
     }
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "spans in milliseconds are exact in a float"
-)]
-fn to_f64(span_ms: DurationMs) -> f64 {
-    span_ms.0 as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "spans are not negative, and days at most"
-)]
-fn truncate(number: f64) -> u64 {
-    number as u64
-}
