area: the new decisions take what they need and not the coordinator

No decision changes: all tests of the package pass unchanged, and the record of speeds has tests of its own (other layouts, times ahead, extreme values).

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -19,7 +19,9 @@
 use crate::messages::{Action, Event, WorkerEntry};
 use crate::progress::{JobPhase, JobProgress};
 use crate::record_batches::RecordBatches;
+use crate::restarts::earlier_incarnations;
 use crate::speed_model::SpeedModel;
+use crate::speed_record::{SpeedRecord, SpeedRecordError, SpeedRecorder};
 use crate::value::total_work;
 use crate::worker::Worker;
 
@@ -128,8 +130,7 @@
     pub(crate) load: LoadPublisher,
     /// Speeds of the workers.
     pub(crate) speeds: SpeedModel,
-    /// When they were last stored.
-    pub(crate) speeds_stored_at: TimeMs,
+    speed_recorder: SpeedRecorder,
     /// Recently lost workers.
     pub(crate) losses: RecentLosses,
     /// Listed completions that are not acknowledged yet.
@@ -178,7 +179,7 @@
             urgent_peaks: BTreeMap::new(),
             load: LoadPublisher::default(),
             speeds: SpeedModel::default(),
-            speeds_stored_at: now.steady,
+            speed_recorder: SpeedRecorder::new(now.steady),
             losses: RecentLosses::default(),
             held_ends: HeldEnds::default(),
             preempted_for: BTreeMap::new(),
@@ -195,6 +196,22 @@
         coordinator
     }
 
+    /// `restore_speeds` begins with the speeds that an earlier coordinator stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record can't be used; nothing changes then.
+    pub fn restore_speeds(
+        &mut self,
+        now: Now,
+        record: &SpeedRecord,
+    ) -> Result<(), SpeedRecordError> {
+        let workers = &self.workers;
+        record.restore(now.unix, &mut self.speeds, |name| {
+            workers.contains_key(name)
+        })
+    }
+
     /// `on_event` processes one event and returns the resulting actions.
     pub fn on_event(&mut self, now: Now, event: Event) -> Vec<Action> {
         self.record_call(now.steady);
@@ -290,8 +307,7 @@
             self.expire_leases(now.steady);
             self.attribute_losses(now.steady);
             self.remove_expired_jobs(now.steady);
-            self.store_speeds(now);
-            self.publish_load(now.steady);
+            self.publish_hints(now);
             let speeds = &mut self.speeds;
             self.workers.retain(|name, worker| {
                 let is_gone = worker.can_be_removed();
@@ -376,8 +392,42 @@
             .map_or(&job.record.policy, |queue| &queue.policy)
     }
 
+    /// Publishes what successors and hosts make use of, and nothing depends on: speeds and shortages.
+    fn publish_hints(&mut self, now: Now) {
+        if !self.has_valid_lease(now.steady) {
+            return;
+        }
+        if self.limits.places_by_speed {
+            let record = self
+                .speed_recorder
+                .due_record(now.steady, now.unix, &mut self.speeds);
+            self.actions.extend(record.map(Action::StoreSpeeds));
+        }
+        let uses_backlogs = self.limits.sheds_load || self.limits.shares_fairly;
+        if uses_backlogs && self.load.is_count_due(now.steady) {
+            let waiting = self.count_waiting_jobs();
+            self.load.record_count(now.steady, &waiting);
+            if self.limits.sheds_load {
+                let picture = self.load.due_picture(now.steady);
+                self.actions.extend(picture.map(Action::PublishLoad));
+            }
+        }
+    }
+
+    /// Counts the jobs without scheduled times that wait for their first start, by queue.
+    fn count_waiting_jobs(&self) -> BTreeMap<ClassName, usize> {
+        let mut waiting: BTreeMap<ClassName, usize> = BTreeMap::new();
+        let open_jobs = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
+        for job in open_jobs {
+            if job.phase == JobPhase::Queued && job.record.schedule.is_none() {
+                *waiting.entry(job.record.queue.clone()).or_default() += 1;
+            }
+        }
+        waiting
+    }
+
     fn on_worker_updated(&mut self, now: TimeMs, entry: WorkerEntry) {
-        for earlier in self.earlier_incarnations(&entry.name) {
+        for earlier in earlier_incarnations(&self.workers, &entry.name) {
             self.on_worker_restarted(now, &earlier);
         }
         if let Some(worker) = self.workers.get_mut(&entry.name) {
--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -9,6 +9,7 @@
 use crate::job::{Resources, StepSpec};
 use crate::packing::Slot;
 use crate::reachability::silent_zones;
+use crate::restarts::unsettled_identities;
 
 /// Below this share of accelerators in use, tasks may also be placed where they run slower.
 ///
@@ -77,7 +78,7 @@
         let contacts = self.workers.values().filter(|worker| worker.is_listed);
         let silent_zones =
             silent_zones(contacts.map(|worker| (&worker.entry.zone, worker.contact)));
-        let unsettled = self.unsettled_identities();
+        let unsettled = unsettled_identities(&self.workers);
         let mut pool_capacity = PoolCapacity {
             is_uneven: self.limits.places_by_speed && self.speeds.is_uneven(),
             ..PoolCapacity::default()
--- a/ragwortwick-area/src/restarts.rs
+++ b/ragwortwick-area/src/restarts.rs
@@ -4,15 +4,13 @@
 //! an order may be carried out seconds late. A run of the earlier incarnation counts as over once the later
 //! one has confirmed a stop of it: no start order can begin it there any more.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::allocation::AllocationPhase;
-use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::losses::WorkerLossCause;
-use crate::outcome::RunOutcome;
 use crate::worker::Worker;
 
 /// Longest time after which an order without a reply is expected to be carried out late.
@@ -39,50 +37,20 @@
 }
 
 impl Worker {
-    /// The cause of the loss of a worker whose later incarnation is in touch.
-    fn replacement_cause(&self) -> WorkerLossCause {
-        if self.entry.is_draining {
-            WorkerLossCause::Left
-        } else {
-            WorkerLossCause::Crashed
+    /// Marks the worker as replaced by a later incarnation, and its runs as stopping. Returns the runs whose start
+    /// was not sent, which never begin.
+    pub(crate) fn replace(&mut self, now: TimeMs) -> Vec<(TaskId, u32)> {
+        self.is_replaced = true;
+        self.is_listed = false;
+        self.stored_end = self.acked_end;
+        self.received_end = self.acked_end;
+        self.untracked.clear();
+        for (task, run) in self.unsettled_starts.take_recent(now) {
+            self.untracked.insert_expected(task, run);
         }
-    }
-}
-
-impl Coordinator {
-    /// Known incarnations that the given one is a restart of.
-    pub(crate) fn earlier_incarnations(&self, name: &WorkerName) -> Vec<WorkerName> {
-        if name.started_unix_ms().is_none() {
-            return Vec::new();
-        }
-        let identity = name.identity();
-        let candidates = self.workers.range(WorkerName::new(identity)..);
-        candidates
-            .take_while(|(other, _)| other.as_str().starts_with(identity))
-            .filter(|(earlier, worker)| !worker.is_replaced && name.is_restart_of(earlier))
-            .map(|(earlier, _)| earlier.clone())
-            .collect()
-    }
-
-    /// Handles the restart of a worker: stops its runs, which end once the later incarnation confirms.
-    pub(crate) fn on_worker_restarted(&mut self, now: TimeMs, name: &WorkerName) {
-        let lost = self.describe_loss(now, name, WorkerLossCause::Crashed);
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        if std::mem::replace(&mut worker.is_replaced, true) {
-            return;
-        }
-        worker.is_listed = false;
-        worker.stored_end = worker.acked_end;
-        worker.received_end = worker.acked_end;
-        worker.untracked.clear();
-        for (task, run) in worker.unsettled_starts.take_recent(now) {
-            worker.untracked.insert_expected(task, run);
-        }
-        let cause = worker.replacement_cause();
+        let cause = self.replacement_cause();
         let mut unsent = Vec::new();
-        for (task, allocation) in &mut worker.allocations {
+        for (task, allocation) in &mut self.allocations {
             if allocation.phase == AllocationPhase::AwaitingRecord {
                 unsent.push((task.clone(), allocation.run));
             }
@@ -92,46 +60,53 @@
                 _ => AllocationPhase::stop_pending(cause.into()),
             };
         }
-        self.has_due_orders = true;
-        for (task, run) in unsent {
-            self.end_run(now, name, &task, run, RunOutcome::NoVerdict);
-        }
-        if let Some(lost) = lost {
-            self.record_loss(now, lost);
-        }
-        if self.workers.get(name).is_some_and(Worker::can_be_removed) {
-            self.workers.remove(name);
-        }
+        unsent
     }
 
-    /// Identities whose earlier incarnation has runs that may still begin under the later one.
-    pub(crate) fn unsettled_identities(&self) -> BTreeSet<&str> {
-        let replaced = self.workers.iter().filter(|(_, worker)| worker.is_replaced);
-        replaced.map(|(name, _)| name.identity()).collect()
+    /// The cause of the loss of a worker whose later incarnation is in touch.
+    fn replacement_cause(&self) -> WorkerLossCause {
+        if self.entry.is_draining {
+            WorkerLossCause::Left
+        } else {
+            WorkerLossCause::Crashed
+        }
     }
 
-    /// Ends the run of a replaced worker whose stop the later incarnation has confirmed.
-    pub(crate) fn settle_replaced(
-        &mut self,
-        now: TimeMs,
-        name: &WorkerName,
-        task: &TaskId,
-        run: u32,
-    ) {
-        let worker = self.workers.get_mut(name);
-        let Some(worker) = worker.filter(|worker| worker.is_replaced) else {
-            return;
-        };
-        worker.untracked.remove_confirmed(&(task.clone(), run));
-        let cause = worker.replacement_cause();
-        let Some(allocation) = worker.allocations.get(task) else {
-            return;
-        };
+    /// Settles a run of a replaced worker if the later incarnation has confirmed its stop; returns why the run is
+    /// lost, if it has an allocation that is over now.
+    pub(crate) fn settle_replaced(&mut self, task: &TaskId, run: u32) -> Option<WorkerLossCause> {
+        if !self.is_replaced {
+            return None;
+        }
+        self.untracked.remove_confirmed(&(task.clone(), run));
+        let allocation = self.allocations.get(task)?;
         let AllocationPhase::Stopping { progress, .. } = allocation.phase else {
-            return;
+            return None;
         };
-        if progress.is_confirmed() && allocation.run == run {
-            self.end_run(now, name, task, run, RunOutcome::Lost(cause));
-        }
+        let is_settled = progress.is_confirmed() && allocation.run == run;
+        is_settled.then(|| self.replacement_cause())
+    }
+}
+
+/// Incarnations of the same worker that a later one replaces.
+pub(crate) fn earlier_incarnations(
+    workers: &BTreeMap<WorkerName, Worker>,
+    name: &WorkerName,
+) -> Vec<WorkerName> {
+    if name.started_unix_ms().is_none() {
+        return Vec::new();
     }
+    let identity = name.identity();
+    workers
+        .range(WorkerName::new(identity)..)
+        .take_while(|(other, _)| other.as_str().starts_with(identity))
+        .filter(|(earlier, worker)| !worker.is_replaced && name.is_restart_of(earlier))
+        .map(|(earlier, _)| earlier.clone())
+        .collect()
+}
+
+/// Identities whose earlier incarnation has runs that may still begin under the later one.
+pub(crate) fn unsettled_identities(workers: &BTreeMap<WorkerName, Worker>) -> BTreeSet<&str> {
+    let replaced = workers.iter().filter(|(_, worker)| worker.is_replaced);
+    replaced.map(|(name, _)| name.identity()).collect()
 }
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -11,7 +11,7 @@
 use crate::losses::WorkerLossCause;
 use crate::messages::{Action, EndKind, EndedTask, RunEnded, WorkerReport};
 use crate::outcome::{FollowUp, RunOutcome};
-use crate::worker::PollState;
+use crate::worker::{PollState, Worker};
 
 /// Number of consecutive failed runs, of any jobs, after which a worker is presumed faulty.
 const FAULTY_AFTER_FAILURES: u32 = 2;
@@ -174,6 +174,41 @@
         self.lose_worker(now, worker_name, WorkerLossCause::Crashed);
     }
 
+    /// Handles the restart of a worker: its runs end once the later incarnation confirms their stops.
+    pub(crate) fn on_worker_restarted(&mut self, now: TimeMs, worker_name: &WorkerName) {
+        let lost = self.describe_loss(now, worker_name, WorkerLossCause::Crashed);
+        let worker = self.workers.get_mut(worker_name);
+        let Some(worker) = worker.filter(|worker| !worker.is_replaced) else {
+            return;
+        };
+        let unsent = worker.replace(now);
+        self.has_due_orders = true;
+        for (task, run) in unsent {
+            self.end_run(now, worker_name, &task, run, RunOutcome::NoVerdict);
+        }
+        if let Some(lost) = lost {
+            self.record_loss(now, lost);
+        }
+        let worker = self.workers.get(worker_name);
+        if worker.is_some_and(Worker::can_be_removed) {
+            self.workers.remove(worker_name);
+        }
+    }
+
+    /// Ends the run of a replaced worker whose stop the later incarnation has confirmed.
+    pub(crate) fn settle_replaced(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        run: u32,
+    ) {
+        let worker = self.workers.get_mut(worker_name);
+        if let Some(cause) = worker.and_then(|worker| worker.settle_replaced(task, run)) {
+            self.end_run(now, worker_name, task, run, RunOutcome::Lost(cause));
+        }
+    }
+
     /// Abandons the runs on unresponsive workers whose leases must have ended.
     ///
     /// Every order carries the end of the lease on the worker's clock, and an unresponsive worker gets no
--- a/ragwortwick-area/src/speed_record.rs
+++ b/ragwortwick-area/src/speed_record.rs
@@ -7,8 +7,6 @@
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName, common};
 
-use crate::coordinator::{Coordinator, Now};
-use crate::messages::Action;
 use crate::speed::SpeedEstimate;
 use crate::speed_model::SpeedModel;
 
@@ -100,11 +98,11 @@
         counts
     }
 
-    fn of(now: Now, speeds: &SpeedModel) -> Self {
+    fn of(now_unix: TimeMs, speeds: &SpeedModel) -> Self {
         let workers = speeds.known().take(MAX_WORKERS);
         Self {
             version: LAYOUT_VERSION,
-            written_unix_ms: now.unix,
+            written_unix_ms: now_unix,
             is_uneven: speeds.is_uneven(),
             workers: workers
                 .map(|(worker, speed)| (worker.clone(), RecordedSpeed::of(speed)))
@@ -112,14 +110,14 @@
         }
     }
 
-    fn check(&self, now: Now) -> Result<(), SpeedRecordError> {
+    fn check(&self, now_unix: TimeMs) -> Result<(), SpeedRecordError> {
         if self.version != LAYOUT_VERSION {
             return Err(SpeedRecordError::Layout(self.version));
         }
-        if self.written_unix_ms > now.unix + MAX_CLOCK_DIFFERENCE_MS {
+        if self.written_unix_ms > now_unix + MAX_CLOCK_DIFFERENCE_MS {
             return Err(SpeedRecordError::Ahead(self.written_unix_ms));
         }
-        let age_ms = now.unix.since(self.written_unix_ms);
+        let age_ms = now_unix.since(self.written_unix_ms);
         if age_ms > MAX_AGE_MS {
             return Err(SpeedRecordError::Old(age_ms));
         }
@@ -152,36 +150,51 @@
     }
 }
 
-impl Coordinator {
-    /// `restore_speeds` begins with the speeds that an earlier coordinator stored.
+impl SpeedRecord {
+    /// Restores the speeds of the known workers.
     ///
     /// # Errors
     ///
     /// Fails if the record is of another layout, too old, too large or written ahead of time; nothing changes then.
-    pub fn restore_speeds(
-        &mut self,
-        now: Now,
-        record: &SpeedRecord,
+    pub(crate) fn restore(
+        &self,
+        now_unix: TimeMs,
+        speeds: &mut SpeedModel,
+        is_known: impl Fn(&WorkerName) -> bool,
     ) -> Result<(), SpeedRecordError> {
-        record.check(now)?;
-        for (worker, speed) in &record.workers {
-            if self.workers.contains_key(worker) {
-                self.speeds.restore(worker, speed.estimate());
+        self.check(now_unix)?;
+        for (worker, speed) in &self.workers {
+            if is_known(worker) {
+                speeds.restore(worker, speed.estimate());
             }
         }
         Ok(())
     }
+}
 
-    /// Stores the speeds if they have changed and the last record is old enough.
-    pub(crate) fn store_speeds(&mut self, now: Now) {
-        let is_due = now.steady.since(self.speeds_stored_at) >= WRITE_INTERVAL_MS;
-        if !self.limits.places_by_speed || !is_due || !self.has_valid_lease(now.steady) {
-            return;
-        }
-        if self.speeds.take_change() {
-            self.speeds_stored_at = now.steady;
-            let record = SpeedRecord::of(now, &self.speeds);
-            self.actions.push(Action::StoreSpeeds(record));
+/// `SpeedRecorder` decides when the speeds are stored.
+#[derive(Debug)]
+pub(crate) struct SpeedRecorder {
+    stored_at: TimeMs,
+}
+
+impl SpeedRecorder {
+    pub(crate) fn new(now: TimeMs) -> Self {
+        Self { stored_at: now }
+    }
+
+    /// Returns the record to store, if the speeds have changed and the last record is old enough.
+    pub(crate) fn due_record(
+        &mut self,
+        now: TimeMs,
+        now_unix: TimeMs,
+        speeds: &mut SpeedModel,
+    ) -> Option<SpeedRecord> {
+        let is_due = now.since(self.stored_at) >= WRITE_INTERVAL_MS;
+        if !is_due || !speeds.take_change() {
+            return None;
         }
+        self.stored_at = now;
+        Some(SpeedRecord::of(now_unix, speeds))
     }
 }
--- a/ragwortwick-area/src/tests.rs
+++ b/ragwortwick-area/src/tests.rs
@@ -4,3 +4,4 @@
 mod fair_share;
 mod gang_packing;
 mod speed_model;
+mod speed_record;
