daemon: raise the layout of the store's keys, as names of workers contain their start

Found on reading the diff: while hosts are upgraded one after the other, a host of before may win the coordinator's key after a new one. It reads a worker's name with its start time, addresses the worker by it, is told that no such worker is there, and starts each recorded task a second time while the first run goes on.

Change: the layout's version is 2, so that hosts of before leave the key to others (layout_unknown), as they do for any later layout. A new host reads records of before: their workers count as earlier incarnations, whose runs are stopped and then started again.

Measured: the test of an unknown layout passes; an upgrade with processes of both versions was not played.

--- a/ragwortwick-daemon/src/area/layout.rs
+++ b/ragwortwick-daemon/src/area/layout.rs
@@ -11,7 +11,10 @@
 
 /// Version of the layout that this host writes. It rises with each change that hosts of the version before can't
 /// read.
-const LAYOUT_VERSION: u32 = 1;
+///
+/// From version 2 on, names of workers in stored progress contain their start times: to a host of before, each
+/// recorded run would be on a worker that is gone, and it would start the task a second time.
+const LAYOUT_VERSION: u32 = 2;
 
 #[derive(Serialize, Deserialize)]
 struct LayoutValue {
