--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -207,10 +207,6 @@
     pub fn running(&self) -> usize {
         self.state().running.len()
     }
-
-    pub fn is_running(&self, job: &str) -> bool {
-        self.state().running.keys().any(|task| task.starts_with(job))
-    }
 }
 
 #[derive(Clone)]
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -78,16 +78,14 @@
 pub struct Store {
     shared: Arc<(Mutex<State>, Condvar)>,
     pub address: SocketAddr,
-    pub link: Arc<Link>,
 }
 
 impl Store {
     pub fn open() -> std::io::Result<Self> {
         let state = State { revision: 1, ..State::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
-        let link = Arc::new(Link::default());
         let served = Arc::clone(&shared);
-        let address = serve(Arc::clone(&link), move |request| answer(&served, &request))?;
+        let address = serve(Arc::new(Link::default()), move |request| answer(&served, &request))?;
         let expiry = Arc::clone(&shared);
         thread::spawn(move || {
             loop {
@@ -100,7 +98,7 @@
                 }
             }
         });
-        Ok(Self { shared, address, link })
+        Ok(Self { shared, address })
     }
 
     /// Writes a key as the operator or a runner does.
