Review case 1: the same fault with a killed coordinator

Cause: the runs end while nobody coordinates, and the next coordinator's first poll lists 500 of their ends.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -7,6 +7,7 @@
 pub fn play(case: &str, record: &str, has_trouble: bool) -> Result<Vec<String>, String> {
     match case {
         "many-ends" => many_ends(record, has_trouble),
+        "many-ends-killed" => many_ends_killed(record, has_trouble),
         "rack-taken-away" => rack_taken_away(record, has_trouble),
         "flapping-runner" => flapping_runner(record, has_trouble),
         "route-dropped" => route_dropped(record, has_trouble),
@@ -57,19 +58,31 @@
     broken
 }
 
+const MANY_ENDS_JOB: &str = "/refine/5c0e7a21d94b36f8";
+
+/// A job of 1,250 small subtasks that all run on one runner for 7 s; returns when the first of them started.
+fn start_many(site: &Site) -> Result<u64, String> {
+    let body = "{\"Spec\":\"7000\",\"Steps\":[{\"Count\":1250,\"Cpu\":25,\"MemMb\":50,\"EstimateMs\":7000}]}";
+    site.hand_in(MANY_ENDS_JOB, body)?;
+    site.wait("all subtasks run", 6, |site| site.runners.iter().map(|runner| runner.running()).sum::<usize>() == 1_250)?;
+    Ok(site.record.starts().iter().map(|start| start.at_ms).min().unwrap_or(0))
+}
+
+/// Waits for the end of the job, and for its ends to be taken note of.
+fn finish_many(site: &Site) -> Result<Vec<String>, String> {
+    site.wait("the job is completed", 40, |site| site.hosts[0].state(MANY_ENDS_JOB).as_deref() == Some("completed"))?;
+    site.pause(8_000);
+    Ok(doubled(&site.record))
+}
+
 /// More than 500 runs end on a runner that is cut off for 5.5 s: two answers and a half list them all.
 fn many_ends(record: &str, has_trouble: bool) -> Result<Vec<String>, String> {
-    const JOB: &str = "5c0e7a21d94b36f8";
     let site = Site::open(record, &desired(1, &[REFINE], &["booking-desk"]), &runners(17, 8))?;
-    let path = format!("/refine/{JOB}");
-    site.hand_in(&path, "{\"Spec\":\"7000\",\"Steps\":[{\"Count\":1250,\"Cpu\":25,\"MemMb\":50,\"EstimateMs\":7000}]}")?;
-    site.wait("all subtasks run", 6, |site| site.runners.iter().map(|runner| runner.running()).sum::<usize>() == 1_250)?;
+    let first_start_ms = start_many(&site)?;
     let busiest = site.runners.iter().max_by_key(|runner| runner.running()).ok_or("no runner")?;
     site.record.line(&format!("runner {} has {} runs", busiest.name, busiest.running()));
     // The work takes 7 s, and the cut spans its end.
-    let first_start = site.record.starts().iter().map(|start| start.at_ms).min().unwrap_or(0);
-    let until_cut = (first_start + 6_000).saturating_sub(site.record.now_ms());
-    site.pause(until_cut);
+    site.pause((first_start_ms + 6_000).saturating_sub(site.record.now_ms()));
     if has_trouble {
         site.record.line(&format!("runner {} is cut off", busiest.name));
         busiest.link.cut();
@@ -79,10 +92,21 @@
         site.record.line(&format!("runner {} is back", busiest.name));
         busiest.link.heal();
     }
-    site.wait("the job is completed", 40, |site| site.hosts[0].state(&path).as_deref() == Some("completed"))?;
-    // Ends are taken note of within seconds.
-    site.pause(8_000);
-    Ok(doubled(&site.record))
+    finish_many(&site)
+}
+
+/// The same runs end while the coordinator's process has been killed and no other coordinates yet.
+fn many_ends_killed(record: &str, has_trouble: bool) -> Result<Vec<String>, String> {
+    let mut site = Site::open(record, &desired(1, &[REFINE], &["booking-desk"]), &runners(17, 8))?;
+    let first_start_ms = start_many(&site)?;
+    site.pause((first_start_ms + 6_800).saturating_sub(site.record.now_ms()));
+    if has_trouble {
+        let coordinator = site.coordinator().ok_or("no host coordinates")?;
+        site.hosts[coordinator].kill();
+        site.pause(3_500);
+        site.hosts[coordinator].start_again().map_err(|error| error.to_string())?;
+    }
+    finish_many(&site)
 }
 
 /// A rack's only runner is emptied and taken away while a job is on its way to it.
--- a/review/standin/host.rs
+++ b/review/standin/host.rs
@@ -83,6 +83,13 @@
         self.record.line(&format!("host {} has ended", self.name));
     }
 
+    pub fn kill(&mut self) {
+        self.record.line(&format!("host {} gets SIGKILL", self.name));
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        forget(&self.process);
+    }
+
     /// Sends one call as a client of the tenant.
     pub fn call(&self, method: &str, path: &str, body: &str) -> Result<Response, String> {
         let headers = [("Host", "jobs.example"), ("Authorization", "Token key-1"), ("X-Deadline-Ms", "3000")];
