Log run ends of a rare cause beside many of a frequent one

Not one line said why 750 runs had ended before their tasks were started again (`cause=NotThere`); only the counter ragwortwick_area_runs_over_total did. From the log alone a list of ends that is taken for whole can't be told from leases that ran out or from orders that came twice.

Cause: all lines of `run_over` share one limit of 60 a second.

Change: each cause has its own limit, and the count of the lines left out names it.

Ruled out: a higher limit; it costs processor time on small hosts, and the frequent cause fills it as well.

Test: verify_a_frequent_cause_leaves_out_no_line_of_a_rare_one (one cause's limit is used up, the other's is not).

--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -9,7 +9,7 @@
 
 use super::batch_writer::StoreWrite;
 use super::handover::SharedUnstoredResults;
-use super::log_rate_limiter::LogRateLimiter;
+use super::log_rate_limiter::{CauseLogLimiter, LogRateLimiter};
 use super::metrics::AreaMetrics;
 use super::order_sender::OrderSender;
 
@@ -17,7 +17,7 @@
 pub(super) struct ActionDispatcher {
     writes: mpsc::UnboundedSender<StoreWrite>,
     order_sender: OrderSender,
-    run_end_log_limiter: LogRateLimiter,
+    run_end_log_limiter: CauseLogLimiter,
     untracked_log_limiter: LogRateLimiter,
     metrics: AreaMetrics,
     pub(super) unstored: SharedUnstoredResults,
@@ -33,7 +33,7 @@
         Self {
             writes,
             order_sender,
-            run_end_log_limiter: LogRateLimiter::new("run_over"),
+            run_end_log_limiter: CauseLogLimiter::new("run_over"),
             untracked_log_limiter: LogRateLimiter::new("run_untracked"),
             metrics,
             unstored,
@@ -81,10 +81,8 @@
         self.metrics.runs_ended.with_label_values(&labels).inc();
         let lost_work = self.metrics.lost_core_seconds.with_label_values(&labels);
         lost_work.inc_by(DurationMs(ended.lost_core_ms).as_secs_f64());
-        if self
-            .run_end_log_limiter
-            .admit(self.order_sender.clock.now())
-        {
+        let now = self.order_sender.clock.now();
+        if self.run_end_log_limiter.admit(now, &cause) {
             log_event!(
                 Info,
                 "run_over",
--- a/ragwortwick-daemon/src/area/log_rate_limiter.rs
+++ b/ragwortwick-daemon/src/area/log_rate_limiter.rs
@@ -1,5 +1,6 @@
 //! Limits the log lines per second of one kind of event.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use ragwortwick_core::{DurationMs, TimeMs, log_event};
@@ -12,7 +13,7 @@
 /// `LogRateLimiter` limits the lines of one kind of event; clones share it.
 #[derive(Clone, Debug)]
 pub(super) struct LogRateLimiter {
-    kind: &'static str,
+    kind: Arc<str>,
     window: Arc<Mutex<Window>>,
 }
 
@@ -24,9 +25,9 @@
 }
 
 impl LogRateLimiter {
-    pub(super) fn new(kind: &'static str) -> Self {
+    pub(super) fn new(kind: impl Into<Arc<str>>) -> Self {
         Self {
-            kind,
+            kind: kind.into(),
             window: Arc::default(),
         }
     }
@@ -57,3 +58,30 @@
         }
     }
 }
+
+/// `CauseLogLimiter` limits the lines of one kind of event for each cause, so that a frequent cause leaves out no
+/// line of a rare one.
+#[derive(Debug)]
+pub(super) struct CauseLogLimiter {
+    kind: &'static str,
+    by_cause: Mutex<BTreeMap<String, LogRateLimiter>>,
+}
+
+impl CauseLogLimiter {
+    pub(super) fn new(kind: &'static str) -> Self {
+        Self {
+            kind,
+            by_cause: Mutex::default(),
+        }
+    }
+
+    /// Whether a line with this cause may be written now.
+    pub(super) fn admit(&self, now: TimeMs, cause: &str) -> bool {
+        let mut by_cause = self.by_cause.lock().unwrap_or_else(PoisonError::into_inner);
+        if !by_cause.contains_key(cause) {
+            let limiter = LogRateLimiter::new(format!("{}/{cause}", self.kind));
+            by_cause.insert(cause.to_owned(), limiter);
+        }
+        by_cause[cause].admit(now)
+    }
+}
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -3,6 +3,7 @@
 mod job_writer;
 mod known_workers;
 mod load_feed;
+mod log_limits;
 mod outage;
 mod replica_order;
 mod silent_connections;
