Take a run for over without a verdict only once its worker has listed all ends

Callers saw: work that had completed was done a second time, with its bookings.

Cause: a worker lists its unacknowledged run ends 500 at a time. `reconcile_running` took a run that is neither in the reply's running tasks nor among its listed ends for one that never was, ended it without a verdict, and the next pass placed its task again. The reply said nothing of how it had ended. No disruption is needed: more than 500 runs that end between two polls of one worker are enough.

`reconcile_running`, the only place that concludes from a run's absence, leaves a run as it is while the worker has more ends and it still matters how the run ended. Takeovers, stops, starts that are refused as stale, gangs, failed attempts and saved checkpoints all come through there. Where the task is done or its job is over, absence is enough: a completion that may not be acknowledged yet repeats its part, and only the end of the later run releases it. `run_ends_listed_in_part` in the log tells of such a reply.

Why it holds: a run is over without a verdict only if the reply rules out an unlisted end. Each part is asked for once the one before is stored, so the list becomes whole after as many writes as there are parts, whatever the number.

--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -258,6 +258,13 @@
             .get(id.index as usize)
     }
 
+    /// Whether it still matters how the run that is placed for a task ends.
+    pub(crate) fn awaits_run_end(&self, id: &TaskId) -> bool {
+        let task = self.task(id);
+        let is_placed = task.is_some_and(|task| matches!(task.state, TaskState::Placed(_)));
+        is_placed && !self.phase.is_final()
+    }
+
     pub(crate) fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
         let step = self.step_mut(id.occurrence, id.step)?;
         step.tasks.get_mut(id.index as usize)
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -95,10 +95,12 @@
 pub struct WorkerReport {
     /// The worker's clock.
     pub clock_ms: u64,
-    /// Runs in progress.
+    /// All runs in progress.
     pub running: Vec<RunningTask>,
-    /// Run ends that are not acknowledged yet.
+    /// Run ends that are not acknowledged yet, the earliest first.
     pub ended: Vec<EndedTask>,
+    /// Whether the worker may have run ends that it lists only once those in `ended` are acknowledged.
+    pub has_more_ends: bool,
 }
 
 /// `PollFailure` is why a poll returned no report.
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -9,7 +9,7 @@
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_LEASE_LOSS_MS};
 use crate::job::{StepSpec, TaskId};
 use crate::losses::ContactLossKind;
-use crate::messages::{Action, PollFailure, RunningTask};
+use crate::messages::{Action, PollFailure, RunningTask, WorkerReport};
 use crate::outcome::RunOutcome;
 use crate::stop_progress::StopProgress;
 use crate::untracked_runs::UntrackedRun;
@@ -161,21 +161,30 @@
     }
 
     /// Compares the runs that a worker reported with its allocations.
+    ///
+    /// A run that the report doesn't list as running is over. How it ended is unknown while the worker has further
+    /// ends to list; a run that may have completed must not be started again.
     pub(crate) fn reconcile_running(
         &mut self,
         now: TimeMs,
         worker_name: &WorkerName,
         sent_at: TimeMs,
-        running: &[RunningTask],
+        report: &WorkerReport,
     ) {
+        let running = &report.running;
         let present: BTreeSet<(&TaskId, u32)> =
             running.iter().map(|row| (&row.task, row.run)).collect();
         let mut missing = Vec::new();
+        let jobs = &self.jobs;
+        let may_have_unlisted_end = |task: &TaskId| {
+            let job = jobs.get(&task.job_id);
+            report.has_more_ends && job.is_some_and(|job| job.awaits_run_end(task))
+        };
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
         for (task, allocation) in &mut worker.allocations {
-            if present.contains(&(task, allocation.run)) {
+            if present.contains(&(task, allocation.run)) || may_have_unlisted_end(task) {
                 continue;
             }
             let is_missing = match allocation.phase {
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -277,7 +277,7 @@
         for end in new_ends {
             self.process_run_end(now, worker_name, end);
         }
-        self.reconcile_running(now, worker_name, sent_at, &report.running);
+        self.reconcile_running(now, worker_name, sent_at, report);
         self.check_progress(now, worker_name, report);
         self.pace_fillers(now, worker_name);
     }
--- a/ragwortwick-area/tests/extreme_values.rs
+++ b/ragwortwick-area/tests/extreme_values.rs
@@ -83,6 +83,7 @@
                 clock_ms: self.report_clock_ms.0,
                 running,
                 ended: Vec::new(),
+                has_more_ends: false,
             },
         });
     }
--- a/ragwortwick-area/tests/polls_and_records.rs
+++ b/ragwortwick-area/tests/polls_and_records.rs
@@ -35,6 +35,7 @@
         clock_ms: 100_000 + rig.now.0,
         running: runs.iter().map(running).collect(),
         ended: Vec::new(),
+        has_more_ends: false,
     };
     rig.send(Event::PollReplied {
         worker: WorkerName::new("w1"),
@@ -306,6 +307,7 @@
             clock_ms: 110_000,
             running: vec![running(&start)],
             ended: Vec::new(),
+            has_more_ends: false,
         },
     };
     actions.extend(next.on_event(at(10_005), report));
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -358,6 +358,26 @@
     }
 
     pub fn poll_reply(&mut self, worker: &str, running: Vec<RunningTask>, ended: Vec<EndedTask>) {
+        self.report(worker, running, ended, false);
+    }
+
+    /// The worker lists only a part of its run ends.
+    pub fn partial_reply(
+        &mut self,
+        worker: &str,
+        running: Vec<RunningTask>,
+        ended: Vec<EndedTask>,
+    ) {
+        self.report(worker, running, ended, true);
+    }
+
+    fn report(
+        &mut self,
+        worker: &str,
+        running: Vec<RunningTask>,
+        ended: Vec<EndedTask>,
+        has_more_ends: bool,
+    ) {
         self.send(Event::PollReplied {
             worker: WorkerName::new(worker),
             sent_at: self.now,
@@ -365,6 +385,7 @@
                 clock_ms: 100_000 + self.now.0,
                 running,
                 ended,
+                has_more_ends,
             },
         });
     }
--- a/ragwortwick-area/tests/simulated_area/worker.rs
+++ b/ragwortwick-area/tests/simulated_area/worker.rs
@@ -241,6 +241,7 @@
             clock_ms: self.clock(now),
             running: running.collect(),
             ended: self.ended.clone(),
+            has_more_ends: false,
         }
     }
 
--- a/ragwortwick-area/tests/untracked_runs.rs
+++ b/ragwortwick-area/tests/untracked_runs.rs
@@ -179,6 +179,7 @@
             clock_ms: 101_060,
             running: vec![running(&untracked)],
             ended: Vec::new(),
+            has_more_ends: false,
         },
     };
     let actions = coordinator.on_event(at(1_070), report);
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -6,7 +6,9 @@
 use ragwortwick_adapter::{
     AdvisorClient, PaceRequest, PollReply, PollRequest, StartRequest, StopRequest, WorkerClient,
 };
-use ragwortwick_area::{Action, AdviceReply, Event, OrderReply, PollFailure, StepId, TaskId};
+use ragwortwick_area::{
+    Action, AdviceReply, Event, OrderReply, PollFailure, StepId, TaskId, WorkerReport,
+};
 use ragwortwick_core::{DurationMs, Epoch, WorkerName, log_event};
 
 use tokio::sync::Mutex as AsyncMutex;
@@ -52,6 +54,7 @@
     pub(super) stop_log_limiter: LogRateLimiter,
     pub(super) pace_log_limiter: LogRateLimiter,
     pub(super) poll_log_limiter: LogRateLimiter,
+    pub(super) partial_report_log_limiter: LogRateLimiter,
 }
 
 impl OrderSender {
@@ -74,6 +77,7 @@
             stop_log_limiter: LogRateLimiter::new("run_stopped"),
             pace_log_limiter: LogRateLimiter::new("run_paced"),
             poll_log_limiter: LogRateLimiter::new("look_failed"),
+            partial_report_log_limiter: LogRateLimiter::new("run_ends_listed_in_part"),
         }
     }
 
@@ -340,6 +344,7 @@
             .await;
         let failure = match reply {
             PollReply::Report(report) => {
+                self.log_partial_report(&worker, request, &report);
                 return Event::PollReplied {
                     worker,
                     sent_at,
@@ -363,4 +368,24 @@
         }
         Event::PollFailed { worker, failure }
     }
+
+    /// Logs that a worker has more run ends than it listed.
+    fn log_partial_report(
+        &self,
+        worker: &WorkerName,
+        request: &PollRequest,
+        report: &WorkerReport,
+    ) {
+        if report.has_more_ends && self.partial_report_log_limiter.admit(self.clock.now()) {
+            log_event!(
+                Info,
+                "run_ends_listed_in_part",
+                worker = worker,
+                term = self.term,
+                acked_end = request.acked_end,
+                listed = report.ended.len(),
+                running = report.running.len()
+            );
+        }
+    }
 }
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -504,6 +504,7 @@
                 })
                 .collect(),
             ended: self.ended.clone(),
+            has_more_ends: false,
         }
     }
 
