Keep abandoned tasks waiting until the worker that is back has listed all ends

Callers would see: work that completed before its worker was out of reach for longer than all leases is begun once more when the worker is back, and stopped a moment later (\`cause=DoneBefore\`).

Runs on a worker that is out of reach are abandoned when every lease has ended, and their tasks wait to be placed. The worker that is back lists its ends in parts, and a pass between two parts starts the tasks whose completion is in a later one, on any worker.

Ruled out: to hold the tasks by worker; a successor doesn't know where a run was abandoned, but does know that it was. To hold them while any report is partial; a worker that always has more ends than one reply holds would keep them waiting for good.

Change: a worker counts as listing its ends from the first partial report after it came within reach until the first whole one (\`EndListing\`). Meanwhile no task with abandoned runs is placed. A worker that is lost again or restarts is no longer waited for. A worker that is listing its ends is polled, also if it has no runs.

Tests: four in partial_reports.rs. Without the change three fail: the completion in a later part (same coordinator and successor, tasks and gangs), the worker that is lost again, the worker that restarts. The fourth guards against a busy worker that holds abandoned tasks back.

Why it holds: the wait begins with a reply of the worker and ends with its last part, its loss or its restart; no part is waited for that can't come.

--- a/ragwortwick-area/src/job_state.rs
+++ b/ragwortwick-area/src/job_state.rs
@@ -36,6 +36,13 @@
     pub(crate) checkpoint: Arc<str>,
 }
 
+impl Task {
+    /// Whether an end of an earlier run may still be listed that decides how the task goes on.
+    pub(crate) fn has_abandoned_runs(&self) -> bool {
+        !self.abandoned_runs.is_empty()
+    }
+}
+
 /// `StepState` is the state of one step of one occurrence.
 #[derive(Clone, Debug)]
 pub(crate) struct StepState {
--- a/ragwortwick-area/src/placement.rs
+++ b/ragwortwick-area/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::fair_share::{Contender, in_turn};
 use crate::headroom;
 use crate::job::{Resources, StepSpec};
-use crate::job_state::{JobState, TaskState};
+use crate::job_state::{JobState, Task, TaskState};
 use crate::packing::{Locality, PlacementConstraints, pack_gang, pack_single};
 use crate::pool_capacity::PoolCapacity;
 use crate::reservation::Reservations;
@@ -190,7 +190,9 @@
         tasks.any(|task| task.crash_history.needs_isolation())
     }
 
-    /// Places the waiting tasks of a step that fit; returns whether no waiting task is left.
+    /// Places the waiting tasks of a step that fit; returns whether no task is left that may start now.
+    ///
+    /// While a worker has yet to list run ends, tasks with abandoned runs are left out: they may have completed.
     ///
     /// With a largest slowdown, in per cent, only workers are used that aren't known to be slower.
     pub(crate) fn place_step(
@@ -250,6 +252,9 @@
         let Some(step) = job.step(candidate.occurrence, candidate.step) else {
             return true;
         };
+        if capacity.awaits_run_ends && step.tasks.iter().any(Task::has_abandoned_runs) {
+            return true;
+        }
         let count = step.tasks.len();
         let run = step.tasks.iter().map(|task| task.last_run).max();
         let run = run.unwrap_or(0).saturating_add(1);
@@ -282,6 +287,7 @@
         let mut waiting: Vec<(bool, u32, u32)> = (0..)
             .zip(&step.tasks)
             .filter(|(_, task)| task.state == TaskState::Waiting)
+            .filter(|(_, task)| !(capacity.awaits_run_ends && task.has_abandoned_runs()))
             .map(|(index, task)| {
                 (
                     task.crash_history.needs_isolation(),
--- a/ragwortwick-area/src/pool_capacity.rs
+++ b/ragwortwick-area/src/pool_capacity.rs
@@ -10,6 +10,7 @@
 use crate::packing::Slot;
 use crate::reachability::silent_zones;
 use crate::restarts::unsettled_identities;
+use crate::worker::Worker;
 
 /// Below this share of accelerators in use, tasks may also be placed where they run slower.
 ///
@@ -31,6 +32,8 @@
     evacuated_racks: BTreeSet<RackName>,
     /// Whether its workers are known to differ in speed, and work is placed by its expected finish.
     pub(crate) is_uneven: bool,
+    /// Whether a worker has yet to list run ends, so that abandoned runs may turn out to have completed.
+    pub(crate) awaits_run_ends: bool,
     listed_workers: usize,
     /// Workers that have just been listed and have not replied yet.
     awaited_workers: usize,
@@ -81,6 +84,7 @@
         let unsettled = unsettled_identities(&self.workers);
         let mut pool_capacity = PoolCapacity {
             is_uneven: self.limits.places_by_speed && self.speeds.is_uneven(),
+            awaits_run_ends: self.workers.values().any(Worker::is_listing_ends),
             ..PoolCapacity::default()
         };
         for (name, worker) in &self.workers {
--- a/ragwortwick-area/src/restarts.rs
+++ b/ragwortwick-area/src/restarts.rs
@@ -42,8 +42,7 @@
     pub(crate) fn replace(&mut self, now: TimeMs) -> Vec<(TaskId, u32)> {
         self.is_replaced = true;
         self.is_listed = false;
-        self.stored_end = self.acked_end;
-        self.received_end = self.acked_end;
+        self.forget_listed_ends();
         self.untracked.clear();
         for (task, run) in self.unsettled_starts.take_recent(now) {
             self.untracked.insert_expected(task, run);
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -168,8 +168,7 @@
     pub(crate) fn on_incarnation_ended(&mut self, now: TimeMs, worker_name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(worker_name) {
             worker.is_listed = false;
-            worker.stored_end = worker.acked_end;
-            worker.received_end = worker.acked_end;
+            worker.forget_listed_ends();
         }
         self.lose_worker(now, worker_name, WorkerLossCause::Crashed);
     }
@@ -249,9 +248,7 @@
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
         };
-        worker.record_clock(now, report.clock_ms);
-        worker.contact_loss = None;
-        worker.contact.record_reply(now);
+        worker.record_report(now, report);
         let pause_ms = if report.ended.is_empty() {
             POLL_PAUSE_MS
         } else {
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -10,7 +10,7 @@
 use crate::job::{Resources, TaskId};
 use crate::limits::Limits;
 use crate::losses::{ContactLoss, ContactLossKind};
-use crate::messages::WorkerEntry;
+use crate::messages::{WorkerEntry, WorkerReport};
 use crate::reachability::Contact;
 use crate::restarts::UnsettledStarts;
 use crate::untracked_runs::UntrackedRuns;
@@ -38,6 +38,28 @@
     InFlight,
 }
 
+/// `EndListing` is how much of its run ends a worker has listed since it came within reach.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum EndListing {
+    /// It has not replied to a poll yet.
+    #[default]
+    Nothing,
+    /// It has listed a part of them.
+    Part,
+    /// It has listed all of them.
+    All,
+}
+
+impl EndListing {
+    /// Records a report; run ends that follow a whole list are those of later runs.
+    fn record_report(&mut self, has_more_ends: bool) {
+        *self = match self {
+            Self::Nothing | Self::Part if has_more_ends => Self::Part,
+            _ => Self::All,
+        };
+    }
+}
+
 /// `Worker` is one incarnation of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -68,6 +90,7 @@
     pub(crate) contact_loss: Option<ContactLoss>,
     /// When it last replied, and whether its last order went without a reply.
     pub(crate) contact: Contact,
+    end_listing: EndListing,
     /// Highest sequence number of a run end that was processed.
     pub(crate) received_end: u64,
     /// Highest sequence number of a run end whose effect is stored.
@@ -108,6 +131,7 @@
             poll: PollState::Idle { next_at: now },
             contact_loss: None,
             contact: Contact::default(),
+            end_listing: EndListing::default(),
             received_end: 0,
             stored_end: 0,
             held_ends: BTreeSet::new(),
@@ -173,6 +197,26 @@
         self.contact_loss.is_some()
     }
 
+    /// Records the reply to a poll.
+    pub(crate) fn record_report(&mut self, now: TimeMs, report: &WorkerReport) {
+        self.record_clock(now, report.clock_ms);
+        self.contact_loss = None;
+        self.contact.record_reply(now);
+        self.end_listing.record_report(report.has_more_ends);
+    }
+
+    /// Whether it is in reach and has yet to list run ends of before.
+    pub(crate) fn is_listing_ends(&self) -> bool {
+        self.end_listing == EndListing::Part
+    }
+
+    /// Forgets the run ends that are not acknowledged: the incarnation that listed them is gone.
+    pub(crate) fn forget_listed_ends(&mut self) {
+        self.stored_end = self.acked_end;
+        self.received_end = self.acked_end;
+        self.end_listing = EndListing::Nothing;
+    }
+
     /// Records a failed poll; the contact loss dates from the first failure.
     pub(crate) fn mark_unresponsive(
         &mut self,
@@ -180,6 +224,7 @@
         kind: ContactLossKind,
         is_noticed_late: bool,
     ) {
+        self.end_listing = EndListing::Nothing;
         self.contact_loss.get_or_insert(ContactLoss {
             since: now,
             is_noticed_late,
@@ -291,8 +336,8 @@
         self.needs_first_poll() && now.since(self.known_since) < FIRST_REPLY_MS
     }
 
-    /// Whether a poll is needed: for tracked or untracked runs, to acknowledge run ends, or to find out
-    /// whether a listed worker is reachable again.
+    /// Whether a poll is needed: for tracked or untracked runs, to acknowledge run ends or to receive further ones, or
+    /// to find out whether a listed worker is reachable again.
     ///
     /// Only a successful poll ends a contact loss, and an unresponsive worker gets no work. Without these
     /// polls no worker would ever get work again after a network partition longer than all leases.
@@ -307,6 +352,7 @@
         has_run
             || !self.untracked.is_empty()
             || self.stored_end > self.acked_end
+            || self.is_listing_ends()
             || ((self.is_unresponsive() || self.contact.is_silent()) && self.is_listed)
     }
 
--- a/ragwortwick-area/tests/partial_reports.rs
+++ b/ragwortwick-area/tests/partial_reports.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use ragwortwick_area::{
-    Action, EndKind, EndedTask, Event, JobPhase, OrderReply, RecoveredJob, RefusalCause, Resources,
-    StepSpec, TaskId, WorkerEntry,
+    Action, EndKind, EndedTask, Event, JobPhase, OrderReply, PollFailure, RecoveredJob,
+    RefusalCause, Resources, StepSpec, TaskId, WorkerEntry,
 };
 use ragwortwick_core::{DurationMs, JobId, WorkerName};
 use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
@@ -329,7 +329,7 @@
     let parts = parts_of(&runs, EndKind::Done);
     rig.partial_reply("w1", vec![], parts[0].clone());
     assert_eq!(settle(&mut rig), vec![]);
-    rig.poll_fails_with(&runs[0].0, ragwortwick_area::PollFailure::WrongLife);
+    rig.poll_fails_with(&runs[0].0, PollFailure::WrongLife);
     rig.send(Event::WorkerRemoved(runs[0].0.clone()));
     let restarted = settle(&mut rig);
     let tasks: BTreeSet<_> = restarted.iter().map(|start| &start.1).collect();
@@ -397,3 +397,99 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].1.job_id, JobId::new("00000000000000e6"));
 }
+
+/// Runs that were abandoned may have completed before their leases ended; their tasks are not started, by the same
+/// coordinator or the next one, before the worker that is back has listed all ends.
+#[test]
+fn verify_an_abandoned_run_whose_end_is_not_listed_yet_is_not_run_again() {
+    for is_taken_over in [false, true] {
+        for spec in [step(2, 4), gang(2, 4)] {
+            let record = job(ID, "middle", vec![spec]);
+            let mut rig = Rig::new(&[worker("w1", "r1")]);
+            rig.send(Event::JobAccepted(Arc::clone(&record)));
+            let runs = rig.start_all();
+            assert_eq!(runs.len(), 2);
+            for _ in 0..15 {
+                rig.poll_fails(&runs[0].0);
+                rig.advance(1_000);
+            }
+            let stored = rig.store_batches().pop().expect("the loss is recorded");
+            if is_taken_over {
+                let recovered = RecoveredJob {
+                    record,
+                    progress: Some(stored.1),
+                    is_cancelled: false,
+                };
+                let workers = [worker("w1", "r1")];
+                rig = Rig::take_over_unpolled(20_000, vec![recovered], &workers);
+            }
+            rig.partial_reply("w1", vec![], vec![]);
+            rig.list_worker(&worker("w2", "r1"));
+            assert_eq!(settle(&mut rig), vec![]);
+            let parts = parts_of(&runs, EndKind::Done);
+            assert_eq!(list_parts(&mut rig, &parts), vec![]);
+            assert_eq!(phase(&rig), Some(JobPhase::Completed));
+        }
+    }
+}
+
+/// A worker that is lost again while it lists its ends keeps no task waiting.
+#[test]
+fn verify_an_abandoned_task_starts_elsewhere_if_its_worker_is_lost_again() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    rig.submit(ID, "middle", step(2, 4));
+    let runs = rig.start_all();
+    for _ in 0..15 {
+        rig.poll_fails(&runs[0].0);
+        rig.advance(1_000);
+    }
+    rig.partial_reply("w1", vec![], vec![]);
+    rig.list_worker(&worker("w2", "r1"));
+    assert_eq!(settle(&mut rig), vec![]);
+    rig.poll_fails(&runs[0].0);
+    let starts = settle(&mut rig);
+    assert_eq!(starts.len(), 2);
+    assert!(starts.iter().all(|start| start.0.as_str() == "w2"));
+}
+
+/// A worker that always has more ends than one reply holds delays abandoned tasks no longer once it has listed all.
+#[test]
+fn verify_a_busy_worker_does_not_hold_abandoned_tasks_back() {
+    let mut rig = Rig::new(&[worker("w1", "r1"), worker("w2", "r1")]);
+    rig.submit(ID, "middle", step(2, 4));
+    let runs = rig.start_all();
+    let lost = runs[0].0.as_str().to_owned();
+    let other = if lost == "w1" { "w2" } else { "w1" };
+    rig.poll_reply(other, vec![], vec![]);
+    for _ in 0..15 {
+        rig.poll_fails(&runs[0].0);
+        rig.partial_reply(other, vec![], vec![]);
+        rig.advance(1_000);
+    }
+    assert_eq!(settle(&mut rig).len(), 2);
+}
+
+/// A worker that restarts under its identity while it lists its ends has none of them any more, and keeps no task
+/// waiting for them.
+#[test]
+fn verify_an_abandoned_task_starts_if_its_worker_restarts_before_it_has_listed_all_ends() {
+    let first = WorkerEntry {
+        name: WorkerName::of_incarnation("w1", Some(1)),
+        ..worker("w1", "r1")
+    };
+    let mut rig = Rig::new(std::slice::from_ref(&first));
+    rig.submit(ID, "middle", step(2, 4));
+    let runs = rig.start_all();
+    for _ in 0..15 {
+        rig.poll_fails(&runs[0].0);
+        rig.advance(1_000);
+    }
+    rig.partial_reply(first.name.as_str(), vec![], vec![]);
+    assert_eq!(settle(&mut rig), vec![]);
+    rig.poll_fails_with(&first.name, PollFailure::Restarted);
+    rig.list_worker(&WorkerEntry {
+        name: WorkerName::of_incarnation("w1", Some(2)),
+        ..worker("w1", "r1")
+    });
+    assert_eq!(settle(&mut rig).len(), 2);
+}
