emulator: workers list their ends in parts, and starts are held against ends that are acknowledged later

The platform lists 500 at a time. - No load had as many runs on a worker. - It held a start against completions that had been acknowledged before it. The platform's rule also counts those that are acknowledged later: a task that is started in the second between the two was no violation. The same for a failed attempt.

Starts after a run that had completed, or after too many failed ones, are violations once those ends are acknowledged before the worker's lease has lapsed; a lapse with nothing running counts for this check alone. The checks that were there are as they were.

--- a/ragwortwick-emulator/examples/emulate.rs
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -14,7 +14,7 @@
 
 usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N] [--load PERCENT]
                [--lease-ms N] [--advised] [--load-file FILE] [--trace JOB] [--kinds KIND,...]
-               [--longest-ms N]
+               [--longest-ms N] [--ends-per-report N]
 
   --seed N      first seed (1)
   --seeds N     how many seeds (100)
@@ -26,6 +26,7 @@
   --load-file F workload file to use in place of the built-in workload
   --kinds K,... kinds of faults to draw, as named in workload files, in place of the usual ones
   --longest-ms N  with --kinds, longest duration of a drawn fault (7000)
+  --ends-per-report N  run ends that a worker lists in one reply (as in the workload, 500)
   --trace JOB   prints what coordinators learn and decide about a job
 
 exit codes: 0 no invariant violated, 1 one was violated, 2 invalid arguments
@@ -147,8 +148,19 @@
         .map_err(|error| format!("--kinds {names}: {error}"))
 }
 
-/// Reads the workload from the named file, or returns the built-in one.
+/// Reads the workload from the named file, or takes the built-in one, with the number of run ends in a reply if given.
 fn read_workload(arguments: &mut pico_args::Arguments) -> Result<Workload, String> {
+    let ends_per_report: Option<usize> = arguments
+        .opt_value_from_str("--ends-per-report")
+        .map_err(|error| error.to_string())?;
+    let workload = read_workload_file(arguments)?;
+    Ok(match ends_per_report {
+        Some(ends) => workload.with_ends_per_report(ends),
+        None => workload,
+    })
+}
+
+fn read_workload_file(arguments: &mut pico_args::Arguments) -> Result<Workload, String> {
     let path: Option<PathBuf> = arguments
         .opt_value_from_str("--load-file")
         .map_err(|error| error.to_string())?;
--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -1,8 +1,9 @@
 //! Invariants, checked against what workers observe and the store holds.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
-use ragwortwick_area::{EndKind, JobPhase, TaskId};
+use ragwortwick_area::{EndKind, EndedTask, JobPhase, TaskId};
 use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
 
 /// Time after a worker starts to drain in which runs may still start there.
@@ -32,6 +33,12 @@
     pub(crate) acked_failed: BTreeMap<TaskId, BTreeSet<u32>>,
     /// Failed runs, by task; those of a gang by its first member.
     failed: BTreeMap<TaskId, BTreeSet<u32>>,
+    /// Completed runs that are not acknowledged, each with the starts of its task since.
+    starts_since_done: BTreeMap<(TaskId, u32), Vec<String>>,
+    /// Starts after too many failed runs, some of which were not acknowledged; those of a gang by its first member.
+    starts_since_failures: BTreeMap<TaskId, Vec<StartAfterFailures>>,
+    /// Failed runs whose end was acknowledged before the lease lapsed; those of a gang by its first member.
+    failed_within_lease: BTreeMap<TaskId, BTreeSet<u32>>,
     /// Worker crashes by a task, and its starts after the tolerated number of crashes.
     crashes: BTreeMap<TaskId, (u32, u32)>,
     /// When the cancellation of a job was acknowledged.
@@ -45,6 +52,14 @@
     pub(crate) counts_by_job: BTreeMap<JobId, RunCounts>,
 }
 
+/// `StartAfterFailures` is a start after failed runs that may be acknowledged later.
+#[derive(Debug)]
+struct StartAfterFailures {
+    failed_runs: BTreeSet<u32>,
+    attempts: u32,
+    start: String,
+}
+
 /// `RunCounts` counts the runs of one job by how they ended, and records its first start.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RunCounts {
@@ -83,6 +98,13 @@
     pub(crate) has_own_checkpoint: bool,
 }
 
+impl fmt::Display for ObservedStart<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (task, run, worker) = (self.task, self.run, self.worker);
+        write!(f, "{task} run {run} on {worker}")
+    }
+}
+
 impl GroundTruth {
     fn add_violation(&mut self, now: TimeMs, text: &str) {
         self.violations.push(format!("at {now} ms: {text}"));
@@ -95,7 +117,7 @@
             .entry(start.task.job_id.clone())
             .or_default();
         counts.first_start_at.get_or_insert(start.now);
-        let (task, run, worker) = (start.task, start.run, start.worker);
+        let task = start.task;
         let mut violations: Vec<String> = Vec::new();
         if !start.other_workers.is_empty() {
             violations.push(format!("runs twice, also on {:?}", start.other_workers));
@@ -133,7 +155,10 @@
         };
         if failures >= start.attempts as usize {
             violations.push(format!("started after {failures} failed runs"));
+        } else {
+            self.record_start_after_failures(start);
         }
+        self.record_start_after_done(start);
         if !start.has_own_payload || !start.has_own_checkpoint {
             violations.push("has a payload or checkpoint of another task".to_owned());
         }
@@ -162,8 +187,56 @@
             }
         }
         for violation in violations {
-            let text = format!("{task} run {run} on {worker}: {violation}");
-            self.add_violation(start.now, &text);
+            self.add_violation(start.now, &format!("{start}: {violation}"));
+        }
+    }
+
+    fn record_start_after_done(&mut self, start: &ObservedStart<'_>) {
+        let runs_of_task = (start.task.clone(), 0)..=(start.task.clone(), u32::MAX);
+        for (_, starts) in self.starts_since_done.range_mut(runs_of_task) {
+            starts.push(start.to_string());
+        }
+    }
+
+    fn record_start_after_failures(&mut self, start: &ObservedStart<'_>) {
+        let key = failure_key(start.task, start.is_gang);
+        let failed = self
+            .failed
+            .get(&key)
+            .filter(|runs| runs.len() >= start.attempts as usize);
+        if let Some(failed_runs) = failed.cloned() {
+            let starts = self.starts_since_failures.entry(key).or_default();
+            starts.push(StartAfterFailures {
+                failed_runs,
+                attempts: start.attempts,
+                start: start.to_string(),
+            });
+        }
+    }
+
+    /// Checks an end that is acknowledged before its worker's lease has lapsed: no run may have started since it that
+    /// it forbids, although the end was not acknowledged at the time.
+    pub(crate) fn check_starts_before_ack(&mut self, now: TimeMs, end: &EndedTask, is_gang: bool) {
+        let starts = self.starts_since_done.remove(&(end.task.clone(), end.run));
+        for start in starts.unwrap_or_default() {
+            let text = format!("{start}: started after run {} had completed", end.run);
+            self.add_violation(now, &text);
+        }
+        if end.kind != EndKind::Failed {
+            return;
+        }
+        let key = failure_key(&end.task, is_gang);
+        let acked = self.failed_within_lease.entry(key.clone()).or_default();
+        acked.insert(end.run);
+        let starts = self.starts_since_failures.entry(key).or_default();
+        let is_excess = |start: &mut StartAfterFailures| {
+            let failures = start.failed_runs.intersection(acked).count();
+            failures >= start.attempts as usize
+        };
+        let excess: Vec<_> = starts.extract_if(.., is_excess).collect();
+        for StartAfterFailures { start, .. } in excess {
+            let text = format!("{start}: started after too many failed runs");
+            self.add_violation(now, &text);
         }
     }
 
@@ -228,6 +301,8 @@
         match kind {
             EndKind::Done => {
                 self.done.insert(task.clone());
+                self.starts_since_done
+                    .insert((task.clone(), run), Vec::new());
             }
             EndKind::Stopped => self.stopped += 1,
             EndKind::LeaseExpired => self.expired += 1,
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -204,6 +204,11 @@
             let is_gang = self.is_gang(&end.task);
             self.ground_truth
                 .record_ack(&end.task, end.run, end.kind, is_gang);
+            if !self.workers[index].has_lapsed_since(&end) {
+                let now = self.now;
+                self.ground_truth
+                    .check_starts_before_ack(now, &end, is_gang);
+            }
         }
         let pending = PendingPoll {
             host,
--- a/ragwortwick-emulator/src/simulation.rs
+++ b/ragwortwick-emulator/src/simulation.rs
@@ -195,6 +195,7 @@
                     options.workload.worker_clock_percent,
                 );
                 worker.restarts_in_place = options.workload.restarts_in_place;
+                worker.ends_per_report = options.workload.ends_per_report;
                 worker
             })
             .collect();
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -158,6 +158,10 @@
     /// Run ends up to this sequence number were listed when the lease expired and killed all runs. By the
     /// platform's rules, a later acknowledgement of them has no effect.
     expired_through: u64,
+    /// Run ends up to this sequence number were listed when the lease expired, also if nothing was running.
+    lapsed_through: u64,
+    /// Number of run ends that a reply lists at most.
+    pub(crate) ends_per_report: usize,
     pub(crate) running: BTreeMap<TaskId, ActiveRun>,
     /// Highest run number that ended or was stopped, by task.
     highest_ended_run: BTreeMap<TaskId, u32>,
@@ -239,6 +243,8 @@
             fencing_token: 0,
             lease_until: 0,
             expired_through: 0,
+            lapsed_through: 0,
+            ends_per_report: usize::MAX,
             running: BTreeMap::new(),
             highest_ended_run: BTreeMap::new(),
             ended: Vec::new(),
@@ -354,6 +360,7 @@
         self.fencing_token = 0;
         self.lease_until = 0;
         self.expired_through = 0;
+        self.lapsed_through = 0;
         self.running.clear();
         self.highest_ended_run.clear();
         self.refused_stops.clear();
@@ -368,8 +375,16 @@
         end.sequence <= self.expired_through
     }
 
+    /// Whether the lease has expired since a run end was listed.
+    pub(crate) fn has_lapsed_since(&self, end: &EndedTask) -> bool {
+        end.sequence <= self.lapsed_through
+    }
+
     /// Returns the runs to kill if the lease has expired.
     pub(crate) fn expire_lease(&mut self, now: TimeMs) -> Vec<TaskId> {
+        if self.clock(now) >= self.lease_until {
+            self.lapsed_through = self.next_sequence - 1;
+        }
         if !self.is_lease_expired(now) {
             return Vec::new();
         }
@@ -485,7 +500,9 @@
         Ok(acked)
     }
 
+    /// Returns the reply to a poll. The earliest run ends are listed first; a full list may be cut short.
     pub(crate) fn report(&self, now: TimeMs) -> WorkerReport {
+        let ended = self.ended.iter().take(self.ends_per_report);
         WorkerReport {
             clock_ms: self.clock(now),
             running: self
@@ -503,8 +520,8 @@
                     load: 0,
                 })
                 .collect(),
-            ended: self.ended.clone(),
-            has_more_ends: false,
+            ended: ended.cloned().collect(),
+            has_more_ends: self.ended.len() >= self.ends_per_report,
         }
     }
 
--- a/ragwortwick-emulator/src/workload.rs
+++ b/ragwortwick-emulator/src/workload.rs
@@ -23,6 +23,9 @@
     /// Rate of the workers' clocks, in per cent of the true rate.
     #[serde(default = "default_worker_clock_percent")]
     pub worker_clock_percent: u64,
+    /// Number of run ends that a worker lists in one reply at most; the rest follows once these are acknowledged.
+    #[serde(default = "default_ends_per_report")]
+    pub ends_per_report: usize,
     /// Policies of the coordinator and the hosts that are on.
     #[serde(default)]
     pub policies: Policies,
@@ -178,6 +181,11 @@
     99
 }
 
+/// The platform's limit.
+fn default_ends_per_report() -> usize {
+    500
+}
+
 fn default_cancelled_within_ms() -> DurationMs {
     DurationMs(6_000)
 }
@@ -212,6 +220,13 @@
         self
     }
 
+    /// `with_ends_per_report` sets the number of run ends that a worker lists in one reply at most.
+    #[must_use]
+    pub fn with_ends_per_report(mut self, ends: usize) -> Self {
+        self.ends_per_report = ends;
+        self
+    }
+
     /// `with_advisor` makes the queue of priority 1 run jobs only where an advisor allows them.
     #[must_use]
     pub fn with_advisor(mut self) -> Self {
