Take a list of the store that breaks off for no answer

A list of keys comes in pages. A page that is marked as truncated but holds no key gives no place from which to go on, and \`read_prefix\` then returned what it had as the whole list. The replica forgets the jobs that a whole list leaves out (their callers get 410), the worker feed reports workers as gone, and evacuated zones count as taken back.

Test: verify_a_list_that_breaks_off_is_not_taken_for_whole; before, the list of one key was returned as whole.

--- a/ragwortwick-daemon/src/area/replica_feed.rs
+++ b/ragwortwick-daemon/src/area/replica_feed.rs
@@ -246,7 +246,7 @@
         let page = store.list_page(prefix, Some(&after)).await;
         health.record(&page);
         let page = page?;
-        has_more = page.has_more && !page.items.is_empty();
+        has_more = page.has_more;
         items.extend(page.items);
     }
     Ok((items, as_of))
--- a/ragwortwick-daemon/src/area/tests.rs
+++ b/ragwortwick-daemon/src/area/tests.rs
@@ -5,6 +5,7 @@
 mod load_feed;
 mod log_limits;
 mod outage;
+mod paging;
 mod replica_order;
 mod silent_connections;
 
