soak: wide jobs, workers that list 500 ends in a reply, and starts held against completions that are acknowledged later

What they could not see: the stand-in of a worker listed all its run ends in every reply, no job had more than four tasks, and the soak looked for tasks that run twice at a time, not for those that run again after they had completed.

Change: test workers list the earliest 500 ends. They keep each completed run whose end is acknowledged before the lease lapses or the worker is lost, and \`repeated_runs\` gives the starts of its task since. The soak takes each for a broken promise. \`--wide-jobs N\` hands in jobs of 550 to 1,500 small tasks beside the others, whose tasks end together; the draws of the others stay as they were, so that a seed without wide jobs plays what it played. \`--settle-s\` sets the limit for all jobs to end, 60 s as before if left out.

The tasks now end at a multiple of some seconds, whatever their run.

--- a/ragwortwick-daemon/tests/soak.rs
+++ b/ragwortwick-daemon/tests/soak.rs
@@ -1,6 +1,6 @@
 //! A short seeded run of the fault soak; longer ones are played by hand.
 
-use ragwortwick_soak::{Plan, play};
+use ragwortwick_soak::{Plan, SETTLE, play};
 
 /// Callers hand jobs in while hosts are killed, frozen, replaced and told to stop, the store
 /// misbehaves and workers fall silent: no accepted job is lost, nothing runs twice, nothing that was
@@ -13,6 +13,25 @@
         hosts: 3,
         workers: 8,
         steps: 5,
+        wide_jobs: 0,
+        settle: SETTLE,
+    };
+    let found = play(&plan).await;
+    assert!(found.findings.is_empty(), "{:?}", found.findings);
+    assert!(found.accepted > 0);
+}
+
+/// The same with jobs of hundreds of small tasks, more than a worker lists run ends in one reply.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_promises_hold_under_faults_while_hundreds_of_tasks_share_a_worker() {
+    let plan = Plan {
+        binary: env!("CARGO_BIN_EXE_ragwortwickd").to_owned(),
+        seed: 11,
+        hosts: 3,
+        workers: 8,
+        steps: 4,
+        wide_jobs: 2,
+        settle: SETTLE,
     };
     let found = play(&plan).await;
     assert!(found.findings.is_empty(), "{:?}", found.findings);
--- a/ragwortwick-soak/src/lib.rs
+++ b/ragwortwick-soak/src/lib.rs
@@ -6,4 +6,4 @@
 mod play;
 mod trouble;
 
-pub use play::{Found, Plan, play};
+pub use play::{Found, Plan, SETTLE, play};
--- a/ragwortwick-soak/src/main.rs
+++ b/ragwortwick-soak/src/main.rs
@@ -3,13 +3,14 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use ragwortwick_soak::{Plan, play};
+use ragwortwick_soak::{Plan, SETTLE, play};
 
 const HELP: &str = "\
 ragwortwick-soak: randomized faults against real processes of an area
 
 usage: ragwortwick-soak --binary PATH [--seed N] [--seeds N] [--minutes M]
-                        [--hosts N] [--workers N] [--steps N]
+                        [--hosts N] [--workers N] [--steps N] [--wide-jobs N]
+                        [--settle-s N]
 
   --binary PATH   the ragwortwickd to run
   --seed N        first seed (1)
@@ -18,6 +19,8 @@
   --hosts N       entry hosts (3)
   --workers N     workers (8)
   --steps N       troubles in a play (12)
+  --wide-jobs N   jobs of hundreds of small tasks in a play (0)
+  --settle-s N    limit for all jobs to end after the troubles (60)
 
 exit codes: 0 every promise held, 1 one was broken, 2 wrong arguments
 ";
@@ -29,6 +32,10 @@
         hosts: arguments.opt_value_from_str("--hosts")?.unwrap_or(3),
         workers: arguments.opt_value_from_str("--workers")?.unwrap_or(8),
         steps: arguments.opt_value_from_str("--steps")?.unwrap_or(12),
+        wide_jobs: arguments.opt_value_from_str("--wide-jobs")?.unwrap_or(0),
+        settle: arguments
+            .opt_value_from_str("--settle-s")?
+            .map_or(SETTLE, Duration::from_secs),
     };
     let seeds = arguments.opt_value_from_str("--seeds")?.unwrap_or(1);
     let minutes: u64 = arguments.opt_value_from_str("--minutes")?.unwrap_or(0);
--- a/ragwortwick-soak/src/play.rs
+++ b/ragwortwick-soak/src/play.rs
@@ -8,15 +8,18 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::callers::{Promises, hand_in};
+use crate::callers::{Promises, hand_in, hand_in_wide};
 use crate::trouble::{Evacuation, bring, draw};
 
-/// Outer limit until every accepted job has come to its end once the troubles are over.
-const SETTLE: Duration = Duration::from_secs(60);
+/// Outer limit until every accepted job has come to its end once the troubles are over, unless a plan says otherwise.
+pub const SETTLE: Duration = Duration::from_secs(60);
 
 /// Time after the evacuation of a zone in which runs may still start there.
 const MAX_START_AFTER_EVACUATION_MS: DurationMs = DurationMs(5_000);
 
+/// Tells the generator of the wide jobs from that of the other draws.
+const WIDE_JOBS_SEED: u64 = 0x77_69_64_65;
+
 /// Pause between two looks at jobs that are not over.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
@@ -33,6 +36,10 @@
     pub workers: usize,
     /// Troubles.
     pub steps: usize,
+    /// Jobs of hundreds of small tasks, handed in beside the others.
+    pub wide_jobs: usize,
+    /// Outer limit until every accepted job has come to its end once the troubles are over.
+    pub settle: Duration,
 }
 
 /// `Found` is what a play showed.
@@ -62,7 +69,17 @@
     let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
     let mut told = Promises::default();
     let mut evacuations = Vec::new();
-    for step in draw(&mut rng, plan.steps, plan.hosts, plan.workers) {
+    let series = draw(&mut rng, plan.steps, plan.hosts, plan.workers);
+    // A generator of their own, so that the rest of a play doesn't depend on them.
+    let mut wide_rng = Pcg64Mcg::seed_from_u64(plan.seed ^ WIDE_JOBS_SEED);
+    let mut wide_job_steps: Vec<usize> = (0..plan.wide_jobs)
+        .map(|_| wide_rng.random_range(0..series.len()))
+        .collect();
+    wide_job_steps.sort_unstable();
+    for (number, step) in series.into_iter().enumerate() {
+        for _ in wide_job_steps.extract_if(.., |at| *at == number) {
+            hand_in_wide(&fleet, &mut wide_rng, &mut told).await;
+        }
         let until = tokio::time::Instant::now() + step.pause;
         while tokio::time::Instant::now() < until {
             hand_in(&fleet, &mut rng, &mut told).await;
@@ -76,7 +93,7 @@
         refused: told.refused.len(),
         ..Found::default()
     };
-    settle(&fleet, &told, &mut found).await;
+    settle(&fleet, &told, plan.settle, &mut found).await;
     check_runs(&fleet, &told, &mut found);
     check_evacuations(&fleet, &evacuations, &mut found);
     fleet.close();
@@ -84,8 +101,8 @@
 }
 
 /// Every accepted job is known on every host and comes to its end.
-async fn settle(fleet: &AreaFleet, told: &Promises, found: &mut Found) {
-    let until = tokio::time::Instant::now() + SETTLE;
+async fn settle(fleet: &AreaFleet, told: &Promises, limit: Duration, found: &mut Found) {
+    let until = tokio::time::Instant::now() + limit;
     let mut open: Vec<&String> = told.accepted.iter().collect();
     while !open.is_empty() && tokio::time::Instant::now() < until {
         let mut left = Vec::new();
@@ -115,10 +132,17 @@
     }
 }
 
-/// No task ran twice at a time, no run began twice, and nothing refused ever ran.
+/// No task ran twice at a time or again after it had completed, no run began twice, and nothing refused ever ran.
 fn check_runs(fleet: &AreaFleet, told: &Promises, found: &mut Found) {
     let starts = fleet.workers.starts();
     found.starts = starts.len();
+    for repeated in fleet.workers.repeated_runs() {
+        let start = repeated.start;
+        found.findings.push(format!(
+            "{} run {} began on {} after run {} had completed",
+            start.task, start.run, start.worker, repeated.completed_run
+        ));
+    }
     let refused: BTreeSet<&str> = told.refused.iter().map(String::as_str).collect();
     let mut seen = BTreeSet::new();
     for start in &starts {
--- a/ragwortwick-standin/src/area/fleet.rs
+++ b/ragwortwick-standin/src/area/fleet.rs
@@ -276,3 +276,14 @@
                    "EstimateMs": work_ms, "Gang": is_gang}]
     })
 }
+
+/// `wide_job` returns a job of one step with many tasks that are small enough to share a worker.
+///
+/// The payload configures the test workers, as in `area_job`; `gang` or `ends_every_ms` let the tasks end together.
+#[must_use]
+pub fn wide_job(count: u64, work_ms: u64, payload: &Value) -> Value {
+    json!({
+        "Spec": payload.to_string(),
+        "Steps": [{"Count": count, "Cpu": 20, "MemMb": 20, "EstimateMs": work_ms}]
+    })
+}
--- a/ragwortwick-standin/src/area/worker_routes.rs
+++ b/ragwortwick-standin/src/area/worker_routes.rs
@@ -221,6 +221,7 @@
         if is_fenced(pool, &context.name, &body) {
             return true;
         }
+        pool.completions.acknowledge(&context.name, acked_end);
         if let Some(worker) = pool.workers.get_mut(&context.name) {
             worker.ended.retain(|end| end.0 > acked_end);
         }
--- a/ragwortwick-standin/src/area/workers.rs
+++ b/ragwortwick-standin/src/area/workers.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use super::advisor;
+use super::completions::{Completion, Completions, RepeatedRun};
 use super::store::AreaStore;
 use super::worker_routes;
 use crate::faults::lock;
@@ -27,6 +28,9 @@
 /// Maximum length of a lease; a worker shortens longer ones to it.
 pub(super) const MAX_LEASE_MS: u64 = 4_000;
 
+/// Number of run ends that a worker lists in one reply at most, the earliest first.
+const MAX_ENDS_PER_REPLY: usize = 500;
+
 /// `Payload` configures the behaviour of a task on a test worker.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
@@ -35,6 +39,8 @@
     pub(super) work_ms: u64,
     /// Number of members that must be running before the work begins.
     pub(super) gang: usize,
+    /// The work ends at a multiple of this time, so that tasks which began apart end together; zero for none.
+    pub(super) ends_every_ms: u64,
     /// Whether a start requires a ticket of the advisor.
     pub(super) needs_ticket: bool,
     /// Tail latency of a latency-sensitive task without interference; zero for any other task.
@@ -48,6 +54,7 @@
         Self {
             work_ms: 100,
             gang: 1,
+            ends_every_ms: 0,
             needs_ticket: false,
             tail_ms: 0,
             disturbs: false,
@@ -55,6 +62,15 @@
     }
 }
 
+impl Payload {
+    /// When work that begins now ends.
+    fn end_of_work(&self, now: TimeMs) -> TimeMs {
+        let ends_at_ms = now.0 + self.work_ms;
+        let step_ms = self.ends_every_ms.max(1);
+        TimeMs(ends_at_ms.next_multiple_of(step_ms))
+    }
+}
+
 /// `StartedRun` records a run that a worker started.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartedRun {
@@ -115,14 +131,15 @@
         FIRST_START_UNIX_MS + self.restarts_in_place
     }
 
-    pub(super) fn end_run(&mut self, task: &str, kind: &'static str) {
-        if let Some(run) = self.running.remove(task) {
-            self.last_sequence += 1;
-            self.ended
-                .push((self.last_sequence, task.to_owned(), run.run, kind));
-            let last_ended = self.last_ended.entry(task.to_owned()).or_insert(0);
-            *last_ended = (*last_ended).max(run.run);
-        }
+    /// Ends a run and lists its end; returns the end's sequence number and the run, if it was there.
+    pub(super) fn end_run(&mut self, task: &str, kind: &'static str) -> Option<(u64, u64)> {
+        let run = self.running.remove(task)?.run;
+        self.last_sequence += 1;
+        self.ended
+            .push((self.last_sequence, task.to_owned(), run, kind));
+        let last_ended = self.last_ended.entry(task.to_owned()).or_insert(0);
+        *last_ended = (*last_ended).max(run);
+        Some((self.last_sequence, run))
     }
 
     /// Returns the tail latency of a latency-sensitive task on this worker.
@@ -149,6 +166,7 @@
         let ended: Vec<Value> = self
             .ended
             .iter()
+            .take(MAX_ENDS_PER_REPLY)
             .map(|(sequence, task, run, kind)| json!([sequence, task, run, kind, ""]))
             .collect();
         json!({
@@ -164,6 +182,7 @@
 pub(super) struct PoolState {
     pub(super) workers: BTreeMap<String, WorkerState>,
     pub(super) starts: Vec<StartedRun>,
+    pub(super) completions: Completions,
     /// Tickets of the advisor with their expiry time, by worker and step.
     pub(super) tickets: BTreeMap<(String, String), (String, TimeMs)>,
     /// Starts that were refused without a valid ticket.
@@ -211,8 +230,11 @@
     fn end_due_runs(&mut self, now: TimeMs) -> bool {
         self.start_work(now);
         let mut is_changed = false;
-        for worker in self.workers.values_mut() {
+        for (name, worker) in &mut self.workers {
             let is_expired = worker.lease_until <= now.0;
+            if is_expired {
+                self.completions.forget_unacknowledged(name);
+            }
             let due: Vec<(String, &'static str)> = worker
                 .running
                 .iter()
@@ -227,7 +249,16 @@
                 .collect();
             is_changed |= !due.is_empty();
             for (task, kind) in due {
-                worker.end_run(&task, kind);
+                let ended = worker.end_run(&task, kind);
+                if let Some((sequence, run)) = ended.filter(|_| kind == "done") {
+                    let starts_before = self.starts.len();
+                    let completion = Completion {
+                        task,
+                        run,
+                        starts_before,
+                    };
+                    self.completions.record(name, sequence, completion);
+                }
             }
         }
         is_changed
@@ -246,8 +277,7 @@
                 let members = present.get(&(step_of(task), run.run));
                 let is_complete = members.is_some_and(|&members| members >= run.payload.gang);
                 if run.ends_at.is_none() && is_complete {
-                    let work_ms = ragwortwick_core::DurationMs(run.payload.work_ms);
-                    run.ends_at = Some(now + work_ms);
+                    run.ends_at = Some(run.payload.end_of_work(now));
                 }
             }
         }
@@ -379,6 +409,13 @@
         self.shared.with(|pool| pool.starts.clone())
     }
 
+    /// `repeated_runs` lists the starts of tasks after a run had completed whose end was acknowledged then or later.
+    #[must_use]
+    pub fn repeated_runs(&self) -> Vec<RepeatedRun> {
+        self.shared
+            .with(|pool| pool.completions.repeated_runs(&pool.starts))
+    }
+
     /// `advice_address` returns the address of the advisor.
     #[must_use]
     pub fn advice_address(&self) -> String {
@@ -426,6 +463,7 @@
     /// Connections are refused until `restart`. The entry in the store remains.
     pub fn crash(&self, name: &str) {
         self.shared.with(|pool| {
+            pool.completions.forget_unacknowledged(name);
             if let Some(worker) = pool.workers.get_mut(name) {
                 *worker = WorkerState {
                     is_down: true,
@@ -455,6 +493,7 @@
     /// `restart_in_place` restarts a worker under its name at once; it has no runs, ends or tokens of before.
     pub fn restart_in_place(&self, name: &str) {
         self.shared.with(|pool| {
+            pool.completions.forget_unacknowledged(name);
             if let Some(worker) = pool.workers.get_mut(name) {
                 *worker = WorkerState {
                     incarnation: worker.incarnation,
@@ -475,6 +514,7 @@
     /// `leave` removes a worker permanently, with its runs, its unacknowledged run ends and its entry.
     pub fn leave(&self, name: &str, store: &AreaStore) {
         self.shared.with(|pool| {
+            pool.completions.forget_unacknowledged(name);
             if let Some(worker) = pool.workers.get_mut(name) {
                 *worker = WorkerState {
                     has_left: true,
