--- a/ragwortwick-area/tests/partial_reports.rs
+++ b/ragwortwick-area/tests/partial_reports.rs
@@ -269,7 +269,7 @@
     assert_eq!(phase(&rig), Some(JobPhase::Failed));
 }
 
-/// A gang whose first listed member was stopped has completed if another member is listed as done.
+/// A gang of which no end is listed yet may have completed; the end of one member in a later part shows it.
 #[test]
 fn verify_a_gang_whose_completion_is_not_listed_yet_is_not_run_again() {
     let mut rig = Rig::new(&[worker("w1", "r1"), worker("w2", "r1")]);
