--- a/ragwortwick-area/tests/partial_reports.rs
+++ b/ragwortwick-area/tests/partial_reports.rs
@@ -82,6 +82,14 @@
     (rig, runs)
 }
 
+/// Keeps a worker out of reach until its runs are abandoned.
+fn keep_out_of_reach(rig: &mut Rig, worker: &WorkerName) {
+    for _ in 0..15 {
+        rig.poll_fails(worker);
+        rig.advance(1_000);
+    }
+}
+
 /// Acknowledgements in the polls that were sent.
 fn acked_ends(rig: &mut Rig) -> Vec<u64> {
     rig.take(|action| match action {
@@ -357,10 +365,7 @@
     let mut rig = Rig::new(&[worker("w1", "r1")]);
     rig.submit(ID, "middle", step(1, 4));
     let first = rig.start_all().remove(0);
-    for _ in 0..15 {
-        rig.poll_fails(&first.0);
-        rig.advance(1_000);
-    }
+    keep_out_of_reach(&mut rig, &first.0);
     rig.poll_reply("w1", vec![], vec![]);
     let second = rig.start_all().remove(0);
     assert_eq!((second.0.as_str(), second.2), ("w1", 2));
@@ -409,10 +414,7 @@
             rig.send(Event::JobAccepted(Arc::clone(&record)));
             let runs = rig.start_all();
             assert_eq!(runs.len(), 2);
-            for _ in 0..15 {
-                rig.poll_fails(&runs[0].0);
-                rig.advance(1_000);
-            }
+            keep_out_of_reach(&mut rig, &runs[0].0);
             let stored = rig.store_batches().pop().expect("the loss is recorded");
             if is_taken_over {
                 let recovered = RecoveredJob {
@@ -439,10 +441,7 @@
     let mut rig = Rig::new(&[worker("w1", "r1")]);
     rig.submit(ID, "middle", step(2, 4));
     let runs = rig.start_all();
-    for _ in 0..15 {
-        rig.poll_fails(&runs[0].0);
-        rig.advance(1_000);
-    }
+    keep_out_of_reach(&mut rig, &runs[0].0);
     rig.partial_reply("w1", vec![], vec![]);
     rig.list_worker(&worker("w2", "r1"));
     assert_eq!(settle(&mut rig), vec![]);
@@ -480,10 +479,7 @@
     let mut rig = Rig::new(std::slice::from_ref(&first));
     rig.submit(ID, "middle", step(2, 4));
     let runs = rig.start_all();
-    for _ in 0..15 {
-        rig.poll_fails(&runs[0].0);
-        rig.advance(1_000);
-    }
+    keep_out_of_reach(&mut rig, &runs[0].0);
     rig.partial_reply(first.name.as_str(), vec![], vec![]);
     assert_eq!(settle(&mut rig), vec![]);
     rig.poll_fails_with(&first.name, PollFailure::Restarted);
