area: the schedules of ended runs also play workers that list one end in a reply

The third simulated worker, beside those of the emulator and of the stand-ins, listed all its ends in each reply too.

--- a/ragwortwick-area/tests/cancelled_runs.rs
+++ b/ragwortwick-area/tests/cancelled_runs.rs
@@ -18,9 +18,12 @@
 /// Number of lines of the trace in a failure.
 const TRACE_LINES: usize = 60;
 
+/// Number of run ends that a worker lists in one reply, by the platform's limit.
+const ENDS_PER_REPLY: usize = 500;
+
 /// Runs a schedule; returns the violation, with the order of the events that led to it.
-fn violation_of(schedule: &Schedule, checked: Checked) -> Option<String> {
-    let mut world = World::new(schedule.workers, checked);
+fn violation_of(schedule: &Schedule, checked: Checked, ends_per_reply: usize) -> Option<String> {
+    let mut world = World::new(schedule.workers, ends_per_reply, checked);
     world.run_for(STEP_MS);
     for step in &schedule.steps {
         world.apply(*step);
@@ -33,8 +36,8 @@
     Some(format!("{violation}\n{trace}"))
 }
 
-fn result_of(schedule: &Schedule, checked: Checked) -> TestResult {
-    match violation_of(schedule, checked) {
+fn result_of(schedule: &Schedule, checked: Checked, ends_per_reply: usize) -> TestResult {
+    match violation_of(schedule, checked, ends_per_reply) {
         None => TestResult::passed(),
         Some(text) => TestResult::error(text),
     }
@@ -59,13 +62,19 @@
 /// Guards against a run that outlives its cancelled or failed job, and against endless orders for it.
 #[test]
 fn verify_no_run_outlives_its_cancelled_or_failed_job() {
-    check(|schedule| result_of(&schedule, Checked::EndedJobs));
+    check(|schedule| result_of(&schedule, Checked::EndedJobs, ENDS_PER_REPLY));
 }
 
 /// Guards against a repeated run that goes on after its task or job is done.
 #[test]
 fn verify_no_run_outlives_its_done_task() {
-    check(|schedule| result_of(&schedule, Checked::EndedJobsAndDoneTasks));
+    check(|schedule| result_of(&schedule, Checked::EndedJobsAndDoneTasks, ENDS_PER_REPLY));
+}
+
+/// Guards against a run that outlives its job or task because its worker lists one end in a reply.
+#[test]
+fn verify_no_run_outlives_its_job_or_task_while_ends_are_listed_one_at_a_time() {
+    check(|schedule| result_of(&schedule, Checked::EndedJobsAndDoneTasks, 1));
 }
 
 /// A schedule without faults that cancels a job: the simulated area by itself must not fail.
@@ -82,6 +91,9 @@
             workers: 2,
             steps: vec![Step::Submit(kind), Step::Wait(500), Step::Cancel(0)],
         };
-        assert_eq!(violation_of(&schedule, Checked::EndedJobs), None);
+        assert_eq!(
+            violation_of(&schedule, Checked::EndedJobs, ENDS_PER_REPLY),
+            None
+        );
     }
 }
--- a/ragwortwick-area/tests/simulated_area/mod.rs
+++ b/ragwortwick-area/tests/simulated_area/mod.rs
@@ -73,10 +73,11 @@
 }
 
 impl World {
-    pub fn new(workers: usize, checked: Checked) -> Self {
+    pub fn new(workers: usize, ends_per_reply: usize, checked: Checked) -> Self {
+        let workers = (0..workers).map(|number| SimWorker::new(number, ends_per_reply));
         Self {
             now: 1_000,
-            workers: (0..workers).map(SimWorker::new).collect(),
+            workers: workers.collect(),
             jobs: BTreeMap::new(),
             terms: Vec::new(),
             last_term: 0,
--- a/ragwortwick-area/tests/simulated_area/worker.rs
+++ b/ragwortwick-area/tests/simulated_area/worker.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 pub struct SimWorker {
     number: usize,
+    /// Run ends that a reply lists at most, the earliest first.
+    ends_per_reply: usize,
     incarnation: u32,
     pub name: WorkerName,
     pub is_listed: bool,
@@ -89,9 +91,10 @@
 }
 
 impl SimWorker {
-    pub fn new(number: usize) -> Self {
+    pub fn new(number: usize, ends_per_reply: usize) -> Self {
         Self {
             number,
+            ends_per_reply,
             incarnation: 0,
             name: name(number, 0),
             is_listed: true,
@@ -118,7 +121,7 @@
         *self = Self {
             incarnation,
             name: name(self.number, incarnation),
-            ..Self::new(self.number)
+            ..Self::new(self.number, self.ends_per_reply)
         };
     }
 
@@ -237,11 +240,12 @@
             percent: active.percent(now),
             load: 0,
         });
+        let ended = self.ended.iter().take(self.ends_per_reply);
         WorkerReport {
             clock_ms: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
-            has_more_ends: false,
+            ended: ended.cloned().collect(),
+            has_more_ends: self.ended.len() >= self.ends_per_reply,
         }
     }
 
