area: tell with each run's end what shows it

Callers saw tasks that ran twice at once; the log of the coordinator could not tell why it held the first runs for over. An end that its worker listed without a verdict (a lapsed lease, a gang that broke) and a run that a reply merely left out had the same cause, NotThere, and shared one limit on lines with each other and, before, with all completions.

Each line of run_over now has the evidence (listed, not reported, refused, not sent, leases expired, another incarnation, handed over), the numbers of start orders and of replies to them, and the time since the worker's last reply; each cause and evidence has its own limit of 60 lines a second, so the rare kinds stay beside hundreds of completions. A counter by evidence beside it. No decision changes.

--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -69,7 +69,7 @@
 pub use losses::{ContactLoss, ContactLossKind, LostRun, WorkerLossCause, WorkerLossReport};
 pub use messages::{
     Action, AdviceReply, EndKind, EndedTask, Event, OrderReply, PollFailure, ProgressRecord,
-    RefusalCause, RunEnded, RunningTask, WorkerEntry, WorkerReport,
+    RefusalCause, RunEndEvidence, RunEnded, RunningTask, WorkerEntry, WorkerReport,
 };
 pub use progress::{GangProgress, JobPhase, JobProgress, TaskProgress};
 pub use record_batches::MAX_BATCH_RECORDS;
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -8,7 +8,7 @@
 use crate::coordinator::Coordinator;
 use crate::crashes::{RunAtLoss, has_likely_cause, suspect_runs};
 use crate::job::TaskId;
-use crate::messages::Action;
+use crate::messages::{Action, RunEndEvidence};
 use crate::outcome::RunOutcome;
 use crate::worker::Worker;
 
@@ -221,8 +221,13 @@
         let Some(lost) = self.describe_loss(now, name, cause) else {
             return;
         };
+        let outcome = RunOutcome::Lost(lost.cause);
+        let evidence = match cause {
+            WorkerLossCause::OutOfReach => RunEndEvidence::LeasesExpired,
+            WorkerLossCause::Crashed | WorkerLossCause::Left => RunEndEvidence::OtherIncarnation,
+        };
         for (task, run) in self.runs_on(name) {
-            self.end_run(now, name, &task, run, RunOutcome::Lost(lost.cause));
+            self.end_run(now, name, &task, run, outcome, evidence);
         }
         if let Some(worker) = self.workers.get_mut(name) {
             worker.untracked.clear();
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -1,5 +1,6 @@
 //! Events that the coordinator receives and actions that it requests.
 
+use std::fmt;
 use std::sync::Arc;
 
 use ragwortwick_core::{
@@ -272,6 +273,36 @@
     pub accounting: Option<JobAccounting>,
 }
 
+/// `RunEndEvidence` is what shows that a run has ended, or that it never starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEndEvidence {
+    /// Its worker listed the end.
+    Listed(EndKind),
+    /// Its worker no longer reports it, and has listed no end of it.
+    NotReported,
+    /// Its worker refused the only start order.
+    StartRefused,
+    /// No start order was sent.
+    StartNotSent,
+    /// Its worker is out of reach, and every lease granted there has expired.
+    LeasesExpired,
+    /// Another incarnation replied at the address of its worker.
+    OtherIncarnation,
+    /// A later incarnation of its worker confirmed the stop.
+    StoppedAfterRestart,
+    /// An earlier coordinator handed its result over.
+    HandedOver,
+}
+
+impl fmt::Display for RunEndEvidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listed(kind) => write!(f, "Listed{kind:?}"),
+            evidence => write!(f, "{evidence:?}"),
+        }
+    }
+}
+
 /// `RunEnded` is the log entry for an ended run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunEnded {
@@ -283,6 +314,14 @@
     pub run: u32,
     /// Why the run ended.
     pub reason: RunEndReason,
+    /// What shows that it has ended.
+    pub evidence: RunEndEvidence,
+    /// Start orders that this coordinator sent.
+    pub start_orders: u32,
+    /// Start orders that the worker replied to; the others may be carried out late.
+    pub start_replies: u32,
+    /// Time since the worker's last reply; none if it has not replied to this coordinator.
+    pub reply_age_ms: Option<DurationMs>,
     /// How long the run lasted, if its worker had confirmed the start.
     pub ran_ms: Option<DurationMs>,
     /// Lost work that has to be repeated, in core-equivalents times milliseconds.
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -9,7 +9,7 @@
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_LEASE_LOSS_MS};
 use crate::job::{StepSpec, TaskId};
 use crate::losses::ContactLossKind;
-use crate::messages::{Action, PollFailure, RunningTask, WorkerReport};
+use crate::messages::{Action, PollFailure, RunEndEvidence, RunningTask, WorkerReport};
 use crate::outcome::RunOutcome;
 use crate::stop_progress::StopProgress;
 use crate::untracked_runs::UntrackedRun;
@@ -234,7 +234,9 @@
             }));
         }
         for (task, run) in missing {
-            self.end_run(now, worker_name, &task, run, RunOutcome::NoVerdict);
+            let outcome = RunOutcome::NoVerdict;
+            let evidence = RunEndEvidence::NotReported;
+            self.end_run(now, worker_name, &task, run, outcome, evidence);
         }
     }
 }
--- a/ragwortwick-area/src/reachability.rs
+++ b/ragwortwick-area/src/reachability.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ragwortwick_core::{TimeMs, ZoneName};
+use ragwortwick_core::{DurationMs, TimeMs, ZoneName};
 
 /// Number of workers with an unanswered order, without any reply from their zone since, from which the whole
 /// zone counts as silent.
@@ -37,6 +37,11 @@
         self.last_reply_at.is_some()
     }
 
+    /// Time since its last reply under this coordinator.
+    pub(crate) fn reply_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.last_reply_at.map(|at| now.since(at))
+    }
+
     /// Whether the last order went without a reply.
     pub(crate) fn is_silent(&self) -> bool {
         self.unanswered_since.is_some()
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -9,7 +9,7 @@
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::losses::WorkerLossCause;
-use crate::messages::{Action, EndKind, EndedTask, RunEnded, WorkerReport};
+use crate::messages::{Action, EndKind, EndedTask, RunEndEvidence, RunEnded, WorkerReport};
 use crate::outcome::{FollowUp, RunOutcome};
 use crate::worker::{PollState, Worker};
 
@@ -52,6 +52,7 @@
         task: &TaskId,
         run: u32,
         outcome: RunOutcome,
+        evidence: RunEndEvidence,
     ) {
         let Some(worker) = self.workers.get_mut(worker_name) else {
             return;
@@ -88,6 +89,10 @@
             task: task.clone(),
             run,
             reason,
+            evidence,
+            start_orders: allocation.start_attempts,
+            start_replies: allocation.start_replies,
+            reply_age_ms: worker.contact.reply_age_ms(now),
             ran_ms: allocation.started_at.map(|at| now.since(at)),
             lost_core_ms,
         }));
@@ -131,6 +136,18 @@
         }
     }
 
+    /// Ends a run whose start order was not sent, so that it never starts.
+    pub(crate) fn end_unsent_run(
+        &mut self,
+        now: TimeMs,
+        worker_name: &WorkerName,
+        task: &TaskId,
+        run: u32,
+    ) {
+        let evidence = RunEndEvidence::StartNotSent;
+        self.end_run(now, worker_name, task, run, RunOutcome::NoVerdict, evidence);
+    }
+
     /// Processes one run end that a worker reported.
     fn process_run_end(&mut self, now: TimeMs, worker_name: &WorkerName, end: &EndedTask) {
         let Some(worker) = self.workers.get_mut(worker_name) else {
@@ -161,7 +178,8 @@
             | EndKind::GangBroken
             | EndKind::GangIncomplete => RunOutcome::NoVerdict,
         };
-        self.end_run(now, worker_name, &end.task, end.run, outcome);
+        let evidence = RunEndEvidence::Listed(end.kind);
+        self.end_run(now, worker_name, &end.task, end.run, outcome, evidence);
     }
 
     /// Handles a reply from another incarnation at a worker's address: the runs of the earlier one are gone.
@@ -183,7 +201,7 @@
         let unsent = worker.replace(now);
         self.has_due_orders = true;
         for (task, run) in unsent {
-            self.end_run(now, worker_name, &task, run, RunOutcome::NoVerdict);
+            self.end_unsent_run(now, worker_name, &task, run);
         }
         if let Some(lost) = lost {
             self.record_loss(now, lost);
@@ -204,7 +222,9 @@
     ) {
         let worker = self.workers.get_mut(worker_name);
         if let Some(cause) = worker.and_then(|worker| worker.settle_replaced(task, run)) {
-            self.end_run(now, worker_name, task, run, RunOutcome::Lost(cause));
+            let outcome = RunOutcome::Lost(cause);
+            let evidence = RunEndEvidence::StoppedAfterRestart;
+            self.end_run(now, worker_name, task, run, outcome, evidence);
         }
     }
 
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -8,7 +8,7 @@
 use crate::allocation::{Allocation, AllocationPhase};
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
-use crate::messages::{Action, OrderReply, RefusalCause};
+use crate::messages::{Action, OrderReply, RefusalCause, RunEndEvidence};
 use crate::outcome::RunOutcome;
 use crate::progress::JobPhase;
 use crate::progress_tracker::ProgressTracker;
@@ -42,8 +42,7 @@
             return;
         }
         if !can_run || !can_start_work {
-            // No order was sent, so the run never starts.
-            self.end_run(now, worker_name, task, run, RunOutcome::NoVerdict);
+            self.end_unsent_run(now, worker_name, task, run);
             return;
         }
         allocation.phase = AllocationPhase::StartSent {
@@ -234,7 +233,9 @@
                     self.advice.discard_ticket(worker_name, task);
                 }
                 if is_first_attempt {
-                    self.end_run(now, worker_name, task, run, RunOutcome::NoVerdict);
+                    let outcome = RunOutcome::NoVerdict;
+                    let evidence = RunEndEvidence::StartRefused;
+                    self.end_run(now, worker_name, task, run, outcome, evidence);
                 } else {
                     // An earlier start order may still be executed late; a stop order rules that out.
                     self.stop_with_gang(now, task, RunEndReason::StartInDoubt);
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -9,7 +9,6 @@
 use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::messages::{Action, OrderReply, RefusalCause};
-use crate::outcome::RunOutcome;
 
 /// Delay of the poll after a stop order, which determines whether the run has ended.
 const POLL_AFTER_STOP_MS: DurationMs = DurationMs(150);
@@ -130,7 +129,7 @@
             allocation.phase = AllocationPhase::stop_pending(reason);
         }
         for (task, run) in unsent {
-            self.end_run(now, name, &task, run, RunOutcome::NoVerdict);
+            self.end_unsent_run(now, name, &task, run);
         }
     }
 
--- a/ragwortwick-area/src/unstored_results.rs
+++ b/ragwortwick-area/src/unstored_results.rs
@@ -13,7 +13,7 @@
 use crate::job::TaskId;
 use crate::job_state::TaskState;
 use crate::losses::{WorkerLossCause, WorkerLossReport};
-use crate::messages::Action;
+use crate::messages::{Action, RunEndEvidence};
 use crate::outcome::RunOutcome;
 use crate::worker::Worker;
 
@@ -172,7 +172,8 @@
             return false;
         };
         let worker = worker.clone();
-        self.end_run(now, &worker, task, run, outcome);
+        let evidence = RunEndEvidence::HandedOver;
+        self.end_run(now, &worker, task, run, outcome, evidence);
         if self
             .workers
             .get(&worker)
--- a/ragwortwick-area/tests/unstored_results.rs
+++ b/ragwortwick-area/tests/unstored_results.rs
@@ -6,7 +6,8 @@
 
 use ragwortwick_area::{
     Action, EndKind, Event, JobPhase, JobProgress, JobRecord, PollFailure, ProgressRecord,
-    RecoveredJob, RunEndReason, RunEnded, RunResult, RunResultKind, TaskId, UnstoredResults,
+    RecoveredJob, RunEndEvidence, RunEndReason, RunEnded, RunResult, RunResultKind, TaskId,
+    UnstoredResults,
 };
 use ragwortwick_core::{DurationMs, JobId, WorkerName};
 use rig::{Rig, ended, gang, job, step, worker};
@@ -33,6 +34,10 @@
             task,
             run,
             reason: RunEndReason::Done,
+            evidence: RunEndEvidence::Listed(EndKind::Done),
+            start_orders: 1,
+            start_replies: 1,
+            reply_age_ms: None,
             ran_ms: None,
             lost_core_ms: 0,
         })
--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -81,8 +81,17 @@
         self.metrics.runs_ended.with_label_values(&labels).inc();
         let lost_work = self.metrics.lost_core_seconds.with_label_values(&labels);
         lost_work.inc_by(DurationMs(ended.lost_core_ms).as_secs_f64());
+        let evidence = ended.evidence.to_string();
+        let labels = [evidence.as_str()];
+        self.metrics
+            .run_end_evidence
+            .with_label_values(&labels)
+            .inc();
         let now = self.order_sender.clock.now();
-        if self.run_end_log_limiter.admit(now, &cause) {
+        if self
+            .run_end_log_limiter
+            .admit(now, &format!("{cause}/{evidence}"))
+        {
             log_event!(
                 Info,
                 "run_over",
@@ -91,6 +100,10 @@
                 worker = ended.worker,
                 term = self.order_sender.term,
                 cause = cause,
+                evidence = evidence,
+                start_orders = ended.start_orders,
+                start_replies = ended.start_replies,
+                reply_age_ms = format_ms(ended.reply_age_ms),
                 ran_ms = format_ms(ended.ran_ms),
                 lost_core_ms = ended.lost_core_ms
             );
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -54,6 +54,7 @@
     pub(super) job_part_seconds: HistogramVec,
     /// Ended runs, by cause; counted by the coordinator.
     pub(super) runs_ended: IntCounterVec,
+    pub(super) run_end_evidence: IntCounterVec,
     /// Workers lost with runs on them, by cause; counted by the coordinator.
     pub(super) workers_lost: IntCounterVec,
     /// Runs reported without an allocation, by phase of their job; counted by the coordinator.
@@ -104,6 +105,11 @@
             "Runs that are over, by this host as coordinator",
             &["cause"],
         )?;
+        let run_end_evidence = counter(
+            "ragwortwick_area_run_end_evidence_total",
+            "What showed that runs are over, by this host as coordinator",
+            &["evidence"],
+        )?;
         let workers_lost = counter(
             "ragwortwick_area_workers_lost_total",
             "Workers that were lost with runs, by this host as coordinator",
@@ -157,6 +163,7 @@
             cancel_seconds,
             job_part_seconds,
             runs_ended,
+            run_end_evidence,
             workers_lost,
             untracked_runs,
             lost_core_seconds,
