Hold a stopped run for over only once its worker lists its end, or stopping has had its time

Callers saw two runs of a task at once: a second run that began, and completed, while the first was still being stopped on another worker.

Cause: a run that its worker no longer listed as running was over for the coordinator as soon as its stop was confirmed, 0.15 s after the order. A gang that was stopped for an urgent one started on other racks in the same pass as its last member was held for over: whole gangs at once, one host, one term, no stop of the second run. The same conclusion was drawn for runs that a reply left out without any stop, by a new coordinator for runs that its predecessor had stopped a moment before, for untracked runs (capacity given out twice), and for runs of a worker that had restarted under its identity.

Now a run that a worker does not report is over only if its end is listed, or if a stop was confirmed and the poll was sent StopMs and 0.2 s later. A run that is left out without a stop is stopped first. Polls of a worker with confirmed stops wait for the listed end instead of asking every 5 ms.

Ten tests stated that a run is over with the first reply without it. They now confirm the stop and let the time pass, and most of them state in addition that nothing starts before; none asks for less.

--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -273,7 +273,10 @@
         let is_busy = self.records.has_pending()
             || self.next_poll_at.is_some()
             || !self.open_jobs.is_empty()
-            || self.workers.values().any(Worker::has_unconfirmed_stops);
+            || self
+                .workers
+                .values()
+                .any(|worker| worker.is_replaced || worker.has_unconfirmed_stops());
         let tick = is_busy.then(|| now.steady + TICK_MS);
         let pass = self.needs_pass.then_some(self.next_pass_at);
         let scheduled = self.next_scheduled_at.map(|at| at.max(self.next_pass_at));
@@ -305,6 +308,7 @@
             self.next_maintenance_at = now.steady + MAINTENANCE_INTERVAL_MS;
             self.needs_poll_round = true;
             self.expire_leases(now.steady);
+            self.settle_replaced_workers(now.steady);
             self.attribute_losses(now.steady);
             self.remove_expired_jobs(now.steady);
             self.publish_hints(now);
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -278,7 +278,7 @@
 pub enum RunEndEvidence {
     /// Its worker listed the end.
     Listed(EndKind),
-    /// Its worker no longer reports it, and has listed no end of it.
+    /// Its worker doesn't report it once a confirmed stop must have ended it, and has listed no end of it.
     NotReported,
     /// Its worker refused the only start order.
     StartRefused,
@@ -288,7 +288,7 @@
     LeasesExpired,
     /// Another incarnation replied at the address of its worker.
     OtherIncarnation,
-    /// A later incarnation of its worker confirmed the stop.
+    /// A later incarnation of its worker confirmed the stop, and stopping has had its time.
     StoppedAfterRestart,
     /// An earlier coordinator handed its result over.
     HandedOver,
--- a/ragwortwick-area/src/polls.rs
+++ b/ragwortwick-area/src/polls.rs
@@ -5,13 +5,13 @@
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
+use crate::accounting::RunEndReason;
 use crate::allocation::{Allocation, AllocationPhase};
 use crate::coordinator::{Coordinator, RENEWAL_AFTER_LEASE_LOSS_MS};
 use crate::job::{StepSpec, TaskId};
 use crate::losses::ContactLossKind;
 use crate::messages::{Action, PollFailure, RunEndEvidence, RunningTask, WorkerReport};
 use crate::outcome::RunOutcome;
-use crate::stop_progress::StopProgress;
 use crate::untracked_runs::UntrackedRun;
 use crate::worker::PollState;
 
@@ -69,16 +69,10 @@
                 continue;
             }
             let needs_reconciliation = worker.is_unresponsive()
-                || worker.allocations.values().any(|allocation| {
-                    matches!(
-                        allocation.phase,
-                        AllocationPhase::Recovered
-                            | AllocationPhase::Stopping {
-                                progress: StopProgress::Confirmed { .. },
-                                ..
-                            }
-                    )
-                });
+                || worker
+                    .allocations
+                    .values()
+                    .any(|allocation| allocation.phase == AllocationPhase::Recovered);
             let has_runs = !worker.allocations.is_empty();
             let wait_ms = if needs_reconciliation || !has_runs && worker.untracked.is_empty() {
                 DurationMs(0)
@@ -95,6 +89,7 @@
             } else {
                 POLL_WAIT_MS
             };
+            let wait_ms = wait_ms.min(worker.max_wait_for_stops_ms(now, self.limits.stop_ms));
             // A lease sent to an unresponsive worker may arrive although no reply does. Repeated leases would
             // postpone indefinitely the time at which its runs can be abandoned.
             let lease_until_ms = if worker.is_unresponsive() || !has_runs {
@@ -162,8 +157,10 @@
 
     /// Compares the runs that a worker reported with its allocations.
     ///
-    /// A run that the report doesn't list as running is over. How it ended is unknown while the worker has further
-    /// ends to list; a run that may have completed must not be started again.
+    /// A run that the report doesn't list as running is over once its worker has confirmed a stop of it and stopping
+    /// has had its time: a worker need not list a run while it is stopping, and a list may be older than the
+    /// run. How it ended is unknown while the worker has further ends to list; a run that may have completed must not
+    /// be started again.
     pub(crate) fn reconcile_running(
         &mut self,
         now: TimeMs,
@@ -175,6 +172,7 @@
         let present: BTreeSet<(&TaskId, u32)> =
             running.iter().map(|row| (&row.task, row.run)).collect();
         let mut missing = Vec::new();
+        let stop_ms = self.limits.stop_ms;
         let jobs = &self.jobs;
         let may_have_unlisted_end = |task: &TaskId| {
             let job = jobs.get(&task.job_id);
@@ -187,15 +185,20 @@
             if present.contains(&(task, allocation.run)) || may_have_unlisted_end(task) {
                 continue;
             }
-            let is_missing = match allocation.phase {
+            let is_unexpected = match allocation.phase {
                 AllocationPhase::AwaitingRecord | AllocationPhase::StartSent { .. } => false,
-                // The poll carried a newer fencing token, so the worker refuses earlier coordinators' orders.
                 AllocationPhase::Recovered => true,
                 AllocationPhase::Running { since } => since < sent_at,
-                AllocationPhase::Stopping { progress, .. } => progress.is_confirmed_before(sent_at),
+                AllocationPhase::Stopping { progress, .. } => {
+                    if progress.is_over_at(sent_at, stop_ms) {
+                        missing.push((task.clone(), allocation.run));
+                    }
+                    false
+                }
             };
-            if is_missing {
-                missing.push((task.clone(), allocation.run));
+            if is_unexpected {
+                allocation.phase = AllocationPhase::stop_pending(RunEndReason::NotThere);
+                self.has_due_orders = true;
             }
         }
         let mut untracked = Vec::new();
@@ -203,7 +206,7 @@
             match worker.allocations.get_mut(&row.task) {
                 Some(allocation) if allocation.run == row.run => {
                     if let AllocationPhase::Stopping { progress, .. } = &mut allocation.phase {
-                        progress.record_running(sent_at, self.limits.stop_ms);
+                        progress.record_running(sent_at, stop_ms);
                     }
                     if confirm(now, allocation, row)
                         && let Some(job) = self.jobs.get_mut(&row.task.job_id)
@@ -220,7 +223,6 @@
             let spec = jobs.get(&task.job_id).and_then(|job| job.spec(task.step));
             spec.map(StepSpec::demand).unwrap_or_default()
         };
-        let stop_ms = self.limits.stop_ms;
         let new = worker
             .untracked
             .update(&untracked, sent_at, stop_ms, demand_of);
--- a/ragwortwick-area/src/restarts.rs
+++ b/ragwortwick-area/src/restarts.rs
@@ -2,15 +2,18 @@
 //!
 //! The later incarnation has none of the runs of the earlier one, but it accepts orders that were meant for it, and
 //! an order may be carried out seconds late. A run of the earlier incarnation counts as over once the later
-//! one has confirmed a stop of it: no start order can begin it there any more.
+//! one has confirmed a stop of it, and stopping has had its time: no start order can begin it there any more.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName};
 
 use crate::allocation::AllocationPhase;
+use crate::coordinator::Coordinator;
 use crate::job::TaskId;
 use crate::losses::WorkerLossCause;
+use crate::messages::RunEndEvidence;
+use crate::outcome::RunOutcome;
 use crate::worker::Worker;
 
 /// Longest time after which an order without a reply is expected to be carried out late.
@@ -71,19 +74,45 @@
         }
     }
 
-    /// Settles a run of a replaced worker if the later incarnation has confirmed its stop; returns why the run is
-    /// lost, if it has an allocation that is over now.
-    pub(crate) fn settle_replaced(&mut self, task: &TaskId, run: u32) -> Option<WorkerLossCause> {
-        if !self.is_replaced {
-            return None;
+    /// Takes the runs of a replaced worker that are over: the later incarnation has confirmed their stops, and a run that it
+    /// had begun by a late order has had the time to stop.
+    fn take_settled_runs(
+        &mut self,
+        now: TimeMs,
+        stop_ms: DurationMs,
+    ) -> Vec<(TaskId, u32, WorkerLossCause)> {
+        self.untracked.remove_stopped(now, stop_ms);
+        let cause = self.replacement_cause();
+        let allocations = self.allocations.iter();
+        let settled = allocations.filter(|(_, allocation)| match allocation.phase {
+            AllocationPhase::Stopping { progress, .. } => progress.is_over_at(now, stop_ms),
+            _ => false,
+        });
+        settled
+            .map(|(task, allocation)| (task.clone(), allocation.run, cause))
+            .collect()
+    }
+}
+
+impl Coordinator {
+    /// Ends the runs of replaced workers that can't begin, or go on, under the later incarnation.
+    pub(crate) fn settle_replaced_workers(&mut self, now: TimeMs) {
+        let stop_ms = self.limits.stop_ms;
+        let replaced = self
+            .workers
+            .iter_mut()
+            .filter(|(_, worker)| worker.is_replaced);
+        let settled: Vec<_> = replaced
+            .flat_map(|(name, worker)| {
+                let runs = worker.take_settled_runs(now, stop_ms).into_iter();
+                runs.map(|run| (name.clone(), run))
+            })
+            .collect();
+        for (name, (task, run, cause)) in settled {
+            let outcome = RunOutcome::Lost(cause);
+            let evidence = RunEndEvidence::StoppedAfterRestart;
+            self.end_run(now, &name, &task, run, outcome, evidence);
         }
-        self.untracked.remove_confirmed(&(task.clone(), run));
-        let allocation = self.allocations.get(task)?;
-        let AllocationPhase::Stopping { progress, .. } = allocation.phase else {
-            return None;
-        };
-        let is_settled = progress.is_confirmed() && allocation.run == run;
-        is_settled.then(|| self.replacement_cause())
     }
 }
 
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -157,6 +157,7 @@
         let Some(allocation) = allocation.filter(|allocation| {
             allocation.run == end.run && allocation.phase != AllocationPhase::AwaitingRecord
         }) else {
+            worker.untracked.remove_ended(&(end.task.clone(), end.run));
             match end.kind {
                 EndKind::Done => {
                     self.hold_until_settled(worker_name, end);
@@ -212,22 +213,6 @@
         }
     }
 
-    /// Ends the run of a replaced worker whose stop the later incarnation has confirmed.
-    pub(crate) fn settle_replaced(
-        &mut self,
-        now: TimeMs,
-        worker_name: &WorkerName,
-        task: &TaskId,
-        run: u32,
-    ) {
-        let worker = self.workers.get_mut(worker_name);
-        if let Some(cause) = worker.and_then(|worker| worker.settle_replaced(task, run)) {
-            let outcome = RunOutcome::Lost(cause);
-            let evidence = RunEndEvidence::StoppedAfterRestart;
-            self.end_run(now, worker_name, task, run, outcome, evidence);
-        }
-    }
-
     /// Abandons the runs on unresponsive workers whose leases must have ended.
     ///
     /// Every order carries the end of the lease on the worker's clock, and an unresponsive worker gets no
--- a/ragwortwick-area/src/stop_progress.rs
+++ b/ragwortwick-area/src/stop_progress.rs
@@ -1,4 +1,4 @@
-//! Progress of the stop of one run, from the first order until its worker no longer reports the run.
+//! Progress of the stop of one run, from the first order until the run must have ended.
 
 use ragwortwick_core::{DurationMs, TimeMs};
 
@@ -65,16 +65,25 @@
     /// Records that a report still lists the run, in reply to a poll sent at the given time. A confirmed stop
     /// has had no effect if stopping should have ended by then, so the order is sent again.
     pub(crate) fn record_running(&mut self, poll_sent_at: TimeMs, stop_ms: DurationMs) {
-        if let Self::Confirmed { at } = *self
-            && poll_sent_at > at + stop_ms + STOP_MARGIN_MS
-        {
+        if self.is_over_at(poll_sent_at, stop_ms) {
             *self = Self::PENDING;
         }
     }
 
-    /// Whether a report to a poll sent at the given time shows the effect of the stop.
-    pub(crate) fn is_confirmed_before(self, poll_sent_at: TimeMs) -> bool {
-        matches!(self, Self::Confirmed { at } if at < poll_sent_at)
+    /// Whether a confirmed stop must have ended the run by the given time.
+    ///
+    /// Until then the run may go on, and take its resources, although its worker no longer lists it as running.
+    pub(crate) fn is_over_at(self, at: TimeMs, stop_ms: DurationMs) -> bool {
+        self.over_after(stop_ms)
+            .is_some_and(|over_after| at > over_after)
+    }
+
+    /// The time after which a confirmed stop must have ended the run; none while the stop is not confirmed.
+    pub(crate) fn over_after(self, stop_ms: DurationMs) -> Option<TimeMs> {
+        match self {
+            Self::Confirmed { at } => Some(at + stop_ms + STOP_MARGIN_MS),
+            Self::Due { .. } | Self::InFlight { .. } => None,
+        }
     }
 }
 
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -66,7 +66,6 @@
         if is_known {
             worker.poll_by(now + POLL_AFTER_STOP_MS);
         }
-        self.settle_replaced(now, worker_name, task, run);
     }
 
     /// Sends the stop orders that are due for runs without an allocation.
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -1,7 +1,8 @@
 //! Runs that a worker reports and that the coordinator holds no allocation for.
 //!
 //! Such a run takes resources and belongs to nothing that was placed, so it is stopped. Its worker is polled
-//! and kept until the run is gone: nothing else would notice a stop order without effect.
+//! and kept until the run is gone: nothing else would notice a stop order without effect. Its resources are taken until its
+//! end is listed, or its stop must have ended it.
 
 use std::collections::BTreeMap;
 
@@ -54,15 +55,15 @@
         self.0.insert((task, run), state);
     }
 
-    /// Removes a run whose stop is confirmed.
-    pub(crate) fn remove_confirmed(&mut self, id: &(TaskId, u32)) {
-        if self
-            .0
-            .get(id)
-            .is_some_and(|state| state.stop.is_confirmed())
-        {
-            self.0.remove(id);
-        }
+    /// Removes a run whose end is listed.
+    pub(crate) fn remove_ended(&mut self, id: &(TaskId, u32)) {
+        self.0.remove(id);
+    }
+
+    /// Removes the runs whose confirmed stops must have ended them by now.
+    pub(crate) fn remove_stopped(&mut self, now: TimeMs, stop_ms: DurationMs) {
+        self.0
+            .retain(|_, state| !state.stop.is_over_at(now, stop_ms));
     }
 
     /// Total resources of the runs.
@@ -71,7 +72,8 @@
         demands.fold(Resources::default(), Resources::plus)
     }
 
-    /// Replaces the runs by those of a report; runs that it no longer lists are gone. Returns the runs that are new.
+    /// Updates the runs from a report; one that it no longer lists is gone once its stop must have ended it. Returns the
+    /// runs that are new.
     pub(crate) fn update<'a>(
         &mut self,
         reported: &[&'a RunningTask],
@@ -93,6 +95,8 @@
             let demand = demand_of(&row.task);
             self.0.insert(id, UntrackedState { demand, stop });
         }
+        previous.retain(|_, state| !state.stop.is_over_at(poll_sent_at, stop_ms));
+        self.0.extend(previous);
         new
     }
 
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -370,6 +370,19 @@
         }
     }
 
+    /// How long a poll may wait because of confirmed stops: a reply to a poll that is sent once stopping has had its
+    /// time shows that the runs are over. A run end that is listed earlier is replied at once.
+    pub(crate) fn max_wait_for_stops_ms(&self, now: TimeMs, stop_ms: DurationMs) -> DurationMs {
+        let stops = self.allocations.values().filter_map(|allocation| {
+            let AllocationPhase::Stopping { progress, .. } = allocation.phase else {
+                return None;
+            };
+            progress.over_after(stop_ms)
+        });
+        let over_after = stops.min().unwrap_or(TimeMs(u64::MAX));
+        over_after.since(now)
+    }
+
     /// Whether a stop order has been sent, or has to be, that the worker has not confirmed.
     pub(crate) fn has_unconfirmed_stops(&self) -> bool {
         let is_unconfirmed = |allocation: &Allocation| match allocation.phase {
--- a/ragwortwick-area/tests/capacity.rs
+++ b/ragwortwick-area/tests/capacity.rs
@@ -101,5 +101,7 @@
     );
     rig.advance(100);
     rig.poll_reply("w1", vec![], vec![]);
+    assert_eq!(rig.start_all(), vec![], "it may be stopping");
+    assert_eq!(rig.settle_stops(), vec![untracked]);
     assert_eq!(rig.start_all().len(), 1);
 }
--- a/ragwortwick-area/tests/partial_reports.rs
+++ b/ragwortwick-area/tests/partial_reports.rs
@@ -353,7 +353,9 @@
     let (mut rig, runs) = with_many_runs(&[worker("w1", "r1"), worker("w2", "r1")]);
     let (lost, others) = runs.split_last().expect("there are runs");
     let parts = parts_of(others, EndKind::Done);
-    let starts = list_parts(&mut rig, &parts);
+    assert_eq!(list_parts(&mut rig, &parts), vec![]);
+    assert_eq!(rig.settle_stops(), vec![lost.clone()]);
+    let starts = settle(&mut rig);
     assert_eq!(starts.len(), 1);
     assert_eq!((&starts[0].1, starts[0].2), (&lost.1, 2));
 }
--- a/ragwortwick-area/tests/restarts.rs
+++ b/ragwortwick-area/tests/restarts.rs
@@ -4,7 +4,7 @@
 
 use ragwortwick_area::{EndKind, OrderReply, PollFailure, WorkerEntry};
 use ragwortwick_core::WorkerName;
-use rig::{Rig, ended, running, step, worker};
+use rig::{Rig, STOPPED_AFTER_MS, ended, running, step, worker};
 
 const ID: &str = "00000000000000c7";
 
@@ -38,6 +38,8 @@
         assert_eq!(rig.starts(), vec![], "the first run may still begin");
         assert_eq!(rig.stops(), vec![first.clone()]);
         rig.reply_to_stop(&first, accepted(&rig));
+        assert_eq!(rig.start_all(), vec![], "the first run may be stopping");
+        rig.advance(STOPPED_AFTER_MS);
         assert_eq!(rig.start_all().len(), 1);
     }
 }
@@ -54,6 +56,7 @@
     rig.list_worker(&incarnation("w1", 9));
     rig.advance(50);
     rig.reply_to_stop(&first, accepted(&rig));
+    rig.advance(STOPPED_AFTER_MS);
     let second = rig.start_all().pop().expect("the task starts again");
     assert_eq!(second.0.started_unix_ms(), Some(9));
     let end = ended(1, &second, EndKind::Done);
@@ -75,7 +78,7 @@
     rig.advance(50);
     rig.stops();
     rig.reply_to_stop(&first, accepted(&rig));
-    rig.advance(50);
+    rig.advance(STOPPED_AFTER_MS);
     rig.poll_reply(first.0.as_str(), vec![], vec![]);
     rig.list_worker(&incarnation("w1", 9));
     rig.advance(50);
@@ -87,6 +90,8 @@
         "the late start may still take capacity"
     );
     rig.reply_to_stop(&first, accepted(&rig));
+    assert_eq!(rig.start_all(), vec![], "it may be stopping");
+    rig.advance(STOPPED_AFTER_MS);
     assert_eq!(rig.start_all().len(), 1);
 }
 
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -16,6 +16,9 @@
 
 pub const ATTEMPTS: u32 = 3;
 
+/// Time from the confirmation of a stop after which the run must have ended, in the rig's limits.
+pub const STOPPED_AFTER_MS: u64 = 450;
+
 /// A coordinator, the current time and the actions that were not taken yet.
 pub struct Rig {
     pub coordinator: Coordinator,
@@ -314,6 +317,21 @@
         })
     }
 
+    /// Takes and confirms the stop orders, and lets the time pass in which the runs must end. Their workers then reply that
+    /// they run nothing. Returns the orders.
+    pub fn settle_stops(&mut self) -> Vec<(WorkerName, TaskId, u32)> {
+        let stops = self.stops();
+        for stop in &stops {
+            let clock_ms = 100_000 + self.now.0;
+            self.reply_to_stop(stop, OrderReply::Accepted { clock_ms });
+        }
+        self.advance(STOPPED_AFTER_MS);
+        for stop in &stops {
+            self.poll_reply(stop.0.as_str(), Vec::new(), Vec::new());
+        }
+        stops
+    }
+
     /// Lets a poll of the worker time out.
     pub fn poll_fails(&mut self, worker: &WorkerName) {
         self.poll_fails_with(worker, PollFailure::NoAnswer);
--- a/ragwortwick-area/tests/run_end_evidence.rs
+++ b/ragwortwick-area/tests/run_end_evidence.rs
@@ -39,6 +39,7 @@
         rig.advance(100);
         let ends = kinds.iter().map(|kind| ended(1, &runs[0], *kind));
         rig.poll_reply("w1", vec![], ends.collect());
+        rig.settle_stops();
         assert_eq!(evidence(&mut rig), [expected]);
     }
 }
@@ -56,10 +57,7 @@
     assert_eq!(rig.starts().len(), 1);
     rig.reply(&start, OrderReply::Refused(RefusalCause::NoRoom));
     rig.advance(20);
-    let stop = rig.stops().remove(0);
-    rig.reply_to_stop(&stop, OrderReply::Accepted { clock_ms: 102_000 });
-    rig.advance(20);
-    rig.poll_reply("w1", vec![], vec![]);
+    rig.settle_stops();
     let ends = run_ends(&mut rig);
     assert_eq!(ends.len(), 1);
     assert_eq!((ends[0].start_orders, ends[0].start_replies), (2, 1));
--- a/ragwortwick-area/tests/stops.rs
+++ b/ragwortwick-area/tests/stops.rs
@@ -102,12 +102,7 @@
         rig.advance(REPEAT_MS);
         rig.poll_reply(start.0.as_str(), Vec::new(), Vec::new());
         assert_eq!(rig.start_all(), vec![], "the first order may take effect");
-        for stop in rig.stops() {
-            let clock_ms = 100_000 + rig.now.0;
-            rig.reply_to_stop(&stop, OrderReply::Accepted { clock_ms });
-        }
-        rig.advance(REPEAT_MS);
-        rig.poll_reply(start.0.as_str(), Vec::new(), Vec::new());
+        assert_eq!(rig.settle_stops(), vec![start]);
         assert_eq!(rig.start_all().len(), 1, "the stop rules it out");
     }
 }
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -9,7 +9,7 @@
     RunResultKind, TaskId, WorkerEntry,
 };
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{ATTEMPTS, Rig, ended, gang, job, running, step, worker};
+use rig::{ATTEMPTS, Rig, STOPPED_AFTER_MS, ended, gang, job, running, step, worker};
 
 /// A gang member fails, its run end is stored and acknowledged, and the coordinator crashes before the
 /// other member has ended. If the failed run were not counted, the gang would start once more than its
@@ -60,6 +60,8 @@
     for worker in &workers {
         next.poll_reply(worker.name.as_str(), vec![], vec![]);
     }
+    next.advance(50);
+    next.settle_stops();
     next.advance(200);
     next.store_batches();
     assert_eq!(next.starts(), vec![], "a fourth run must not start");
@@ -204,6 +206,11 @@
     rig.poll_reply(stop.0.as_str(), vec![], vec![]);
     rig.advance(50);
     rig.store_batches();
+    assert_eq!(rig.starts(), vec![], "the first run may be stopping");
+    rig.advance(STOPPED_AFTER_MS);
+    rig.poll_reply(stop.0.as_str(), vec![], vec![]);
+    rig.advance(50);
+    rig.store_batches();
     let restarted = rig.starts();
     assert_eq!(restarted.len(), 1);
     assert_eq!(restarted[0].2, first.2 + 1);
