Stop an abandoned run's unanswered start before its worker gets work again

Callers could see two runs of a task at once: a start order without a reply, to a worker that was cut off, is carried out after the run was given up and its task had begun elsewhere.

Cause: a run on a worker out of reach is given up 13.1 s after the last lease. The order was remembered only for workers that restart.

Now a worker that is back in reach gets neither work nor a lease until it has confirmed stops of these runs and stopping has had its time; they count in its capacity as long, for a minute at most, also if its entry was gone meanwhile. Only orders of this term count: the worker refuses earlier ones. A worker without an entry is kept while such orders may be on their way. Beside it, by reading: a start of a gang member is no longer repeated after the same call has decided to stop the gang.

--- a/ragwortwick-area/src/allocation.rs
+++ b/ragwortwick-area/src/allocation.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Whether a start order was sent and its effect is not known.
+    pub(crate) fn awaits_start_reply(&self) -> bool {
+        matches!(self.phase, AllocationPhase::StartSent { .. })
+    }
+
+    /// Whether a start order had no reply, so that it may be carried out late.
+    pub(crate) fn has_unanswered_start(&self) -> bool {
+        self.start_replies < self.start_attempts
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, AllocationPhase::Stopping { .. })
     }
--- a/ragwortwick-area/src/coordinator.rs
+++ b/ragwortwick-area/src/coordinator.rs
@@ -309,6 +309,7 @@
             self.needs_poll_round = true;
             self.expire_leases(now.steady);
             self.settle_replaced_workers(now.steady);
+            self.forget_old_starts(now.steady);
             self.attribute_losses(now.steady);
             self.remove_expired_jobs(now.steady);
             self.publish_hints(now);
--- a/ragwortwick-area/src/losses.rs
+++ b/ragwortwick-area/src/losses.rs
@@ -7,7 +7,7 @@
 use crate::allocation::{Allocation, AllocationPhase};
 use crate::coordinator::Coordinator;
 use crate::crashes::{RunAtLoss, has_likely_cause, suspect_runs};
-use crate::job::TaskId;
+use crate::job::{Resources, TaskId};
 use crate::messages::{Action, RunEndEvidence};
 use crate::outcome::RunOutcome;
 use crate::worker::Worker;
@@ -30,6 +30,9 @@
 /// well enough to compare crashes.
 const MAX_START_UNCERTAINTY_MS: DurationMs = DurationMs(400);
 
+/// Longest time after which a start order that a network has kept back is expected at a worker that is in reach again.
+const MAX_ABANDONED_START_MS: DurationMs = DurationMs(60_000);
+
 /// How long a loss is kept for comparison: workers lost in the same event come back within seconds, or
 /// not at all.
 const RECENT_LOSS_MS: DurationMs = DurationMs(15_000);
@@ -188,6 +191,18 @@
         runs.collect()
     }
 
+    /// The runs with a start order of this term that had no reply, with their resources. The worker refuses orders of
+    /// earlier terms.
+    fn unanswered_starts(&self) -> Vec<(TaskId, u32, Resources)> {
+        let allocations = self.allocations.iter();
+        let unanswered = allocations.filter(|(_, allocation)| {
+            allocation.ordered_at.is_some() && allocation.has_unanswered_start()
+        });
+        unanswered
+            .map(|(task, allocation)| (task.clone(), allocation.run, allocation.resources))
+            .collect()
+    }
+
     /// The contact loss of a worker that is lost now; none if it replied to requests until now.
     fn contact_loss_at(&self, now: TimeMs) -> Option<ContactLoss> {
         let is_unseen = self
@@ -226,11 +241,17 @@
             WorkerLossCause::OutOfReach => RunEndEvidence::LeasesExpired,
             WorkerLossCause::Crashed | WorkerLossCause::Left => RunEndEvidence::OtherIncarnation,
         };
+        let unanswered = self.workers.get(name).map(Worker::unanswered_starts);
         for (task, run) in self.runs_on(name) {
             self.end_run(now, name, &task, run, outcome, evidence);
         }
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.untracked.clear();
+            worker.untracked.clear_reported();
+            let may_come_back = cause == WorkerLossCause::OutOfReach && !worker.is_replaced;
+            for (task, run, demand) in unanswered.into_iter().flatten().filter(|_| may_come_back) {
+                let until = now + MAX_ABANDONED_START_MS;
+                worker.untracked.insert_expected(task, run, demand, until);
+            }
         }
         if self.workers.get(name).is_some_and(Worker::can_be_removed) {
             self.workers.remove(name);
--- a/ragwortwick-area/src/restarts.rs
+++ b/ragwortwick-area/src/restarts.rs
@@ -10,7 +10,7 @@
 
 use crate::allocation::AllocationPhase;
 use crate::coordinator::Coordinator;
-use crate::job::TaskId;
+use crate::job::{Resources, TaskId};
 use crate::losses::WorkerLossCause;
 use crate::messages::RunEndEvidence;
 use crate::outcome::RunOutcome;
@@ -27,11 +27,20 @@
 
 impl UnsettledStarts {
     pub(crate) fn record(&mut self, now: TimeMs, task: &TaskId, run: u32) {
-        let is_recent = |at: TimeMs| now.since(at) <= MAX_ORDER_DELAY_MS;
-        self.0.retain(|(at, _, _)| is_recent(*at));
+        self.forget_old(now);
         self.0.push((now, task.clone(), run));
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Forgets the starts that are not expected to be carried out any more.
+    pub(crate) fn forget_old(&mut self, now: TimeMs) {
+        self.0
+            .retain(|(at, _, _)| now.since(*at) <= MAX_ORDER_DELAY_MS);
+    }
+
     fn take_recent(&mut self, now: TimeMs) -> impl Iterator<Item = (TaskId, u32)> {
         let starts = std::mem::take(&mut self.0).into_iter();
         let recent = starts.filter(move |(at, _, _)| now.since(*at) <= MAX_ORDER_DELAY_MS);
@@ -46,10 +55,13 @@
         self.is_replaced = true;
         self.is_listed = false;
         self.forget_listed_ends();
-        self.untracked.clear();
+        self.untracked.clear_reported();
+        let until = now + MAX_ORDER_DELAY_MS;
         for (task, run) in self.unsettled_starts.take_recent(now) {
-            self.untracked.insert_expected(task, run);
+            self.untracked
+                .insert_expected(task, run, Resources::default(), until);
         }
+        self.untracked.restart_stops();
         let cause = self.replacement_cause();
         let mut unsent = Vec::new();
         for (task, allocation) in &mut self.allocations {
@@ -95,6 +107,14 @@
 }
 
 impl Coordinator {
+    /// Forgets the start orders that are not expected to be carried out any more.
+    pub(crate) fn forget_old_starts(&mut self, now: TimeMs) {
+        for worker in self.workers.values_mut() {
+            worker.unsettled_starts.forget_old(now);
+            worker.untracked.forget_old_expectations(now);
+        }
+    }
+
     /// Ends the runs of replaced workers that can't begin, or go on, under the later incarnation.
     pub(crate) fn settle_replaced_workers(&mut self, now: TimeMs) {
         let stop_ms = self.limits.stop_ms;
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -67,7 +67,7 @@
         let Some(allocation) = worker.release(task) else {
             return;
         };
-        if allocation.start_replies < allocation.start_attempts {
+        if allocation.has_unanswered_start() {
             worker.unsettled_starts.record(now, task, run);
         }
         let reason = match outcome {
--- a/ragwortwick-area/src/starts.rs
+++ b/ragwortwick-area/src/starts.rs
@@ -138,6 +138,11 @@
     /// uncertainty as well, also where the ticket has expired and the repeated start would be refused.
     fn resend_start(&mut self, now: TimeMs, worker: &WorkerName, task: &TaskId) {
         let worker_state = self.workers.get(worker);
+        let allocation = worker_state.and_then(|worker| worker.allocations.get(task));
+        // The gang may have been stopped since the order fell due.
+        if !allocation.is_some_and(Allocation::awaits_start_reply) {
+            return;
+        }
         let must_not_start =
             worker_state.is_some_and(|worker| !worker.accepts_starts(&self.evacuations));
         if must_not_start || self.ticket_for(now, worker, task).is_err() {
--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -74,7 +74,9 @@
             if worker.untracked.is_empty() || worker.entry.address.is_empty() {
                 continue;
             }
-            let due: Vec<_> = worker.untracked.due_stops(now).cloned().collect();
+            let is_reachable = !worker.is_unresponsive();
+            let due = worker.untracked.due_stops(now, is_reachable);
+            let due: Vec<_> = due.cloned().collect();
             for (task, run) in due {
                 worker.untracked.record_order(now, &(task.clone(), run));
                 self.actions.push(Action::Stop {
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -35,6 +35,15 @@
     /// Resources of the run; none if its job is unknown.
     demand: Resources,
     stop: StopProgress,
+    /// Until when a start order that is on its way may begin the run; none if a report has listed it.
+    expected_until: Option<TimeMs>,
+}
+
+impl UntrackedState {
+    /// Whether no order on its way can begin the run any more, as far as time tells.
+    fn is_expectation_over(&self, now: TimeMs) -> bool {
+        self.expected_until.is_some_and(|until| now >= until)
+    }
 }
 
 impl UntrackedRuns {
@@ -42,19 +51,44 @@
         self.0.is_empty()
     }
 
-    pub(crate) fn clear(&mut self) {
-        self.0.clear();
+    /// Forgets the runs that were reported.
+    pub(crate) fn clear_reported(&mut self) {
+        self.0.retain(|_, state| state.expected_until.is_some());
     }
 
-    /// Adds a run that a worker may have once a late order is carried out.
-    pub(crate) fn insert_expected(&mut self, task: TaskId, run: u32) {
+    /// Adds a run that a worker may have once a late order is carried out, which is possible until the given time.
+    pub(crate) fn insert_expected(
+        &mut self,
+        task: TaskId,
+        run: u32,
+        demand: Resources,
+        expected_until: TimeMs,
+    ) {
         let state = UntrackedState {
-            demand: Resources::default(),
+            demand,
             stop: StopProgress::PENDING,
+            expected_until: Some(expected_until),
         };
         self.0.insert((task, run), state);
     }
 
+    /// Begins all stops anew: a later incarnation of the worker knows nothing of the earlier ones.
+    pub(crate) fn restart_stops(&mut self) {
+        for state in self.0.values_mut() {
+            state.stop = StopProgress::PENDING;
+        }
+    }
+
+    /// Whether an order on its way may begin a run, as long as its stop has not taken effect.
+    pub(crate) fn has_expected(&self) -> bool {
+        self.0.values().any(|state| state.expected_until.is_some())
+    }
+
+    /// Forgets the runs that no order on its way can begin any more.
+    pub(crate) fn forget_old_expectations(&mut self, now: TimeMs) {
+        self.0.retain(|_, state| !state.is_expectation_over(now));
+    }
+
     /// Removes a run whose end is listed.
     pub(crate) fn remove_ended(&mut self, id: &(TaskId, u32)) {
         self.0.remove(id);
@@ -93,7 +127,12 @@
             };
             stop.record_running(poll_sent_at, stop_ms);
             let demand = demand_of(&row.task);
-            self.0.insert(id, UntrackedState { demand, stop });
+            let state = UntrackedState {
+                demand,
+                stop,
+                expected_until: None,
+            };
+            self.0.insert(id, state);
         }
         previous.retain(|_, state| !state.stop.is_over_at(poll_sent_at, stop_ms));
         self.0.extend(previous);
@@ -104,11 +143,18 @@
         self.0.values().any(|state| !state.stop.is_confirmed())
     }
 
-    /// Runs for which a stop order has to be sent now.
-    pub(crate) fn due_stops(&self, now: TimeMs) -> impl Iterator<Item = &(TaskId, u32)> {
+    /// Runs for which a stop order has to be sent now. A worker that is out of reach is not told to stop runs that it may
+    /// only have later.
+    pub(crate) fn due_stops(
+        &self,
+        now: TimeMs,
+        is_reachable: bool,
+    ) -> impl Iterator<Item = &(TaskId, u32)> {
         let due = self.0.iter();
-        due.filter(move |(_, state)| state.stop.is_order_due(now))
-            .map(|(id, _)| id)
+        due.filter(move |(_, state)| {
+            state.stop.is_order_due(now) && (is_reachable || state.expected_until.is_none())
+        })
+        .map(|(id, _)| id)
     }
 
     /// Records that a stop order is sent for the run.
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -321,6 +321,7 @@
             && self.clock.is_some()
             && now >= self.avoid_until
             && now >= self.stalled_until
+            && !self.untracked.has_expected()
             && !self.is_isolating_suspect(now)
     }
 
@@ -398,6 +399,7 @@
         !self.is_listed
             && self.allocations.is_empty()
             && self.untracked.is_empty()
+            && self.unsettled_starts.is_empty()
             && self.poll != PollState::InFlight
     }
 }
