--- a/ragwortwick-area/tests/stopping_runs.rs
+++ b/ragwortwick-area/tests/stopping_runs.rs
@@ -2,6 +2,8 @@
 
 mod rig;
 
+use std::sync::Arc;
+
 use ragwortwick_area::{
     EndKind, Event, JobPhase, OrderReply, RecoveredJob, StepSpec, TaskId, WorkerEntry, WorkerReport,
 };
@@ -132,7 +134,7 @@
     let workers = three_racks();
     let record = job(ID, "middle", vec![step(1, 8)]);
     let mut first = Rig::new(&workers);
-    first.send(Event::JobAccepted(record.clone()));
+    first.send(Event::JobAccepted(Arc::clone(&record)));
     first.advance(20);
     let (_, progress) = first.store_batches().pop().expect("the start is recorded");
     let runs = first.starts();
