emulator: queued orders and events, cut zones, and workers that restart at once

The emulator could not show such a thing for several reasons: it sends an order at the instant of its decision, processes each event as it arrives, drops what is sent on a cut path, and lets a worker whose process restarts be away, and its entry be gone, before the coordinator places work there again. No load with restarts in place had a time to stop a run.

`--vary-workers` draws by seed what the platform leaves open about workers, `--stop-ms` sets the time that a stop takes, and the coordinator's bound on it follows the workload.

--- a/ragwortwick-emulator/examples/emulate.rs
+++ b/ragwortwick-emulator/examples/emulate.rs
@@ -6,7 +6,7 @@
 use ragwortwick_area::Limits;
 use ragwortwick_core::{DurationMs, JobId, TimeMs};
 use ragwortwick_emulator::{
-    FaultKind, Simulation, SimulationOptions, Workload, draw_faults, draw_faults_of,
+    FaultKind, Simulation, SimulationOptions, WorkerBehavior, Workload, draw_faults, draw_faults_of,
 };
 
 const HELP: &str = "\
@@ -14,7 +14,7 @@
 
 usage: emulate [--seed N] [--seeds N] [--faults N] [--workers N] [--load PERCENT]
                [--lease-ms N] [--advised] [--load-file FILE] [--trace JOB] [--kinds KIND,...]
-               [--longest-ms N] [--ends-per-report N]
+               [--longest-ms N] [--ends-per-report N] [--vary-workers] [--stop-ms N]
 
   --seed N      first seed (1)
   --seeds N     how many seeds (100)
@@ -27,6 +27,8 @@
   --kinds K,... kinds of faults to draw, as named in workload files, in place of the usual ones
   --longest-ms N  with --kinds, longest duration of a drawn fault (7000)
   --ends-per-report N  run ends that a worker lists in one reply (as in the workload, 500)
+  --vary-workers  draws for each seed what the platform leaves open about workers
+  --stop-ms N   time from a stop order to the end of the run (as in the workload)
   --trace JOB   prints what coordinators learn and decide about a job
 
 exit codes: 0 no invariant violated, 1 one was violated, 2 invalid arguments
@@ -39,7 +41,9 @@
         return ExitCode::SUCCESS;
     }
     let is_advised = arguments.contains("--advised");
+    let varies_workers = arguments.contains("--vary-workers");
     let base = match read_workload(&mut arguments) {
+        Ok(workload) if is_advised => workload.with_advisor(),
         Ok(workload) => workload,
         Err(error) => {
             eprintln!("{error}\n{HELP}");
@@ -85,13 +89,13 @@
     let (mut starts, mut stopped, mut jobs, mut ticket_refusals) = (0, 0, 0, 0);
     for seed in first..first + seeds {
         let rate_factor = f64::from(u32::try_from(percent).unwrap_or(100)) / 100.0;
+        let mut workload = base.clone().scaled(rate_factor);
+        if varies_workers {
+            workload = workload.with_worker_behavior(WorkerBehavior::draw(seed));
+        }
         let options = SimulationOptions {
             seed,
-            workload: if is_advised {
-                base.clone().scaled(rate_factor).with_advisor()
-            } else {
-                base.clone().scaled(rate_factor)
-            },
+            workload,
             workers: u32::try_from(workers).unwrap_or(24),
             limits: Limits {
                 lease_ms: DurationMs(lease_ms),
@@ -153,7 +157,13 @@
     let ends_per_report: Option<usize> = arguments
         .opt_value_from_str("--ends-per-report")
         .map_err(|error| error.to_string())?;
-    let workload = read_workload_file(arguments)?;
+    let stop_ms: Option<u64> = arguments
+        .opt_value_from_str("--stop-ms")
+        .map_err(|error| error.to_string())?;
+    let mut workload = read_workload_file(arguments)?;
+    if let Some(stop_ms) = stop_ms {
+        workload = workload.with_stop_ms(stop_ms);
+    }
     Ok(match ends_per_report {
         Some(ends) => workload.with_ends_per_report(ends),
         None => workload,
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -4,14 +4,20 @@
 use ragwortwick_core::{DurationMs, JobId};
 use rand::Rng;
 
+use crate::faults::FaultKind;
+use crate::network::as_timeout;
 use crate::simulation::{SimEvent, Simulation};
 
+/// Longest call of a slow coordinator that stores records.
+const MAX_CALL_MS: u64 = 800;
+
 impl Simulation {
     pub(crate) fn deliver_event(&mut self, host: usize, term: u64, event: Event) {
-        if let Some(until) = self.hosts[host].frozen_until
-            && self.now < until
-        {
+        if let Some(until) = self.hosts[host].paused_until(self.now) {
             // Events that arrive at a frozen process are read when it resumes.
+            let is_timeout =
+                self.is_fault_active(FaultKind::CoordinatorStalled) && self.rng.random_bool(0.5);
+            let event = if is_timeout { as_timeout(event) } else { event };
             self.schedule_at(until, SimEvent::DeliverEvent { host, term, event });
             return;
         }
@@ -35,13 +41,11 @@
             state.unstored.remove_batch(batch);
         }
         let actions = state.coordinator.on_event(now, event);
-        self.perform_actions(host, term, actions);
+        self.finish_call(host, term, actions);
     }
 
     pub(crate) fn wake_coordinator(&mut self, host: usize, term: u64) {
-        if let Some(until) = self.hosts[host].frozen_until
-            && self.now < until
-        {
+        if let Some(until) = self.hosts[host].paused_until(self.now) {
             self.hosts[host].wakeup_at = Some(until);
             self.schedule_at(until, SimEvent::WakeCoordinator(host, term));
             return;
@@ -58,7 +62,26 @@
             return;
         }
         let actions = state.coordinator.on_wakeup(now);
-        self.perform_actions(host, term, actions);
+        self.finish_call(host, term, actions);
+    }
+
+    /// Carries out the actions of a call at its end; a slow call takes hundreds of milliseconds.
+    fn finish_call(&mut self, host: usize, term: u64, actions: Vec<Action>) {
+        let is_pass = actions
+            .iter()
+            .any(|action| matches!(action, Action::Store { .. }));
+        if !is_pass || !self.is_fault_active(FaultKind::CoordinatorSlow) {
+            self.perform_actions(host, term, actions);
+            return;
+        }
+        let call_ms = self.rng.random_range(0..MAX_CALL_MS);
+        self.hosts[host].busy_until = self.now + DurationMs(call_ms);
+        let perform = SimEvent::PerformActions {
+            host,
+            term,
+            actions,
+        };
+        self.schedule_after(call_ms, perform);
     }
 
     pub(crate) fn perform_actions(&mut self, host: usize, term: u64, actions: Vec<Action>) {
@@ -108,7 +131,7 @@
                 }
                 request => {
                     has_sent_start |= matches!(request, Action::Start { .. });
-                    self.send_to_worker(host, term, request);
+                    self.dispatch(host, term, request);
                 }
             }
         }
@@ -164,7 +187,7 @@
             self.store_progress(&record.job_id, &record.progress);
         }
         let is_reply_lost = self.store.loses_replies && self.rng.random_bool(0.5);
-        let delay_ms = if is_reply_lost { 120 } else { 2 };
+        let delay_ms = if is_reply_lost { 120 } else { 2 } + self.draw_queueing_ms();
         let event = Event::BatchStored { batch };
         self.schedule_after(delay_ms, SimEvent::DeliverEvent { host, term, event });
     }
--- a/ragwortwick-emulator/src/fault_injection.rs
+++ b/ragwortwick-emulator/src/fault_injection.rs
@@ -26,7 +26,7 @@
                     ..Host::default()
                 };
             }
-            FaultKind::CoordinatorFrozen if is_active => {
+            FaultKind::CoordinatorFrozen | FaultKind::CoordinatorStalled if is_active => {
                 self.hosts[coordinator_host].frozen_until = Some(until);
             }
             FaultKind::CoordinatorCutFromStore if is_active => {
@@ -50,7 +50,15 @@
                     host.loses_replies = false;
                 }
             }
-            FaultKind::CoordinatorKilled | FaultKind::CoordinatorFrozen => {}
+            FaultKind::CoordinatorKilled
+            | FaultKind::CoordinatorFrozen
+            | FaultKind::CoordinatorStalled
+            | FaultKind::CoordinatorSlow
+            | FaultKind::OrdersQueued
+            | FaultKind::EventsQueued
+            | FaultKind::ZoneCut
+            | FaultKind::ZoneOrdersHeld
+            | FaultKind::ZoneRepliesHeld => {}
             FaultKind::StarterRemoved if is_active => self.starter_removal = Some(index),
             FaultKind::StarterRemoved => {
                 if self.starter_removal == Some(index) {
@@ -69,7 +77,14 @@
                     self.store.evacuated.remove(&zone);
                 }
             }
+            FaultKind::ZoneUnlisted => {
+                let zone = zone_name(index);
+                for worker in self.workers.iter_mut().filter(|worker| worker.zone == zone) {
+                    worker.is_unlisted = is_active;
+                }
+            }
             FaultKind::WorkersCrash
+            | FaultKind::WorkersRestart
             | FaultKind::RackOut
             | FaultKind::CapacityShrinks
             | FaultKind::WorkersLeave
@@ -90,6 +105,11 @@
         let every_eighth = self.every_nth_worker(index, 8);
         match fault.kind {
             FaultKind::WorkersCrash => self.set_power_loss(&every_eighth, is_active),
+            FaultKind::WorkersRestart => {
+                for worker_index in every_third {
+                    self.set_restarted(worker_index, is_active);
+                }
+            }
             FaultKind::RackOut => {
                 let first = index * self.options.workers_per_rack as usize % self.workers.len();
                 let rack = &self.workers[first].rack;
@@ -184,6 +204,18 @@
         }
     }
 
+    /// Restarts the process of a worker, or lets the later incarnation register.
+    fn set_restarted(&mut self, worker_index: usize, is_active: bool) {
+        let worker = &mut self.workers[worker_index];
+        if !is_active {
+            worker.registered_name = worker.name.clone();
+        } else if worker.is_up() {
+            let registered_name = worker.registered_name.clone();
+            self.crash_worker(worker_index, PollFailure::Closed);
+            self.workers[worker_index].registered_name = registered_name;
+        }
+    }
+
     /// Suspends or resumes the machine of a worker.
     fn set_suspended(&mut self, worker_index: usize, is_active: bool) {
         let now = self.now;
--- a/ragwortwick-emulator/src/faults.rs
+++ b/ragwortwick-emulator/src/faults.rs
@@ -55,6 +55,26 @@
     /// The coordinator's host is removed for good once it has sent a start order, which arrives late; not
     /// drawn by default.
     StarterRemoved,
+    /// Orders and polls leave the coordinator's host up to several seconds after they were decided, in any order; not
+    /// drawn by default.
+    OrdersQueued,
+    /// Replies and store results reach the coordinator up to several seconds late, in any order; not drawn by default.
+    EventsQueued,
+    /// The coordinator is paused, and replies that arrive meanwhile count as timeouts; not drawn by default.
+    CoordinatorStalled,
+    /// Each placement pass takes hundreds of milliseconds; not drawn by default.
+    CoordinatorSlow,
+    /// Nothing passes between the hosts and the workers of one zone; what was sent arrives at the end, also if its
+    /// sender has given up; not drawn by default.
+    ZoneCut,
+    /// As `ZoneCut`, in the direction to the workers only; not drawn by default.
+    ZoneOrdersHeld,
+    /// As `ZoneCut`, in the direction from the workers only; not drawn by default.
+    ZoneRepliesHeld,
+    /// Some workers' processes restart at once, and register again only at the end; not drawn by default.
+    WorkersRestart,
+    /// Entries of all workers of one zone expire while the workers are up; not drawn by default.
+    ZoneUnlisted,
 }
 
 /// Kinds of faults that are drawn.
@@ -89,6 +109,13 @@
     pub for_ms: DurationMs,
 }
 
+impl Fault {
+    /// Whether it has begun and not ended.
+    pub(crate) fn is_active(&self, now: TimeMs) -> bool {
+        self.at <= now && now < self.at + self.for_ms
+    }
+}
+
 /// `draw_faults` draws faults that may overlap.
 #[must_use]
 pub fn draw_faults(seed: u64, count: usize, until: TimeMs) -> Vec<Fault> {
--- a/ragwortwick-emulator/src/host.rs
+++ b/ragwortwick-emulator/src/host.rs
@@ -14,6 +14,8 @@
     pub(crate) unreachable_workers: BTreeSet<WorkerName>,
     /// Replies of workers are dropped.
     pub(crate) loses_replies: bool,
+    /// End of the call of the coordinator in progress.
+    pub(crate) busy_until: TimeMs,
     /// End of a pause of the process.
     pub(crate) frozen_until: Option<TimeMs>,
     /// Time of the coordinator's next scheduled wakeup.
@@ -53,6 +55,12 @@
         self.is_removed || is_before(self.frozen_until) || is_before(self.down_until)
     }
 
+    /// Returns the end of the present pause of the process, or of the call in progress.
+    pub(crate) fn paused_until(&self, now: TimeMs) -> Option<TimeMs> {
+        let until = self.frozen_until.unwrap_or_default().max(self.busy_until);
+        (now < until).then_some(until)
+    }
+
     pub(crate) fn reaches_store(&self) -> bool {
         !self.is_partitioned_from_store
     }
--- a/ragwortwick-emulator/src/network.rs
+++ b/ragwortwick-emulator/src/network.rs
@@ -21,7 +21,13 @@
 }
 
 impl Simulation {
-    pub(crate) fn send_to_worker(&mut self, host: usize, term: u64, action: Action) {
+    pub(crate) fn send_to_worker(
+        &mut self,
+        host: usize,
+        term: u64,
+        action: Action,
+        has_waited: bool,
+    ) {
         let is_order = !matches!(action, Action::Poll { .. });
         let is_removing = self.starter_removal.is_some() && matches!(action, Action::Start { .. });
         let late_share = if is_order {
@@ -41,6 +47,10 @@
             self.reply_timeout(host, term, &action);
             return;
         }
+        if let Some(until) = self.orders_held_until(&worker) {
+            self.hold_order(host, term, action, until);
+            return;
+        }
         if is_late {
             self.reply_timeout(host, term, &action);
         }
@@ -55,7 +65,7 @@
             action,
             delivery: Delivery {
                 sent_at: self.now,
-                is_late,
+                is_late: is_late || has_waited,
                 wants_reply: !is_late,
             },
         };
@@ -162,18 +172,21 @@
 
     /// Sends a reply to the coordinator, or a timeout if replies are dropped.
     pub(crate) fn reply(&mut self, host: usize, term: u64, worker: &WorkerName, event: Event) {
-        let is_lost = self.hosts[host].loses_replies || !self.hosts[host].reaches(worker);
+        let is_lost = self.hosts[host].loses_replies
+            || !self.hosts[host].reaches(worker)
+            || self.replies_held_until(worker).is_some();
         let (event, delay_ms) = if is_lost {
             (as_timeout(event), 600)
         } else {
             (event, 1 + self.draw_reordering_ms())
         };
+        let delay_ms = delay_ms + self.draw_queueing_ms();
         self.schedule_after(delay_ms, SimEvent::DeliverEvent { host, term, event });
     }
 }
 
 /// Returns the event that a coordinator receives in place of a lost reply.
-fn as_timeout(event: Event) -> Event {
+pub(crate) fn as_timeout(event: Event) -> Event {
     match event {
         Event::StartReplied {
             worker, task, run, ..
--- a/ragwortwick-emulator/src/orders.rs
+++ b/ragwortwick-emulator/src/orders.rs
@@ -125,7 +125,7 @@
     }
 
     /// Returns the index of the machine that a worker ran on, in whichever incarnation.
-    fn machine_of(&self, name: &WorkerName) -> Option<usize> {
+    pub(crate) fn machine_of(&self, name: &WorkerName) -> Option<usize> {
         let is_same_machine = |worker: &SimWorker| worker.machine() == machine_of(name);
         self.workers.iter().position(is_same_machine)
     }
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -163,11 +163,15 @@
 
     pub(crate) fn reply_to_poll(&mut self, index: usize) {
         if let Some(pending) = self.workers[index].pending_poll.take() {
-            let name = self.workers[index].name.clone();
+            let worker = &self.workers[index];
+            let name = worker.name.clone();
+            let running = pending
+                .running
+                .unwrap_or_else(|| worker.listed_runs(self.now));
             let event = Event::PollReplied {
                 worker: name.clone(),
                 sent_at: pending.sent_at,
-                report: self.workers[index].report(self.now),
+                report: worker.report(self.now, running),
             };
             self.reply(pending.host, pending.term, &name, event);
         }
@@ -210,11 +214,16 @@
                     .check_starts_before_ack(now, &end, is_gang);
             }
         }
+        let worker = &self.workers[index];
         let pending = PendingPoll {
             host,
             term,
             sent_at: sent_at.min(self.now - DurationMs(3)),
             until: self.now + wait_ms,
+            running: worker
+                .behavior
+                .lists_runs_at_arrival
+                .then(|| worker.listed_runs(self.now)),
         };
         self.workers[index].pending_poll = Some(pending);
         let must_reply = wait_ms == DurationMs(0) || !self.workers[index].ended.is_empty();
--- a/ragwortwick-emulator/src/simulation.rs
+++ b/ragwortwick-emulator/src/simulation.rs
@@ -115,6 +115,20 @@
         term: u64,
         event: Event,
     },
+    /// The actions of a call of the coordinator are carried out, at its end.
+    PerformActions {
+        host: usize,
+        term: u64,
+        actions: Vec<Action>,
+    },
+    /// An order or a poll leaves its host.
+    LeaveHost {
+        host: usize,
+        term: u64,
+        action: Action,
+        /// Whether it has waited there for so long that it counts as late.
+        is_late: bool,
+    },
     /// A batch reaches the store.
     CommitBatch {
         host: usize,
@@ -173,6 +187,8 @@
         options.limits.places_by_speed |= options.workload.policies.places_by_speed;
         options.limits.sheds_load |= options.workload.policies.sheds_load;
         options.limits.shares_fairly |= options.workload.policies.shares_fairly;
+        let stop_ms = DurationMs(options.workload.stop_ms);
+        options.limits.stop_ms = options.limits.stop_ms.max(stop_ms);
         faults.extend(&options.workload.faults);
         let racks = options.workers.div_ceil(options.workers_per_rack.max(1));
         let arrivals = Arrivals::draw(options.seed, &options.workload, racks).jobs;
@@ -196,6 +212,7 @@
                 );
                 worker.restarts_in_place = options.workload.restarts_in_place;
                 worker.ends_per_report = options.workload.ends_per_report;
+                worker.behavior = options.workload.worker_behavior;
                 worker
             })
             .collect();
@@ -395,6 +412,17 @@
                 delivery,
             } => self.deliver_to_worker(host, term, action, delivery),
             SimEvent::DeliverEvent { host, term, event } => self.deliver_event(host, term, event),
+            SimEvent::PerformActions {
+                host,
+                term,
+                actions,
+            } => self.perform_actions(host, term, actions),
+            SimEvent::LeaveHost {
+                host,
+                term,
+                action,
+                is_late,
+            } => self.leave_host(host, term, action, is_late),
             SimEvent::CommitBatch {
                 host,
                 term,
--- a/ragwortwick-emulator/src/ticks.rs
+++ b/ragwortwick-emulator/src/ticks.rs
@@ -143,7 +143,7 @@
                 .iter()
                 .filter(|worker| worker.is_listed(self.now) && !unreachable.contains(&worker.name))
             {
-                present.insert(worker.name.clone());
+                present.insert(worker.registered_name.clone());
                 events.push(Event::WorkerUpdated(worker.entry(self.now)));
             }
             let removed: Vec<_> = term.known_workers.difference(&present).cloned().collect();
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -10,6 +10,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName, ZoneName};
 
 use crate::arrivals::{as_float, truncate};
+use crate::workload::WorkerBehavior;
 
 /// `ActiveRun` is one run in progress.
 #[derive(Clone, Debug)]
@@ -31,6 +32,11 @@
 }
 
 impl ActiveRun {
+    /// Whether it is a gang member that waits for the others.
+    fn is_waiting(&self) -> bool {
+        self.slowdown == 0.0
+    }
+
     /// Starts the work, which takes `slowdown` times as long as at normal speed.
     pub(crate) fn start_work(&mut self, now: TimeMs, slowdown: f64, restore_ms: DurationMs) {
         let rest = as_float(self.work_ms.0.saturating_sub(self.done_before_ms.0)) * slowdown;
@@ -118,6 +124,8 @@
 )]
 pub(crate) struct SimWorker {
     pub(crate) name: WorkerName,
+    /// Incarnation that its entry in the store names.
+    pub(crate) registered_name: WorkerName,
     pub(crate) incarnation: u32,
     pub(crate) rack: String,
     pub(crate) zone: ZoneName,
@@ -162,6 +170,7 @@
     lapsed_through: u64,
     /// Number of run ends that a reply lists at most.
     pub(crate) ends_per_report: usize,
+    pub(crate) behavior: WorkerBehavior,
     pub(crate) running: BTreeMap<TaskId, ActiveRun>,
     /// Highest run number that ended or was stopped, by task.
     highest_ended_run: BTreeMap<TaskId, u32>,
@@ -202,6 +211,8 @@
     pub(crate) term: u64,
     pub(crate) sent_at: TimeMs,
     pub(crate) until: TimeMs,
+    /// Runs to list in the reply; none if it lists those that are running then.
+    pub(crate) running: Option<Vec<RunningTask>>,
 }
 
 impl SimWorker {
@@ -216,6 +227,7 @@
     ) -> Self {
         Self {
             name: WorkerName::new(format!("w{number}-0")),
+            registered_name: WorkerName::new(format!("w{number}-0")),
             incarnation: 0,
             rack: format!("r{rack}"),
             zone: zone_name(rack as usize),
@@ -245,6 +257,7 @@
             expired_through: 0,
             lapsed_through: 0,
             ends_per_report: usize::MAX,
+            behavior: WorkerBehavior::default(),
             running: BTreeMap::new(),
             highest_ended_run: BTreeMap::new(),
             ended: Vec::new(),
@@ -261,7 +274,7 @@
 
     pub(crate) fn entry(&self, now: TimeMs) -> WorkerEntry {
         WorkerEntry {
-            name: self.name.clone(),
+            name: self.registered_name.clone(),
             address: self.name.identity().into(),
             pool: crate::arrivals::POOL.into(),
             zone: self.zone.clone(),
@@ -357,6 +370,7 @@
         } else {
             self.name = WorkerName::new(format!("{}-{}", self.machine(), self.incarnation));
         }
+        self.registered_name = self.name.clone();
         self.fencing_token = 0;
         self.lease_until = 0;
         self.expired_through = 0;
@@ -416,7 +430,9 @@
             return Err(RefusalCause::Fenced);
         }
         self.fencing_token = fencing_token;
-        if until <= self.clock(now) {
+        let is_overdue = until <= self.clock(now);
+        let has_lease = self.clock(now) < self.lease_until;
+        if is_overdue && !(self.behavior.accepts_overdue_starts && has_lease) {
             return Err(RefusalCause::LeaseOver);
         }
         self.extend_lease(now, until, lease_ms);
@@ -500,26 +516,40 @@
         Ok(acked)
     }
 
+    /// Returns the runs that a reply lists as running.
+    pub(crate) fn listed_runs(&self, now: TimeMs) -> Vec<RunningTask> {
+        let is_stopping = |task: &TaskId, run: &ActiveRun| {
+            let highest = self.highest_ended_run.get(task);
+            highest.is_some_and(|&highest| run.run <= highest)
+        };
+        let is_omitted = |task: &TaskId, run: &ActiveRun| {
+            self.behavior.omits_stopping_runs && is_stopping(task, run)
+                || self.behavior.omits_waiting_members && run.is_waiting()
+        };
+        let listed = self
+            .running
+            .iter()
+            .filter(|(task, run)| !is_omitted(task, run));
+        let rows = listed.map(|(task, run)| RunningTask {
+            task: task.clone(),
+            run: run.run,
+            checkpoint: checkpoint(
+                task,
+                run,
+                self.checkpoint_policy.last_saved_ms(run.done_ms(now)),
+            ),
+            percent: percent(run, now),
+            load: 0,
+        });
+        rows.collect()
+    }
+
     /// Returns the reply to a poll. The earliest run ends are listed first; a full list may be cut short.
-    pub(crate) fn report(&self, now: TimeMs) -> WorkerReport {
+    pub(crate) fn report(&self, now: TimeMs, running: Vec<RunningTask>) -> WorkerReport {
         let ended = self.ended.iter().take(self.ends_per_report);
         WorkerReport {
             clock_ms: self.clock(now),
-            running: self
-                .running
-                .iter()
-                .map(|(task, run)| RunningTask {
-                    task: task.clone(),
-                    run: run.run,
-                    checkpoint: checkpoint(
-                        task,
-                        run,
-                        self.checkpoint_policy.last_saved_ms(run.done_ms(now)),
-                    ),
-                    percent: percent(run, now),
-                    load: 0,
-                })
-                .collect(),
+            running,
             ended: ended.cloned().collect(),
             has_more_ends: self.ended.len() >= self.ends_per_report,
         }
--- a/ragwortwick-emulator/src/workload.rs
+++ b/ragwortwick-emulator/src/workload.rs
@@ -2,6 +2,8 @@
 
 use ragwortwick_area::Resources;
 use ragwortwick_core::DurationMs;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
 use crate::faults::Fault;
@@ -26,6 +28,9 @@
     /// Number of run ends that a worker lists in one reply at most; the rest follows once these are acknowledged.
     #[serde(default = "default_ends_per_report")]
     pub ends_per_report: usize,
+    /// What the platform leaves open about its workers.
+    #[serde(default)]
+    pub worker_behavior: WorkerBehavior,
     /// Policies of the coordinator and the hosts that are on.
     #[serde(default)]
     pub policies: Policies,
@@ -86,6 +91,38 @@
     pub rate_factor: f64,
 }
 
+/// `WorkerBehavior` is what the platform's rules leave open about workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag is one independent choice"
+)]
+pub struct WorkerBehavior {
+    /// Whether a start order past its own deadline is accepted while the worker's lease goes on.
+    pub accepts_overdue_starts: bool,
+    /// Whether a run that is being stopped is no longer listed as running.
+    pub omits_stopping_runs: bool,
+    /// Whether a gang member that waits for the others is not listed as running.
+    pub omits_waiting_members: bool,
+    /// Whether the reply to a poll lists the runs as of the poll's arrival.
+    pub lists_runs_at_arrival: bool,
+}
+
+impl WorkerBehavior {
+    /// `draw` draws the choices of one simulation.
+    #[must_use]
+    pub fn draw(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::new(u128::from(seed) << 8 | 0xb7);
+        Self {
+            accepts_overdue_starts: rng.random_bool(0.5),
+            omits_stopping_runs: false,
+            omits_waiting_members: false,
+            lists_runs_at_arrival: rng.random_bool(0.5),
+        }
+    }
+}
+
 /// `Policies` are the policies of a deployment that are on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -220,6 +257,20 @@
         self
     }
 
+    /// `with_stop_ms` sets the time from a stop order to the end of the run.
+    #[must_use]
+    pub fn with_stop_ms(mut self, stop_ms: u64) -> Self {
+        self.stop_ms = stop_ms;
+        self
+    }
+
+    /// `with_worker_behavior` sets what the platform leaves open about its workers.
+    #[must_use]
+    pub fn with_worker_behavior(mut self, behavior: WorkerBehavior) -> Self {
+        self.worker_behavior = behavior;
+        self
+    }
+
     /// `with_ends_per_report` sets the number of run ends that a worker lists in one reply at most.
     #[must_use]
     pub fn with_ends_per_report(mut self, ends: usize) -> Self {
