emulator: a restarted worker's unacknowledged completions are gone

A start counts as wrong if it follows a completion that is acknowledged later. The check knew a completion by task and run, and a worker that restarts under its identity may execute the same run again, from a start order that is repeated after a lost reply. The acknowledgement of that execution's end then counted as one of the completion that the worker had lost.

The worker restarts at 9,721 ms, the repeated order begins run 1 on the later incarnation at 9,940 ms, a stop ends it there, and that end is acknowledged at 14,107 ms. The platform's rule forbids a start after a completion only if that completion is acknowledged, and no one can acknowledge an end that a restart has removed. The completions are forgotten at the restart; ends that are acknowledged are checked as before.

--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -240,6 +240,13 @@
         }
     }
 
+    /// Forgets completions that a worker had listed when it restarted: they can't be acknowledged any more.
+    pub(crate) fn forget_unacked_ends(&mut self, lost: &[EndedTask]) {
+        for end in lost.iter().filter(|end| end.kind == EndKind::Done) {
+            self.starts_since_done.remove(&(end.task.clone(), end.run));
+        }
+    }
+
     /// Records that the cancellation of a job was acknowledged.
     pub(crate) fn record_cancellation(&mut self, now: TimeMs, job_id: &JobId) {
         self.cancelled_at.entry(job_id.clone()).or_insert(now);
--- a/ragwortwick-emulator/src/runs.rs
+++ b/ragwortwick-emulator/src/runs.rs
@@ -323,6 +323,8 @@
             .map(|(task, run)| (task.clone(), run.run))
             .collect();
         self.fail_pending_poll(index, failure);
+        let lost = std::mem::take(&mut self.workers[index].ended);
+        self.ground_truth.forget_unacked_ends(&lost);
         self.workers[index].restart(self.now);
         for (task, run) in runs {
             let key = (task.job_id.clone(), task.occurrence, task.step, run);
