emulator: how far the other run is when a task runs twice

The text of the violation names the other run with its worker, whether it is being stopped and whether its order was carried out late, which tells a stop that was taken for an end from a run that was given up while it went on.

--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -69,6 +69,28 @@
     pub(crate) expired: u32,
 }
 
+/// `OtherRun` is a run of a task while another one starts.
+#[derive(Debug)]
+pub(crate) struct OtherRun {
+    pub(crate) worker: WorkerName,
+    pub(crate) run: u32,
+    pub(crate) is_stopping: bool,
+    pub(crate) is_late: bool,
+}
+
+impl fmt::Display for OtherRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (run, worker) = (self.run, &self.worker);
+        let progress = if self.is_stopping {
+            "stopping"
+        } else {
+            "not stopped"
+        };
+        let order = if self.is_late { "late" } else { "in time" };
+        write!(f, "run {run} on {worker} ({progress}, ordered {order})")
+    }
+}
+
 /// `ObservedStart` is the start of a run, as observed on its worker.
 #[derive(Debug)]
 #[expect(
@@ -81,8 +103,8 @@
     pub(crate) task: &'a TaskId,
     pub(crate) run: u32,
     pub(crate) is_late: bool,
-    /// Workers that are up and run the same task.
-    pub(crate) other_workers: Vec<WorkerName>,
+    /// Runs of the same task on workers that are up.
+    pub(crate) other_runs: Vec<OtherRun>,
     pub(crate) is_over_capacity: bool,
     pub(crate) has_label: bool,
     pub(crate) draining_since: Option<TimeMs>,
@@ -119,8 +141,9 @@
         counts.first_start_at.get_or_insert(start.now);
         let task = start.task;
         let mut violations: Vec<String> = Vec::new();
-        if !start.other_workers.is_empty() {
-            violations.push(format!("runs twice, also on {:?}", start.other_workers));
+        if !start.other_runs.is_empty() {
+            let others: Vec<String> = start.other_runs.iter().map(OtherRun::to_string).collect();
+            violations.push(format!("runs twice, also as {}", others.join(", ")));
         }
         if self.acked_done.contains(task) {
             violations.push("started after its completion was acknowledged".to_owned());
--- a/ragwortwick-emulator/src/orders.rs
+++ b/ragwortwick-emulator/src/orders.rs
@@ -275,12 +275,8 @@
         let record = &arrival.record;
         let spec = &record.steps[task.step as usize];
         let worker = &self.workers[index];
-        let other_workers = self
-            .workers
-            .iter()
-            .filter(|other| other.is_up() && other.running.contains_key(task))
-            .map(|other| other.name.clone())
-            .collect();
+        let up = self.workers.iter().filter(|other| other.is_up());
+        let other_runs = up.filter_map(|other| other.other_run(task)).collect();
         let used_after = worker.used().plus(spec.need);
         // Coordinators learn of a smaller capacity from the worker's entry, after a delay.
         let is_recently_shrunk = worker
@@ -325,7 +321,7 @@
             task,
             run,
             is_late,
-            other_workers,
+            other_runs,
             is_over_capacity: !used_after.saturating_sub(capacity).is_zero(),
             has_label: spec
                 .required_label
--- a/ragwortwick-emulator/src/worker.rs
+++ b/ragwortwick-emulator/src/worker.rs
@@ -10,6 +10,7 @@
 use ragwortwick_core::{DurationMs, TimeMs, WorkerName, ZoneName};
 
 use crate::arrivals::{as_float, truncate};
+use crate::invariants::OtherRun;
 use crate::workload::WorkerBehavior;
 
 /// `ActiveRun` is one run in progress.
@@ -516,14 +517,27 @@
         Ok(acked)
     }
 
+    /// Whether a stop order for the run was carried out.
+    fn is_stopping(&self, task: &TaskId, run: &ActiveRun) -> bool {
+        let highest = self.highest_ended_run.get(task);
+        highest.is_some_and(|&highest| run.run <= highest)
+    }
+
+    /// Returns the run of a task that another worker is about to start.
+    pub(crate) fn other_run(&self, task: &TaskId) -> Option<OtherRun> {
+        let active = self.running.get(task)?;
+        Some(OtherRun {
+            worker: self.name.clone(),
+            run: active.run,
+            is_stopping: self.is_stopping(task, active),
+            is_late: active.is_late,
+        })
+    }
+
     /// Returns the runs that a reply lists as running.
     pub(crate) fn listed_runs(&self, now: TimeMs) -> Vec<RunningTask> {
-        let is_stopping = |task: &TaskId, run: &ActiveRun| {
-            let highest = self.highest_ended_run.get(task);
-            highest.is_some_and(|&highest| run.run <= highest)
-        };
         let is_omitted = |task: &TaskId, run: &ActiveRun| {
-            self.behavior.omits_stopping_runs && is_stopping(task, run)
+            self.behavior.omits_stopping_runs && self.is_stopping(task, run)
                 || self.behavior.omits_waiting_members && run.is_waiting()
         };
         let listed = self
