--- a/ragwortwick-emulator/tests/delivery.rs
+++ b/ragwortwick-emulator/tests/delivery.rs
@@ -12,7 +12,13 @@
 /// Time from a stop order to the end of the run, of a deployment whose tasks take long to stop.
 const STOP_MS: u64 = 900;
 
-fn simulate(seed: u64, workload: Workload, kinds: &[FaultKind], max_ms: u64) -> SimulationReport {
+fn simulate(
+    seed: u64,
+    workload: Workload,
+    kinds: &[FaultKind],
+    max_ms: u64,
+    count: usize,
+) -> SimulationReport {
     let options = SimulationOptions {
         seed,
         limits: Limits {
@@ -22,7 +28,7 @@
         workload: workload.with_stop_ms(STOP_MS),
         ..SimulationOptions::default()
     };
-    let faults = draw_faults_of(kinds, DurationMs(max_ms), seed, 5, TimeMs(20_000));
+    let faults = draw_faults_of(kinds, DurationMs(max_ms), seed, count, TimeMs(20_000));
     let report = Simulation::new(options, faults.clone()).run();
     assert!(
         report.violations.is_empty(),
@@ -42,11 +48,30 @@
 fn verify_runs_of_restarted_workers_have_stopped_before_they_run_elsewhere() {
     for seed in 1..=12 {
         let kinds = [FaultKind::WorkersRestart, FaultKind::OrdersLate];
-        let report = simulate(seed, restarts(), &kinds, 1_500);
+        let report = simulate(seed, restarts(), &kinds, 1_500, 5);
         assert!(report.completed > 0);
     }
 }
 
+/// A start order leaves a busy host after the stop of its run was confirmed and its worker has restarted, which no longer
+/// knows of the stop. The run must not begin beside a later one.
+#[test]
+fn verify_a_start_that_leaves_its_host_late_begins_no_second_run_on_a_restarted_worker() {
+    let kinds = [
+        FaultKind::OrdersQueued,
+        FaultKind::EventsQueued,
+        FaultKind::CoordinatorStalled,
+        FaultKind::CoordinatorSlow,
+        FaultKind::ZoneCut,
+        FaultKind::ZoneOrdersHeld,
+        FaultKind::ZoneRepliesHeld,
+        FaultKind::ZoneUnlisted,
+        FaultKind::WorkersRestart,
+        FaultKind::CoordinatorKilled,
+    ];
+    simulate(14_127, restarts(), &kinds, 5_000, 6);
+}
+
 /// Orders leave a busy host seconds after they were decided, in any order, and replies are processed as late.
 #[test]
 fn verify_promises_hold_while_orders_and_events_are_queued() {
@@ -59,7 +84,7 @@
     for seed in 920_001..920_009 {
         let behavior = WorkerBehavior::draw(seed);
         let workload = Workload::default().with_worker_behavior(behavior);
-        simulate(seed, workload, &kinds, 7_000);
+        simulate(seed, workload, &kinds, 7_000, 5);
     }
 }
 
@@ -76,6 +101,6 @@
     for seed in 921_001..921_009 {
         let behavior = WorkerBehavior::draw(seed);
         let workload = Workload::default().with_worker_behavior(behavior);
-        simulate(seed, workload, &kinds, 14_000);
+        simulate(seed, workload, &kinds, 14_000, 5);
     }
 }
