area: a failing test of a run that a restarted worker is still stopping

Two runs of a task at once, in one term of one coordinator: a worker restarts under its identity, its later incarnation accepts the start that was sent before the coordinator learned of the restart, and the coordinator stops that run. `settle_replaced` ends it in the books with the reply to the stop order, although the stop may take `stop_ms`; the task is started elsewhere some ten milliseconds later.

--- a/ragwortwick-area/tests/restarts.rs
+++ b/ragwortwick-area/tests/restarts.rs
@@ -100,3 +100,27 @@
     rig.advance(100);
     assert_eq!(rig.stops(), vec![]);
 }
+
+/// Guards against a second run of a task whose start the restarted worker carried out, and whose stop takes its time.
+#[test]
+fn verify_a_run_that_a_restarted_worker_is_stopping_is_not_started_again() {
+    let mut rig = Rig::new(&[incarnation("w1", 5)]);
+    rig.submit(ID, "middle", step(1, 4));
+    let first = rig.start_all().pop().expect("the task starts");
+    rig.list_worker(&worker("w2", "r1"));
+    rig.list_worker(&incarnation("w1", 9));
+    rig.advance(10);
+    rig.reply_to_stop(&first, accepted(&rig));
+    let later = incarnation("w1", 9).name;
+    rig.poll_reply(later.as_str(), vec![running(&first)], vec![]);
+    rig.advance(100);
+    rig.store_batches();
+    assert_eq!(rig.starts(), vec![], "the first run is being stopped");
+    rig.poll_reply(
+        later.as_str(),
+        vec![],
+        vec![ended(1, &first, EndKind::Stopped)],
+    );
+    rig.advance(400);
+    assert_eq!(rig.start_all().len(), 1);
+}
