Stop the late starts of a replaced worker although its last poll failed

By reading the change: a worker that is out of reach is not told to stop runs that an order may still begin there. A worker that restarts under its identity refuses connections for a moment, so its last poll has often failed, and it is not polled again once it is replaced: its unanswered starts would never have been stopped. Its later incarnation takes the orders, so they are sent.

The test of such starts plays both cases now; the one with the failed poll is red without the change.

--- a/ragwortwick-area/src/stops.rs
+++ b/ragwortwick-area/src/stops.rs
@@ -74,7 +74,8 @@
             if worker.untracked.is_empty() || worker.entry.address.is_empty() {
                 continue;
             }
-            let is_reachable = !worker.is_unresponsive();
+            // A replaced worker isn't polled any more; its later incarnation takes the orders.
+            let is_reachable = worker.is_replaced || !worker.is_unresponsive();
             let due = worker.untracked.due_stops(now, is_reachable);
             let due: Vec<_> = due.cloned().collect();
             for (task, run) in due {
--- a/ragwortwick-area/tests/restarts.rs
+++ b/ragwortwick-area/tests/restarts.rs
@@ -68,6 +68,12 @@
 /// Guards against a start order without a reply that takes effect because the worker has forgotten its stop.
 #[test]
 fn verify_unanswered_starts_are_stopped_again_after_a_restart() {
+    for is_seen_down in [false, true] {
+        stop_unanswered_start_after_restart(is_seen_down);
+    }
+}
+
+fn stop_unanswered_start_after_restart(is_seen_down: bool) {
     let mut rig = Rig::new(&[incarnation("w1", 5)]);
     rig.submit(ID, "middle", step(1, 4));
     rig.advance(20);
@@ -80,6 +86,9 @@
     rig.reply_to_stop(&first, accepted(&rig));
     rig.advance(STOPPED_AFTER_MS);
     rig.poll_reply(first.0.as_str(), vec![], vec![]);
+    if is_seen_down {
+        rig.poll_fails_with(&first.0, PollFailure::Closed);
+    }
     rig.list_worker(&incarnation("w1", 9));
     rig.advance(50);
     assert_eq!(rig.stops(), vec![first.clone()]);
--- a/ragwortwick-daemon/tests/soak.rs
+++ b/ragwortwick-daemon/tests/soak.rs
@@ -41,7 +41,7 @@
 }
 
 /// Gangs fill eighty workers in four zones, on hosts with a part of the processor, while zones are cut off, the store
-/// turns hosts away, and coordinators are frozen, killed and told to stop.
+/// turns hosts away, workers restart, and coordinators are frozen, killed and told to stop.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_promises_hold_in_a_storm() {
     let plan = StormPlan {
@@ -58,6 +58,7 @@
             StormFault::Store,
             StormFault::Coordinators,
             StormFault::Entries,
+            StormFault::Restarts,
         ],
         settle: SETTLE,
         log_directory: None,
