--- a/ragwortwick-area/src/restarts.rs
+++ b/ragwortwick-area/src/restarts.rs
@@ -35,6 +35,10 @@
         self.0.is_empty()
     }
 
+    pub(crate) fn clear(&mut self) {
+        self.0.clear();
+    }
+
     /// Forgets the starts that are not expected to be carried out any more.
     pub(crate) fn forget_old(&mut self, now: TimeMs) {
         self.0
--- a/ragwortwick-area/src/run_ends.rs
+++ b/ragwortwick-area/src/run_ends.rs
@@ -190,6 +190,14 @@
             worker.forget_listed_ends();
         }
         self.lose_worker(now, worker_name, WorkerLossCause::Crashed);
+        // Whatever listens there now takes no order for this worker.
+        if let Some(worker) = self.workers.get_mut(worker_name) {
+            worker.untracked.clear();
+            worker.unsettled_starts.clear();
+            if worker.can_be_removed() {
+                self.workers.remove(worker_name);
+            }
+        }
     }
 
     /// Handles the restart of a worker: its runs end once the later incarnation confirms their stops.
--- a/ragwortwick-area/src/untracked_runs.rs
+++ b/ragwortwick-area/src/untracked_runs.rs
@@ -51,6 +51,10 @@
         self.0.is_empty()
     }
 
+    pub(crate) fn clear(&mut self) {
+        self.0.clear();
+    }
+
     /// Forgets the runs that were reported.
     pub(crate) fn clear_reported(&mut self) {
         self.0.retain(|_, state| state.expected_until.is_some());
--- a/ragwortwick-area/src/worker.rs
+++ b/ragwortwick-area/src/worker.rs
@@ -399,7 +399,7 @@
         !self.is_listed
             && self.allocations.is_empty()
             && self.untracked.is_empty()
-            && self.unsettled_starts.is_empty()
+            && (self.is_replaced || self.unsettled_starts.is_empty())
             && self.poll != PollState::InFlight
     }
 }
--- a/ragwortwick-area/tests/capacity.rs
+++ b/ragwortwick-area/tests/capacity.rs
@@ -3,7 +3,7 @@
 mod rig;
 
 use ragwortwick_area::{EndKind, Event, OrderReply, Resources, WorkerEntry};
-use rig::{Rig, ended, running, step, worker};
+use rig::{Rig, STOPPED_AFTER_MS, STOPPING_MS, ended, running, step, worker};
 
 /// The worker's entry with fewer accelerators.
 fn shrunk(name: &str, accelerators: u64) -> WorkerEntry {
@@ -99,9 +99,14 @@
         vec![],
         "the untracked run uses all accelerators"
     );
-    rig.advance(100);
+    let stops = rig.stops();
+    assert_eq!(stops, vec![untracked]);
+    let clock_ms = 100_000 + rig.now.0;
+    rig.reply_to_stop(&stops[0], OrderReply::Accepted { clock_ms });
+    rig.advance(STOPPING_MS);
     rig.poll_reply("w1", vec![], vec![]);
     assert_eq!(rig.start_all(), vec![], "it may be stopping");
-    assert_eq!(rig.settle_stops(), vec![untracked]);
+    rig.advance(STOPPED_AFTER_MS - STOPPING_MS);
+    rig.poll_reply("w1", vec![], vec![]);
     assert_eq!(rig.start_all().len(), 1);
 }
--- a/ragwortwick-area/tests/late_starts.rs
+++ b/ragwortwick-area/tests/late_starts.rs
@@ -2,7 +2,7 @@
 
 mod rig;
 
-use ragwortwick_area::{Event, OrderReply, TaskId, WorkerEntry};
+use ragwortwick_area::{Action, Event, OrderReply, PollFailure, TaskId, WorkerEntry};
 use ragwortwick_core::WorkerName;
 use rig::{Rig, STOPPED_AFTER_MS, gang, step, worker};
 
@@ -113,3 +113,18 @@
     rig.advance(1_000);
     assert_eq!(rig.starts(), vec![]);
 }
+
+/// Guards against a worker that is gone for good and polled again and again, for a start that nothing can carry out.
+#[test]
+fn verify_an_abandoned_start_is_forgotten_once_another_worker_has_the_address() {
+    let mut rig = Rig::new(&[worker("w1", "r1")]);
+    let first = abandon_unanswered_start(&mut rig, false);
+    rig.poll_fails_with(&first.0, PollFailure::WrongLife);
+    rig.advance(1_000);
+    let polls = rig.take(|action| match action {
+        Action::Poll { worker, .. } if *worker == first.0 => Some(()),
+        _ => None,
+    });
+    assert_eq!(polls, vec![]);
+    assert_eq!(rig.coordinator.workers(), 1);
+}
--- a/ragwortwick-area/tests/restarts.rs
+++ b/ragwortwick-area/tests/restarts.rs
@@ -4,7 +4,7 @@
 
 use ragwortwick_area::{EndKind, OrderReply, PollFailure, WorkerEntry};
 use ragwortwick_core::WorkerName;
-use rig::{Rig, STOPPED_AFTER_MS, ended, running, step, worker};
+use rig::{Rig, STOPPED_AFTER_MS, STOPPING_MS, ended, running, step, worker};
 
 const ID: &str = "00000000000000c7";
 
@@ -38,8 +38,9 @@
         assert_eq!(rig.starts(), vec![], "the first run may still begin");
         assert_eq!(rig.stops(), vec![first.clone()]);
         rig.reply_to_stop(&first, accepted(&rig));
+        rig.advance(STOPPING_MS);
         assert_eq!(rig.start_all(), vec![], "the first run may be stopping");
-        rig.advance(STOPPED_AFTER_MS);
+        rig.advance(STOPPED_AFTER_MS - STOPPING_MS);
         assert_eq!(rig.start_all().len(), 1);
     }
 }
@@ -99,8 +100,9 @@
         "the late start may still take capacity"
     );
     rig.reply_to_stop(&first, accepted(&rig));
+    rig.advance(STOPPING_MS);
     assert_eq!(rig.start_all(), vec![], "it may be stopping");
-    rig.advance(STOPPED_AFTER_MS);
+    rig.advance(STOPPED_AFTER_MS - STOPPING_MS);
     assert_eq!(rig.start_all().len(), 1);
 }
 
@@ -138,3 +140,20 @@
     rig.advance(400);
     assert_eq!(rig.start_all().len(), 1);
 }
+
+/// Guards against a restarted worker that gets no work although nothing of before can begin there any more.
+#[test]
+fn verify_a_restarted_worker_gets_work_once_its_unanswered_start_is_stopped() {
+    let mut rig = Rig::new(&[incarnation("w1", 5)]);
+    rig.submit(ID, "middle", step(1, 8));
+    rig.advance(20);
+    rig.store_batches();
+    let first = rig.starts().pop().expect("the task starts");
+    rig.reply(&first, OrderReply::Unknown);
+    rig.list_worker(&incarnation("w1", 9));
+    rig.advance(50);
+    assert_eq!(rig.stops(), vec![first.clone()]);
+    rig.reply_to_stop(&first, accepted(&rig));
+    rig.advance(STOPPED_AFTER_MS);
+    assert_eq!(rig.start_all().len(), 1);
+}
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -19,6 +19,9 @@
 /// Time from the confirmation of a stop after which the run must have ended, in the rig's limits.
 pub const STOPPED_AFTER_MS: u64 = 450;
 
+/// Time from the confirmation of a stop in which the run may go on, with that of a placement pass left.
+pub const STOPPING_MS: u64 = 360;
+
 /// A coordinator, the current time and the actions that were not taken yet.
 pub struct Rig {
     pub coordinator: Coordinator,
--- a/ragwortwick-area/tests/stopping_runs.rs
+++ b/ragwortwick-area/tests/stopping_runs.rs
@@ -8,7 +8,7 @@
     EndKind, Event, JobPhase, OrderReply, RecoveredJob, StepSpec, TaskId, WorkerEntry, WorkerReport,
 };
 use ragwortwick_core::{JobId, WorkerName};
-use rig::{Rig, STOPPED_AFTER_MS, ended, gang, job, running, step, worker};
+use rig::{Rig, STOPPED_AFTER_MS, STOPPING_MS, ended, gang, job, running, step, worker};
 
 const ID: &str = "00000000000000f1";
 
@@ -76,7 +76,7 @@
 #[test]
 fn verify_a_gang_starts_again_only_once_its_stopped_run_must_have_ended() {
     let (mut rig, runs) = with_displaced_gang();
-    rig.advance(170);
+    rig.advance(STOPPING_MS);
     leave_out(&mut rig, &runs);
     assert_eq!(start_all_of(&mut rig, ID), 0, "it may still be stopping");
     rig.advance(STOPPED_AFTER_MS);
@@ -107,7 +107,7 @@
     rig.advance(20);
     let stops = rig.stops();
     confirm(&mut rig, &stops);
-    rig.advance(170);
+    rig.advance(STOPPING_MS);
     leave_out(&mut rig, &runs);
     assert_eq!(rig.start_all(), vec![]);
     rig.advance(STOPPED_AFTER_MS);
--- a/ragwortwick-area/tests/takeover.rs
+++ b/ragwortwick-area/tests/takeover.rs
@@ -61,7 +61,7 @@
         next.poll_reply(worker.name.as_str(), vec![], vec![]);
     }
     next.advance(50);
-    next.settle_stops();
+    assert!(!next.settle_stops().is_empty());
     next.advance(200);
     next.store_batches();
     assert_eq!(next.starts(), vec![], "a fourth run must not start");
