--- a/ragwortwick-soak/src/lib.rs
+++ b/ragwortwick-soak/src/lib.rs
@@ -4,6 +4,9 @@
 
 mod callers;
 mod play;
+mod processor_share;
+mod storm;
 mod trouble;
 
 pub use play::{Found, Plan, SETTLE, play};
+pub use storm::{StormFault, StormPlan, play_storm};
--- a/ragwortwick-soak/src/main.rs
+++ b/ragwortwick-soak/src/main.rs
@@ -3,14 +3,15 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use ragwortwick_soak::{Plan, SETTLE, play};
+use ragwortwick_soak::{Plan, SETTLE, StormFault, StormPlan, play, play_storm};
 
 const HELP: &str = "\
 ragwortwick-soak: randomized faults against real processes of an area
 
 usage: ragwortwick-soak --binary PATH [--seed N] [--seeds N] [--minutes M]
                         [--hosts N] [--workers N] [--steps N] [--wide-jobs N]
-                        [--settle-s N]
+                        [--settle-s N] [--storm-s N] [--faults KINDS]
+                        [--load PERCENT] [--processor PERCENT] [--logs PATH]
 
   --binary PATH   the ragwortwickd to run
   --seed N        first seed (1)
@@ -22,6 +23,14 @@
   --wide-jobs N   jobs of hundreds of small tasks in a play (0)
   --settle-s N    limit for all jobs to end after the troubles (60)
 
+  --storm-s N     play a storm of N seconds instead: gangs in four zones
+  --faults KINDS  zones, workers, store, coordinators, entries, restarts,
+                  unlisted-stops, late-starts, separated by commas (none)
+  --load PERCENT  accelerator time handed in, of what the workers have (90)
+  --processor PERCENT
+                  least share of a core for each host (30)
+  --logs PATH     where the hosts' logs and the runs are written
+
 exit codes: 0 every promise held, 1 one was broken, 2 wrong arguments
 ";
 
@@ -42,6 +51,32 @@
     Ok((plan, seeds, Duration::from_secs(minutes * 60)))
 }
 
+/// Reads the plan of a storm, if one is to be played.
+fn read_storm(
+    arguments: &mut pico_args::Arguments,
+    plan: &Plan,
+) -> Result<Option<StormPlan>, pico_args::Error> {
+    let span: Option<u64> = arguments.opt_value_from_str("--storm-s")?;
+    let faults = arguments.opt_value_from_fn("--faults", |names| {
+        StormFault::parse_list(names).ok_or("unknown kind of fault")
+    })?;
+    let processor_percent = arguments.opt_value_from_str("--processor")?.unwrap_or(30);
+    let load_percent = arguments.opt_value_from_str("--load")?.unwrap_or(90);
+    let log_directory = arguments.opt_value_from_str("--logs")?;
+    Ok(span.map(|span_s| StormPlan {
+        binary: plan.binary.clone(),
+        seed: plan.seed,
+        hosts: plan.hosts,
+        workers: plan.workers,
+        span: Duration::from_secs(span_s),
+        processor_percent,
+        load_percent,
+        faults: faults.unwrap_or_default(),
+        settle: plan.settle,
+        log_directory,
+    }))
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let mut arguments = pico_args::Arguments::from_env();
@@ -49,7 +84,11 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
-    let (mut plan, seeds, span) = match read(&mut arguments) {
+    let parts = read(&mut arguments).and_then(|(plan, seeds, span)| {
+        let storm = read_storm(&mut arguments, &plan)?;
+        Ok((plan, storm, seeds, span))
+    });
+    let (mut plan, mut storm, seeds, span) = match parts {
         Ok(parts) => parts,
         Err(error) => {
             eprintln!("{error}\n{HELP}");
@@ -60,7 +99,13 @@
     let mut played = 0;
     let mut broken = 0;
     while played < seeds || begun.elapsed() < span {
-        let found = play(&plan).await;
+        let found = match &mut storm {
+            Some(storm) => {
+                storm.seed = plan.seed;
+                play_storm(storm).await
+            }
+            None => play(&plan).await,
+        };
         println!(
             "seed={} accepted={} refused={} starts={} findings={}",
             plan.seed,
--- a/ragwortwick-standin/src/area/mod.rs
+++ b/ragwortwick-standin/src/area/mod.rs
@@ -9,6 +9,6 @@
 mod workers;
 
 pub use completions::RepeatedRun;
-pub use fleet::{AreaFleet, area_job, desired, wide_job};
+pub use fleet::{AreaFleet, AreaOptions, area_job, desired, wide_job};
 pub use store::{AreaStore, KvItem, StoreFault};
-pub use workers::{AreaWorkers, StartedRun};
+pub use workers::{AreaWorkers, StartedRun, WorkerPoolOptions};
--- a/ragwortwick-standin/src/area/store_routes.rs
+++ b/ragwortwick-standin/src/area/store_routes.rs
@@ -145,7 +145,7 @@
     };
     let after = parameter("After");
     let deadline = now() + DurationMs(parameter("WaitMs"));
-    let mut changed = shared.changed.subscribe();
+    let mut changed = shared.changes_under(&prefix);
     loop {
         changed.mark_unchanged();
         if let Err(response) = apply_fault(state).await {
@@ -166,10 +166,11 @@
 }
 
 fn events_after(kv: &Kv, prefix: &str, after: u64) -> (bool, Vec<Value>, u64) {
+    let first = kv.history.partition_point(|event| event.revision <= after);
     let events = kv
         .history
-        .iter()
-        .filter(|event| event.revision > after && event.key.starts_with(prefix))
+        .range(first..)
+        .filter(|event| event.key.starts_with(prefix))
         .map(|event| match &event.item {
             Some(item) => item_json(&event.key, item),
             None => json!({"Key": event.key, "Revision": event.revision, "Deleted": true}),
--- a/ragwortwick-standin/src/lib.rs
+++ b/ragwortwick-standin/src/lib.rs
@@ -14,8 +14,8 @@
 mod workers;
 
 pub use area::{
-    AreaFleet, AreaStore, AreaWorkers, KvItem, RepeatedRun, StartedRun, StoreFault, area_job,
-    desired, wide_job,
+    AreaFleet, AreaOptions, AreaStore, AreaWorkers, KvItem, RepeatedRun, StartedRun, StoreFault,
+    WorkerPoolOptions, area_job, desired, wide_job,
 };
 pub use clock::now;
 pub use faults::{Faults, Gate};
--- a/ragwortwick-standin/tests/relay.rs
+++ b/ragwortwick-standin/tests/relay.rs
@@ -107,3 +107,33 @@
     assert_eq!(caller.read_u8().await.ok(), Some(1));
     target.serving.abort();
 }
+
+/// A call that was sent into a cut arrives after it, although its caller has given up meanwhile.
+#[tokio::test]
+async fn verify_held_calls_arrive_after_their_caller_has_gone() {
+    let mut target = open().await.expect("a target");
+    let mut caller = target.call().await;
+    assert_eq!(answer(&mut caller, 1).await.ok(), Some(1));
+    assert_eq!(target.seen.recv().await, Some(1));
+    target.relay.set_mode(RelayMode::Hold);
+    assert!(is_unanswered(&mut caller, 2).await);
+    assert_eq!(target.seen.try_recv().ok(), None);
+    drop(caller);
+    target.relay.set_mode(RelayMode::Pass);
+    assert_eq!(target.seen.recv().await, Some(2));
+    target.serving.abort();
+}
+
+/// A store that turns a host away answers its calls, and the target sees none of them.
+#[tokio::test]
+async fn verify_refused_calls_are_answered_and_never_arrive() {
+    let mut target = open().await.expect("a target");
+    target.relay.set_mode(RelayMode::Unavailable);
+    let mut caller = target.call().await;
+    caller.write_u8(1).await.expect("the call leaves");
+    let mut status = [0; 12];
+    caller.read_exact(&mut status).await.expect("an answer");
+    assert_eq!(&status, b"HTTP/1.1 503");
+    assert_eq!(target.seen.try_recv().ok(), None);
+    target.serving.abort();
+}
