--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -97,9 +97,8 @@
 
 pub fn play(case: &str, daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let played = match case {
-        "flapping" => flapping(daemon, has_trouble, record),
-        "rack-gone" => rack_gone(daemon, has_trouble, record),
         "queue-gone" => queue_gone(daemon, has_trouble, record),
+        "wide-gang" => wide_gang(daemon, has_trouble, record),
         "large-job" => large_job(daemon, has_trouble, record),
         "urgent-gangs" => urgent_gangs(daemon, has_trouble, record),
         _ => Err(Verdict::CouldNotRun(format!("no case {case}"))),
@@ -141,6 +140,8 @@
 const ANSWER: Duration = Duration::from_millis(4);
 /// Subtasks of a step that makes a job as large as the hosts accept.
 const LARGE_STEP: u64 = 19_998;
+/// Members of the largest gang that the users want to run.
+const WIDEST_GANG: u64 = 1_024;
 /// Subtasks of the widest step of the users' small installations.
 const WIDEST_STEP: u64 = 94;
 
@@ -197,90 +198,6 @@
     Ok(world.verdict(broken))
 }
 
-/// One runner goes down and up by turns; a lasting subtask that only it can run is at work there.
-fn flapping(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
-    let mut specs = fleet(12, 4, GPU_RUNNER);
-    specs[0].kind = "b".to_owned();
-    let world = World::open(daemon, record, ANSWER, specs)?;
-    let step = Step {
-        count: 1,
-        need: Amount {
-            cpu: 13_000,
-            mem_mb: 19_000,
-            gpu: 1,
-        },
-        work_ms: 6_800,
-        lasts: true,
-        requires: "b".to_owned(),
-        ..Step::default()
-    };
-    let job = job_id(1);
-    if !world.clients.submit(1, &job, &[step]) {
-        return Err(Verdict::CouldNotRun("the job was not accepted".to_owned()));
-    }
-    thread::sleep(Duration::from_millis(1_000));
-    if has_trouble {
-        // srv_flap with gap_s 1.4 and for_s 6.5: down, up, down, up, down, up.
-        for _ in 0..3 {
-            world.runners.crash(0);
-            thread::sleep(Duration::from_millis(1_400));
-            let up = world.runners.restart(0);
-            up.map_err(|error| Verdict::CouldNotRun(error.to_string()))?;
-            thread::sleep(Duration::from_millis(1_400));
-        }
-    }
-    // A lasting subtask has to be at work again 6 s and 3 s after its last run.
-    thread::sleep(Duration::from_millis(12_000));
-    let state = world.clients.state(1, &job);
-    let seen = world.runners.summary(&job);
-    record.say(&format!("the job is shown as {state}; {seen:?}"));
-    let broken = (state == "failed" || state == "cancelled")
-        .then(|| format!("LOST: shown as {state} with {} ends failed", seen.failed));
-    let broken = broken.or_else(|| {
-        (seen.running == 0).then(|| "LOST: nothing of the lasting job runs".to_owned())
-    });
-    Ok(world.verdict(broken))
-}
-
-/// The runners of the rack with a step's data drain and leave; the service's runners have no GPUs.
-fn rack_gone(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
-    let specs = fleet(14, 2, CPU_RUNNER);
-    let rack = specs[0].rack.clone();
-    let world = World::open(daemon, record, ANSWER, specs)?;
-    if has_trouble {
-        for index in 0..2 {
-            world.runners.drain(index, Duration::from_millis(4_000));
-        }
-        thread::sleep(Duration::from_millis(6_000));
-    }
-    let step = Step {
-        count: 4,
-        need: Amount {
-            cpu: 500,
-            mem_mb: 256,
-            gpu: 0,
-        },
-        work_ms: 900,
-        data_rack: rack,
-        ..Step::default()
-    };
-    let job = job_id(2);
-    if !world.clients.submit(1, &job, &[step.clone()]) {
-        return Err(Verdict::CouldNotRun("the job was not accepted".to_owned()));
-    }
-    let state = world
-        .clients
-        .wait_for(1, &job, &["completed", "failed"], 30);
-    let seen = world.runners.summary(&job);
-    let (is_room, share) = world.runners.room(step.need, step.count);
-    record.say(&format!(
-        "the job is shown as {state}; {seen:?}; room twice over: {is_room}, in use: {share:.2}"
-    ));
-    let broken = (state != "completed" && seen.running == 0 && is_room && share < 0.5)
-        .then(|| "LOST: nothing of the job runs for 30 s, with room for it twice over".to_owned());
-    Ok(world.verdict(broken))
-}
-
 /// One large job is handed in, jobs of the usual size follow, and one more is looked at.
 fn large_job(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
     let world = World::open(daemon, record, ANSWER, fleet(12, 4, GPU_RUNNER))?;
@@ -356,6 +273,37 @@
     Ok(world.verdict(broken))
 }
 
+/// A wide gang of small members is handed in.
+fn wide_gang(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
+    let world = World::open(daemon, record, ANSWER, fleet(12, 4, GPU_RUNNER))?;
+    let step = Step {
+        count: if has_trouble {
+            WIDEST_GANG
+        } else {
+            WIDEST_STEP
+        },
+        need: Amount {
+            cpu: 30,
+            mem_mb: 60,
+            gpu: 0,
+        },
+        work_ms: 2_000,
+        is_gang: true,
+        ..Step::default()
+    };
+    let job = job_id(1);
+    if !world.clients.submit(1, &job, &[step]) {
+        return Err(Verdict::CouldNotRun("the job was not accepted".to_owned()));
+    }
+    let state = world
+        .clients
+        .wait_for(1, &job, &["completed", "failed"], 40);
+    let seen = world.runners.summary(&job);
+    record.say(&format!("the job is shown as {state}; {seen:?}"));
+    let broken = (seen.alone > 0).then(|| format!("GANG: {} runs ended alone", seen.alone));
+    Ok(world.verdict(broken))
+}
+
 /// A queue is removed while a job of it waits for its time, and the hosts are restarted in turn.
 fn queue_gone(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
     let mut specs = fleet(14, 2, GPU_RUNNER);
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -2,8 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -33,64 +32,33 @@
 
 type Handler = Arc<dyn Fn(Request) -> Reply + Send + Sync>;
 
-/// `Server` listens on one loopback address until it is closed.
+/// `Server` listens on one loopback address until the process ends.
 pub struct Server {
     pub address: SocketAddr,
-    is_open: Arc<AtomicBool>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
     pub fn bind(address: &str, handler: Handler) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        listener.set_nonblocking(true)?;
-        let is_open = Arc::new(AtomicBool::new(true));
-        let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
-        let (open, all) = (Arc::clone(&is_open), Arc::clone(&connections));
         thread::spawn(move || {
-            while open.load(Ordering::SeqCst) {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nonblocking(false);
-                        let _ = stream.set_nodelay(true);
-                        if let Ok(copy) = stream.try_clone() {
-                            all.lock().unwrap().push(copy);
-                        }
-                        let handler = Arc::clone(&handler);
-                        let open = Arc::clone(&open);
-                        thread::spawn(move || serve(stream, &handler, &open));
-                    }
-                    Err(_) => thread::sleep(Duration::from_millis(2)),
-                }
+            for stream in listener.incoming().flatten() {
+                let _ = stream.set_nodelay(true);
+                let handler = Arc::clone(&handler);
+                thread::spawn(move || serve(stream, &handler));
             }
         });
-        Ok(Self {
-            address,
-            is_open,
-            connections,
-        })
-    }
-
-    /// Closes the listener and all connections, as a process does that ends.
-    pub fn close(&self) {
-        self.is_open.store(false, Ordering::SeqCst);
-        for stream in self.connections.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        Ok(Self { address })
     }
 }
 
-fn serve(stream: TcpStream, handler: &Handler, is_open: &AtomicBool) {
+fn serve(stream: TcpStream, handler: &Handler) {
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
         let reply = handler(request);
-        if !is_open.load(Ordering::SeqCst) {
-            return;
-        }
         let Some((status, body)) = reply else {
             let _ = writer.shutdown(Shutdown::Both);
             return;
--- a/review/standin-2/runners.rs
+++ b/review/standin-2/runners.rs
@@ -55,12 +55,7 @@
     pub work_ms: u64,
     pub after: Vec<u64>,
     pub is_gang: bool,
-    pub wants_same_rack: bool,
     pub saves: bool,
-    /// Whether the subtasks run until the job is cancelled.
-    pub lasts: bool,
-    pub requires: String,
-    pub data_rack: String,
 }
 
 impl Step {
@@ -86,22 +81,12 @@
                 .collect::<Vec<Json>>();
             fields.push(("After".to_owned(), after.into()));
         }
-        let flags = [
-            ("Gang", self.is_gang),
-            ("SameRack", self.wants_same_rack),
-            ("Checkpointing", self.saves),
-            ("LongRunning", self.lasts),
-        ];
+        let flags = [("Gang", self.is_gang), ("Checkpointing", self.saves)];
         for (name, flag) in flags {
             if flag {
                 fields.push((name.to_owned(), true.into()));
             }
         }
-        for (name, text) in [("Requires", &self.requires), ("DataRack", &self.data_rack)] {
-            if !text.is_empty() {
-                fields.push((name.to_owned(), text.as_str().into()));
-            }
-        }
         Json::Object(fields)
     }
 }
@@ -157,8 +142,6 @@
     zone: String,
     labels: Vec<String>,
     capacity: Amount,
-    is_up: bool,
-    is_draining: bool,
     born: Instant,
     fence: u64,
     deadline: u64,
@@ -169,8 +152,6 @@
     /// Highest run that was stopped or has ended here, by task.
     over: HashMap<String, u64>,
     sequence: u64,
-    lives: u64,
-    server: Option<Arc<Server>>,
 }
 
 impl Runner {
@@ -208,7 +189,6 @@
     pub done: u64,
     pub failed: u64,
     pub alone: u64,
-    pub crashed: u64,
     /// When a run of it last began or ended, from the start of the record.
     pub last_activity_ms: u64,
 }
@@ -263,8 +243,6 @@
                 zone: spec.zone,
                 labels: vec![spec.kind, spec.rack],
                 capacity: spec.capacity,
-                is_up: true,
-                is_draining: false,
                 born: Instant::now(),
                 fence: 0,
                 deadline: 0,
@@ -274,8 +252,6 @@
                 last_seen: 0,
                 over: HashMap::new(),
                 sequence: 0,
-                lives: 0,
-                server: Some(Arc::new(server)),
             };
             runners.lock().runners.push(runner);
         }
@@ -318,9 +294,6 @@
         let entry = {
             let mut state = self.lock();
             let runner = &mut state.runners[index];
-            if !runner.is_up {
-                return;
-            }
             runner.sequence += 1;
             let labels = runner.labels.iter().map(|label| label.as_str().into());
             let capacity = object([
@@ -334,15 +307,7 @@
                 ("Zone", runner.zone.as_str().into()),
                 ("Version", "v1".into()),
                 ("Slots", 8.into()),
-                (
-                    "State",
-                    if runner.is_draining {
-                        "draining"
-                    } else {
-                        "ready"
-                    }
-                    .into(),
-                ),
+                ("State", "ready".into()),
                 ("ColdRemainingMs", 0.into()),
                 ("Capacity", capacity),
                 ("Labels", labels.collect::<Vec<Json>>().into()),
@@ -361,87 +326,6 @@
             .insert(job.to_owned(), (spec.to_owned(), steps.to_vec()));
     }
 
-    /// Ends a runner's process at once: its runs are gone, and its connections close.
-    pub fn crash(&self, index: usize) {
-        let mut state = self.lock();
-        let now = self.record.now_ms();
-        let runner = &mut state.runners[index];
-        runner.is_up = false;
-        let server = runner.server.take();
-        let lost: Vec<String> = runner
-            .runs
-            .keys()
-            .map(|(task, run)| format!("{task}#{run}"))
-            .collect();
-        self.record.line(&format!(
-            "runner {} ({}) crashes with {lost:?}",
-            runner.name, runner.id
-        ));
-        let runs = std::mem::take(&mut runner.runs);
-        runner.ends.clear();
-        for (task, _) in runs.keys() {
-            let seen = state.seen.entry(job_of(task)).or_default();
-            seen.running -= 1;
-            seen.crashed += 1;
-            seen.last_activity_ms = now;
-        }
-        drop(state);
-        if let Some(server) = server {
-            server.close();
-        }
-    }
-
-    /// Starts a crashed runner again: at its address, under a new id, without anything of before.
-    pub fn restart(self: &Arc<Self>, index: usize) -> std::io::Result<()> {
-        let (address, old_id) = {
-            let state = self.lock();
-            let runner = &state.runners[index];
-            (runner.address.clone(), runner.id.clone())
-        };
-        let server = self.listen(index, &address)?;
-        let mut state = self.lock();
-        let runner = &mut state.runners[index];
-        runner.lives += 1;
-        runner.id = format!("i-{index:04x}{:04x}", runner.lives);
-        runner.born = Instant::now();
-        (
-            runner.fence,
-            runner.deadline,
-            runner.last_number,
-            runner.last_seen,
-        ) = (0, 0, 0, 0);
-        runner.over.clear();
-        runner.sequence = 0;
-        runner.is_up = true;
-        runner.server = Some(Arc::new(server));
-        self.record.line(&format!(
-            "runner {} is up again as {}",
-            runner.name, runner.id
-        ));
-        drop(state);
-        self.beat(index);
-        // The entry of the earlier life lapses after three heartbeats without one.
-        let runners = Arc::clone(self);
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(3 * HEARTBEAT_MS));
-            runners.store.remove(&format!("servers/{old_id}"));
-        });
-        Ok(())
-    }
-
-    /// Reports that a runner drains; it takes part no more once its runs had time to end.
-    pub fn drain(self: &Arc<Self>, index: usize, leaves_after: Duration) {
-        self.lock().runners[index].is_draining = true;
-        self.beat(index);
-        let runners = Arc::clone(self);
-        thread::spawn(move || {
-            thread::sleep(leaves_after);
-            let id = runners.lock().runners[index].id.clone();
-            runners.crash(index);
-            runners.store.remove(&format!("servers/{id}"));
-        });
-    }
-
     pub fn summary(&self, job: &str) -> Summary {
         self.lock().seen.get(job).cloned().unwrap_or_default()
     }
@@ -465,16 +349,12 @@
         )
     }
 
-    /// Whether there is room for twice a need on runners that are up, and the share of the capacity in use.
+    /// Whether there is room for twice a need on the runners, and the share of the capacity in use.
     pub fn room(&self, need: Amount, count: u64) -> (bool, f64) {
         let state = self.lock();
-        let up = state
-            .runners
-            .iter()
-            .filter(|runner| runner.is_up && !runner.is_draining);
         let mut places = 0;
         let (mut used, mut all) = (Amount::default(), Amount::default());
-        for runner in up {
+        for runner in &state.runners {
             let mut free = runner.capacity.minus(runner.used());
             while need.fits(free) && places < 2 * count {
                 free = free.minus(need);
@@ -498,9 +378,6 @@
         let body = Json::parse(&request.body)?;
         let mut state = self.lock();
         let runner = &mut state.runners[index];
-        if !runner.is_up {
-            return None;
-        }
         if let Some(refusal) = check(runner, request, &body) {
             return Some(refusal);
         }
@@ -548,8 +425,7 @@
         }
         let elsewhere = state.runners.iter().enumerate().any(|(other, runner)| {
             let mut runs = runner.runs.keys();
-            runner.is_up
-                && runs.any(|(name, number)| name == task && (other != index || *number != run))
+            runs.any(|(name, number)| name == task && (other != index || *number != run))
         });
         let runner = &mut state.runners[index];
         let wanted = body.get("DeadlineMs").int().unwrap_or(0).max(0) as u64;
@@ -637,13 +513,9 @@
                 end.noted_ms.get_or_insert(now);
             }
         }
-        let id = self.lock().runners[index].id.clone();
         loop {
             let state = self.lock();
             let runner = &state.runners[index];
-            if runner.id != id || !runner.is_up {
-                return None;
-            }
             let unseen = runner
                 .ends
                 .iter()
@@ -713,7 +585,7 @@
                 } else if run.working_since.is_some() && !is_whole {
                     Some("broken")
                 } else if run.working_since.is_some() {
-                    (run.worked_ms(now) >= run.work_ms && !run.step.lasts).then_some("done")
+                    (run.worked_ms(now) >= run.work_ms).then_some("done")
                 } else if is_whole {
                     run.working_since = Some(now);
                     None
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -90,13 +90,6 @@
         self.changed.notify_all();
     }
 
-    pub fn remove(&self, key: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        state.delete(key);
-        self.changed.notify_all();
-    }
-
     fn expire(&self) {
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
