--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::clients::{Clients, Route, desired_state};
+use crate::clients::{Clients, Route, SECOND_TENANTS_ROUTE, desired_state};
 use crate::hosts::Hosts;
 use crate::record::Record;
 use crate::runners::{Amount, HEARTBEAT_MS, RunnerSpec, Runners, Step};
@@ -15,7 +15,7 @@
 const OTHER_SERVICE: &str = "bela20c";
 const SERVICES: [&str; 2] = [SERVICE, OTHER_SERVICE];
 /// The last route is the only one of its service.
-const ROUTES: [Route; 4] = [
+const ROUTES: [Route; 5] = [
     Route {
         number: 0,
         priority: 0,
@@ -31,6 +31,11 @@
         priority: 2,
         service: SERVICE,
     },
+    Route {
+        number: SECOND_TENANTS_ROUTE,
+        priority: 0,
+        service: SERVICE,
+    },
     Route {
         number: 3,
         priority: 2,
@@ -52,14 +57,17 @@
     fn open(
         daemon: &str,
         record: &Arc<Record>,
-        answer: Duration,
+        guaranteed_gpus: u64,
         specs: Vec<RunnerSpec>,
     ) -> Result<Self, Verdict> {
         let could_not = |error: std::io::Error| Verdict::CouldNotRun(error.to_string());
         let store = Store::open(Arc::clone(record));
         let server = store.serve().map_err(could_not)?;
-        store.put("op/config", &desired_state(7, &SERVICES, &ROUTES));
-        let runners = Runners::open(Arc::clone(&store), Arc::clone(record), answer, specs);
+        store.put(
+            "op/config",
+            &desired_state(7, &SERVICES, &ROUTES, guaranteed_gpus),
+        );
+        let runners = Runners::open(Arc::clone(&store), Arc::clone(record), ANSWER, specs);
         let runners = runners.map_err(could_not)?;
         let hosts = Hosts::start(daemon, &server.address.to_string(), &ZONES).map_err(could_not)?;
         let Some(hosts) = hosts else {
@@ -98,7 +106,7 @@
 pub fn play(case: &str, daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let played = match case {
         "queue-gone" => queue_gone(daemon, has_trouble, record),
-        "wide-gang" => wide_gang(daemon, has_trouble, record),
+        "reclaim" => reclaim(daemon, has_trouble, record),
         "large-job" => large_job(daemon, has_trouble, record),
         "urgent-gangs" => urgent_gangs(daemon, has_trouble, record),
         _ => Err(Verdict::CouldNotRun(format!("no case {case}"))),
@@ -140,14 +148,16 @@
 const ANSWER: Duration = Duration::from_millis(4);
 /// Subtasks of a step that makes a job as large as the hosts accept.
 const LARGE_STEP: u64 = 19_998;
-/// Members of the largest gang that the users want to run.
-const WIDEST_GANG: u64 = 1_024;
+/// GPUs that are guaranteed to a tenant, where some are.
+const GUARANTEED_GPUS: u64 = 8;
+/// `ReclaimMs`.
+const RECLAIM_MS: u64 = 2_700;
 /// Subtasks of the widest step of the users' small installations.
 const WIDEST_STEP: u64 = 94;
 
 /// Urgent gangs come at once, to runners without GPUs that have room for two of them at a time.
 fn urgent_gangs(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
-    let world = World::open(daemon, record, ANSWER, fleet(12, 4, CPU_RUNNER))?;
+    let world = World::open(daemon, record, 0, fleet(12, 4, CPU_RUNNER))?;
     let step = Step {
         count: 6,
         need: Amount {
@@ -200,7 +210,7 @@
 
 /// One large job is handed in, jobs of the usual size follow, and one more is looked at.
 fn large_job(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
-    let world = World::open(daemon, record, ANSWER, fleet(12, 4, GPU_RUNNER))?;
+    let world = World::open(daemon, record, 0, fleet(12, 4, GPU_RUNNER))?;
     let small = |count| Step {
         count,
         need: Amount {
@@ -273,34 +283,62 @@
     Ok(world.verdict(broken))
 }
 
-/// A wide gang of small members is handed in.
-fn wide_gang(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
-    let world = World::open(daemon, record, ANSWER, fleet(12, 4, GPU_RUNNER))?;
-    let step = Step {
-        count: if has_trouble {
-            WIDEST_GANG
-        } else {
-            WIDEST_STEP
+/// A lasting job takes all GPUs, and the tenant to which some are guaranteed asks for them.
+fn reclaim(daemon: &str, has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, Verdict> {
+    let world = World::open(daemon, record, GUARANTEED_GPUS, fleet(12, 4, GPU_RUNNER))?;
+    let lasting = Step {
+        count: 12 * GPU_RUNNER.gpu - if has_trouble { 0 } else { GUARANTEED_GPUS },
+        need: Amount {
+            cpu: 2_000,
+            mem_mb: 4_000,
+            gpu: 1,
         },
+        work_ms: 500,
+        lasts: true,
+        may_miss: GUARANTEED_GPUS,
+        ..Step::default()
+    };
+    let lasting_job = job_id(1);
+    if !world.clients.submit(2, &lasting_job, &[lasting]) {
+        return Err(Verdict::CouldNotRun(
+            "the lasting job was not accepted".to_owned(),
+        ));
+    }
+    thread::sleep(Duration::from_millis(8_000));
+    record.say(&format!(
+        "the lasting job: {:?}",
+        world.runners.summary(&lasting_job)
+    ));
+    let urgent = Step {
+        count: GUARANTEED_GPUS,
         need: Amount {
-            cpu: 30,
-            mem_mb: 60,
-            gpu: 0,
+            cpu: 2_000,
+            mem_mb: 4_000,
+            gpu: 1,
         },
-        work_ms: 2_000,
-        is_gang: true,
+        work_ms: 2_500,
         ..Step::default()
     };
-    let job = job_id(1);
-    if !world.clients.submit(1, &job, &[step]) {
-        return Err(Verdict::CouldNotRun("the job was not accepted".to_owned()));
+    let job = job_id(2);
+    if !world.clients.submit(SECOND_TENANTS_ROUTE, &job, &[urgent]) {
+        return Err(Verdict::CouldNotRun(
+            "the urgent job was not accepted".to_owned(),
+        ));
     }
-    let state = world
-        .clients
-        .wait_for(1, &job, &["completed", "failed"], 40);
-    let seen = world.runners.summary(&job);
-    record.say(&format!("the job is shown as {state}; {seen:?}"));
-    let broken = (seen.alone > 0).then(|| format!("GANG: {} runs ended alone", seen.alone));
+    thread::sleep(Duration::from_millis(RECLAIM_MS));
+    let begun = world.runners.summary(&job).starts;
+    record.say(&format!(
+        "{RECLAIM_MS} ms after its confirmation {begun} subtasks have begun"
+    ));
+    thread::sleep(Duration::from_millis(20_000));
+    let state = world.clients.state(SECOND_TENANTS_ROUTE, &job);
+    record.say(&format!(
+        "the urgent job is shown as {state}; {:?}",
+        world.runners.summary(&job)
+    ));
+    let broken = (begun < GUARANTEED_GPUS).then(|| {
+        format!("RECLAIM: {begun} of {GUARANTEED_GPUS} subtasks have begun after {RECLAIM_MS} ms")
+    });
     Ok(world.verdict(broken))
 }
 
@@ -310,7 +348,7 @@
     for spec in &mut specs[8..] {
         spec.service = OTHER_SERVICE.to_owned();
     }
-    let mut world = World::open(daemon, record, ANSWER, specs)?;
+    let mut world = World::open(daemon, record, 0, specs)?;
     let step = Step {
         count: 3,
         need: Amount {
@@ -328,7 +366,7 @@
     }
     thread::sleep(Duration::from_millis(1_000));
     if has_trouble {
-        let config = desired_state(8, &SERVICES, &ROUTES[..3]);
+        let config = desired_state(8, &SERVICES, &ROUTES[..4], 0);
         world.store.put("op/config", &config);
         record.say("version 8 has no queue of the other service");
         thread::sleep(Duration::from_millis(2_000));
--- a/review/standin-2/clients.rs
+++ b/review/standin-2/clients.rs
@@ -10,7 +10,13 @@
 use crate::record::Record;
 use crate::runners::{Runners, Step};
 
-const KEY: &str = "Token d4a3hwrr6x73d3zji9n7";
+/// Names and keys of the tenants; GPUs may be guaranteed to the second one.
+const TENANTS: [(&str, &str); 2] = [
+    ("kaje80", "d4a3hwrr6x73d3zji9n7"),
+    ("mova12", "3hh2b9wu3fexd9dnn2ct"),
+];
+/// Route of the second tenant's jobs.
+pub const SECOND_TENANTS_ROUTE: u64 = 4;
 const HOST: &str = "nony24.example";
 const TIMEOUT: Duration = Duration::from_millis(3_000);
 const TRIES: u32 = 5;
@@ -23,7 +29,12 @@
 }
 
 /// One version of the desired state.
-pub fn desired_state(version: u64, services: &[&str], routes: &[Route]) -> String {
+pub fn desired_state(
+    version: u64,
+    services: &[&str],
+    routes: &[Route],
+    guaranteed_gpus: u64,
+) -> String {
     let routes = routes.iter().map(|route| {
         object([
             ("Name", format!("r-{}", route.number).into()),
@@ -50,19 +61,21 @@
             ("Standby", false.into()),
         ])
     });
-    let keys: Vec<Json> = vec![KEY.trim_start_matches("Token ").into()];
-    let tenant = object([
-        ("Name", "kaje80".into()),
-        ("ApiKeys", keys.into()),
-        ("Priority", 1.into()),
-        ("Guaranteed", object([("Gpu", 0.into())])),
-    ]);
+    let tenants = TENANTS.iter().zip([0, guaranteed_gpus]);
+    let tenants = tenants.map(|((name, key), gpus)| {
+        object([
+            ("Name", (*name).into()),
+            ("ApiKeys", vec![(*key).into()].into()),
+            ("Priority", 1.into()),
+            ("Guaranteed", object([("Gpu", gpus.into())])),
+        ])
+    });
     let state = object([
         ("Version", version.into()),
         ("Routes", routes.collect::<Vec<Json>>().into()),
         ("Services", services.collect::<Vec<Json>>().into()),
         ("Limits", object([("MaxBodyBytes", 262_144.into())])),
-        ("Tenants", vec![tenant].into()),
+        ("Tenants", tenants.collect::<Vec<Json>>().into()),
     ]);
     state.to_string()
 }
@@ -85,15 +98,18 @@
         }
     }
 
-    fn call(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    fn call(&self, method: &str, route: u64, job: &str, body: &str) -> Option<(u16, String)> {
+        let path = format!("/p{route}/{job}");
+        let (_, key) = TENANTS[usize::from(route == SECOND_TENANTS_ROUTE)];
+        let authorization = format!("Token {key}");
         let host = self.next.fetch_add(1, Ordering::SeqCst) % self.fronts.len();
         let headers = [
             ("Host", HOST),
-            ("Authorization", KEY),
+            ("Authorization", authorization.as_str()),
             ("Content-Type", "application/json"),
             ("X-Deadline-Ms", "3000"),
         ];
-        call(&self.fronts[host], method, path, &headers, body, TIMEOUT)
+        call(&self.fronts[host], method, &path, &headers, body, TIMEOUT)
     }
 
     /// Hands a job in; returns whether it was accepted.
@@ -128,7 +144,7 @@
         let body = Json::Object(fields).to_string();
         let path = format!("/p{route}/{job}");
         for _ in 0..TRIES {
-            let reply = self.call("POST", &path, &body);
+            let reply = self.call("POST", route, job, &body);
             let status = reply.as_ref().map_or(0, |(status, _)| *status);
             self.record.line(&format!("POST {path} {body} -> {status}"));
             if (200..300).contains(&status) {
@@ -145,7 +161,7 @@
     /// Asks for the state of a job.
     pub fn state(&self, route: u64, job: &str) -> String {
         let path = format!("/p{route}/{job}");
-        let reply = self.call("GET", &path, "");
+        let reply = self.call("GET", route, job, "");
         let state = match &reply {
             Some((200, body)) => {
                 let body = Json::parse(body.as_bytes()).unwrap_or(Json::Null);
--- a/review/standin-2/runners.rs
+++ b/review/standin-2/runners.rs
@@ -55,6 +55,10 @@
     pub work_ms: u64,
     pub after: Vec<u64>,
     pub is_gang: bool,
+    /// Whether the subtasks run until the job is cancelled; they are at work after `work_ms`.
+    pub lasts: bool,
+    /// How many subtasks of a lasting step may be away at one time.
+    pub may_miss: u64,
     pub saves: bool,
 }
 
@@ -67,6 +71,7 @@
             ("MemMb", self.need.mem_mb),
             ("Gpu", self.need.gpu),
             ("EstimateMs", self.work_ms),
+            ("MayMiss", self.may_miss),
         ];
         for (name, number) in numbers {
             if number > 0 {
@@ -81,7 +86,11 @@
                 .collect::<Vec<Json>>();
             fields.push(("After".to_owned(), after.into()));
         }
-        let flags = [("Gang", self.is_gang), ("Checkpointing", self.saves)];
+        let flags = [
+            ("Gang", self.is_gang),
+            ("Checkpointing", self.saves),
+            ("LongRunning", self.lasts),
+        ];
         for (name, flag) in flags {
             if flag {
                 fields.push((name.to_owned(), true.into()));
@@ -585,7 +594,7 @@
                 } else if run.working_since.is_some() && !is_whole {
                     Some("broken")
                 } else if run.working_since.is_some() {
-                    (run.worked_ms(now) >= run.work_ms).then_some("done")
+                    (run.worked_ms(now) >= run.work_ms && !run.step.lasts).then_some("done")
                 } else if is_whole {
                     run.working_since = Some(now);
                     None
