area: log what allows each preemption

The logs could not tell why: 2,526 lines `run_over ... cause=Displaced evidence=StartNotSent` in 30 s on the coordinator, but nothing on which step they were stopped for and by which right; `displaced_by` stands in `job_over` alone, and these jobs never end.

Three hypotheses fitted: 1. steps preempt each other, each of them taken for guaranteed and each of its runs for borrowed; 2. the step that preempted others last is placed first and is stopped by the next one for its value alone; 3. a plan frees capacity that the placement, under other constraints, does not use.

New: the line `step_preempted` with the step that is stopped, why it may be (`LowerPriority`, `Borrower`), the accelerators that this frees, the preemptor, whether a guarantee covers it and what it needs; the counter `ragwortwick_area_preemptions_total`. The listing of what may be preempted moves to victims.rs; no decision changes.

--- a/ragwortwick-area/src/lib.rs
+++ b/ragwortwick-area/src/lib.rs
@@ -51,6 +51,7 @@
 mod untracked_runs;
 mod validation;
 mod value;
+mod victims;
 mod worker;
 
 #[cfg(test)]
@@ -71,9 +72,11 @@
     Action, AdviceReply, EndKind, EndedTask, Event, OrderReply, PollFailure, ProgressRecord,
     RefusalCause, RunEndEvidence, RunEnded, RunningTask, WorkerEntry, WorkerReport,
 };
+pub use preemption::Preemption;
 pub use progress::{GangProgress, JobPhase, JobProgress, TaskProgress};
 pub use record_batches::MAX_BATCH_RECORDS;
 pub use speed_record::{RecordedSpeed, SpeedCounts, SpeedRecord, SpeedRecordError};
 pub use unstored_results::{RunResult, RunResultKind, UnstoredResults};
 pub use untracked_runs::UntrackedRun;
 pub use validation::JobValidationError;
+pub use victims::VictimKind;
--- a/ragwortwick-area/src/messages.rs
+++ b/ragwortwick-area/src/messages.rs
@@ -13,6 +13,7 @@
 use crate::evacuation::{EvacuatedZones, EvacuationChange};
 use crate::job::{JobRecord, Resources, StepId, TaskId};
 use crate::losses::WorkerLossReport;
+use crate::preemption::Preemption;
 use crate::progress::JobProgress;
 use crate::speed_record::SpeedRecord;
 use crate::unstored_results::RunResult;
@@ -409,6 +410,8 @@
     },
     /// Log the end of a run.
     LogRunEnd(RunEnded),
+    /// Log that a task or a gang is stopped in favor of another step.
+    LogPreemption(Preemption),
     /// Log the loss of a worker that had runs.
     LogWorkerLoss(WorkerLossReport),
     /// Log a run that a worker reports without an allocation.
--- a/ragwortwick-area/src/preemption.rs
+++ b/ragwortwick-area/src/preemption.rs
@@ -1,53 +1,36 @@
 //! Preemption: placing urgent and guaranteed steps by stopping other runs.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-
-use ragwortwick_core::{CustomerName, JobId, TimeMs, WorkerName};
+use ragwortwick_core::TimeMs;
 
 use crate::accounting::RunEndReason;
-use crate::allocation::Allocation;
 use crate::candidates::Candidate;
 use crate::coordinator::Coordinator;
-use crate::job::{Resources, StepId, StepSpec, TaskId};
+use crate::job::{Resources, StepId, StepSpec};
+use crate::messages::Action;
 use crate::packing::{PlacementConstraints, Slot};
 use crate::pool_capacity::PoolCapacity;
 use crate::preemption_plan::{PreemptionPlan, cheapest_plan, place_all};
 use crate::speed::SpeedPreference;
-
-/// Time for which a stopped run's capacity is unused, which a stop costs in addition to the lost work.
-const RESTART_IDLE_MS: u64 = 500;
+use crate::victims::{SlotIndex, Victim, VictimKind, slots_by_worker};
 
 /// Preemption plans computed in one pass; the next pass, milliseconds later, continues.
 const MAX_PLANS_PER_PASS: usize = 6;
 
-/// `PreemptionUnit` is what has to be stopped together: one task, or all members of a gang.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct PreemptionUnit {
-    step: StepId,
-    /// Index of the task, if the step is not a gang.
-    index: Option<u32>,
-}
-
-impl PreemptionUnit {
-    fn contains(&self, task: &TaskId) -> bool {
-        task.belongs_to(&self.step) && self.index.is_none_or(|index| index == task.index)
-    }
-}
-
-/// `Victim` is a unit that may be preempted.
-#[derive(Clone, Debug)]
-pub(crate) struct Victim {
-    unit: PreemptionUnit,
-    priority: u32,
-    /// Core-seconds of work that are lost by the stop.
-    pub(crate) lost_work: f64,
-    /// Lost work and restart time, weighted by the value of its priority; victims are chosen by it.
-    pub(crate) cost: f64,
-    /// Workers that the unit runs on.
-    workers: BTreeSet<WorkerName>,
-    /// Resources that the stop frees, by slot index.
-    pub(crate) freed: Vec<(usize, Resources)>,
-    accelerators: u64,
+/// `Preemption` is the log entry for the stop of a task, or of a gang, in favor of another step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Preemption {
+    /// The step that is stopped.
+    pub step: StepId,
+    /// Why it may be preempted.
+    pub kind: VictimKind,
+    /// Accelerators that the stop frees.
+    pub accelerators: u64,
+    /// The step that it is stopped for.
+    pub preemptor: StepId,
+    /// Whether its customer's guarantee covers the preemptor.
+    pub is_guaranteed: bool,
+    /// Accelerators that one task of the preemptor needs.
+    pub accelerators_needed: u64,
 }
 
 /// `UrgentPass` is the state of one pass over the urgent steps.
@@ -176,7 +159,7 @@
         for victim in &plan.victims {
             // Otherwise the victim would be placed first in the next pass, in the capacity just freed.
             self.preempted_for.remove(&victim.unit.step);
-            self.stop_victim(now, victim, &candidate.job_id);
+            self.stop_victim(now, victim, candidate, spec.need.accelerators);
             for &(index, freed) in &victim.freed {
                 pass.after_stops[index].release(freed);
             }
@@ -204,48 +187,6 @@
         Some((job.spec(candidate.step)?.clone(), count))
     }
 
-    /// Returns all units that guaranteed work may preempt: those of lower priority, and the borrowers.
-    fn preemptible(&self, now: TimeMs, slot_index: &SlotIndex) -> Vec<Victim> {
-        let lower = self.units(now, slot_index, |allocation| allocation.priority > 0);
-        let mut victims: Vec<Victim> = lower.into_iter().map(|(_, victim)| victim).collect();
-        victims.extend(self.borrowers(now, slot_index));
-        victims
-    }
-
-    /// Returns the urgent units beyond their customer's guaranteed share, youngest first; guaranteed work may
-    /// reclaim their capacity.
-    fn borrowers(&self, now: TimeMs, slot_index: &SlotIndex) -> Vec<Victim> {
-        let mut by_customer: BTreeMap<CustomerName, Vec<(TimeMs, Victim)>> = BTreeMap::new();
-        for (placed_at, victim) in
-            self.units(now, slot_index, |allocation| allocation.priority == 0)
-        {
-            let job = self.jobs.get(&victim.unit.step.job_id);
-            if let Some(customer) = job.map(|job| job.record.customer.clone()) {
-                by_customer
-                    .entry(customer)
-                    .or_default()
-                    .push((placed_at, victim));
-            }
-        }
-        let mut borrowers = Vec::new();
-        for (customer, mut units) in by_customer {
-            let share = self
-                .desired
-                .customers
-                .get(&customer)
-                .map_or(0, |customer| customer.guaranteed_accelerators);
-            let mut used: u64 = units.iter().map(|(_, victim)| victim.accelerators).sum();
-            units.sort_by_key(|(placed_at, _)| std::cmp::Reverse(*placed_at));
-            for (_, victim) in units {
-                if used >= share + victim.accelerators {
-                    used -= victim.accelerators;
-                    borrowers.push(victim);
-                }
-            }
-        }
-        borrowers
-    }
-
     fn slots_after_stops(&self, slots: &[Slot]) -> Vec<Slot> {
         let mut after_stops = slots.to_vec();
         for slot in &mut after_stops {
@@ -263,69 +204,25 @@
         after_stops
     }
 
-    /// Groups the matching runs into units, each with the time at which it was placed.
-    fn units(
-        &self,
+    fn stop_victim(
+        &mut self,
         now: TimeMs,
-        slot_index: &SlotIndex,
-        matches: impl Fn(&Allocation) -> bool,
-    ) -> Vec<(TimeMs, Victim)> {
-        let mut units: BTreeMap<PreemptionUnit, (TimeMs, Victim)> = BTreeMap::new();
-        for (name, worker) in &self.workers {
-            for (task, allocation) in &worker.allocations {
-                if allocation.is_stopping() || !matches(allocation) {
-                    continue;
-                }
-                let Some(spec) = self
-                    .jobs
-                    .get(&task.job_id)
-                    .and_then(|job| job.spec(task.step))
-                else {
-                    continue;
-                };
-                // Only a limited number of these tasks may be missing at once, so they are not preempted.
-                if spec.may_miss.is_some() {
-                    continue;
-                }
-                let since = allocation.started_at.unwrap_or(allocation.placed_at);
-                // A stop saves a checkpoint, so only the time to resume from it is lost.
-                let lost_ms = if spec.saves_checkpoints {
-                    self.limits.restore_ms.0
-                } else {
-                    now.since(since).0
-                };
-                let unit = unit_of(task, spec);
-                let (_, victim) = units.entry(unit.clone()).or_insert_with(|| {
-                    let victim = Victim {
-                        unit,
-                        priority: allocation.priority,
-                        lost_work: 0.0,
-                        cost: 0.0,
-                        workers: BTreeSet::new(),
-                        freed: Vec::new(),
-                        accelerators: 0,
-                    };
-                    (allocation.placed_at, victim)
-                });
-                let weight = self.limits.weights.of_priority(allocation.priority);
-                victim.cost += weight * core_seconds(spec.need, lost_ms + RESTART_IDLE_MS);
-                victim.lost_work += core_seconds(spec.need, lost_ms);
-                victim.workers.insert(name.clone());
-                // A worker without a slot accepts no work, so capacity freed there does not count.
-                if let Some(&index) = slot_index.get(name) {
-                    victim.freed.push((index, allocation.resources));
-                }
-                victim.accelerators += allocation.resources.accelerators;
-            }
-        }
-        units.into_values().collect()
-    }
-
-    fn stop_victim(&mut self, now: TimeMs, victim: &Victim, preemptor: &JobId) {
+        victim: &Victim,
+        preemptor: &Candidate,
+        accelerators_needed: u64,
+    ) {
         let unit = &victim.unit;
         if let Some(job) = self.jobs.get_mut(&unit.step.job_id) {
-            job.accounting.preempted_by = Some(preemptor.clone());
+            job.accounting.preempted_by = Some(preemptor.job_id.clone());
         }
+        self.actions.push(Action::LogPreemption(Preemption {
+            step: unit.step.clone(),
+            kind: victim.kind,
+            accelerators: victim.accelerators,
+            preemptor: preemptor.step_id(),
+            is_guaranteed: preemptor.is_guaranteed,
+            accelerators_needed,
+        }));
         for worker in &victim.workers {
             self.stop_matching_on(now, worker, RunEndReason::Displaced, |task| {
                 unit.contains(task)
@@ -334,21 +231,6 @@
     }
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "amounts of work are far below what a float holds exactly"
-)]
-fn core_seconds(need: Resources, lost_ms: u64) -> f64 {
-    need.core_equivalents().max(1) as f64 * lost_ms as f64 / 1_000.0
-}
-
-fn unit_of(task: &TaskId, spec: &StepSpec) -> PreemptionUnit {
-    PreemptionUnit {
-        step: task.step_id(),
-        index: (!spec.is_gang).then_some(task.index),
-    }
-}
-
 /// Finds the cheapest plan: guaranteed steps may preempt any victim, other urgent steps only lower
 /// priorities.
 fn plan_for(
@@ -364,23 +246,12 @@
     }
     let lower: Vec<Victim> = victims
         .iter()
-        .filter(|victim| victim.priority > candidate.priority)
+        .filter(|victim| victim.kind == VictimKind::LowerPriority)
         .cloned()
         .collect();
     cheapest_plan(after_stops, spec, count, constraints, &lower)
 }
 
-/// Index of each worker's slot in the pass.
-type SlotIndex = HashMap<WorkerName, usize>;
-
-fn slots_by_worker(slots: &[Slot]) -> SlotIndex {
-    let names = slots.iter().map(|slot| slot.worker.clone());
-    names
-        .enumerate()
-        .map(|(index, name)| (name, index))
-        .collect()
-}
-
 /// Allocates the resources on the given slots, now and after the stops, so that later steps can't use them.
 fn reserve(
     after_stops: &mut [Slot],
--- a/ragwortwick-area/src/preemption_plan.rs
+++ b/ragwortwick-area/src/preemption_plan.rs
@@ -8,7 +8,7 @@
 
 use crate::job::{Resources, StepSpec};
 use crate::packing::{Locality, PlacementConstraints, Slot, pack_gang, pack_single, rack_ranges};
-use crate::preemption::Victim;
+use crate::victims::Victim;
 
 /// `PreemptionPlan` is a set of victims to stop, and the slots that the tasks are then placed on.
 pub(crate) struct PreemptionPlan {
--- a/ragwortwick-area/tests/account.rs
+++ b/ragwortwick-area/tests/account.rs
@@ -2,7 +2,7 @@
 
 mod rig;
 
-use ragwortwick_area::{Action, EndKind, Event, JobAccounting, RunEndReason, StepSpec};
+use ragwortwick_area::{Action, EndKind, Event, JobAccounting, RunEndReason, StepSpec, VictimKind};
 use ragwortwick_core::{DurationMs, JobId};
 use rig::{Rig, ended, gang, step, worker};
 
@@ -132,3 +132,27 @@
     rig.advance(500);
     assert!(ended_jobs(&mut rig).is_empty());
 }
+
+/// Guards against a preemption whose log line does not tell what entitled the other step to it.
+#[test]
+fn verify_a_preemption_tells_what_allows_it() {
+    let mut rig = Rig::new(&[worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r1")]);
+    let logged = |rig: &mut Rig| {
+        let preemptions = rig.preemptions().into_iter();
+        let stopped = preemptions.map(|logged| (logged.kind, logged.accelerators));
+        stopped.collect::<Vec<_>>()
+    };
+    rig.submit_as("00000000000000b0", "c", "patient", gang(3, 8));
+    rig.start_all();
+    rig.advance(200);
+    rig.submit_as("00000000000000b1", "c", "urgent", gang(2, 8));
+    rig.advance(20);
+    assert_eq!(logged(&mut rig), vec![(VictimKind::LowerPriority, 24)]);
+    rig.settle_stops();
+    assert_eq!(rig.start_all().len(), 2);
+    rig.submit_as("00000000000000b2", "c", "urgent", gang(1, 8));
+    assert_eq!(rig.start_all().len(), 1, "beyond the share of 16");
+    rig.submit_as("00000000000000b3", "d", "urgent", gang(1, 8));
+    rig.advance(20);
+    assert_eq!(logged(&mut rig), vec![(VictimKind::Borrower, 8)]);
+}
--- a/ragwortwick-area/tests/rig/mod.rs
+++ b/ragwortwick-area/tests/rig/mod.rs
@@ -6,8 +6,8 @@
 
 use ragwortwick_area::{
     Action, Coordinator, Customer, DesiredState, EndKind, EndedTask, EvacuatedZones, Event,
-    JobProgress, JobRecord, Limits, Now, OrderReply, PollFailure, ProgressRecord, Queue,
-    QueuePolicy, RecoveredJob, Resources, RunningTask, StepSpec, TaskId, WorkerEntry,
+    JobProgress, JobRecord, Limits, Now, OrderReply, PollFailure, Preemption, ProgressRecord,
+    Queue, QueuePolicy, RecoveredJob, Resources, RunningTask, StepSpec, TaskId, WorkerEntry,
     WorkerLossReport, WorkerReport,
 };
 use ragwortwick_core::{
@@ -347,6 +347,14 @@
         });
     }
 
+    /// Takes the log entries of preemptions.
+    pub fn preemptions(&mut self) -> Vec<Preemption> {
+        self.take(|action| match action {
+            Action::LogPreemption(preemption) => Some(preemption.clone()),
+            _ => None,
+        })
+    }
+
     /// Takes the log entries of lost workers.
     pub fn losses(&mut self) -> Vec<WorkerLossReport> {
         self.take(|action| match action {
--- a/ragwortwick-area/tests/simulated_area/terms.rs
+++ b/ragwortwick-area/tests/simulated_area/terms.rs
@@ -150,6 +150,7 @@
                 }
                 Action::SetPace { .. }
                 | Action::RequestAdvice { .. }
+                | Action::LogPreemption(_)
                 | Action::LogUntrackedRun(_)
                 | Action::LogEvacuation(_)
                 | Action::StoreSpeeds(_)
--- a/ragwortwick-daemon/src/area/action_dispatcher.rs
+++ b/ragwortwick-daemon/src/area/action_dispatcher.rs
@@ -1,7 +1,8 @@
 //! Dispatches the actions of a term's coordinator to the store, the workers, the logs and the metrics.
 
 use ragwortwick_area::{
-    Action, EvacuationChange, LoadPicture, RunEnded, SpeedRecord, UntrackedRun, WorkerLossReport,
+    Action, EvacuationChange, LoadPicture, Preemption, RunEnded, SpeedRecord, UntrackedRun,
+    WorkerLossReport,
 };
 use ragwortwick_core::{DurationMs, log_event};
 use tokio::sync::mpsc;
@@ -18,6 +19,7 @@
     writes: mpsc::UnboundedSender<StoreWrite>,
     order_sender: OrderSender,
     run_end_log_limiter: CauseLogLimiter,
+    preemption_log_limiter: CauseLogLimiter,
     untracked_log_limiter: LogRateLimiter,
     metrics: AreaMetrics,
     pub(super) unstored: SharedUnstoredResults,
@@ -34,6 +36,7 @@
             writes,
             order_sender,
             run_end_log_limiter: CauseLogLimiter::new("run_over"),
+            preemption_log_limiter: CauseLogLimiter::new("step_preempted"),
             untracked_log_limiter: LogRateLimiter::new("run_untracked"),
             metrics,
             unstored,
@@ -59,6 +62,7 @@
                 Action::DeleteJob(job_id) => self.write(StoreWrite::DeleteJob(job_id)),
                 Action::Resign => return false,
                 Action::LogRunEnd(ended) => self.report_run_end(&ended),
+                Action::LogPreemption(preemption) => self.report_preemption(&preemption),
                 Action::LogWorkerLoss(lost) => self.report_worker_loss(&lost),
                 Action::LogUntrackedRun(untracked) => self.report_untracked_run(&untracked),
                 Action::LogEvacuation(change) => self.report_evacuation(&change),
@@ -110,6 +114,27 @@
         }
     }
 
+    fn report_preemption(&self, preemption: &Preemption) {
+        let kind = preemption.kind.to_string();
+        let is_guaranteed = preemption.is_guaranteed.to_string();
+        let labels = [kind.as_str(), is_guaranteed.as_str()];
+        self.metrics.preemptions.with_label_values(&labels).inc();
+        let now = self.order_sender.clock.now();
+        if self.preemption_log_limiter.admit(now, &kind) {
+            log_event!(
+                Info,
+                "step_preempted",
+                step = preemption.step,
+                kind = kind,
+                accelerators = preemption.accelerators,
+                preemptor = preemption.preemptor,
+                is_guaranteed = is_guaranteed,
+                accelerators_needed = preemption.accelerators_needed,
+                term = self.order_sender.term
+            );
+        }
+    }
+
     fn report_load(&self, picture: &LoadPicture) {
         self.metrics.set_queue_waits(picture);
         for (queue, load) in &picture.queues {
--- a/ragwortwick-daemon/src/area/metrics.rs
+++ b/ragwortwick-daemon/src/area/metrics.rs
@@ -55,6 +55,8 @@
     /// Ended runs, by cause; counted by the coordinator.
     pub(super) runs_ended: IntCounterVec,
     pub(super) run_end_evidence: IntCounterVec,
+    /// Tasks and gangs stopped for other steps, by why they could be; counted by the coordinator.
+    pub(super) preemptions: IntCounterVec,
     /// Workers lost with runs on them, by cause; counted by the coordinator.
     pub(super) workers_lost: IntCounterVec,
     /// Runs reported without an allocation, by phase of their job; counted by the coordinator.
@@ -110,6 +112,11 @@
             "What showed that runs are over, by this host as coordinator",
             &["evidence"],
         )?;
+        let preemptions = counter(
+            "ragwortwick_area_preemptions_total",
+            "Tasks and gangs stopped in favor of other steps, by this host as coordinator",
+            &["kind", "is_guaranteed"],
+        )?;
         let workers_lost = counter(
             "ragwortwick_area_workers_lost_total",
             "Workers that were lost with runs, by this host as coordinator",
@@ -164,6 +171,7 @@
             job_part_seconds,
             runs_ended,
             run_end_evidence,
+            preemptions,
             workers_lost,
             untracked_runs,
             lost_core_seconds,
--- a/ragwortwick-daemon/src/area/order_sender.rs
+++ b/ragwortwick-daemon/src/area/order_sender.rs
@@ -153,6 +153,7 @@
             | Action::DeleteJob(_)
             | Action::LogRunEnd(_)
             | Action::LogWorkerLoss(_)
+            | Action::LogPreemption(_)
             | Action::LogUntrackedRun(_)
             | Action::LogEvacuation(_) => return,
         };
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -112,6 +112,7 @@
                 }
                 Action::LogRunEnd(_)
                 | Action::LogWorkerLoss(_)
+                | Action::LogPreemption(_)
                 | Action::LogUntrackedRun(_)
                 | Action::LogEvacuation(_) => {}
                 Action::Resign => self.hosts[host].end_term(),
