area: give the kinds of victims an order, so that urgent steps do not preempt each other for ever

Cause: a guaranteed share is a number of accelerators, and two places measured work without any by it. `mark_guaranteed` took such a step for covered, as 0 fits into any share; `borrowers` took such a run for borrowed, as a share of 0, or one that was used up, is never larger than what is left without it. Guaranteed work may preempt borrowers, so each of the gangs could preempt each other one, and the capacity reserved in each pass for the preemptor kept all other work away.

Ruled out: that a step is preempted for its value, or because it had preempted others (all stops were for guaranteed steps), and that plan and placement differ (each preemptor was placed in the next pass). Steps with accelerators do not go round: a run is borrowed only if the others of its customer still use the whole share, and then the step is not covered once it is stopped.

Related paths with the same cause: steps of single tasks; workers with accelerators whose cores are short; customers whose share is used up by other work; takeovers. And the other way round: a customer with an unused share whose urgent work without accelerators held all cores was no borrower, so another customer's guaranteed accelerators were not returned.

Change: a third kind of victim, urgent work without accelerators, which no share includes. Guaranteed work with accelerators may preempt all kinds, guaranteed work without accelerators all but its own kind, other urgent work lower priorities alone. What it may preempt otherwise is as before.

Why it holds: every preemption among urgent steps goes down in an order of kinds, and a step comes back up only when other runs of its customer have ended.

--- a/ragwortwick-area/src/preemption.rs
+++ b/ragwortwick-area/src/preemption.rs
@@ -231,8 +231,7 @@
     }
 }
 
-/// Finds the cheapest plan: guaranteed steps may preempt any victim, other urgent steps only lower
-/// priorities.
+/// Finds the cheapest plan among the victims that the step may preempt.
 fn plan_for(
     candidate: &Candidate,
     after_stops: &[Slot],
@@ -241,15 +240,21 @@
     constraints: &PlacementConstraints,
     victims: &[Victim],
 ) -> Option<PreemptionPlan> {
-    if candidate.is_guaranteed {
+    let is_allowed = |victim: &Victim| may_preempt(candidate, spec, victim.kind);
+    if victims.iter().all(is_allowed) {
         return cheapest_plan(after_stops, spec, count, constraints, victims);
     }
-    let lower: Vec<Victim> = victims
-        .iter()
-        .filter(|victim| victim.kind == VictimKind::LowerPriority)
-        .cloned()
-        .collect();
-    cheapest_plan(after_stops, spec, count, constraints, &lower)
+    let allowed: Vec<Victim> = victims.iter().filter(|v| is_allowed(v)).cloned().collect();
+    cheapest_plan(after_stops, spec, count, constraints, &allowed)
+}
+
+/// Whether a step that may preempt others may preempt a unit of this kind.
+fn may_preempt(candidate: &Candidate, spec: &StepSpec, kind: VictimKind) -> bool {
+    match kind {
+        VictimKind::LowerPriority => true,
+        VictimKind::Borrower => candidate.is_guaranteed,
+        VictimKind::WithoutAccelerators => candidate.is_guaranteed && spec.need.accelerators > 0,
+    }
 }
 
 /// Allocates the resources on the given slots, now and after the stops, so that later steps can't use them.
--- a/ragwortwick-area/src/victims.rs
+++ b/ragwortwick-area/src/victims.rs
@@ -1,4 +1,9 @@
 //! Runs that may be preempted, grouped into what has to be stopped together.
+//!
+//! The kinds of victims have an order, so that steps do not preempt each other without end: guaranteed work with
+//! accelerators may preempt all kinds, guaranteed work without accelerators all but its own kind, other urgent work
+//! only lower priorities. Guaranteed shares are in accelerators: work without any fits into every share and is part of
+//! none.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
@@ -35,6 +40,21 @@
     LowerPriority,
     /// It is urgent and beyond its customer's guaranteed share.
     Borrower,
+    /// It is urgent and uses no accelerators, so that it is part of no guaranteed share.
+    WithoutAccelerators,
+}
+
+impl VictimKind {
+    /// Kind of a run's unit; urgent ones with accelerators are borrowers only beyond their customer's share.
+    fn of(allocation: &Allocation) -> Self {
+        if allocation.priority > 0 {
+            Self::LowerPriority
+        } else if allocation.resources.accelerators == 0 {
+            Self::WithoutAccelerators
+        } else {
+            Self::Borrower
+        }
+    }
 }
 
 impl fmt::Display for VictimKind {
@@ -71,23 +91,24 @@
 }
 
 impl Coordinator {
-    /// Returns all units that guaranteed work may preempt: those of lower priority, and the borrowers.
+    /// Returns all units that urgent work may preempt, depending on their kind.
     pub(crate) fn preemptible(&self, now: TimeMs, slot_index: &SlotIndex) -> Vec<Victim> {
-        let lower = self.units(now, slot_index, VictimKind::LowerPriority, |allocation| {
-            allocation.priority > 0
-        });
-        let mut victims: Vec<Victim> = lower.into_iter().map(|(_, victim)| victim).collect();
-        victims.extend(self.borrowers(now, slot_index));
+        let mut victims = Vec::new();
+        let mut sharing = Vec::new();
+        for (placed_at, victim) in self.units(now, slot_index) {
+            match victim.kind {
+                VictimKind::Borrower => sharing.push((placed_at, victim)),
+                VictimKind::LowerPriority | VictimKind::WithoutAccelerators => victims.push(victim),
+            }
+        }
+        victims.extend(self.beyond_shares(sharing));
         victims
     }
 
-    /// Returns the urgent units beyond their customer's guaranteed share, youngest first; guaranteed work may
-    /// reclaim their capacity.
-    fn borrowers(&self, now: TimeMs, slot_index: &SlotIndex) -> Vec<Victim> {
+    /// Returns those of the urgent units with accelerators that are beyond their customer's guaranteed share, the
+    /// youngest first.
+    fn beyond_shares(&self, urgent: Vec<(TimeMs, Victim)>) -> Vec<Victim> {
         let mut by_customer: BTreeMap<CustomerName, Vec<(TimeMs, Victim)>> = BTreeMap::new();
-        let urgent = self.units(now, slot_index, VictimKind::Borrower, |allocation| {
-            allocation.priority == 0
-        });
         for (placed_at, victim) in urgent {
             let job = self.jobs.get(&victim.unit.step.job_id);
             if let Some(customer) = job.map(|job| job.record.customer.clone()) {
@@ -116,18 +137,12 @@
         borrowers
     }
 
-    /// Groups the matching runs into units, each with the time at which it was placed.
-    fn units(
-        &self,
-        now: TimeMs,
-        slot_index: &SlotIndex,
-        kind: VictimKind,
-        matches: impl Fn(&Allocation) -> bool,
-    ) -> Vec<(TimeMs, Victim)> {
+    /// Groups the runs into units, each with the time at which it was placed.
+    fn units(&self, now: TimeMs, slot_index: &SlotIndex) -> Vec<(TimeMs, Victim)> {
         let mut units: BTreeMap<PreemptionUnit, (TimeMs, Victim)> = BTreeMap::new();
         for (name, worker) in &self.workers {
             for (task, allocation) in &worker.allocations {
-                if allocation.is_stopping() || !matches(allocation) {
+                if allocation.is_stopping() {
                     continue;
                 }
                 let Some(spec) = self
@@ -152,7 +167,7 @@
                 let (_, victim) = units.entry(unit.clone()).or_insert_with(|| {
                     let victim = Victim {
                         unit,
-                        kind,
+                        kind: VictimKind::of(allocation),
                         lost_work: 0.0,
                         cost: 0.0,
                         workers: BTreeSet::new(),
--- a/ragwortwick-emulator/src/coordination.rs
+++ b/ragwortwick-emulator/src/coordination.rs
@@ -110,9 +110,12 @@
                     self.store.load = picture;
                     self.store.load_heard_at = self.now;
                 }
+                Action::LogPreemption(preemption) => {
+                    self.ground_truth
+                        .check_preemption(self.now, term, &preemption);
+                }
                 Action::LogRunEnd(_)
                 | Action::LogWorkerLoss(_)
-                | Action::LogPreemption(_)
                 | Action::LogUntrackedRun(_)
                 | Action::LogEvacuation(_) => {}
                 Action::Resign => self.hosts[host].end_term(),
--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use ragwortwick_area::{EndKind, EndedTask, JobPhase, TaskId};
+use ragwortwick_area::{EndKind, EndedTask, JobPhase, Preemption, StepId, TaskId};
 use ragwortwick_core::{DurationMs, JobId, TimeMs, WorkerName};
 
 /// Time after a worker starts to drain in which runs may still start there.
@@ -22,6 +22,13 @@
 /// Worker crashes by one task after which its job may fail.
 const CRASHES_FOR_FAILURE: u32 = 2;
 
+/// Turns in which two steps may preempt each other within the span: one each way.
+const MAX_PREEMPTION_TURNS: usize = 2;
+
+/// Span in which the turns of two steps are counted. It is shorter than most runs, so that it is not their ends that
+/// change what the guarantees of the customers cover.
+const PREEMPTION_TURNS_MS: DurationMs = DurationMs(1_000);
+
 /// `GroundTruth` records what really happened, independently of any coordinator's view.
 #[derive(Debug, Default)]
 pub(crate) struct GroundTruth {
@@ -45,6 +52,8 @@
     pub(crate) cancelled_at: BTreeMap<JobId, TimeMs>,
     /// Runs of cancelled jobs that were reported as going on.
     reported_runs: BTreeSet<(TaskId, u32)>,
+    /// Preemptions between two steps in one term.
+    preemption_turns: BTreeMap<(u64, StepId, StepId), PreemptionTurns>,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: u64,
     pub(crate) stopped: u64,
@@ -52,6 +61,27 @@
     pub(crate) counts_by_job: BTreeMap<JobId, RunCounts>,
 }
 
+/// `PreemptionTurns` holds the recent changes of direction between two steps that preempt each other.
+#[derive(Debug, Default)]
+struct PreemptionTurns {
+    /// Whether the last stop was of the first of the two.
+    is_first_stopped: Option<bool>,
+    recent: Vec<TimeMs>,
+    is_reported: bool,
+}
+
+impl PreemptionTurns {
+    /// Counts a preemption; returns whether there are too many turns within the span.
+    fn add(&mut self, now: TimeMs, is_first_stopped: bool) -> bool {
+        if self.is_first_stopped.replace(is_first_stopped) != Some(is_first_stopped) {
+            self.recent
+                .retain(|at| now.since(*at) < PREEMPTION_TURNS_MS);
+            self.recent.push(now);
+        }
+        self.recent.len() > MAX_PREEMPTION_TURNS
+    }
+}
+
 /// `StartAfterFailures` is a start after failed runs that may be acknowledged later.
 #[derive(Debug)]
 struct StartAfterFailures {
@@ -132,6 +162,25 @@
         self.violations.push(format!("at {now} ms: {text}"));
     }
 
+    /// Checks that no step preempts itself, and that two steps do not preempt each other again and again.
+    ///
+    /// One turn back is allowed: a borrower comes within its customer's share when other runs end.
+    pub(crate) fn check_preemption(&mut self, now: TimeMs, term: u64, preemption: &Preemption) {
+        let (step, preemptor) = (&preemption.step, &preemption.preemptor);
+        let is_first_stopped = step <= preemptor;
+        let (first, second) = if is_first_stopped {
+            (step, preemptor)
+        } else {
+            (preemptor, step)
+        };
+        let pair = (term, first.clone(), second.clone());
+        let turns = self.preemption_turns.entry(pair).or_default();
+        let is_excessive = step == preemptor || turns.add(now, is_first_stopped);
+        if is_excessive && !std::mem::replace(&mut turns.is_reported, true) {
+            self.add_violation(now, &format!("{preemptor} and {step} preempt each other"));
+        }
+    }
+
     pub(crate) fn check_start(&mut self, start: &ObservedStart<'_>) {
         self.starts += 1;
         let counts = self
--- a/ragwortwick-emulator/src/trace.rs
+++ b/ragwortwick-emulator/src/trace.rs
@@ -54,6 +54,21 @@
                 let text = format_args!("{} run {} ends: {}", end.task, end.run, end.reason);
                 self.add(now, term, text);
             }
+            Action::LogPreemption(preemption)
+                if self.is_of_job(&preemption.step.job_id)
+                    || self.is_of_job(&preemption.preemptor.job_id) =>
+            {
+                let text = format_args!(
+                    "{} preempts {}: {}, {} accelerators for {} a task, guaranteed: {}",
+                    preemption.preemptor,
+                    preemption.step,
+                    preemption.kind,
+                    preemption.accelerators,
+                    preemption.accelerators_needed,
+                    preemption.is_guaranteed
+                );
+                self.add(now, term, text);
+            }
             Action::LogWorkerLoss(lost) if self.concerns(lost) => {
                 let text = format_args!(
                     "{} is lost: {}, {:?}, {} together, suspects {:?}, runs {:?}",
