area: reserve capacity for urgent gangs that may not preempt their equals

What callers would see: on a pool that small urgent tasks without accelerators keep full, a wide urgent gang without accelerators never starts while they keep coming.

Cause: urgent steps got capacity reserved only along with a preemption plan. For a gang without accelerators whose equals hold the pool there is no plan any more, so each gap went to the next small task.

Ruled out: that order alone suffices. The gang is the oldest and is tried first in each pass, but it needs three workers at once, and their tasks end at different times. Where those of a worker end together it starts without a reservation (a first form of the test passed on the code before, and guards against nothing).

Both kinds share one budget of a pass. Work with accelerators is decided as before.

Why it holds: what is reserved is out of reach of later steps of the pass, and a gang keeps the same workers from pass to pass, as they count as reserved before.

--- a/ragwortwick-area/src/placement.rs
+++ b/ragwortwick-area/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ragwortwick_core::{CustomerName, DurationMs, PoolName, TimeMs, WorkerName};
+use ragwortwick_core::{CustomerName, DurationMs, PoolName, TimeMs};
 
 use crate::candidates::{Candidate, sort_candidates};
 use crate::coordinator::{Coordinator, Now};
@@ -41,8 +41,10 @@
             let (urgent, others): (Vec<_>, Vec<_>) =
                 in_pool.into_iter().partition(|c| c.can_preempt());
             let others = self.in_fair_order(&pool, others);
-            self.place_urgent(now.steady, &urgent, &mut capacity);
-            reserved_workers.extend(self.place_non_preempting(now.steady, &others, &mut capacity));
+            let mut reservations = Reservations::new(capacity.slots.len());
+            self.place_urgent(now.steady, &urgent, &mut capacity, &mut reservations);
+            self.place_non_preempting(now.steady, &others, &mut capacity, &mut reservations);
+            reserved_workers.extend(reservations.workers);
         }
         self.reserved_workers = reserved_workers;
         self.send_advice_request(now.steady);
@@ -113,28 +115,25 @@
     }
 
     /// Places steps that may not preempt, in order, and reserves capacity for gangs that do not fit.
-    /// Returns the workers with reserved capacity.
     fn place_non_preempting(
         &mut self,
         now: TimeMs,
         others: &[&Candidate],
         capacity: &mut PoolCapacity,
-    ) -> BTreeSet<WorkerName> {
+        reservations: &mut Reservations,
+    ) {
         let mut unplaced: Vec<(StepSpec, usize)> = Vec::new();
-        let mut reservations = Reservations::new(capacity.slots.len());
         for candidate in others {
             if self.try_place_step(now, candidate, capacity, &mut unplaced) {
                 continue;
             }
-            if self.release_reservation_for(now, candidate, &mut capacity.slots, &mut reservations)
-            {
+            if self.release_reservation_for(now, candidate, &mut capacity.slots, reservations) {
                 self.place_step(now, candidate, None, capacity);
             } else if candidate.has_value_left && !capacity.is_mostly_idle() {
                 // While half of the pool is idle, small tasks are not the reason why the gang does not fit.
-                self.reserve_for_gang(now, candidate, capacity, &mut reservations);
+                self.reserve_for_gang(now, candidate, capacity, reservations);
             }
         }
-        reservations.workers
     }
 
     /// Places as many tasks of a step as fit; returns whether no waiting task is left.
--- a/ragwortwick-area/src/preemption.rs
+++ b/ragwortwick-area/src/preemption.rs
@@ -10,6 +10,7 @@
 use crate::packing::{PlacementConstraints, Slot};
 use crate::pool_capacity::PoolCapacity;
 use crate::preemption_plan::{PreemptionPlan, cheapest_plan, place_all};
+use crate::reservation::Reservations;
 use crate::speed::SpeedPreference;
 use crate::victims::{SlotIndex, Victim, VictimKind, slots_by_worker};
 
@@ -56,6 +57,7 @@
         now: TimeMs,
         urgent: &[&Candidate],
         capacity: &mut PoolCapacity,
+        reservations: &mut Reservations,
     ) {
         if urgent.is_empty() {
             return;
@@ -73,13 +75,43 @@
             let in_time = capacity.is_uneven && candidate.can_meet_objective;
             let limit = in_time.then_some(candidate.max_slowdown_percent);
             let is_settled = limit.is_some()
-                && self.place_or_preempt(now, candidate, limit, capacity, &mut pass);
-            if !is_settled {
-                self.place_or_preempt(now, candidate, None, capacity, &mut pass);
+                && self.place_or_preempt(now, candidate, limit, capacity, &mut pass)
+                || self.place_or_preempt(now, candidate, None, capacity, &mut pass);
+            if !is_settled && candidate.is_guaranteed {
+                self.wait_for_equals(now, candidate, capacity, reservations, &mut pass);
             }
         }
     }
 
+    /// Reserves capacity for a gang without accelerators, which may not preempt its equals.
+    ///
+    /// Otherwise a stream of small ones would take each gap before the gang fits.
+    fn wait_for_equals(
+        &mut self,
+        now: TimeMs,
+        candidate: &Candidate,
+        capacity: &mut PoolCapacity,
+        reservations: &mut Reservations,
+        pass: &mut UrgentPass,
+    ) {
+        let Some((spec, _)) = self.waiting_tasks(candidate) else {
+            return;
+        };
+        if spec.need.accelerators > 0 {
+            return;
+        }
+        if self.release_reservation_for(now, candidate, &mut capacity.slots, reservations) {
+            self.place_step(now, candidate, None, capacity);
+            for (index, need) in capacity.allocations.drain(..) {
+                pass.after_stops[index].allocate(need);
+            }
+            return;
+        }
+        for index in self.reserve_for_gang(now, candidate, capacity, reservations) {
+            pass.after_stops[index].allocate(spec.demand());
+        }
+    }
+
     /// Places a step, reserves capacity that is about to be free for it, or preempts other runs; returns whether
     /// there was a way. With a largest slowdown, in per cent, only workers are used that aren't known to be slower.
     fn place_or_preempt(
--- a/ragwortwick-area/src/reservation.rs
+++ b/ragwortwick-area/src/reservation.rs
@@ -121,24 +121,26 @@
     }
 
     /// Reserves the capacity that is free first for a waiting gang, so that later steps can't use it.
+    ///
+    /// Returns the slot index for each member; none if nothing is reserved.
     pub(crate) fn reserve_for_gang(
         &self,
         now: TimeMs,
         candidate: &Candidate,
         capacity: &mut PoolCapacity,
         reservations: &mut Reservations,
-    ) {
+    ) -> Vec<usize> {
         let Some(job) = self.jobs.get(&candidate.job_id) else {
-            return;
+            return Vec::new();
         };
         let step = job.step(candidate.occurrence, candidate.step);
         let (Some(spec), Some(step)) = (job.spec(candidate.step), step) else {
-            return;
+            return Vec::new();
         };
         let count = step.waiting_count();
         let can_reserve = spec.is_gang && self.advisor_timing(candidate).is_none();
         if !can_reserve || reservations.gangs_left == 0 || count > reservations.workers_left {
-            return;
+            return Vec::new();
         }
         let constraints = headroom::constraints_for(candidate, spec, capacity);
         let slots = &mut capacity.slots;
@@ -148,9 +150,9 @@
         reservations.gangs_left -= 1;
         let Some(reservation) = earliest_reservation(slots, forecasts, spec, count, &constraints)
         else {
-            return;
+            return Vec::new();
         };
-        for index in reservation.placements {
+        for &index in &reservation.placements {
             let slot = &mut slots[index];
             let before = slot.free;
             slot.free = before.saturating_sub(spec.demand());
@@ -162,6 +164,7 @@
                 reservations.workers_left -= 1;
             }
         }
+        reservation.placements
     }
 
     /// Forecasts the runs on each slot, ordered by their expected end.
--- a/ragwortwick-area/tests/preemption_order.rs
+++ b/ragwortwick-area/tests/preemption_order.rs
@@ -8,7 +8,7 @@
     Customer, DesiredState, EndKind, Event, JobPhase, JobRecord, RecoveredJob, Resources, StepSpec,
     TaskId, VictimKind, WorkerEntry,
 };
-use ragwortwick_core::{CustomerName, JobId, WorkerName};
+use ragwortwick_core::{CustomerName, DurationMs, JobId, WorkerName};
 use rig::{Rig, desired, ended, gang, job, running, step, worker};
 
 type Run = (WorkerName, TaskId, u32);
@@ -254,3 +254,55 @@
     rig.advance(500);
     assert_eq!(rig.preemptions(), vec![]);
 }
+
+/// Guards against an urgent gang that never starts because small urgent work, which it may not preempt, takes each gap.
+#[test]
+fn verify_urgent_gang_without_accelerators_starts_in_a_stream_of_small_urgent_work() {
+    let workers = small_workers(12, 0);
+    let mut rig = open(&workers);
+    let small = StepSpec {
+        need: Resources {
+            cpu_millis: 5_000,
+            memory_mb: 100,
+            accelerators: 0,
+        },
+        estimate_ms: DurationMs(300),
+        ..step(12, 0)
+    };
+    let mut active: Vec<(u32, Run)> = Vec::new();
+    let mut sequence = 0;
+    for round in 0..60 {
+        if round == 5 {
+            rig.submit_as(&id(0), "c", "urgent", wide(gang(3, 0)));
+        }
+        rig.submit_as(&id(100 + round), "d", "urgent", small.clone());
+        let started = rig.start_all();
+        if started.iter().any(|run| run.1.job_id.as_str() == id(0)) {
+            return;
+        }
+        // Tasks last for different times, so that the room of several is never free at once by chance.
+        active.extend(
+            started
+                .into_iter()
+                .map(|run| (round + 1 + run.1.index % 3, run)),
+        );
+        rig.advance(80);
+        for worker in &workers {
+            let on_worker = |(_, run): &&(u32, Run)| run.0 == worker.name;
+            let (over, others): (Vec<_>, Vec<_>) = active
+                .iter()
+                .filter(on_worker)
+                .partition(|(last_round, _)| *last_round <= round);
+            let ends = over.iter().map(|(_, run)| {
+                sequence += 1;
+                ended(sequence, run, EndKind::Done)
+            });
+            let ends = ends.collect();
+            let still = others.iter().map(|(_, run)| running(run)).collect();
+            rig.poll_reply(worker.name.as_str(), still, ends);
+        }
+        active.retain(|(last_round, _)| *last_round > round);
+        rig.store_batches();
+    }
+    panic!("the gang has not started");
+}
