area: count runs that may not be preempted as use of their customer's share

What callers would see: an urgent step that lasts and names how many of its tasks may be missing uses its customer's share; another urgent gang of the customer runs beyond the share; a third job, which the guarantee of its own customer covers, never gets its accelerators (RECLAIM).

Cause: what a guarantee covers counts all urgent runs of a customer, what is borrowed counted those alone that may be preempted. The gang beyond the share was therefore within it.

Change: both places take the accelerators in use from `urgent_usage`.

Measured: the new test fails before (no stop), and passes.

Why it holds: a run counts as borrowed only if the others of its customer use the whole share by the very figure by which its step would be covered, so no stopped step is covered at once.

--- a/ragwortwick-area/src/victims.rs
+++ b/ragwortwick-area/src/victims.rs
@@ -118,6 +118,8 @@
                     .push((placed_at, victim));
             }
         }
+        // Runs that may not be preempted are no units, and use their customer's share all the same.
+        let used_by_customer = self.urgent_usage().by_customer;
         let mut borrowers = Vec::new();
         for (customer, mut units) in by_customer {
             let share = self
@@ -125,7 +127,7 @@
                 .customers
                 .get(&customer)
                 .map_or(0, |customer| customer.guaranteed_accelerators);
-            let mut used: u64 = units.iter().map(|(_, victim)| victim.accelerators).sum();
+            let mut used = used_by_customer.get(&customer).copied().unwrap_or(0);
             units.sort_by_key(|(placed_at, _)| std::cmp::Reverse(*placed_at));
             for (_, victim) in units {
                 if used >= share + victim.accelerators {
--- a/ragwortwick-area/tests/guarantees.rs
+++ b/ragwortwick-area/tests/guarantees.rs
@@ -2,7 +2,7 @@
 
 mod rig;
 
-use ragwortwick_area::{EndKind, Event, OrderReply, TaskId};
+use ragwortwick_area::{EndKind, Event, OrderReply, StepSpec, TaskId};
 use ragwortwick_core::WorkerName;
 use rig::{Rig, ended, gang, job, step, worker};
 
@@ -184,3 +184,26 @@
     let is_wide = |start: &(WorkerName, TaskId, u32)| start.1.job_id.as_str() == "00000000000000e1";
     assert!(starts.iter().all(is_wide));
 }
+
+/// Guards against a guarantee that is not returned: urgent work that may not be preempted uses its customer's share, and
+/// what runs beyond that share has to count as borrowed all the same.
+#[test]
+fn verify_work_that_is_never_preempted_uses_its_customers_share() {
+    let workers = [worker("w1", "r1"), worker("w2", "r1"), worker("w3", "r1")];
+    let mut rig = Rig::new(&workers);
+    let lasting = StepSpec {
+        is_long_running: true,
+        may_miss: Some(1),
+        ..step(2, 8)
+    };
+    rig.submit_as("00000000000000f0", "c", "urgent", lasting);
+    assert_eq!(rig.start_all().len(), 2);
+    rig.submit_as("00000000000000f1", "c", "urgent", gang(1, 8));
+    assert_eq!(rig.start_all().len(), 1);
+    rig.submit_as("00000000000000f2", "d", "urgent", gang(1, 8));
+    rig.advance(100);
+    rig.store_batches();
+    let stops = rig.stops();
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].1.job_id.as_str(), "00000000000000f1");
+}
