--- a/ragwortwick-emulator/src/invariants.rs
+++ b/ragwortwick-emulator/src/invariants.rs
@@ -25,8 +25,7 @@
 /// Turns in which two steps may preempt each other within the span: one each way.
 const MAX_PREEMPTION_TURNS: usize = 2;
 
-/// Span in which the turns of two steps are counted. It is shorter than most runs, so that it is not their ends that
-/// change what the guarantees of the customers cover.
+/// Span in which the turns of two steps are counted.
 const PREEMPTION_TURNS_MS: DurationMs = DurationMs(1_000);
 
 /// `GroundTruth` records what really happened, independently of any coordinator's view.
@@ -164,7 +163,7 @@
 
     /// Checks that no step preempts itself, and that two steps do not preempt each other again and again.
     ///
-    /// One turn back is allowed: a borrower comes within its customer's share when other runs end.
+    /// One turn back is allowed, and others later: a borrower comes within its customer's share when other runs end.
     pub(crate) fn check_preemption(&mut self, now: TimeMs, term: u64, preemption: &Preemption) {
         let (step, preemptor) = (&preemption.step, &preemption.preemptor);
         let is_first_stopped = step <= preemptor;
