daemon tests: lose the store only once the term has loaded

Cause, from the host's lines in a copy of the test that prints them: `term_begins`, then `term_load_failed` and `term_ends cause="the jobs can't be read"`. The store was made unresponsive between the begin of the term and its reading of the jobs; such a term ends before it has a worker feed, so there is no `feed_behind feed=workers` to wait for. Three of 24 plays beside that load, all three with these lines.

Change: the test waits for `term_loaded` before it takes the store away. What it checks is the same.

--- a/ragwortwick-daemon/tests/area_catch_up.rs
+++ b/ragwortwick-daemon/tests/area_catch_up.rs
@@ -160,6 +160,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_coordinator_that_was_away_sees_new_workers() {
     let fleet = open(1, 2).await;
+    // A term that can't load the jobs ends without a worker feed.
+    let loaded = fleet.hosts[0].wait_for_event("term_loaded").await;
+    loaded.expect("the term has read the jobs and the workers");
     fleet.store.set_fault(StoreFault::Unresponsive);
     let behind = async || {
         let lines = fleet.hosts[0].lines();
