area: place guaranteed steps with accelerators before those without, which they may preempt

What a reservation holds is no run, so the younger step could not preempt it, although it may preempt the gang.

Ruled out: that the order of victims or the reservation of capacity that is in use does it.

Change: guaranteed steps are placed in the order in which they may preempt, then by age. Where all urgent work has accelerators, or none has, the order is as before.

Why it holds: when a gang without accelerators reserves, every covered step with accelerators has had its turn in the pass.

--- a/ragwortwick-area/src/candidates.rs
+++ b/ragwortwick-area/src/candidates.rs
@@ -17,6 +17,8 @@
     pub(crate) customer: CustomerName,
     pub(crate) priority: u32,
     pub(crate) due_at: TimeMs,
+    /// Accelerators that one task needs; a guaranteed share includes no work without any.
+    pub(crate) accelerators_needed: u64,
     /// Whether the customer's guaranteed share covers it.
     pub(crate) is_guaranteed: bool,
     /// When other runs were preempted for it, if that was recently.
@@ -40,6 +42,10 @@
         }
     }
 
+    pub(crate) fn needs_accelerators(&self) -> bool {
+        self.accelerators_needed > 0
+    }
+
     /// Whether other runs may be preempted for it: it is guaranteed, or urgent and can still meet its
     /// objective.
     pub(crate) fn can_preempt(&self) -> bool {
@@ -101,6 +107,9 @@
                         customer: job.record.customer.clone(),
                         priority: policy.priority,
                         due_at,
+                        accelerators_needed: job
+                            .spec(step_number)
+                            .map_or(0, |spec| spec.need.accelerators),
                         is_guaranteed: false,
                         preempted_at: None,
                         value_density: occurrence_value.value_density,
@@ -197,6 +206,9 @@
 
 /// Sorts the candidates: first steps for which others were preempted, then guaranteed steps, oldest first,
 /// then the rest by value per accelerator-second of remaining work.
+///
+/// Guaranteed steps without accelerators come after those with, which may preempt them. Otherwise the former could
+/// reserve capacity that the latter are owed.
 pub(crate) fn sort_candidates(candidates: &mut [Candidate]) {
     candidates.sort_by(|a, b| {
         let preempted_at =
@@ -206,7 +218,9 @@
             .then_with(|| b.is_guaranteed.cmp(&a.is_guaranteed))
             .then_with(|| {
                 if a.is_guaranteed {
-                    a.due_at.cmp(&b.due_at)
+                    b.needs_accelerators()
+                        .cmp(&a.needs_accelerators())
+                        .then_with(|| a.due_at.cmp(&b.due_at))
                 } else {
                     b.value_density.total_cmp(&a.value_density)
                 }
--- a/ragwortwick-area/src/preemption.rs
+++ b/ragwortwick-area/src/preemption.rs
@@ -77,7 +77,7 @@
             let is_settled = limit.is_some()
                 && self.place_or_preempt(now, candidate, limit, capacity, &mut pass)
                 || self.place_or_preempt(now, candidate, None, capacity, &mut pass);
-            if !is_settled && candidate.is_guaranteed {
+            if !is_settled && candidate.is_guaranteed && !candidate.needs_accelerators() {
                 self.wait_for_equals(now, candidate, capacity, reservations, &mut pass);
             }
         }
@@ -97,9 +97,6 @@
         let Some((spec, _)) = self.waiting_tasks(candidate) else {
             return;
         };
-        if spec.need.accelerators > 0 {
-            return;
-        }
         if self.release_reservation_for(now, candidate, &mut capacity.slots, reservations) {
             self.place_step(now, candidate, None, capacity);
             for (index, need) in capacity.allocations.drain(..) {
@@ -191,7 +188,7 @@
         for victim in &plan.victims {
             // Otherwise the victim would be placed first in the next pass, in the capacity just freed.
             self.preempted_for.remove(&victim.unit.step);
-            self.stop_victim(now, victim, candidate, spec.need.accelerators);
+            self.stop_victim(now, victim, candidate);
             for &(index, freed) in &victim.freed {
                 pass.after_stops[index].release(freed);
             }
@@ -236,13 +233,7 @@
         after_stops
     }
 
-    fn stop_victim(
-        &mut self,
-        now: TimeMs,
-        victim: &Victim,
-        preemptor: &Candidate,
-        accelerators_needed: u64,
-    ) {
+    fn stop_victim(&mut self, now: TimeMs, victim: &Victim, preemptor: &Candidate) {
         let unit = &victim.unit;
         if let Some(job) = self.jobs.get_mut(&unit.step.job_id) {
             job.accounting.preempted_by = Some(preemptor.job_id.clone());
@@ -253,7 +244,7 @@
             accelerators: victim.accelerators,
             preemptor: preemptor.step_id(),
             is_guaranteed: preemptor.is_guaranteed,
-            accelerators_needed,
+            accelerators_needed: preemptor.accelerators_needed,
         }));
         for worker in &victim.workers {
             self.stop_matching_on(now, worker, RunEndReason::Displaced, |task| {
@@ -272,7 +263,7 @@
     constraints: &PlacementConstraints,
     victims: &[Victim],
 ) -> Option<PreemptionPlan> {
-    let is_allowed = |victim: &Victim| may_preempt(candidate, spec, victim.kind);
+    let is_allowed = |victim: &Victim| may_preempt(candidate, victim.kind);
     if victims.iter().all(is_allowed) {
         return cheapest_plan(after_stops, spec, count, constraints, victims);
     }
@@ -281,11 +272,13 @@
 }
 
 /// Whether a step that may preempt others may preempt a unit of this kind.
-fn may_preempt(candidate: &Candidate, spec: &StepSpec, kind: VictimKind) -> bool {
+fn may_preempt(candidate: &Candidate, kind: VictimKind) -> bool {
     match kind {
         VictimKind::LowerPriority => true,
         VictimKind::Borrower => candidate.is_guaranteed,
-        VictimKind::WithoutAccelerators => candidate.is_guaranteed && spec.need.accelerators > 0,
+        VictimKind::WithoutAccelerators => {
+            candidate.is_guaranteed && candidate.needs_accelerators()
+        }
     }
 }
 
--- a/ragwortwick-area/tests/preemption_order.rs
+++ b/ragwortwick-area/tests/preemption_order.rs
@@ -306,3 +306,41 @@
     }
     panic!("the gang has not started");
 }
+
+/// Guards against a guarantee that waits for what an older urgent gang without accelerators has reserved: it may
+/// preempt that gang, so it comes before it.
+#[test]
+fn verify_guarantee_is_not_kept_off_by_a_reservation_of_work_without_accelerators() {
+    let workers = small_workers(12, 8);
+    let mut state = DesiredState::clone(&desired_with_customer_e());
+    let customer = state
+        .customers
+        .get_mut(&CustomerName::new("d"))
+        .expect("customer d");
+    customer.guaranteed_accelerators = 96;
+    let mut rig = Rig::new(&workers);
+    rig.send(Event::DesiredState(Arc::new(state)));
+    let small = StepSpec {
+        need: Resources {
+            cpu_millis: 6_000,
+            memory_mb: 100,
+            accelerators: 0,
+        },
+        max_per_worker: Some(1),
+        ..step(12, 0)
+    };
+    rig.submit_as(&id(0), "c", "urgent", small);
+    assert_eq!(
+        rig.start_all().len(),
+        12,
+        "no worker has the cores of a gang member left"
+    );
+    rig.submit_as(&id(1), "c", "urgent", wide(gang(3, 0)));
+    rig.advance(100);
+    rig.submit_as(&id(2), "d", "urgent", wide(gang(12, 8)));
+    rig.advance(100);
+    rig.settle_stops();
+    let starts = rig.start_all();
+    let guaranteed = starts.iter().filter(|run| run.1.job_id.as_str() == id(2));
+    assert_eq!(guaranteed.count(), 12);
+}
